--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Installs, builds with warnings as errors, checks format and lint, runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/install.sh
+tools/build.sh
+tools/format.sh --check
+tools/lint.sh
+tools/run_tests.sh
