--- a/include/masticcourse/core/ids.hpp
+++ b/include/masticcourse/core/ids.hpp
@@ -50,7 +50,10 @@
 /// A count of model tokens; also the unit of budgets.
 using token_count = std::int64_t;
 
-/// The shard that a program belongs to.
+/// Separates a sub-agent's own part of its id from that of the program it belongs to: `root.1.4`.
+inline constexpr char sub_agent_separator = '.';
+
+/// The shard that a program belongs to; a sub-agent belongs to its root's, so that a whole tree has one home.
 /// @param id          the program
 /// @param shard_count number of shards, the same on all processes and for ever
 /// @return an index below @a shard_count
--- a/include/masticcourse/messages/peer_message.hpp
+++ b/include/masticcourse/messages/peer_message.hpp
@@ -4,6 +4,7 @@
 
 #include "masticcourse/core/ids.hpp"
 #include "masticcourse/model/call.hpp"
+#include "masticcourse/store/store_op.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -86,6 +87,8 @@
     /// Time left, from the moment of sending.
     std::optional<std::chrono::milliseconds> remaining;
     program_id parent;
+    /// The place of this call in the program's history, from 0.
+    std::uint32_t turn_number = 0;
 };
 
 struct cancel_call
@@ -93,6 +96,14 @@
     call_ref call;
 };
 
+/// A new home took the shard: the receiver refuses older epochs from here on and answers with all the results
+/// of this shard that it still keeps, which the new home adopts where they extend a history.
+struct collect_shard
+{
+    shard_index shard = 0;
+    epoch_number epoch = 0;
+};
+
 /// What became of this call? Asked by a home that can't know.
 struct ask_call
 {
@@ -179,6 +190,24 @@
     call_outcome outcome;
 };
 
+/// A result whose durability the target process has not heard of.
+struct kept_result
+{
+    call_ref call;
+    std::uint32_t turn_number = 0;
+    call_request request;
+    call_outcome outcome;
+};
+
+/// The answer to `collect_shard`; calls that still run come later as `call_finished` to the new home.
+struct kept_results
+{
+    shard_index shard = 0;
+    epoch_number epoch = 0;
+    std::vector<kept_result> results;
+    std::vector<kept_result> in_progress;
+};
+
 /// The load of the target behind this process, sent at a fixed period and on change.
 struct target_load
 {
@@ -259,12 +288,39 @@
 {
     std::vector<shard_owner> owners;
 };
+
+/// Has the receiver lately heard from this incarnation? Asked before a silent owner's shards are taken.
+struct liveness_ask
+{
+    incarnation_id incarnation;
+};
+
+struct liveness_answer
+{
+    incarnation_id incarnation;
+    bool heard = false;
+};
+
+/// Runs an operation on the platform's store for a peer that can't reach it.
+struct relay_store
+{
+    std::uint64_t id = 0;
+    store_op operation;
+};
+
+struct relay_reply
+{
+    std::uint64_t id = 0;
+    store_reply reply;
+};
 /// @}
 
-using peer_message = std::variant<peer_hello, peer_heartbeat, config_request, config_reply, dispatch_call,
-                                  cancel_call, ask_call, outcome_durable, renew_programs, release_program,
-                                  call_refused, call_tokens, call_finished, call_answer, target_load,
-                                  target_cache, forward_request, forward_reply, forward_event, shard_owners>;
+using peer_message =
+    std::variant<peer_hello, peer_heartbeat, config_request, config_reply, dispatch_call, cancel_call,
+                 ask_call, outcome_durable, renew_programs, release_program, call_refused, call_tokens,
+                 call_finished, call_answer, target_load, target_cache, forward_request, forward_reply,
+                 forward_event, shard_owners, collect_shard, kept_results, liveness_ask, liveness_answer,
+                 relay_store, relay_reply>;
 
 /// @return the message as CBOR, without the length prefix
 [[nodiscard]] std::string encode(const peer_message& message);
--- a/include/masticcourse/state/journal_record.hpp
+++ b/include/masticcourse/state/journal_record.hpp
@@ -65,6 +65,12 @@
     friend bool operator==(const program_ended&, const program_ended&) = default;
 };
 
+/// Says nothing; once it is durable, its writer still owned its journal when it was written.
+struct ownership_probe
+{
+    friend bool operator==(const ownership_probe&, const ownership_probe&) = default;
+};
+
 /// The whole state of one program, written by a checkpoint or a takeover.
 struct program_snapshot
 {
@@ -80,7 +86,7 @@
 /// @}
 
 using journal_payload = std::variant<program_created, escrow_taken, call_intended, turn_committed,
-                                     intent_withdrawn, program_ended, program_snapshot>;
+                                     intent_withdrawn, program_ended, program_snapshot, ownership_probe>;
 
 /// One record, with the shard and the epoch that its writer believed in.
 struct journal_record
