--- a/standins/prefix_cache.hpp
+++ b/standins/prefix_cache.hpp
@@ -24,7 +24,7 @@
 {
     /// Prompt tokens that sequences computed.
     token_count prefilled = 0;
-    /// The part of @a prefilled that had been computed once and was dropped: wasted work.
+    /// The part of @a prefilled that had been computed before, and was dropped since: wasted work.
     token_count recomputed = 0;
     /// Prompt tokens that sequences found in the cache.
     token_count reused = 0;
@@ -123,6 +123,8 @@
         friend auto operator<=>(const eviction_rank&, const eviction_rank&) = default;
     };
 
+    /// Nobody has a use for it any more.
+    [[nodiscard]] static bool abandoned(const node& n);
     node& emplace(const prompt_segment& segment);
     void hold(node& n, const program_id& program);
     void touch(node& n, core_time now);
--- /dev/null
+++ b/tests/unit/test_engine_model.cpp
@@ -0,0 +1,254 @@
+// The model engine of the stand-ins: batching, cache, eviction, cancel.
+#include "engine_model.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+using namespace masticcourse;
+using namespace masticcourse::standins;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// @a words words that no other @a name shares.
+std::string text_of(const std::string& name, token_count words)
+{
+    std::string text;
+    for (token_count n = 0; n < words; ++n)
+    {
+        text += (n == 0 ? "" : " ") + name + std::to_string(n);
+    }
+    return text;
+}
+
+engine_request request_of(const std::string& stream, std::vector<std::string> prompt, token_count answer)
+{
+    return {.stream = {stream},
+            .program = {"program-" + stream},
+            .prompt = std::move(prompt),
+            .max_tokens = answer,
+            .answer_tokens = answer};
+}
+
+/// What came out of the engine, per stream.
+struct answer
+{
+    std::string text;
+    token_usage usage;
+    core_time first;
+    core_time finished;
+    bool too_long = false;
+};
+
+std::map<std::string, answer> run_until_idle(engine_model& engine)
+{
+    std::map<std::string, answer> answers;
+    while (const auto at = engine.next_event_time())
+    {
+        for (const auto& event : engine.advance(*at))
+        {
+            if (const auto* token = std::get_if<token_event>(&event))
+            {
+                auto& it = answers[token->stream.value];
+                it.first = token->index == 0 ? token->at : it.first;
+                it.text += token->text;
+            }
+            else if (const auto* finished = std::get_if<finished_event>(&event))
+            {
+                auto& it = answers[finished->stream.value];
+                it.usage = finished->usage;
+                it.finished = finished->at;
+                it.too_long = finished->too_long;
+            }
+        }
+    }
+    return answers;
+}
+
+const engine_options small{.max_running = 2,
+                           .cache_capacity = 100,
+                           .prefill_rate = 1000,
+                           .prefill_chunk = 10,
+                           .decode_step = 10ms,
+                           .decode_step_per_sequence = 1ms};
+
+} // namespace
+
+TEST_CASE("engine model batches")
+{
+    engine_model engine{small};
+    SUBCASE("one sequence: prefill at the rate, then one token a step")
+    {
+        engine.start(request_of("a", {text_of("x", 20)}, 3), {});
+        const auto answers = run_until_idle(engine);
+        CHECK(answers.at("a").text == answer_text(std::vector{text_of("x", 20)}, 3));
+        CHECK(answers.at("a").first == core_time{20ms});
+        CHECK(answers.at("a").finished == core_time{42ms});
+        CHECK(answers.at("a").usage == token_usage{.prompt = 20, .cached = 0, .completion = 3});
+    }
+    SUBCASE("two sequences make each step longer, but less than two alone")
+    {
+        engine.start(request_of("a", {text_of("x", 10)}, 11), {});
+        engine.start(request_of("b", {text_of("y", 10)}, 11), {});
+        const auto answers = run_until_idle(engine);
+        CHECK(answers.at("b").finished > core_time{120ms});
+        CHECK(answers.at("b").finished < core_time{200ms});
+    }
+    SUBCASE("a third waits for a place in the batch")
+    {
+        for (const auto* name : {"a", "b", "c"})
+        {
+            engine.start(request_of(name, {text_of(name, 5)}, 5), {});
+        }
+        engine.advance(core_time{5ms});
+        CHECK(engine.load().running == 2);
+        CHECK(engine.load().queued == 1);
+        const auto answers = run_until_idle(engine);
+        CHECK(answers.at("c").first > answers.at("a").finished);
+    }
+    SUBCASE("a slowed engine takes that much longer")
+    {
+        engine.set_slowdown(3);
+        engine.start(request_of("a", {text_of("x", 10)}, 1), {});
+        CHECK(run_until_idle(engine).at("a").finished == core_time{30ms});
+    }
+}
+
+TEST_CASE("engine model caches prefixes")
+{
+    struct row
+    {
+        const char* name;
+        std::vector<std::string> first;
+        std::vector<std::string> second;
+        token_count cached;
+    };
+    const std::string head = text_of("h", 20);
+    const std::string follow_up = answer_text(std::vector{head}, 4);
+    const std::array table{row{"another prompt", {head}, {text_of("other", 20)}, 0},
+                           row{"the same prompt", {head}, {head}, 20},
+                           row{"a longer prompt", {head}, {head, text_of("t", 5)}, 20},
+                           row{"the answer too", {head}, {head, follow_up, text_of("t", 5)}, 24},
+                           row{"only a leading run", {head}, {text_of("t", 5), head}, 0}};
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        engine_model engine{small};
+        engine.start(request_of("a", it.first, 4), {});
+        run_until_idle(engine);
+        engine.start(request_of("b", it.second, 1), core_time{1s});
+        CHECK(run_until_idle(engine).at("b").usage.cached == it.cached);
+        CHECK(engine.counters().reused == it.cached);
+        CHECK(engine.counters().recomputed == 0);
+    }
+}
+
+TEST_CASE("engine model holds bounded memory")
+{
+    engine_model engine{small};
+    SUBCASE("the least recently used prefix goes first, and computing it again is counted")
+    {
+        core_time now;
+        for (const auto* name : {"a", "b", "a", "c"})
+        {
+            now += 1s;
+            engine.start(request_of(name, {text_of(name, 40)}, 2), now);
+            run_until_idle(engine);
+            CHECK(engine.load().cache_used <= small.cache_capacity);
+        }
+        CHECK(engine.counters().evicted_unused == 42);
+        engine.start(request_of("a", {text_of("a", 40)}, 1), core_time{11s});
+        CHECK(run_until_idle(engine).at("a").usage.cached == 40);
+        engine.start(request_of("b", {text_of("b", 40)}, 1), core_time{12s});
+        CHECK(run_until_idle(engine).at("b").usage.cached == 0);
+        CHECK(engine.counters().recomputed == 40);
+    }
+    SUBCASE("siblings share a prefix's memory")
+    {
+        engine.start(request_of("a", {text_of("h", 60), "x"}, 1), {});
+        engine.start(request_of("b", {text_of("h", 60), "y"}, 1), {});
+        run_until_idle(engine);
+        CHECK(engine.load().cache_used == 64);
+        CHECK(engine.held().size() == 2);
+        engine.free_program({"program-a"});
+        CHECK(engine.load().cache_used == 62);
+        engine.free_program({"program-b"});
+        CHECK(engine.load().cache_used == 0);
+        CHECK(engine.held().empty());
+    }
+    SUBCASE("what can never fit is refused, and the next goes on")
+    {
+        engine.start(request_of("a", {text_of("x", 99)}, 2), {});
+        engine.start(request_of("b", {text_of("y", 9)}, 2), {});
+        const auto answers = run_until_idle(engine);
+        CHECK(answers.at("a").too_long);
+        CHECK_FALSE(answers.at("b").too_long);
+    }
+    SUBCASE("a sequence waits until there is memory for it")
+    {
+        engine.start(request_of("a", {text_of("x", 50)}, 10), {});
+        engine.start(request_of("b", {text_of("y", 50)}, 10), {});
+        CHECK(engine.load().running == 1);
+        CHECK(run_until_idle(engine).size() == 2);
+    }
+}
+
+TEST_CASE("engine model cancels and frees")
+{
+    struct row
+    {
+        const char* name;
+        core_time at;
+    };
+    constexpr std::array table{row{"while it prefills", core_time{15ms}},
+                               row{"while it decodes", core_time{60ms}}};
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        engine_model engine{small};
+        engine.start(request_of("a", {text_of("x", 30)}, 20), {});
+        engine.advance(it.at);
+        CHECK(engine.load().cache_used == 50);
+        CHECK(engine.cancel({"a"}, it.at));
+        CHECK_FALSE(engine.cancel({"a"}, it.at));
+        engine.free_program({"program-a"});
+        CHECK(engine.load().cache_used == 0);
+        CHECK(run_until_idle(engine).empty());
+    }
+    SUBCASE("a queued stream can be cancelled")
+    {
+        engine_model engine{small};
+        for (const auto* name : {"a", "b", "c"})
+        {
+            engine.start(request_of(name, {text_of(name, 5)}, 5), {});
+        }
+        CHECK(engine.cancel({"c"}, {}));
+        CHECK(run_until_idle(engine).size() == 2);
+    }
+    SUBCASE("memory freed under a running stream goes when the stream ends")
+    {
+        engine_model engine{small};
+        engine.start(request_of("a", {text_of("x", 5)}, 5), {});
+        engine.free_program({"program-a"});
+        CHECK(run_until_idle(engine).at("a").usage.completion == 5);
+        engine.free_program({"program-a"});
+        CHECK(engine.load().cache_used == 0);
+    }
+}
+
+TEST_CASE("engine model exports and imports prefixes")
+{
+    engine_model from{small};
+    engine_model to{small};
+    const std::vector prompt{text_of("x", 30), text_of("y", 10)};
+    from.start(request_of("a", prompt, 5), {});
+    run_until_idle(from);
+    CHECK(to.import_prefix({"program-a"}, from.export_prefix({"program-a"}), {}));
+    to.start(request_of("a", prompt, 1), core_time{1s});
+    CHECK(run_until_idle(to).at("a").usage.cached == 40);
+    CHECK_FALSE(to.import_prefix({"program-a"}, "not a prefix", {}));
+}
