--- /dev/null
+++ b/include/masticcourse/net/frame.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// Frames of the connections between the system's processes: a four byte big-endian length, then the payload.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace masticcourse
+{
+
+constexpr std::size_t frame_header_size = 4;
+constexpr std::size_t default_max_frame = std::size_t{64} * 1024 * 1024;
+
+using frame_header = std::array<char, frame_header_size>;
+
+/// @return the header of a frame with @a size bytes of payload; at most what 32 bits hold
+[[nodiscard]] frame_header make_frame_header(std::size_t size);
+
+/// Takes bytes in pieces of any size and hands out whole payloads.
+class frame_decoder
+{
+  public:
+    using frame_callback = std::function<void(std::string)>;
+
+    explicit frame_decoder(std::size_t max_frame = default_max_frame);
+
+    /// @return false if a frame is longer than the limit; nothing is decoded from then on
+    [[nodiscard]] bool feed(std::string_view bytes, const frame_callback& on_frame);
+
+    /// @return whether the bytes so far end in the middle of a frame
+    [[nodiscard]] bool torn() const;
+
+  private:
+    std::size_t take_header(std::string_view bytes);
+    std::size_t take_payload(std::string_view bytes, const frame_callback& on_frame);
+
+    std::size_t m_max_frame;
+    frame_header m_header{};
+    std::size_t m_header_bytes = 0;
+    std::size_t m_payload_size = 0;
+    std::string m_payload;
+    bool m_oversized = false;
+};
+
+} // namespace masticcourse
--- /dev/null
+++ b/standins/platform_store.hpp
@@ -0,0 +1,90 @@
+/// @file
+/// A stand-in for the platform's table service and object store: their semantics in memory, with faults on
+/// command.
+#pragma once
+
+#include "masticcourse/core/clock.hpp"
+#include "masticcourse/store/store_op.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace masticcourse::standins
+{
+
+/// What goes wrong with the store, until it is changed.
+struct store_faults
+{
+    /// Every operation is refused, and nothing is written.
+    bool outage = false;
+    /// How long each answer takes. Only the process keeps to it; in virtual time the test does.
+    std::chrono::milliseconds delay{};
+    /// So many of the next operations take effect but their answers are lost.
+    std::uint32_t lose_answers = 0;
+    /// Above these rates operations are refused. No value: no limit.
+    std::optional<double> writes_per_second;
+    std::optional<double> reads_per_second;
+};
+
+struct store_stats
+{
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t conflicts = 0;
+    /// Operations refused by an outage or a rate.
+    std::uint64_t refused = 0;
+    std::uint64_t lost_answers = 0;
+};
+
+/// Refuses what comes faster than a rate, after a burst of one second's worth.
+class token_bucket
+{
+  public:
+    /// @return whether one more operation is within @a per_second at @a now
+    [[nodiscard]] bool take(double per_second, core_time now);
+
+  private:
+    double m_tokens = 0;
+    std::optional<core_time> m_last;
+};
+
+/// The store itself. Not thread-safe.
+class platform_store
+{
+  public:
+    /// Runs one operation.
+    /// @param now the time by which rates are measured; it must not go back
+    [[nodiscard]] store_reply apply(const store_op& op, core_time now);
+
+    [[nodiscard]] const store_faults& faults() const;
+    void set_faults(const store_faults& faults);
+    [[nodiscard]] const store_stats& stats() const;
+
+  private:
+    [[nodiscard]] bool admit(bool write, core_time now);
+    [[nodiscard]] store_reply run(const table_get& op);
+    [[nodiscard]] store_reply run(const table_put& op);
+    [[nodiscard]] store_reply run(const table_list& op);
+    [[nodiscard]] store_reply run(const object_create& op);
+    [[nodiscard]] store_reply run(const object_get& op);
+    [[nodiscard]] store_reply run(const object_delete& op);
+    [[nodiscard]] store_reply run(const object_list& op);
+
+    struct row
+    {
+        std::string value;
+        row_version version = 0;
+    };
+
+    std::map<std::string, row> m_rows;
+    std::map<std::string, std::string> m_objects;
+    store_faults m_faults;
+    store_stats m_stats;
+    token_bucket m_write_bucket;
+    token_bucket m_read_bucket;
+};
+
+} // namespace masticcourse::standins
