--- /dev/null
+++ b/include/masticcourse/policy/loop_guard.hpp
@@ -0,0 +1,41 @@
+/// @file
+/// Ends programs that loop: a limit on turns, and calls that repeat with the same body.
+#pragma once
+
+#include "masticcourse/core/problem.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace masticcourse
+{
+
+struct loop_limits
+{
+    std::uint32_t turns = 400;
+    /// The same request may come so many times among the last @a window ones.
+    std::uint32_t repeats = 8;
+    std::size_t window = 32;
+};
+
+/// One program's guard.
+class loop_guard
+{
+  public:
+    loop_guard() = default;
+    explicit loop_guard(const loop_limits& limits);
+
+    /// Looks at the next call of the program, before it runs.
+    /// @param digest `digest_of` the request
+    /// @return `problem_id::none`, `turn_limit` or `repeated_call`
+    problem_id check(std::uint64_t digest);
+
+  private:
+    loop_limits m_limits;
+    std::uint32_t m_turns = 0;
+    std::vector<std::uint64_t> m_recent;
+    std::size_t m_next = 0;
+};
+
+} // namespace masticcourse
--- /dev/null
+++ b/src/policy/engine_admission.cpp
@@ -0,0 +1,87 @@
+#include "masticcourse/policy/engine_admission.hpp"
+
+#include <algorithm>
+
+namespace masticcourse
+{
+
+namespace
+{
+
+token_count prefill_of(const waiting_call& call)
+{
+    return std::max<token_count>(call.prompt_tokens - call.expected_cached, 0);
+}
+
+token_count tokens_of(const waiting_call& call)
+{
+    return call.prompt_tokens + call.max_tokens;
+}
+
+} // namespace
+
+engine_admission::engine_admission(const engine_limits& limits) : m_limits(limits) {}
+
+bool engine_admission::admits(const waiting_call& call) const
+{
+    if (m_running.empty())
+    {
+        return true;
+    }
+    const bool has_slot = m_running.size() < m_limits.max_running;
+    const bool has_memory = m_tokens + tokens_of(call) <= m_limits.max_tokens;
+    const bool may_prefill = m_prefill == 0 || m_prefill + prefill_of(call) <= m_limits.max_prefill;
+    return has_slot && has_memory && may_prefill;
+}
+
+void engine_admission::started(const waiting_call& call)
+{
+    const running_call added{tokens_of(call), prefill_of(call), call.max_tokens};
+    if (!m_running.emplace(call.call, added).second)
+    {
+        return;
+    }
+    m_tokens += added.tokens;
+    m_prefill += added.prefill;
+    m_decode += added.decode;
+}
+
+void engine_admission::prefilled(const call_ref& call)
+{
+    const auto it = m_running.find(call);
+    if (it != m_running.end())
+    {
+        m_prefill -= it->second.prefill;
+        it->second.prefill = 0;
+    }
+}
+
+void engine_admission::finished(const call_ref& call)
+{
+    const auto it = m_running.find(call);
+    if (it == m_running.end())
+    {
+        return;
+    }
+    m_tokens -= it->second.tokens;
+    m_prefill -= it->second.prefill;
+    m_decode -= it->second.decode;
+    m_running.erase(it);
+}
+
+std::uint32_t engine_admission::running() const
+{
+    return static_cast<std::uint32_t>(m_running.size());
+}
+
+token_count engine_admission::prefilling() const
+{
+    return m_prefill;
+}
+
+token_count engine_admission::decoding() const
+{
+    return m_decode;
+}
+
+} // namespace masticcourse
