--- a/include/masticcourse/control/entry_core.hpp
+++ b/include/masticcourse/control/entry_core.hpp
@@ -7,6 +7,7 @@
 #include "masticcourse/core/clock.hpp"
 #include "masticcourse/core/ids.hpp"
 #include "masticcourse/messages/peer_message.hpp"
+#include "masticcourse/policy/placement.hpp"
 #include "masticcourse/store/store_op.hpp"
 
 #include <cstddef>
@@ -66,6 +67,14 @@
     /// How old the oldest record may get before new calls are refused.
     core_duration max_tail_age = std::chrono::seconds{60};
     core_duration default_deadline = std::chrono::seconds{60};
+    core_duration longest_deadline = std::chrono::minutes{30};
+    /// How long a target may be unreachable before its idempotent calls go elsewhere.
+    core_duration target_patience = std::chrono::seconds{2};
+    /// How long an idle program's engine memory is kept.
+    core_duration idle_limit = std::chrono::minutes{10};
+    /// How long a request waits for its program's home to be found again.
+    core_duration forward_patience = std::chrono::seconds{8};
+    placement_options placement;
     token_count escrow_chunk = 20'000;
     std::uint32_t turn_limit = 400;
     std::uint32_t repeat_limit = 8;
--- a/include/masticcourse/messages/peer_message.hpp
+++ b/include/masticcourse/messages/peer_message.hpp
@@ -87,7 +87,7 @@
     /// Time left, from the moment of sending.
     std::optional<std::chrono::milliseconds> remaining;
     program_id parent;
-    /// The place of this call in the program's history, from 0.
+    /// The number of this call in the program's history, from 1.
     std::uint32_t turn_number = 0;
 };
 
--- /dev/null
+++ b/src/control/entry_core.cpp
@@ -0,0 +1,154 @@
+#include "masticcourse/control/entry_core.hpp"
+
+#include "entry_state.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace masticcourse
+{
+
+namespace detail
+{
+
+entry_state::entry_state(entry_options given)
+    : options(std::move(given)), random(options.seed), shards(options.shards),
+      config(config_tracker_options{}, options.seed)
+{
+    recovery = std::make_unique<recovered_journals>(options.incarnation, retry_options{});
+    journal = std::make_unique<journal_writer>(
+        options.incarnation, journal_options{.min_gap = options.journal_gap,
+                                             .max_entry_bytes = options.max_entry_bytes});
+}
+
+namespace
+{
+
+/// A step that comes this much later than the one before means that the process slept, so that its shards may
+/// have been taken.
+bool slept(const entry_state& state)
+{
+    return state.last_step && state.now - *state.last_step > state.options.peer_timeout;
+}
+
+void confirm_ownership(entry_state& state)
+{
+    const auto owns = std::ranges::any_of(state.shards, &shard_state::owned);
+    if (!owns)
+    {
+        return;
+    }
+    const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - *state.last_step);
+    state.trace(event_id::process_paused, {}, {}, {{"ms", std::to_string(silent.count())}});
+    const auto ticket = state.journal->append({.payload = ownership_probe{}}, state.now);
+    state.confirm = ticket;
+    when_durable(state, ticket, probe_is_durable{});
+}
+
+/// Hands each input to its system.
+struct input_visitor
+{
+    entry_state& state;
+
+    void operator()(const caller_request& it) const
+    {
+        handle_request(state, local_caller{it.id}, it.raw);
+    }
+
+    void operator()(const caller_gone& it) const
+    {
+        forget_caller(state, it.id);
+    }
+
+    void operator()(const store_done& it) const
+    {
+        on_store_done(state, it);
+    }
+
+    void operator()(const peer_opened& it) const
+    {
+        on_link_opened(state, it.link);
+    }
+
+    void operator()(const peer_closed& it) const
+    {
+        on_link_closed(state, it.link);
+    }
+
+    void operator()(const peer_received& it) const
+    {
+        on_peer_message(state, it.link, it.message);
+    }
+
+    void operator()(const processes_listed& it) const
+    {
+        learn_processes(state, it.processes);
+    }
+
+    void operator()(const stop_requested& /*it*/) const
+    {
+        if (!state.stopping)
+        {
+            state.trace(event_id::process_draining);
+        }
+        state.stopping = true;
+    }
+};
+
+void run_systems(entry_state& state)
+{
+    run_membership(state);
+    run_store(state);
+    run_shards(state);
+    run_config(state);
+    run_calls(state);
+    run_forwards(state);
+    run_leases(state);
+    run_journal(state);
+    run_stop(state);
+}
+
+} // namespace
+
+} // namespace detail
+
+entry_core::entry_core(entry_options options)
+    : m_state(std::make_unique<detail::entry_state>(std::move(options)))
+{
+    detail::learn_processes(*m_state, m_state->options.processes);
+}
+
+entry_core::~entry_core() = default;
+entry_core::entry_core(entry_core&&) noexcept = default;
+entry_core& entry_core::operator=(entry_core&&) noexcept = default;
+
+std::vector<entry_output> entry_core::step(std::span<const entry_input> inputs, core_time now)
+{
+    auto& state = *m_state;
+    state.now = now;
+    if (detail::slept(state))
+    {
+        detail::confirm_ownership(state);
+    }
+    state.last_step = now;
+    for (const auto& input : inputs)
+    {
+        std::visit(detail::input_visitor{state}, input);
+    }
+    detail::run_systems(state);
+    return std::exchange(state.out, {});
+}
+
+core_time entry_core::next_wakeup() const
+{
+    // The systems keep to periods of tens of milliseconds; only the journal's group commit is finer.
+    constexpr auto tick = std::chrono::milliseconds{50};
+    return std::min(m_state->now + tick, m_state->journal->next_wakeup());
+}
+
+entry_counts entry_core::counts() const
+{
+    return detail::counts_of(*m_state);
+}
+
+} // namespace masticcourse
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -1,23 +1,28 @@
 /// @file
-/// The tables of the entry core. Each system is a set of free functions over them in a file of its own.
+/// The tables of the entry core. Each system is a set of free functions over them, in a file of its own.
 #pragma once
 
 #include "masticcourse/control/api_request.hpp"
 #include "masticcourse/control/entry_core.hpp"
 #include "masticcourse/policy/circuit_breaker.hpp"
+#include "masticcourse/policy/loop_guard.hpp"
 #include "masticcourse/policy/placement.hpp"
+#include "masticcourse/policy/retry.hpp"
 #include "masticcourse/state/budget_ledger.hpp"
+#include "masticcourse/state/config_patch.hpp"
 #include "masticcourse/state/config_tracker.hpp"
+#include "masticcourse/state/journal_cleaner.hpp"
 #include "masticcourse/state/journal_writer.hpp"
 #include "masticcourse/state/program_state.hpp"
+#include "masticcourse/state/recovered_journals.hpp"
 #include "masticcourse/state/shard_claim.hpp"
+#include "masticcourse/state/shard_update.hpp"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -33,9 +38,9 @@
 /// One connection to another process.
 struct link_row
 {
-    link_id id = 0;
     bool open = false;
-    /// Whom we dialled; empty for inbound links until their hello.
+    bool outbound = false;
+    /// Whom we dialled; for inbound links known from their hello on.
     process_name name;
     core_time last_heard{};
     core_time last_sent{};
@@ -49,11 +54,10 @@
     bool listed = false;
     std::optional<link_id> link;
     incarnation_id incarnation;
-    /// Heartbeats of @a incarnation arrive.
+    /// A hello came on @a link and heartbeats keep coming.
     bool live = false;
     core_time last_heard{};
     core_time next_dial{};
-    config_version config = 0;
     bool store_reachable = true;
     bool leaving = false;
 };
@@ -64,6 +68,7 @@
     std::optional<target_load> report;
     core_time reported{};
     std::uint32_t in_flight = 0;
+    /// Own work sent since the report, less own work finished since.
     token_count in_flight_prefill = 0;
     token_count in_flight_decode = 0;
     circuit_breaker breaker;
@@ -92,41 +97,43 @@
 struct forwarded_row
 {
     request_id caller = 0;
-    link_id link = 0;
-    bool stream = false;
-    /// Whether the request may have reached a home that could run it.
-    bool may_run = false;
+    forward_request raw;
+    program_id program;
+    /// The link it went over; none while its home is being looked for again.
+    std::optional<link_id> link;
     core_time expires{};
+    /// Whether giving up now leaves open if the request ran.
+    bool may_have_run = false;
 };
 /// @}
 
 /// @name Programs and calls
 /// @{
 
-struct stream_event
-{
-    std::string name;
-    std::string data;
-};
-
 /// Someone who waits for a call's outcome.
 struct waiter
 {
     reply_route route;
     bool stream = false;
-    /// The next event that this waiter has not been sent.
-    std::uint64_t next_event = 0;
+    /// Bytes of the streamed answer that this waiter has been sent.
+    std::size_t offset = 0;
+    /// The id of the last event that it has: names the bytes before @a offset.
+    std::uint64_t last_event = 0;
 };
 
 enum class call_phase : std::uint8_t
 {
     /// Behind other calls of its program.
     waiting_turn,
-    /// Its intent is not durable yet.
+    /// More escrow is on its way to the journal.
+    waiting_escrow,
+    /// Its intent is on its way to the journal.
     waiting_intent,
     /// At a target process.
     dispatched,
-    /// Its outcome is known and its record is not durable yet.
+    /// Taken over from a former home with an intent and no result: its target process is asked.
+    asking,
+    /// Its outcome is known; its record is on its way to the journal.
     committing,
 };
 
@@ -135,29 +142,26 @@
 {
     call_ref ref;
     call_request request;
+    workspace_id workspace;
     std::uint64_t digest = 0;
     call_phase phase = call_phase::waiting_turn;
     std::uint32_t turn_number = 0;
     process_name target;
     incarnation_id target_incarnation;
-    /// Counted against the target's in-flight work.
+    /// What it counts for against the target's work in flight.
     token_count prefill = 0;
     token_count decode = 0;
     core_time accepted{};
     core_time dispatched{};
     core_time deadline{};
+    core_time finished{};
     std::optional<reservation> reserved;
     std::vector<process_name> tried;
-    std::vector<stream_event> events;
+    /// The answer as streamed so far.
+    std::string streamed;
     std::uint64_t next_sequence = 0;
     std::vector<waiter> waiters;
-    journal_ticket ticket = 0;
     call_outcome outcome;
-    core_time finished{};
-    /// The outcome was told to its waiters before it was durable.
-    bool told_pending = false;
-    /// Recovered from an intent of a former home: it is asked for, never sent.
-    bool recovered = false;
 };
 
 /// Which target holds how much of a program's prefix, as far as this home knows.
@@ -174,12 +178,14 @@
     std::optional<call_key> active;
     process_name last_target;
     std::vector<prefix_place> prefixes;
-    /// Target processes that may hold engine memory for this program.
+    /// Target processes that may hold engine memory for the program.
     std::set<process_name> touched;
     core_time last_activity{};
     token_count history_tokens = 0;
     token_count attained = 0;
     std::uint32_t children = 0;
+    loop_guard guard;
+    bool guard_filled = false;
 };
 /// @}
 
@@ -195,31 +201,89 @@
     bool owned = false;
     /// Owned, and what target processes kept has been gathered.
     bool serving = false;
+    /// The row as this process wrote it, while owned.
+    shard_row row;
+    row_version version = 0;
     std::unique_ptr<shard_claim> claim;
+    std::unique_ptr<shard_update> update;
     core_time claim_not_before{};
-    /// Since when the owner has been missed.
-    std::optional<core_time> missed_since;
-    std::optional<core_time> asked_peers;
     /// Target processes whose kept results are still awaited, and until when.
     std::set<process_name> gathering;
     core_time gather_until{};
     std::size_t records_since_checkpoint = 0;
+    /// The index from which the shard's snapshots stand, while a checkpoint is under way.
+    std::optional<std::uint64_t> checkpoint_from;
+    bool releasing = false;
 };
 /// @}
 
-/// What a reply from the store is for.
-struct journal_purpose
+/// An owner of shards that does not answer.
+struct missed_owner
 {
+    core_time since{};
+    bool asked = false;
 };
-struct claim_purpose
+
+/// @name What becomes durable
+/// @{
+struct creation_durable
+{
+    program_id program;
+    reply_route route;
+};
+struct escrow_is_durable
+{
+    program_id root;
+    token_count total = 0;
+};
+struct intent_is_durable
+{
+    call_ref call;
+};
+struct turn_is_durable
+{
+    call_ref call;
+};
+struct end_is_durable
+{
+    program_id program;
+    reply_route route;
+};
+struct probe_is_durable
+{
+};
+struct snapshots_are_durable
 {
     shard_index shard = 0;
 };
-struct release_purpose
+
+using durable_event = std::variant<creation_durable, escrow_is_durable, intent_is_durable, turn_is_durable,
+                                   end_is_durable, probe_is_durable, snapshots_are_durable>;
+
+/// What to do when the journal reaches a ticket.
+struct durable_row
+{
+    journal_ticket ticket = 0;
+    core_time appended{};
+    durable_event event;
+    /// A reply that said `pending` has gone out.
+    bool told = false;
+};
+/// @}
+
+/// @name What a reply of the store is for
+/// @{
+struct journal_purpose
+{
+};
+struct recovery_purpose
+{
+};
+struct claim_purpose
 {
     shard_index shard = 0;
 };
-struct checkpoint_purpose
+struct update_purpose
 {
     shard_index shard = 0;
 };
@@ -233,13 +297,280 @@
 {
     std::uint64_t patch = 0;
 };
-struct relay_purpose
+struct cleaner_purpose
+{
+};
+struct relayed_purpose
 {
     link_id link = 0;
     std::uint64_t id = 0;
 };
 
-using store_purpose = std::variant<journal_purpose, claim_purpose, release_purpose, checkpoint_purpose,
-                                   shard_list_purpose, config_purpose, patch_purpose, relay_purpose>;
+using store_purpose =
+    std::variant<journal_purpose, recovery_purpose, claim_purpose, update_purpose, shard_list_purpose,
+                 config_purpose, patch_purpose, cleaner_purpose, relayed_purpose>;
+/// @}
+
+/// A patch of the configuration that an operator waits for.
+struct patch_row
+{
+    config_patch machine;
+    reply_route route;
+    core_time expires{};
+    std::string fault;
+};
+
+struct call_ref_hash
+{
+    std::size_t operator()(const call_ref& ref) const
+    {
+        return std::hash<program_id>{}(ref.program) ^ (std::hash<call_key>{}(ref.key) << 1U);
+    }
+};
+
+/// All tables of the core, and what every system needs besides: the time, the outputs, random numbers.
+struct entry_state
+{
+    explicit entry_state(entry_options given);
+
+    entry_options options;
+    core_time now{};
+    std::optional<core_time> last_step;
+    std::vector<entry_output> out;
+    random_source random;
+    entry_counts counts;
+
+    std::map<link_id, link_row> links;
+    std::map<process_name, peer_row> peers;
+    std::map<process_name, target_row> targets;
+    link_id next_link = 1;
+
+    std::vector<shard_state> shards;
+    std::unique_ptr<recovered_journals> recovery;
+    core_time next_shard_list{};
+    bool shards_listed = false;
+    /// Owners of shards that don't answer, and since when they have been missed.
+    std::map<incarnation_id, missed_owner> missed;
+    /// Claims wait for this: the peers get a chance to connect first.
+    std::optional<core_time> settled_at;
+    core_time next_rebalance{};
+    bool shard_list_in_flight = false;
+    core_time next_owner_gossip{};
+
+    std::unique_ptr<journal_writer> journal;
+    std::deque<durable_row> awaiting;
+    std::unique_ptr<journal_cleaner> cleaner;
+    /// Nothing is served before this ticket is durable: the process slept, and may have lost its shards.
+    std::optional<journal_ticket> confirm;
+
+    program_table programs;
+    std::unordered_map<program_id, program_runtime> runtimes;
+    std::map<program_id, budget_ledger> ledgers;
+    std::unordered_map<call_ref, call_row, call_ref_hash> calls;
+    retry_budget retries;
+    std::uint64_t placements = 0;
+    core_time next_renewal{};
+
+    std::map<std::uint64_t, forwarded_row> forwarded;
+    std::uint64_t next_forward = 1;
+
+    std::map<store_op_id, store_purpose> store_ops;
+    store_op_id next_store_op = 1;
+    std::optional<core_time> store_away_since;
+    /// Operations that went through a peer, and until when their answers are waited for.
+    std::map<store_op_id, core_time> relayed;
+
+    config_tracker config;
+    config_version config_applied = 0;
+    std::map<std::uint64_t, patch_row> patches;
+    std::uint64_t next_patch = 1;
+    std::uint64_t incarnations = 0;
+
+    bool stopping = false;
+    bool stopped = false;
+
+    /// Shorthand for outputs.
+    void emit(entry_output output)
+    {
+        out.push_back(std::move(output));
+    }
+
+    void trace(event_id id, const program_id& program = {}, const call_key& call = {},
+               std::vector<event_field> fields = {})
+    {
+        emit(trace_event{id, program, call, std::move(fields)});
+    }
+};
+
+/// How long the answer to an operation that went through a peer is waited for.
+inline constexpr auto relay_patience = std::chrono::seconds{2};
+
+/// @name Systems
+/// Each runs once a step, in this order.
+/// @{
+void run_membership(entry_state& state);
+void run_store(entry_state& state);
+void run_shards(entry_state& state);
+void run_journal(entry_state& state);
+void run_config(entry_state& state);
+void run_calls(entry_state& state);
+void run_forwards(entry_state& state);
+void run_leases(entry_state& state);
+void run_stop(entry_state& state);
+/// @}
+
+/// @name Links and peers (entry_peers.cpp)
+/// @{
+void learn_processes(entry_state& state, const std::vector<known_process>& processes);
+void on_link_opened(entry_state& state, link_id link);
+void on_link_closed(entry_state& state, link_id link);
+void on_peer_message(entry_state& state, link_id link, const peer_message& message);
+void send(entry_state& state, link_id link, peer_message message);
+/// Sends to a live process. @return false if it is not live
+bool send_to(entry_state& state, const process_name& name, peer_message message);
+[[nodiscard]] const peer_row* peer_of(const entry_state& state, link_id link);
+/// @return whether an incarnation is connected and answers
+[[nodiscard]] bool is_live(const entry_state& state, const incarnation_id& incarnation);
+void close_all_links(entry_state& state);
+/// @}
+
+/// @name Shards (entry_shards.cpp, entry_takeover.cpp)
+/// @{
+void on_shard_owners(entry_state& state, const shard_owners& message);
+void on_shard_list(entry_state& state, const store_reply& reply);
+void on_kept_results(entry_state& state, const process_name& target, const kept_results& message);
+void on_claim_reply(entry_state& state, shard_index shard, const store_reply& reply);
+void on_update_reply(entry_state& state, shard_index shard, const store_reply& reply);
+void on_liveness_answer(entry_state& state, const liveness_answer& answer);
+void install_shard(entry_state& state, shard_index shard);
+void begin_gathering(entry_state& state, shard_index shard);
+void lose_shard(entry_state& state, shard_index shard, epoch_number epoch);
+/// A successor sealed this process's journal: all is lost, and it starts over as a new incarnation.
+void start_over(entry_state& state);
+[[nodiscard]] shard_state& shard_for(entry_state& state, const program_id& program);
+void tell_owner(entry_state& state, shard_index shard);
+void tell_all_owned(entry_state& state, link_id link);
+void announce_epochs(entry_state& state, const process_name& target);
+/// @return whether an owner may be taken for dead
+[[nodiscard]] bool is_dead(const entry_state& state, const incarnation_id& owner);
+/// The name in an incarnation's id.
+[[nodiscard]] process_name name_in(const incarnation_id& incarnation);
+/// @return a new incarnation's id for the process
+[[nodiscard]] incarnation_id make_incarnation(const process_name& name, std::uint64_t random);
+[[nodiscard]] bool has_calls(const entry_state& state, shard_index shard);
+/// @}
+
+/// @name Journal and store (entry_journal.cpp, entry_store.cpp)
+/// @{
+journal_ticket append(entry_state& state, const program_id& program, journal_payload payload);
+void when_durable(entry_state& state, journal_ticket ticket, durable_event event);
+void run_on_store(entry_state& state, store_op operation, store_purpose purpose);
+void on_store_done(entry_state& state, const store_done& done);
+void on_relay_reply(entry_state& state, const relay_reply& message);
+/// @return whether records wait so long that nothing that must be durable first can start
+[[nodiscard]] bool journal_is_stalled(const entry_state& state);
+/// What stands against new work now; `none` if nothing does.
+[[nodiscard]] problem obstacle(const entry_state& state);
+/// @return whether a reply may go out before its record is durable
+[[nodiscard]] bool may_reply_pending(const entry_state& state);
+/// @}
+
+/// @name Programs (entry_programs.cpp)
+/// @{
+void handle_create(entry_state& state, const reply_route& route, const workspace_id& workspace,
+                   const create_program& request);
+void handle_history(entry_state& state, const reply_route& route, const workspace_id& workspace,
+                    const program_id& program);
+void handle_end(entry_state& state, const reply_route& route, const workspace_id& workspace,
+                const program_id& program);
+void handle_list(entry_state& state, const reply_route& route);
+void handle_status(entry_state& state, const reply_route& route);
+void on_creation_durable(entry_state& state, const creation_durable& event);
+void on_end_durable(entry_state& state, const end_is_durable& event);
+[[nodiscard]] entry_counts counts_of(const entry_state& state);
+/// The program whose shard decides where a creation is handled; empty if any entry can.
+[[nodiscard]] program_id home_of_creation(const workspace_id& workspace, const create_program& request);
+[[nodiscard]] program_id root_of(const program_id& program);
+/// @return the program if it exists and belongs to the workspace
+[[nodiscard]] const program_state* find_program(const entry_state& state, const workspace_id& workspace,
+                                                const program_id& program);
+void install_program(entry_state& state, const program_state& program);
+void forget_program(entry_state& state, const program_id& program);
+/// @}
+
+/// @name Calls (entry_calls.cpp, entry_dispatch.cpp, entry_outcomes.cpp)
+/// @{
+void handle_call(entry_state& state, const reply_route& route, const forward_request& raw,
+                 const submit_call& request);
+void handle_get_call(entry_state& state, const reply_route& route, const forward_request& raw,
+                     const get_call& request);
+void start_next(entry_state& state, const program_id& program);
+void begin_call(entry_state& state, call_row& call);
+void route_call(entry_state& state, call_row& call);
+void send_dispatch(entry_state& state, call_row& call);
+void leave_target(entry_state& state, call_row& call);
+/// Ends the call with an outcome that becomes a turn of the history.
+void finish_with_turn(entry_state& state, call_row& call, call_outcome outcome);
+/// Ends the call with a failure that is no turn: it did not run, or may be run again.
+void finish_without_turn(entry_state& state, const call_ref& ref, problem failure);
+/// Tries another target, or fails the call with @a failure.
+void retry_or_fail(entry_state& state, call_row& call, const problem& failure);
+void on_call_refused(entry_state& state, const process_name& target, const call_refused& message);
+void on_call_tokens(entry_state& state, const process_name& target, const call_tokens& message);
+void on_call_finished(entry_state& state, const process_name& target, const call_finished& message);
+void on_call_answer(entry_state& state, const process_name& target, const call_answer& message);
+void on_target_lost(entry_state& state, const process_name& target);
+void on_target_back(entry_state& state, const process_name& target, bool same_incarnation);
+/// The connection to the call's target process stands again.
+void resume_at(entry_state& state, call_row& call, bool same_incarnation);
+/// The target process that had the call is gone, and what it knew with it.
+void target_forgot(entry_state& state, call_row& call);
+/// A non-idempotent call may have run, and nobody can tell: it is never run again.
+void outcome_is_unknown(entry_state& state, call_row& call, const std::string& reason);
+/// A target came back empty: no prefix is there any more.
+void forget_target_memory(entry_state& state, const process_name& target);
+void on_turn_durable(entry_state& state, const call_ref& ref);
+/// The home of this call is no longer here: its waiters are told, nothing is decided about it.
+void abandon_call(entry_state& state, const call_ref& ref);
+/// Tells those who wait for records that can't become durable here any more.
+void fail_awaiting(entry_state& state);
+/// @return the call's row if a target process speaks of a call that is there now
+[[nodiscard]] call_row* call_at(entry_state& state, const call_ref& ref, const process_name& target);
+[[nodiscard]] token_count prompt_tokens(const entry_state& state, const call_row& call);
+void on_intent_durable(entry_state& state, const call_ref& ref);
+void on_escrow_durable(entry_state& state, const escrow_is_durable& event);
+void remove_waiters(entry_state& state, request_id id);
+/// @}
+
+/// @name Replies (entry_replies.cpp)
+/// @{
+void reply(entry_state& state, const reply_route& route, int status, std::string body,
+           std::optional<config_version> etag = std::nullopt,
+           std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
+void reply_problem(entry_state& state, const reply_route& route, const problem& failure);
+/// Sends a waiter what it lacks of a streamed answer.
+void stream_to(entry_state& state, waiter& waiter, const std::string& answer);
+/// Sends a waiter the final outcome, whole or as the last event.
+void deliver(entry_state& state, waiter& waiter, std::uint32_t turn_number, const call_key& key,
+             const call_outcome& outcome, bool durable);
+/// Sends a waiter the failure of a call that is no turn.
+void deliver_problem(entry_state& state, waiter& waiter, const problem& failure);
+[[nodiscard]] waiter make_waiter(const reply_route& route, const forward_request& raw);
+/// @}
+
+/// @name Requests (entry_requests.cpp)
+/// @{
+void handle_request(entry_state& state, const reply_route& route, const forward_request& raw);
+void on_forward_reply(entry_state& state, link_id link, const forward_reply& message);
+void on_forward_event(entry_state& state, link_id link, const forward_event& message);
+void forget_caller(entry_state& state, request_id id);
+/// @}
+
+/// @name Configuration (entry_config.cpp)
+/// @{
+void handle_get_config(entry_state& state, const reply_route& route);
+void handle_patch_config(entry_state& state, const reply_route& route, const patch_config& request);
+void on_patch_reply(entry_state& state, std::uint64_t patch, const store_reply& reply);
+/// @}
 
 } // namespace masticcourse::detail
