--- a/include/masticcourse/control/entry_core.hpp
+++ b/include/masticcourse/control/entry_core.hpp
@@ -23,8 +23,6 @@
 
 /// Names a caller's request between the core and the process around it.
 using request_id = std::uint64_t;
-/// Names an operation on the platform's store.
-using store_op_id = std::uint64_t;
 
 /// A process that settings or the platform's list name. Only a hint: it is live when it answers heartbeats.
 struct known_process
@@ -90,12 +88,6 @@
     request_id id = 0;
 };
 
-struct store_done
-{
-    store_op_id id = 0;
-    store_reply reply;
-};
-
 /// The platform's list of VMs as it was last read.
 struct processes_listed
 {
@@ -136,12 +128,6 @@
     request_id id = 0;
 };
 
-struct run_store_op
-{
-    store_op_id id = 0;
-    store_op operation;
-};
-
 /// @}
 
 using entry_output = std::variant<caller_reply, caller_event, caller_end, run_store_op, open_peer, send_peer,
--- a/include/masticcourse/control/peer_io.hpp
+++ b/include/masticcourse/control/peer_io.hpp
@@ -4,6 +4,7 @@
 
 #include "masticcourse/core/ids.hpp"
 #include "masticcourse/messages/peer_message.hpp"
+#include "masticcourse/store/store_op.hpp"
 #include "masticcourse/telemetry/event.hpp"
 
 #include <cstdint>
@@ -15,6 +16,9 @@
 
 /// Names a connection to another of the system's processes.
 using link_id = std::uint64_t;
+/// Names an operation on the platform's store.
+using store_op_id = std::uint64_t;
+
 /// @name Inputs
 /// @{
 
@@ -38,6 +42,13 @@
 struct stop_requested
 {
 };
+
+/// The answer to a `run_store_op`.
+struct store_done
+{
+    store_op_id id = 0;
+    store_reply reply;
+};
 /// @}
 
 /// @name Outputs
@@ -60,6 +71,12 @@
     link_id link = 0;
 };
 
+struct run_store_op
+{
+    store_op_id id = 0;
+    store_op operation;
+};
+
 /// Something for the logs and the time line.
 struct trace_event
 {
