--- a/include/masticcourse/policy/engine_admission.hpp
+++ b/include/masticcourse/policy/engine_admission.hpp
@@ -44,6 +44,9 @@
 
     [[nodiscard]] std::uint32_t running() const;
 
+    /// @return whether no slot is free
+    [[nodiscard]] bool full() const;
+
     /// Tokens handed over and not yet prefilled.
     [[nodiscard]] token_count prefilling() const;
 
--- a/src/policy/engine_admission.cpp
+++ b/src/policy/engine_admission.cpp
@@ -74,6 +74,11 @@
     return static_cast<std::uint32_t>(m_running.size());
 }
 
+bool engine_admission::full() const
+{
+    return m_running.size() >= m_limits.max_running;
+}
+
 token_count engine_admission::prefilling() const
 {
     return m_prefill;
