--- /dev/null
+++ b/src/codec/cbor.cpp
@@ -0,0 +1,119 @@
+#include "cbor.hpp"
+
+#include <iterator>
+
+namespace masticcourse::codec
+{
+
+namespace
+{
+
+/// Deeper nesting than any message has; a bound keeps hostile bytes from exhausting the stack.
+constexpr std::size_t deepest_nesting = 16;
+
+/// Checks a CBOR item without building it.
+class depth_guard : public nlohmann::json_sax<json>
+{
+  public:
+    bool null() override
+    {
+        return true;
+    }
+
+    bool boolean(bool /*value*/) override
+    {
+        return true;
+    }
+
+    bool number_integer(number_integer_t /*value*/) override
+    {
+        return true;
+    }
+
+    bool number_unsigned(number_unsigned_t /*value*/) override
+    {
+        return true;
+    }
+
+    bool number_float(number_float_t /*value*/, const string_t& /*text*/) override
+    {
+        return true;
+    }
+
+    bool string(string_t& /*value*/) override
+    {
+        return true;
+    }
+
+    /// No type of ours is binary.
+    bool binary(binary_t& /*value*/) override
+    {
+        return false;
+    }
+
+    /// No type of ours is a map.
+    bool start_object(std::size_t /*elements*/) override
+    {
+        return false;
+    }
+
+    bool key(string_t& /*value*/) override
+    {
+        return false;
+    }
+
+    bool end_object() override
+    {
+        return false;
+    }
+
+    bool start_array(std::size_t /*elements*/) override
+    {
+        ++m_depth;
+        return m_depth <= deepest_nesting;
+    }
+
+    bool end_array() override
+    {
+        --m_depth;
+        return true;
+    }
+
+    bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                     const json::exception& /*error*/) override
+    {
+        return false;
+    }
+
+  private:
+    std::size_t m_depth = 0;
+};
+
+} // namespace
+
+std::string to_bytes(const json& value)
+{
+    std::string result;
+    json::to_cbor(value, result);
+    return result;
+}
+
+std::optional<json> from_bytes(std::string_view bytes)
+{
+    try
+    {
+        depth_guard guard;
+        if (!json::sax_parse(bytes, &guard, json::input_format_t::cbor))
+        {
+            return std::nullopt;
+        }
+        json result = json::from_cbor(bytes, true, false);
+        return result.is_discarded() ? std::nullopt : std::optional<json>(std::move(result));
+    }
+    catch (const json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace masticcourse::codec
--- /dev/null
+++ b/src/codec/cbor.hpp
@@ -0,0 +1,303 @@
+/// @file
+/// Structs as CBOR arrays of their members, in one description for both directions.
+///
+/// A struct takes part by a function `members(T&)` next to its type (found by argument-dependent lookup) that
+/// ties its members in the order of the wire. New members go to the end: a reader takes those missing as
+/// defaulted.
+#pragma once
+
+#include "masticcourse/core/ids.hpp"
+
+#include <boost/pfr/tuple_size.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace masticcourse::codec
+{
+
+using json = nlohmann::json;
+
+/// The type itself, const or not: lets one `members` serve writer and reader.
+template <typename T, typename U>
+concept like = std::same_as<std::remove_const_t<T>, U>;
+
+template <typename T>
+concept with_members = requires(T& it) { members(it); };
+
+/// The number of an enumeration's last value; specialised for each one on the wire.
+template <typename Enum>
+inline constexpr unsigned last_value = 0;
+
+/// @return the value as CBOR
+[[nodiscard]] std::string to_bytes(const json& value);
+
+/// @return the value, or nothing if @a bytes is not exactly one sane CBOR item. Never throws.
+[[nodiscard]] std::optional<json> from_bytes(std::string_view bytes);
+
+/// Turns a value into JSON of the same shape.
+class writer
+{
+  public:
+    template <std::integral T>
+    json operator()(T it) const
+    {
+        return it;
+    }
+
+    json operator()(double it) const
+    {
+        return it;
+    }
+
+    json operator()(const std::string& it) const
+    {
+        return it;
+    }
+
+    template <typename Tag>
+    json operator()(const strong_string<Tag>& it) const
+    {
+        return it.value;
+    }
+
+    template <typename Enum>
+        requires std::is_enum_v<Enum>
+    json operator()(Enum it) const
+    {
+        return static_cast<std::uint64_t>(it);
+    }
+
+    template <typename Rep, typename Period>
+    json operator()(std::chrono::duration<Rep, Period> it) const
+    {
+        return it.count();
+    }
+
+    template <typename T>
+    json operator()(const std::optional<T>& it) const
+    {
+        return it ? (*this)(*it) : json();
+    }
+
+    template <typename T>
+    json operator()(const std::vector<T>& items) const
+    {
+        json result = json::array();
+        for (const T& it : items)
+        {
+            result.push_back((*this)(it));
+        }
+        return result;
+    }
+
+    template <with_members T>
+    json operator()(const T& it) const
+    {
+        json result = json::array();
+        append_members(result, it);
+        return result;
+    }
+
+    template <with_members T>
+    void append_members(json& array, const T& it) const
+    {
+        static_assert(boost::pfr::tuple_size_v<T> == std::tuple_size_v<decltype(members(it))>,
+                      "a member is missing on the wire");
+        std::apply([&](const auto&... member) { (array.push_back((*this)(member)), ...); }, members(it));
+    }
+};
+
+/// Fills values from JSON; the first misfit makes it fail for good.
+class reader
+{
+  public:
+    [[nodiscard]] bool ok() const
+    {
+        return m_ok;
+    }
+
+    void operator()(const json& from, bool& to)
+    {
+        check(from.is_boolean()) && assign(to, from.get<bool>());
+    }
+
+    template <std::unsigned_integral T>
+    void operator()(const json& from, T& to)
+    {
+        if (check(from.is_number_unsigned()))
+        {
+            const auto value = from.get<std::uint64_t>();
+            check(std::in_range<T>(value)) && assign(to, static_cast<T>(value));
+        }
+    }
+
+    template <std::signed_integral T>
+    void operator()(const json& from, T& to)
+    {
+        if (check(from.is_number_integer() && fits_signed(from)))
+        {
+            const auto value = from.get<std::int64_t>();
+            check(std::in_range<T>(value)) && assign(to, static_cast<T>(value));
+        }
+    }
+
+    void operator()(const json& from, double& to)
+    {
+        check(from.is_number()) && assign(to, from.get<double>());
+    }
+
+    void operator()(const json& from, std::string& to)
+    {
+        check(from.is_string()) && assign(to, from.get_ref<const std::string&>());
+    }
+
+    template <typename Tag>
+    void operator()(const json& from, strong_string<Tag>& to)
+    {
+        (*this)(from, to.value);
+    }
+
+    template <typename Enum>
+        requires std::is_enum_v<Enum>
+    void operator()(const json& from, Enum& to)
+    {
+        std::underlying_type_t<Enum> value = 0;
+        (*this)(from, value);
+        check(value <= last_value<Enum>) && assign(to, static_cast<Enum>(value));
+    }
+
+    template <typename Rep, typename Period>
+    void operator()(const json& from, std::chrono::duration<Rep, Period>& to)
+    {
+        Rep count{};
+        (*this)(from, count);
+        to = std::chrono::duration<Rep, Period>{count};
+    }
+
+    template <typename T>
+    void operator()(const json& from, std::optional<T>& to)
+    {
+        to.reset();
+        if (!from.is_null())
+        {
+            (*this)(from, to.emplace());
+        }
+    }
+
+    template <typename T>
+    void operator()(const json& from, std::vector<T>& to)
+    {
+        to.clear();
+        if (!check(from.is_array()))
+        {
+            return;
+        }
+        to.reserve(from.size());
+        for (const json& it : from)
+        {
+            (*this)(it, to.emplace_back());
+        }
+    }
+
+    template <with_members T>
+    void operator()(const json& from, T& to)
+    {
+        read_members(from, 0, to);
+    }
+
+    /// Fills a struct from the elements of an array from @a first on.
+    template <with_members T>
+    void read_members(const json& array, std::size_t first, T& to)
+    {
+        if (!check(array.is_array()))
+        {
+            return;
+        }
+        std::size_t at = first;
+        const auto next = [&](auto& member)
+        {
+            if (at < array.size())
+            {
+                (*this)(array[at], member);
+            }
+            ++at;
+        };
+        std::apply([&](auto&... member) { (next(member), ...); }, members(to));
+    }
+
+    bool check(bool good)
+    {
+        m_ok = m_ok && good;
+        return m_ok;
+    }
+
+  private:
+    template <typename T>
+    static bool assign(T& to, const T& value)
+    {
+        to = value;
+        return true;
+    }
+
+    static bool fits_signed(const json& from)
+    {
+        return !from.is_number_unsigned() || std::in_range<std::int64_t>(from.get<std::uint64_t>());
+    }
+
+    bool m_ok = true;
+};
+
+/// @return a variant as an array: the name of its alternative, then the members
+template <typename... Ts>
+json write_variant(const std::variant<Ts...>& value, const std::array<std::string_view, sizeof...(Ts)>& names)
+{
+    json result = json::array({std::string(names.at(value.index()))});
+    std::visit([&](const auto& it) { writer{}.append_members(result, it); }, value);
+    return result;
+}
+
+namespace detail
+{
+
+template <typename Variant, std::size_t I>
+bool read_alternative(reader& in, const json& from, std::size_t wanted, Variant& to)
+{
+    if (I == wanted)
+    {
+        in.read_members(from, 1, to.template emplace<I>());
+    }
+    return I == wanted;
+}
+
+} // namespace detail
+
+/// Reads what `write_variant` wrote.
+template <typename... Ts>
+void read_variant(reader& in, const json& from, const std::array<std::string_view, sizeof...(Ts)>& names,
+                  std::variant<Ts...>& to)
+{
+    if (!in.check(from.is_array() && !from.empty() && from[0].is_string()))
+    {
+        return;
+    }
+    const auto it = std::ranges::find(names, std::string_view(from[0].get_ref<const std::string&>()));
+    const auto wanted = static_cast<std::size_t>(it - names.begin());
+    const auto read = [&]<std::size_t... I>(std::index_sequence<I...>)
+    { return (detail::read_alternative<std::variant<Ts...>, I>(in, from, wanted, to) || ...); };
+    in.check(read(std::index_sequence_for<Ts...>{}));
+}
+
+} // namespace masticcourse::codec
--- /dev/null
+++ b/src/messages/peer_members.hpp
@@ -0,0 +1,163 @@
+/// @file
+/// The wire form of the messages between processes.
+#pragma once
+
+#include "../codec/model_members.hpp"
+#include "masticcourse/messages/peer_message.hpp"
+
+namespace masticcourse
+{
+
+namespace codec
+{
+
+template <>
+inline constexpr unsigned last_value<process_role> = static_cast<unsigned>(process_role::target);
+template <>
+inline constexpr unsigned last_value<refusal_reason> = static_cast<unsigned>(refusal_reason::breaker_open);
+template <>
+inline constexpr unsigned last_value<call_knowledge> = static_cast<unsigned>(call_knowledge::stale_epoch);
+
+} // namespace codec
+
+template <codec::like<call_ref> T>
+auto members(T& it)
+{
+    return std::tie(it.program, it.key);
+}
+
+template <codec::like<peer_hello> T>
+auto members(T& it)
+{
+    return std::tie(it.role, it.name, it.incarnation, it.address, it.config);
+}
+
+template <codec::like<peer_heartbeat> T>
+auto members(T& it)
+{
+    return std::tie(it.sequence, it.config, it.store_reachable, it.leaving);
+}
+
+template <codec::like<config_request> T>
+auto members(T& it)
+{
+    return std::tie(it.newer_than);
+}
+
+template <codec::like<config_reply> T>
+auto members(T& it)
+{
+    return std::tie(it.version, it.document);
+}
+
+template <codec::like<dispatch_call> T>
+auto members(T& it)
+{
+    return std::tie(it.call, it.shard, it.epoch, it.request, it.workspace, it.priority, it.prompt,
+                    it.attained, it.remaining, it.parent);
+}
+
+template <codec::like<cancel_call> T>
+auto members(T& it)
+{
+    return std::tie(it.call);
+}
+
+template <codec::like<ask_call> T>
+auto members(T& it)
+{
+    return std::tie(it.call, it.shard, it.epoch);
+}
+
+template <codec::like<outcome_durable> T>
+auto members(T& it)
+{
+    return std::tie(it.call);
+}
+
+template <codec::like<renew_programs> T>
+auto members(T& it)
+{
+    return std::tie(it.programs, it.lease);
+}
+
+template <codec::like<release_program> T>
+auto members(T& it)
+{
+    return std::tie(it.program, it.shard, it.epoch);
+}
+
+template <codec::like<call_refused> T>
+auto members(T& it)
+{
+    return std::tie(it.call, it.reason, it.retry_after);
+}
+
+template <codec::like<call_tokens> T>
+auto members(T& it)
+{
+    return std::tie(it.call, it.sequence, it.text);
+}
+
+template <codec::like<call_finished> T>
+auto members(T& it)
+{
+    return std::tie(it.call, it.outcome, it.queued, it.ran);
+}
+
+template <codec::like<call_answer> T>
+auto members(T& it)
+{
+    return std::tie(it.call, it.knowledge, it.outcome);
+}
+
+template <codec::like<target_load> T>
+auto members(T& it)
+{
+    return std::tie(it.service, it.failure_domain, it.queued, it.running, it.queued_prefill, it.queued_decode,
+                    it.cache_capacity, it.cache_used, it.prefill_rate, it.decode_rate, it.leaving);
+}
+
+template <codec::like<cached_program> T>
+auto members(T& it)
+{
+    return std::tie(it.program, it.tokens);
+}
+
+template <codec::like<target_cache> T>
+auto members(T& it)
+{
+    return std::tie(it.held, it.dropped);
+}
+
+template <codec::like<forward_request> T>
+auto members(T& it)
+{
+    return std::tie(it.id, it.method, it.path, it.body, it.key, it.last_event, it.stream, it.workspace);
+}
+
+template <codec::like<forward_reply> T>
+auto members(T& it)
+{
+    return std::tie(it.id, it.status, it.body, it.retry_after);
+}
+
+template <codec::like<forward_event> T>
+auto members(T& it)
+{
+    return std::tie(it.id, it.event, it.name, it.data);
+}
+
+template <codec::like<shard_owner> T>
+auto members(T& it)
+{
+    return std::tie(it.shard, it.epoch, it.owner, it.address);
+}
+
+template <codec::like<shard_owners> T>
+auto members(T& it)
+{
+    return std::tie(it.owners);
+}
+
+} // namespace masticcourse
