--- a/include/masticcourse/state/budget_ledger.hpp
+++ b/include/masticcourse/state/budget_ledger.hpp
@@ -92,6 +92,8 @@
     /// Calls @a change on the program and all its ancestors.
     template <typename Change>
     void for_each_up(const program_id& program, Change change);
+    /// @return what the budgets of the program and of all its ancestors leave
+    [[nodiscard]] token_count room(const program_id& program) const;
     [[nodiscard]] token_count free_escrow() const;
 
     program_id m_root;
--- a/include/masticcourse/state/config_tracker.hpp
+++ b/include/masticcourse/state/config_tracker.hpp
@@ -51,8 +51,8 @@
     /// @return whom to ask for a newer version, if anybody
     [[nodiscard]] std::optional<config_fetch> poll_peers(core_time now);
     void on_peer_reply(const config_reply& reply, core_time now);
-    /// @return the answer to a peer's request
-    [[nodiscard]] config_reply answer(const config_request& request) const;
+    /// @return the answer to a peer's request; none while this process itself doesn't know what is in force
+    [[nodiscard]] std::optional<config_reply> answer(const config_request& request) const;
     /// @}
 
     /// Takes a version from a patch that this process made itself.
@@ -76,7 +76,7 @@
     [[nodiscard]] core_time next_wakeup() const;
 
   private:
-    [[nodiscard]] core_duration jittered_period();
+    [[nodiscard]] core_time next_store_read() const;
     [[nodiscard]] bool behind() const;
 
     config_tracker_options m_options;
--- a/include/masticcourse/state/journal_cleaner.hpp
+++ b/include/masticcourse/state/journal_cleaner.hpp
@@ -43,7 +43,6 @@
 
     void on_entries(const store_reply& reply);
     void on_rows(const store_reply& reply);
-    void next_removal();
 
     incarnation_id m_journal;
     std::size_t m_most;
--- a/include/masticcourse/state/journal_recovery.hpp
+++ b/include/masticcourse/state/journal_recovery.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace masticcourse
@@ -27,6 +28,16 @@
     friend bool operator==(const damaged_entry&, const damaged_entry&) = default;
 };
 
+/// @return the index that an object's key names in a journal, if it is such a key
+[[nodiscard]] std::optional<std::uint64_t> journal_index_of(const incarnation_id& journal,
+                                                            const std::string& key);
+
+/// @return the highest index among the keys of an `object_list` (0: none)
+[[nodiscard]] std::uint64_t last_index_of(const incarnation_id& journal, const store_reply& listed);
+
+/// @return the operation that lists a journal's entries
+[[nodiscard]] store_op list_journal(const incarnation_id& journal);
+
 /// Seals a journal on demand and reads ranges of its entries. It goes on by itself after any outage.
 class journal_recovery
 {
@@ -51,6 +62,9 @@
     /// @return whether all that was asked for is there
     [[nodiscard]] bool done() const;
 
+    /// @return whether all entries from @a from to before @a until have been read, good or not
+    [[nodiscard]] bool has(std::uint64_t from, std::uint64_t until) const;
+
     /// @return the good entries read so far, by index, without the seal
     [[nodiscard]] const std::map<std::uint64_t, journal_entry>& entries() const;
 
@@ -82,7 +96,11 @@
     bool m_listed = false;
     /// The entry to look at next for a seal; unset: the next place to try a seal in is m_seal_at.
     std::optional<std::uint64_t> m_look_at;
+    /// The entry to look at was the last one of a listing.
+    bool m_looking_at_top = false;
     std::uint64_t m_seal_at = 1;
+    /// Our own seal (0: none yet); it stands once a listing shows nothing above it.
+    std::uint64_t m_written_seal = 0;
     std::optional<std::uint64_t> m_end;
     std::set<std::uint64_t> m_open_ranges;
     std::set<std::uint64_t> m_wanted;
--- a/include/masticcourse/state/journal_writer.hpp
+++ b/include/masticcourse/state/journal_writer.hpp
@@ -60,6 +60,9 @@
     /// @return the lowest index at which a record appended from now on can stand
     [[nodiscard]] std::uint64_t next_index() const;
 
+    /// @return the first index whose entry is not durable; all entries below it are
+    [[nodiscard]] std::uint64_t durable_end() const;
+
     /// @return when `poll` can next have something to send (`core_time::max()`: nothing to do)
     [[nodiscard]] core_time next_wakeup() const;
 
--- a/include/masticcourse/state/shard_claim.hpp
+++ b/include/masticcourse/state/shard_claim.hpp
@@ -42,8 +42,9 @@
     damaged_row,
 };
 
-/// One attempt to take one shard. Several run at a time over one `recovered_journals`,
-/// which the caller polls beside them.
+/// One attempt to take one shard. A row that already names this incarnation counts as ours: so a process that
+/// gave up a claim and later finds itself named starts another one. Several run at a time over one
+/// `recovered_journals`, which the caller polls beside them.
 class shard_claim
 {
   public:
@@ -83,6 +84,8 @@
     void on_row_written(const store_reply& reply);
     void row_is_ours(row_version version);
     [[nodiscard]] shard_row next_row() const;
+    /// @return the parts that former owners wrote; only our own is open
+    [[nodiscard]] std::vector<journal_part> former_parts() const;
     void collect_records();
 
     shard_index m_shard;
--- a/include/masticcourse/state/shard_update.hpp
+++ b/include/masticcourse/state/shard_update.hpp
@@ -54,10 +54,10 @@
 
 /// A graceful hand-over: nobody owns the shard afterwards, and its next owner needs no seal.
 /// Start it when all records of the shard are durable; append none of them after that.
-/// @param row        the row as owned
-/// @param version    its version in the table
-/// @param next_index the process's own `journal_writer::next_index()`
-[[nodiscard]] shard_update shard_release(const shard_row& row, row_version version, std::uint64_t next_index,
+/// @param row         the row as owned
+/// @param version     its version in the table
+/// @param durable_end the process's own `journal_writer::durable_end()`
+[[nodiscard]] shard_update shard_release(const shard_row& row, row_version version, std::uint64_t durable_end,
                                          retry_options retry);
 
 /// A checkpoint: the shard's state stands wholly in our own journal from @a from_index on.
--- a/include/masticcourse/state/store_retry.hpp
+++ b/include/masticcourse/state/store_retry.hpp
@@ -16,12 +16,16 @@
     core_duration longest_gap = std::chrono::seconds{2};
 };
 
+/// @param random state of the random numbers, changed by the call
+/// @return a duration between half and one and a half of @a mean
+[[nodiscard]] core_duration jittered(core_duration mean, std::uint64_t& random);
+
 /// Spaces the attempts of one state machine, so that an outage meets no storm of them.
 class store_retry
 {
   public:
     /// @param seed spreads the attempts of different processes; the same seed gives the same gaps
-    explicit store_retry(retry_options options, std::uint64_t seed = 0);
+    store_retry(retry_options options, std::uint64_t seed);
 
     /// The last attempt failed at @a now.
     void failed(core_time now);
--- /dev/null
+++ b/src/codec/json_text.hpp
@@ -0,0 +1,31 @@
+/// @file
+/// Reading of JSON text from the table, where a misfit is a value and not an exception.
+#pragma once
+
+#include "cbor.hpp"
+
+#include <optional>
+#include <string>
+
+namespace masticcourse::codec
+{
+
+/// @return the object, or nothing if @a text is no JSON object
+[[nodiscard]] inline std::optional<json> object_from_text(const std::string& text)
+{
+    json result = json::parse(text, nullptr, false);
+    return result.is_object() ? std::optional(std::move(result)) : std::nullopt;
+}
+
+/// Reads a member of an object; a missing one is a misfit.
+template <typename T>
+void read_member(reader& in, const json& object, const char* name, T& to)
+{
+    const auto it = object.find(name);
+    if (in.check(it != object.end()))
+    {
+        in(*it, to);
+    }
+}
+
+} // namespace masticcourse::codec
