--- a/include/masticcourse/control/api_request.hpp
+++ b/include/masticcourse/control/api_request.hpp
@@ -6,6 +6,7 @@
 #include "masticcourse/core/problem.hpp"
 #include "masticcourse/messages/peer_message.hpp"
 #include "masticcourse/model/call.hpp"
+#include "masticcourse/settings/config_document.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -86,9 +87,10 @@
 };
 
 /// Reads a request of the HTTP API.
-/// @param raw the request as it came; `workspace` empty means that the operators' token was given
+/// @param raw    the request as it came; `workspace` empty means that the operators' token was given
+/// @param config the configuration in force: it knows the services and their kinds
 /// @return the typed request, or a problem with `ran: no`
-[[nodiscard]] parsed_request parse_api_request(const forward_request& raw);
+[[nodiscard]] parsed_request parse_api_request(const forward_request& raw, const config_view& config);
 
 /// The program that a request is about; empty for requests that any entry can answer.
 [[nodiscard]] program_id program_of(const api_request& request);
--- a/include/masticcourse/control/entry_core.hpp
+++ b/include/masticcourse/control/entry_core.hpp
@@ -48,8 +48,6 @@
     std::uint64_t seed = 0;
     shard_index shards = 64;
     std::vector<known_process> processes;
-    std::vector<service_name> model_services;
-    std::vector<service_name> tool_services;
     /// The configuration that the first entry of a new deployment writes.
     std::string initial_config;
 
@@ -74,8 +72,6 @@
     core_duration forward_patience = std::chrono::seconds{8};
     placement_options placement;
     token_count escrow_chunk = 20'000;
-    std::uint32_t turn_limit = 400;
-    std::uint32_t repeat_limit = 8;
     std::size_t max_waiting_calls = 16;
     /// Records of a shard after which its programs are written as snapshots.
     std::size_t checkpoint_records = 512;
--- a/include/masticcourse/messages/peer_message.hpp
+++ b/include/masticcourse/messages/peer_message.hpp
@@ -253,6 +253,7 @@
     /// The headers that matter: `Idempotency-Key`, `Accept`, `Last-Event-ID`, `If-Match`.
     std::string key;
     std::optional<std::uint64_t> last_event;
+    std::optional<config_version> if_match;
     bool stream = false;
     workspace_id workspace;
 };
--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -2,6 +2,7 @@
 #include "entry_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace masticcourse::detail
 {
@@ -89,11 +90,9 @@
         return {problem_id::store_unavailable, ran_state::no,
                 "the intent of a non-idempotent call can't be made durable now", std::chrono::seconds{2}};
     }
-    const auto& services =
-        call.kind == call_kind::model ? state.options.model_services : state.options.tool_services;
-    if (std::ranges::find(services, call.service) == services.end())
+    if (state.view.find_service(call.service) == nullptr)
     {
-        return {problem_id::unknown_service, ran_state::no, "no such service of this kind"};
+        return {problem_id::unknown_service, ran_state::no, "the configuration has no such service"};
     }
     return {};
 }
@@ -106,8 +105,10 @@
     call.workspace = raw.workspace;
     call.digest = digest_of(request.call);
     call.accepted = state.now;
-    const core_duration allowed =
-        request.call.deadline ? core_duration{*request.call.deadline} : state.options.default_deadline;
+    const auto* const service = state.view.find_service(request.call.service);
+    const core_duration usual =
+        service != nullptr ? core_duration{service->default_deadline} : state.options.default_deadline;
+    const core_duration allowed = request.call.deadline ? core_duration{*request.call.deadline} : usual;
     call.deadline = state.now + std::min(allowed, state.options.longest_deadline);
     return call;
 }
@@ -127,7 +128,7 @@
     {
         return;
     }
-    runtime.guard = loop_guard{{.turns = state.options.turn_limit, .repeats = state.options.repeat_limit}};
+    runtime.guard = loop_guard{{.turns = state.view.limits.turn_limit, .repeats = state.view.limits.repeat_limit}};
     std::ranges::for_each(program.turns, [&](const turn& it) { runtime.guard.check(it.request_digest); });
 }
 
--- a/src/control/entry_config.cpp
+++ b/src/control/entry_config.cpp
@@ -66,6 +66,18 @@
                                         .expires = state.now + patch_patience});
 }
 
+/// Makes the document's content what this process works by. One that can't be read changes nothing.
+void apply_view(entry_state& state)
+{
+    auto view = parse_config(state.config.document());
+    if (!view)
+    {
+        state.trace(event_id::config_invalid);
+        return;
+    }
+    state.view = std::move(*view);
+}
+
 void run_patches(entry_state& state)
 {
     std::vector<std::uint64_t> ended;
@@ -106,12 +118,12 @@
     const auto apply = [patch = request.patch, fault](const std::string& document) -> std::optional<std::string>
     {
         auto result = apply_merge_patch(document, patch);
-        if (!result.faults.empty())
+        if (const auto* const faults = std::get_if<std::vector<config_fault>>(&result))
         {
-            *fault = to_string(result.faults);
+            *fault = to_string(*faults);
             return std::nullopt;
         }
-        return std::move(result.document);
+        return std::get<config_accepted>(std::move(result)).document;
     };
     row.machine = config_patch{request.expected,
                                state.options.incarnation.value + "/" + std::to_string(id), apply, {}};
@@ -146,6 +158,7 @@
     if (state.config.version() > state.config_applied)
     {
         state.config_applied = state.config.version();
+        apply_view(state);
         state.trace(event_id::config_applied, {}, {}, {{"version", std::to_string(state.config_applied)}});
     }
 }
--- a/src/control/entry_core.cpp
+++ b/src/control/entry_core.cpp
@@ -3,6 +3,7 @@
 #include "entry_state.hpp"
 
 #include <algorithm>
+#include <utility>
 #include <chrono>
 
 namespace masticcourse
@@ -13,7 +14,8 @@
 
 entry_state::entry_state(entry_options given)
     : options(std::move(given)), random(options.seed), shards(options.shards),
-      config(config_tracker_options{}, options.seed)
+      config(config_tracker_options{}, options.seed),
+      view(parse_config(options.initial_config).value_or(config_view{}))
 {
     recovery = std::make_unique<recovered_journals>(options.incarnation, retry_options{});
     journal = std::make_unique<journal_writer>(
--- a/src/control/entry_dispatch.cpp
+++ b/src/control/entry_dispatch.cpp
@@ -23,7 +23,8 @@
 bool is_usable(const entry_state& state, const peer_row& peer, const call_row& call)
 {
     const bool tried = std::ranges::find(call.tried, peer.known.name) != call.tried.end();
-    const bool leaving = peer.leaving || peer.known.leaving;
+    const auto* const config = state.view.find_target(peer.known.name);
+    const bool leaving = peer.leaving || peer.known.leaving || (config != nullptr && config->leaving);
     return peer.live && !leaving && !tried && state.targets.at(peer.known.name).breaker.allows(state.now);
 }
 
--- a/src/control/entry_outcomes.cpp
+++ b/src/control/entry_outcomes.cpp
@@ -4,6 +4,7 @@
 #include "masticcourse/core/invariant.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace masticcourse::detail
 {
--- a/src/control/entry_peers.cpp
+++ b/src/control/entry_peers.cpp
@@ -2,6 +2,7 @@
 #include "entry_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace masticcourse::detail
 {
@@ -188,7 +189,10 @@
 
     void operator()(const config_request& it) const
     {
-        send(state, link, state.config.answer(it));
+        if (auto answer = state.config.answer(it))
+        {
+            send(state, link, std::move(*answer));
+        }
     }
 
     void operator()(const config_reply& it) const
--- a/src/control/entry_programs.cpp
+++ b/src/control/entry_programs.cpp
@@ -109,6 +109,26 @@
     }
 }
 
+/// What the workspace allows, applied to what the caller asks for.
+problem apply_workspace(const entry_state& state, program_spec& spec)
+{
+    const auto* const workspace = state.view.find_workspace(spec.workspace);
+    if (workspace == nullptr)
+    {
+        return {};
+    }
+    if (spec.budget > workspace->max_budget)
+    {
+        return {problem_id::invalid_field, ran_state::no,
+                "budget: at most " + std::to_string(workspace->max_budget) + " in this workspace"};
+    }
+    if (spec.priority != service_class::background)
+    {
+        spec.priority = workspace->priority;
+    }
+    return {};
+}
+
 token_count clamped_budget(const entry_state& state, const program_spec& spec)
 {
     if (spec.parent.empty())
@@ -272,6 +292,11 @@
         reply_problem(state, route, failure);
         return;
     }
+    if (const auto failure = apply_workspace(state, spec); failure.failed())
+    {
+        reply_problem(state, route, failure);
+        return;
+    }
     auto named = request;
     named.spec.workspace = workspace;
     const auto id = sub_agent            ? sub_agent_id(state, named)
--- a/src/control/entry_requests.cpp
+++ b/src/control/entry_requests.cpp
@@ -171,7 +171,7 @@
 
 void handle_request(entry_state& state, const reply_route& route, const forward_request& raw)
 {
-    const auto parsed = parse_api_request(raw);
+    const auto parsed = parse_api_request(raw, state.view);
     if (!parsed.request)
     {
         reply_problem(state, route, parsed.error);
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -382,6 +382,8 @@
 
     config_tracker config;
     config_version config_applied = 0;
+    /// What the configuration in force says.
+    config_view view;
     std::map<std::uint64_t, patch_row> patches;
     std::uint64_t next_patch = 1;
     std::uint64_t incarnations = 0;
--- a/src/messages/peer_members.hpp
+++ b/src/messages/peer_members.hpp
@@ -133,7 +133,8 @@
 template <codec::like<forward_request> T>
 auto members(T& it)
 {
-    return std::tie(it.id, it.method, it.path, it.body, it.key, it.last_event, it.stream, it.workspace);
+    return std::tie(it.id, it.method, it.path, it.body, it.key, it.last_event, it.if_match, it.stream,
+                    it.workspace);
 }
 
 template <codec::like<forward_reply> T>
