--- a/src/control/target_gate.cpp
+++ b/src/control/target_gate.cpp
@@ -19,6 +19,17 @@
     s.send(link, call_refused{.call = call, .reason = reason, .retry_after = retry_after});
 }
 
+/// A refusal says that the call did not run, so a home that was replaced gets none for a call that may have.
+void refuse_stale(target_state& s, link_id link, const call_ref& call)
+{
+    if (s.calls.contains(call) || s.settled.find(call) == settlement::ended)
+    {
+        s.send(link, call_answer{.call = call, .knowledge = call_knowledge::stale_epoch});
+        return;
+    }
+    refuse(s, link, call, refusal_reason::stale_epoch);
+}
+
 std::size_t bytes_of(const dispatch_call& order)
 {
     return std::accumulate(order.prompt.begin(), order.prompt.end(), order.request.input.size(),
@@ -130,7 +141,7 @@
     const call_ref ref = message.call;
     if (!pass_fence(s, message.shard, message.epoch, link))
     {
-        refuse(s, link, ref, refusal_reason::stale_epoch);
+        refuse_stale(s, link, ref);
         return;
     }
     if (const auto how = s.settled.find(ref))
--- a/src/core/invariant.cpp
+++ b/src/core/invariant.cpp
@@ -1,10 +1,9 @@
 #include "masticcourse/core/invariant.hpp"
 
-#include "masticcourse/telemetry/log.hpp"
+#include <glog/logging.h>
 
 #include <atomic>
 #include <cstdlib>
-#include <string>
 
 namespace masticcourse
 {
@@ -12,12 +11,11 @@
 namespace
 {
 
+/// Event 1901 of the catalogue; the core layer does not know the telemetry layer, so it is written out here.
 void log_and_abort(std::string_view message, const std::source_location& where)
 {
-    log_event(event_id::invariant_violated,
-              {{"message", std::string{message}},
-               {"where", std::string{where.file_name()} + ":" + std::to_string(where.line())}});
-    std::abort();
+    LOG(FATAL) << "E1901 invariant_violated message=\"" << message << "\" where=" << where.file_name() << ':'
+               << where.line();
 }
 
 std::atomic<invariant_handler> current_handler{&log_and_abort};
