--- /dev/null
+++ b/src/settings/config_document.cpp
@@ -0,0 +1,292 @@
+#include "masticcourse/settings/config_document.hpp"
+
+#include "../input/guarded_json.hpp"
+#include "../input/json_members.hpp"
+#include "text_format.hpp"
+
+#include "masticcourse/model/names.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace masticcourse
+{
+
+namespace
+{
+
+using detail::member_rule;
+using detail::member_type;
+using nlohmann::json;
+
+constexpr std::int64_t max_ms = 3'600'000;
+constexpr std::int64_t max_tokens = 1'000'000'000;
+constexpr std::int64_t max_count = 10'000'000;
+constexpr std::int64_t max_weight = 100;
+
+constexpr std::array service_rules{
+    member_rule{.name = "kind", .type = member_type::kind, .required = true},
+    member_rule{.name = "idempotent_default", .type = member_type::boolean},
+    member_rule{.name = "default_deadline_ms", .type = member_type::integer, .least = 1, .most = max_ms},
+    member_rule{.name = "max_concurrent", .type = member_type::integer, .most = max_count},
+};
+
+constexpr std::array workspace_rules{
+    member_rule{.name = "max_budget", .type = member_type::integer, .least = 1, .most = max_tokens},
+    member_rule{.name = "class", .type = member_type::priority},
+    member_rule{.name = "max_programs", .type = member_type::integer, .most = max_count},
+    member_rule{.name = "tokens_per_second", .type = member_type::integer, .most = max_tokens},
+};
+
+constexpr std::array target_rules{
+    member_rule{.name = "leaving", .type = member_type::boolean},
+    member_rule{.name = "weight", .type = member_type::number, .most = max_weight},
+};
+
+constexpr std::array limits_rules{
+    member_rule{.name = "turn_limit", .type = member_type::integer, .least = 1, .most = 100'000},
+    member_rule{.name = "repeat_limit", .type = member_type::integer, .least = 2, .most = 1000},
+};
+
+/// One member of the document whose own members are named by the operators.
+struct section_rule
+{
+    std::string_view name;
+    std::span<const member_rule> rules;
+};
+
+constexpr std::array sections{
+    section_rule{"services", service_rules},
+    section_rule{"workspaces", workspace_rules},
+    section_rule{"targets", target_rules},
+};
+
+constexpr std::string_view limits_name = "limits";
+
+void check_section(const json& section, const section_rule& rule, std::vector<config_fault>& faults)
+{
+    const std::string pointer = detail::member_pointer("", rule.name);
+    if (!section.is_object())
+    {
+        faults.push_back({pointer, "must be an object"});
+        return;
+    }
+    for (const auto& [name, value] : section.items())
+    {
+        const std::string element = detail::member_pointer(pointer, name);
+        if (const auto wrong = detail::text_fault(detail::text_format::name, name))
+        {
+            faults.push_back({element, "its name " + *wrong});
+        }
+        detail::check_members(value, element, rule.rules, faults);
+    }
+}
+
+void check_sections(const json& document, std::vector<config_fault>& faults)
+{
+    for (const auto& [name, value] : document.items())
+    {
+        const auto* const it = std::ranges::find(sections, std::string_view{name}, &section_rule::name);
+        if (it != sections.end())
+        {
+            check_section(value, *it, faults);
+        }
+        else if (name == limits_name)
+        {
+            detail::check_members(value, detail::member_pointer("", limits_name), limits_rules, faults);
+        }
+        else
+        {
+            faults.push_back({detail::member_pointer("", name), "unknown member"});
+        }
+    }
+}
+
+std::vector<config_fault> faults_of(const json& document)
+{
+    std::vector<config_fault> faults;
+    if (!document.is_object())
+    {
+        faults.push_back({"", "must be an object"});
+        return faults;
+    }
+    check_sections(document, faults);
+    return faults;
+}
+
+config_result accept(const json& document)
+{
+    auto faults = faults_of(document);
+    if (!faults.empty())
+    {
+        return faults;
+    }
+    std::string text = document.dump();
+    if (text.size() > max_config_size)
+    {
+        return std::vector{config_fault{"", "longer than " + std::to_string(max_config_size) + " bytes"}};
+    }
+    return config_accepted{std::move(text)};
+}
+
+config_result reject(std::string message)
+{
+    return std::vector{config_fault{"", std::move(message)}};
+}
+
+service_config read_service(const std::string& name, const json& value)
+{
+    service_config row{.name = {name}};
+    row.kind = detail::read_kind(value, "kind").value_or(row.kind);
+    // Nobody said that an action may be repeated; generating an answer again harms nobody.
+    row.idempotent_default =
+        detail::read_member<bool>(value, "idempotent_default").value_or(row.kind == call_kind::model);
+    row.default_deadline = detail::read_ms(value, "default_deadline_ms").value_or(row.default_deadline);
+    row.max_concurrent =
+        detail::read_member<std::uint32_t>(value, "max_concurrent").value_or(row.max_concurrent);
+    return row;
+}
+
+workspace_config read_workspace(const std::string& id, const json& value)
+{
+    workspace_config row{.id = {id}};
+    row.max_budget = detail::read_member<token_count>(value, "max_budget").value_or(row.max_budget);
+    row.priority = detail::read_priority(value, "class").value_or(row.priority);
+    row.max_programs = detail::read_member<std::uint32_t>(value, "max_programs").value_or(row.max_programs);
+    row.tokens_per_second =
+        detail::read_member<token_count>(value, "tokens_per_second").value_or(row.tokens_per_second);
+    return row;
+}
+
+target_config read_target(const std::string& name, const json& value)
+{
+    target_config row{.name = {name}};
+    row.leaving = detail::read_member<bool>(value, "leaving").value_or(row.leaving);
+    row.weight = detail::read_member<double>(value, "weight").value_or(row.weight);
+    return row;
+}
+
+limits_config read_limits(const json& document)
+{
+    limits_config limits;
+    const json section = document.value(limits_name, json::object());
+    limits.turn_limit = detail::read_member<std::uint32_t>(section, "turn_limit").value_or(limits.turn_limit);
+    limits.repeat_limit =
+        detail::read_member<std::uint32_t>(section, "repeat_limit").value_or(limits.repeat_limit);
+    return limits;
+}
+
+template <typename Row>
+std::vector<Row> read_section(const json& document, std::string_view name,
+                              Row (*read)(const std::string&, const json&))
+{
+    std::vector<Row> rows;
+    const json section = document.value(name, json::object());
+    rows.reserve(section.size());
+    for (const auto& [key, value] : section.items())
+    {
+        rows.push_back(read(key, value));
+    }
+    return rows;
+}
+
+template <typename Row, typename Name>
+const Row* find_sorted(const std::vector<Row>& rows, const Name& name, Name Row::*member)
+{
+    const auto it = std::ranges::lower_bound(rows, name, {}, member);
+    return it != rows.end() && (*it).*member == name ? &*it : nullptr;
+}
+
+json service_to_json(const service_settings& service)
+{
+    return {{"kind", to_string(service.kind)},
+            {"idempotent_default", service.kind == call_kind::model},
+            {"default_deadline_ms", service.default_deadline.count()}};
+}
+
+json workspace_to_json(const workspace_settings& workspace)
+{
+    return {{"max_budget", workspace.max_budget}, {"class", to_string(workspace.priority)}};
+}
+
+} // namespace
+
+const service_config* config_view::find_service(const service_name& name) const
+{
+    return find_sorted(services, name, &service_config::name);
+}
+
+const workspace_config* config_view::find_workspace(const workspace_id& id) const
+{
+    return find_sorted(workspaces, id, &workspace_config::id);
+}
+
+const target_config* config_view::find_target(const process_name& name) const
+{
+    return find_sorted(targets, name, &target_config::name);
+}
+
+config_result apply_merge_patch(const std::string& document, const std::string& patch)
+{
+    auto base = detail::parse_guarded(document, max_config_size);
+    if (!base.error.empty())
+    {
+        return reject("the document in force: " + base.error);
+    }
+    const auto change = detail::parse_guarded(patch, max_config_size);
+    if (!change.error.empty())
+    {
+        return reject("the patch: " + change.error);
+    }
+    base.value.merge_patch(change.value);
+    return accept(base.value);
+}
+
+config_result check_config(const std::string& document)
+{
+    const auto parsed = detail::parse_guarded(document, max_config_size);
+    return parsed.error.empty() ? accept(parsed.value) : reject(parsed.error);
+}
+
+std::optional<config_view> parse_config(const std::string& document)
+{
+    const auto parsed = detail::parse_guarded(document, max_config_size);
+    if (!parsed.error.empty() || !faults_of(parsed.value).empty())
+    {
+        return std::nullopt;
+    }
+    return config_view{.services = read_section(parsed.value, "services", read_service),
+                       .workspaces = read_section(parsed.value, "workspaces", read_workspace),
+                       .targets = read_section(parsed.value, "targets", read_target),
+                       .limits = read_limits(parsed.value)};
+}
+
+std::string initial_config(const deployment_settings& settings)
+{
+    json document{
+        {"limits",
+         {{"turn_limit", settings.limits.turn_limit}, {"repeat_limit", settings.limits.repeat_limit}}}};
+    for (const auto& it : settings.services)
+    {
+        document["services"][it.name.value] = service_to_json(it);
+    }
+    for (const auto& it : settings.workspaces)
+    {
+        document["workspaces"][it.id.value] = workspace_to_json(it);
+    }
+    return document.dump();
+}
+
+std::string to_string(const std::vector<config_fault>& faults)
+{
+    std::string text;
+    for (const auto& it : faults)
+    {
+        text.append(text.empty() ? "" : "; ").append(it.pointer);
+        text.append(it.pointer.empty() ? "" : ": ").append(it.message);
+    }
+    return text;
+}
+
+} // namespace masticcourse
--- a/src/settings/key_table.hpp
+++ b/src/settings/key_table.hpp
@@ -2,6 +2,8 @@
 /// The table of all settings keys. Reading, checking and the reference page all come from it.
 #pragma once
 
+#include "text_format.hpp"
+
 #include "masticcourse/settings/settings.hpp"
 
 #include <array>
@@ -12,16 +14,6 @@
 namespace masticcourse::detail
 {
 
-/// What a text may be.
-enum class text_format : std::uint8_t
-{
-    /// A name: letters, digits, `-`, `_` and `.`.
-    name,
-    address,
-    secret,
-    path,
-};
-
 /// Which member of @a Row a key sets; its type is the key's type.
 template <typename Row>
 using member_of = std::variant<std::string Row::*, bool Row::*, std::uint32_t Row::*, std::size_t Row::*,
--- a/src/settings/table_reader.hpp
+++ b/src/settings/table_reader.hpp
@@ -5,7 +5,6 @@
 #include "key_table.hpp"
 
 #include "masticcourse/model/names.hpp"
-#include "masticcourse/settings/address.hpp"
 
 #include <toml++/toml.h>
 
@@ -47,9 +46,6 @@
     return node.source().begin.line;
 }
 
-/// What is wrong with a text, or nothing.
-[[nodiscard]] std::optional<std::string> text_fault(text_format format, const std::string& text);
-
 /// Reads values into the members of one @a Row.
 template <typename Row>
 class table_reader
--- a/src/settings/text_format.cpp
+++ b/src/settings/text_format.cpp
@@ -1,5 +1,8 @@
-#include "table_reader.hpp"
+#include "text_format.hpp"
 
+#include "masticcourse/settings/address.hpp"
+
+#include <algorithm>
 #include <cctype>
 
 namespace masticcourse::detail
--- /dev/null
+++ b/tests/unit/test_config_document.cpp
@@ -0,0 +1,199 @@
+// The configuration document: patches, faults with pointers, canonical text, fuzzed patches.
+#include "masticcourse/settings/config_document.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <string>
+
+using namespace masticcourse;
+
+namespace
+{
+
+const std::string base_document =
+    R"({"limits":{"turn_limit":400},"services":{"llm":{"kind":"model"},"tool":{"kind":"tool"}}})";
+
+std::string patched(const std::string& document, const std::string& patch)
+{
+    const auto result = apply_merge_patch(document, patch);
+    const auto* const accepted = std::get_if<config_accepted>(&result);
+    return accepted != nullptr ? accepted->document : to_string(std::get<std::vector<config_fault>>(result));
+}
+
+std::string nested(int depth)
+{
+    std::string text;
+    for (int n = 0; n < depth; ++n)
+    {
+        text += R"({"a":)";
+    }
+    return text + "1" + std::string(static_cast<std::size_t>(depth), '}');
+}
+
+} // namespace
+
+TEST_CASE("a merge patch adds, changes and removes, and the outcome is canonical")
+{
+    struct row
+    {
+        const char* patch;
+        const char* document;
+    };
+    constexpr std::array table{
+        row{"{}",
+            R"({"limits":{"turn_limit":400},"services":{"llm":{"kind":"model"},"tool":{"kind":"tool"}}})"},
+        row{R"({"services":null})", R"({"limits":{"turn_limit":400}})"},
+        row{R"({"services":{"tool":null},"limits":{"turn_limit":5}})",
+            R"({"limits":{"turn_limit":5},"services":{"llm":{"kind":"model"}}})"},
+        row{R"({"services":null,  "targets":{"t":{"weight":0.5,"leaving":true}},"limits":null})",
+            R"({"targets":{"t":{"leaving":true,"weight":0.5}}})"},
+    };
+    for (const auto& it : table)
+    {
+        CHECK(patched(base_document, it.patch) == it.document);
+    }
+}
+
+TEST_CASE("each fault of a patched document is named by its pointer")
+{
+    struct row
+    {
+        const char* patch;
+        const char* pointer;
+    };
+    constexpr std::array table{
+        row{"[]", ""},
+        row{"{", ""},
+        row{"{\"limits\":{\"turn_limit\":1,\"turn_limit\":2}}", ""},
+        row{R"({"colour":1})", "/colour"},
+        row{R"({"services":3})", "/services"},
+        row{R"({"services":{"x":{}}})", "/services/x/kind"},
+        row{R"({"services":{"llm":{"kind":"oracle"}}})", "/services/llm/kind"},
+        row{R"({"services":{"llm":{"default_deadline_ms":0}}})", "/services/llm/default_deadline_ms"},
+        row{R"({"services":{"a/b~c":{"kind":"tool"}}})", "/services/a~1b~0c"},
+        row{R"({"workspaces":{"w":{"max_budget":1.5}}})", "/workspaces/w/max_budget"},
+        row{R"({"workspaces":{"w":{"max_budget":18446744073709551615}}})", "/workspaces/w/max_budget"},
+        row{R"({"workspaces":{"w":{"class":1}}})", "/workspaces/w/class"},
+        row{R"({"targets":{"t":{"leaving":"yes"}}})", "/targets/t/leaving"},
+        row{R"({"targets":{"t":{"weight":-1}}})", "/targets/t/weight"},
+        row{R"({"limits":{"repeat_limit":1}})", "/limits/repeat_limit"},
+        row{R"({"limits":[]})", "/limits"},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.patch);
+        const auto result = apply_merge_patch(base_document, it.patch);
+        const auto* const faults = std::get_if<std::vector<config_fault>>(&result);
+        REQUIRE(faults != nullptr);
+        CHECK(faults->size() == 1);
+        CHECK(faults->front().pointer == it.pointer);
+        CHECK_FALSE(faults->front().message.empty());
+    }
+}
+
+TEST_CASE("all faults come at once")
+{
+    const auto result =
+        apply_merge_patch(base_document, R"({"services":{"x":{}},"limits":{"turn_limit":0},"colour":1})");
+    CHECK(std::get<std::vector<config_fault>>(result).size() == 3);
+}
+
+TEST_CASE("texts out of bounds are refused")
+{
+    CHECK(patched(base_document, nested(33)).find("nested") != std::string::npos);
+    CHECK(patched(base_document, nested(32)).find("nested") == std::string::npos);
+    CHECK(patched(base_document, "{\"colour\":\"\xff\"}").find("UTF-8") != std::string::npos);
+    CHECK(patched(base_document, std::string(max_config_size + 1, ' ')).find("longer") != std::string::npos);
+}
+
+TEST_CASE("a document that patches have made too long is refused")
+{
+    std::string document = "{}";
+    std::string verdict;
+    for (int n = 0; n < 40 && verdict.empty(); ++n)
+    {
+        std::string patch = R"({"targets":{)";
+        for (int i = 0; i < 400; ++i)
+        {
+            patch +=
+                (i != 0 ? ",\"t" : "\"t") + std::to_string(n) + "-" + std::to_string(i) + R"(":{"weight":2})";
+        }
+        const auto result = apply_merge_patch(document, patch + "}}");
+        if (const auto* const faults = std::get_if<std::vector<config_fault>>(&result))
+        {
+            verdict = to_string(*faults);
+            continue;
+        }
+        document = std::get<config_accepted>(result).document;
+    }
+    CHECK(verdict.find("longer") != std::string::npos);
+    CHECK(document.size() <= max_config_size);
+}
+
+TEST_CASE("the view has what the document says and defaults for the rest")
+{
+    const auto view = parse_config(
+        R"({"services":{"tool":{"kind":"tool","max_concurrent":4},"llm":{"kind":"model","default_deadline_ms":7}},
+            "workspaces":{"w":{"class":"assistance"}},"targets":{"t":{"leaving":true}},"limits":{"turn_limit":9}})");
+    REQUIRE(view);
+    REQUIRE(view->find_service({"llm"}) != nullptr);
+    CHECK(view->find_service({"llm"})->default_deadline == std::chrono::milliseconds{7});
+    CHECK(view->find_service({"llm"})->idempotent_default);
+    CHECK_FALSE(view->find_service({"tool"})->idempotent_default);
+    CHECK(view->find_service({"tool"})->max_concurrent == 4);
+    CHECK(view->find_service({"other"}) == nullptr);
+    CHECK(view->find_workspace({"w"})->priority == service_class::assistance);
+    CHECK(view->find_target({"t"})->leaving);
+    CHECK(view->limits.turn_limit == 9);
+    CHECK(view->limits.repeat_limit == limits_config{}.repeat_limit);
+    CHECK(parse_config("{}") == config_view{});
+    CHECK_FALSE(parse_config("[]"));
+}
+
+TEST_CASE("a deployment of 3,300 workspaces and 7 models starts with a valid document")
+{
+    deployment_settings settings;
+    for (int n = 0; n < 3300; ++n)
+    {
+        settings.workspaces.push_back(
+            {.id = {"workspace-" + std::to_string(n)}, .priority = service_class::background});
+    }
+    for (int n = 0; n < 7; ++n)
+    {
+        settings.services.push_back({.name = {"model-" + std::to_string(n)}});
+    }
+    const auto document = initial_config(settings);
+    const auto result = check_config(document);
+    REQUIRE(std::holds_alternative<config_accepted>(result));
+    CHECK(std::get<config_accepted>(result).document == document);
+    CHECK(parse_config(document)->workspaces.size() == 3300);
+}
+
+TEST_CASE("mutated patches are accepted as valid canonical documents or refused with faults")
+{
+    const std::string patch =
+        R"({"services":{"llm":{"kind":"tool","max_concurrent":3}},"targets":{"t":{"leaving":true,"weight":1e1}}})";
+    const auto holds = rc::check(
+        [&](const std::vector<std::pair<std::uint16_t, char>>& mutations)
+        {
+            std::string text = patch;
+            for (const auto& [at, c] : mutations)
+            {
+                text[at % text.size()] = c;
+            }
+            const auto result = apply_merge_patch(base_document, text);
+            if (const auto* const accepted = std::get_if<config_accepted>(&result))
+            {
+                const auto again = check_config(accepted->document);
+                RC_ASSERT(std::get<config_accepted>(again).document == accepted->document);
+                RC_ASSERT(parse_config(accepted->document).has_value());
+            }
+            else
+            {
+                RC_ASSERT(!std::get<std::vector<config_fault>>(result).empty());
+            }
+        });
+    CHECK(holds);
+}
