--- a/include/masticcourse/state/config_patch.hpp
+++ b/include/masticcourse/state/config_patch.hpp
@@ -61,12 +61,11 @@
     config_version m_base;
     std::string m_id;
     document_patch m_patch;
-    store_retry m_retry;
+    store_exchange m_exchange;
     patch_state m_state = patch_state::pending;
     config_row m_row;
     row_version m_version = 0;
     std::optional<config_row> m_next;
-    bool m_in_flight = false;
     bool m_unanswered_write = false;
 };
 
--- a/include/masticcourse/state/config_tracker.hpp
+++ b/include/masticcourse/state/config_tracker.hpp
@@ -81,14 +81,15 @@
 
     config_tracker_options m_options;
     std::uint64_t m_random;
-    store_retry m_retry;
+    store_exchange m_exchange;
     config_version m_version = 0;
     std::string m_document = "{}";
     config_version m_newest_named = 0;
+    /// The newest version named when the outstanding read was sent.
+    config_version m_named_when_sent = 0;
     incarnation_id m_newest_peer;
     std::optional<core_time> m_peer_deadline;
     core_time m_next_poll = core_time::min();
-    bool m_in_flight = false;
     bool m_store_answered = false;
     bool m_store_failed = false;
     bool m_peer_answered = false;
--- a/include/masticcourse/state/journal_cleaner.hpp
+++ b/include/masticcourse/state/journal_cleaner.hpp
@@ -46,9 +46,8 @@
 
     incarnation_id m_journal;
     std::size_t m_most;
-    store_retry m_retry;
+    store_exchange m_exchange;
     step m_step = step::list_entries;
-    bool m_in_flight = false;
     std::deque<std::string> m_keys;
     std::size_t m_deleted = 0;
 };
--- a/include/masticcourse/state/journal_recovery.hpp
+++ b/include/masticcourse/state/journal_recovery.hpp
@@ -91,7 +91,7 @@
 
     incarnation_id m_journal;
     incarnation_id m_reader;
-    store_retry m_retry;
+    store_exchange m_exchange;
     bool m_seal_wanted = false;
     bool m_listed = false;
     /// The entry to look at next for a seal; unset: the next place to try a seal in is m_seal_at.
@@ -108,7 +108,6 @@
     std::map<std::uint64_t, journal_entry> m_entries;
     std::vector<damaged_entry> m_damages;
     step m_step = step::idle;
-    bool m_in_flight = false;
 };
 
 } // namespace masticcourse
--- a/include/masticcourse/state/shard_claim.hpp
+++ b/include/masticcourse/state/shard_claim.hpp
@@ -91,10 +91,9 @@
     shard_index m_shard;
     claimant m_self;
     recovered_journals* m_journals;
-    store_retry m_retry;
+    store_exchange m_exchange;
     step m_step = step::read_row;
     claim_state m_state = claim_state::claiming;
-    bool m_in_flight = false;
     row_version m_version = 0;
     shard_row m_row;
     /// The row that a write without an answer may have left behind.
--- a/include/masticcourse/state/shard_update.hpp
+++ b/include/masticcourse/state/shard_update.hpp
@@ -46,9 +46,8 @@
 
     shard_row m_next;
     row_version m_version;
-    store_retry m_retry;
+    store_exchange m_exchange;
     update_state m_state = update_state::updating;
-    bool m_in_flight = false;
     bool m_reading_back = false;
 };
 
--- a/include/masticcourse/state/store_retry.hpp
+++ b/include/masticcourse/state/store_retry.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "masticcourse/core/clock.hpp"
+#include "masticcourse/store/store_op.hpp"
 
 #include <cstdint>
 
@@ -45,4 +46,42 @@
     core_time m_ready_at = core_time::min();
 };
 
+/// What an answer from the store means for the operation that it belongs to.
+enum class store_answer : std::uint8_t
+{
+    /// No operation was outstanding.
+    none,
+    /// Not done: to be tried again later.
+    refused,
+    /// Done or not; a write wants settling.
+    lost,
+    /// `ok`, `conflict` or `not_found`.
+    settled,
+};
+
+/// One operation at a time, and pauses after failures.
+class store_exchange
+{
+  public:
+    store_exchange(retry_options options, std::uint64_t seed);
+
+    /// Whether an operation may be sent now.
+    [[nodiscard]] bool open(core_time now) const;
+
+    /// An operation is on its way.
+    void sent();
+
+    [[nodiscard]] bool outstanding() const;
+
+    /// Takes in the answer to the operation sent last.
+    store_answer received(const store_reply& reply, core_time now);
+
+    /// @return when the next operation may be sent (`core_time::max()`: one is outstanding)
+    [[nodiscard]] core_time ready_at() const;
+
+  private:
+    store_retry m_retry;
+    bool m_outstanding = false;
+};
+
 } // namespace masticcourse
--- a/src/state/config_patch.cpp
+++ b/src/state/config_patch.cpp
@@ -9,17 +9,17 @@
 
 config_patch::config_patch(config_version base, std::string id, document_patch patch, retry_options retry)
     : m_base(base), m_id(std::move(id)), m_patch(std::move(patch)),
-      m_retry(retry, std::hash<std::string>{}(m_id))
+      m_exchange(retry, std::hash<std::string>{}(m_id))
 {
 }
 
 std::optional<store_op> config_patch::poll(core_time now)
 {
-    if (m_in_flight || m_state != patch_state::pending || !m_retry.allowed(now))
+    if (m_state != patch_state::pending || !m_exchange.open(now))
     {
         return std::nullopt;
     }
-    m_in_flight = true;
+    m_exchange.sent();
     if (m_next)
     {
         return table_put{std::string(config_key), encode(*m_next), m_version};
@@ -29,21 +29,16 @@
 
 void config_patch::on_reply(const store_reply& reply, core_time now)
 {
-    if (!std::exchange(m_in_flight, false))
+    const store_answer answer = m_exchange.received(reply, now);
+    if (answer == store_answer::lost && m_next)
     {
-        return;
+        m_unanswered_write = true;
+        m_next.reset();
     }
-    if (reply.status == store_status::unavailable || reply.status == store_status::lost)
+    if (answer != store_answer::settled)
     {
-        m_retry.failed(now);
-        if (m_next && reply.status == store_status::lost)
-        {
-            m_unanswered_write = true;
-            m_next.reset();
-        }
         return;
     }
-    m_retry.succeeded();
     if (m_next)
     {
         on_row_written(reply);
@@ -56,7 +51,7 @@
 
 core_time config_patch::next_wakeup() const
 {
-    return m_in_flight || m_state != patch_state::pending ? core_time::max() : m_retry.ready_at();
+    return m_state == patch_state::pending ? m_exchange.ready_at() : core_time::max();
 }
 
 patch_state config_patch::state() const
@@ -66,7 +61,7 @@
 
 bool config_patch::may_be_accepted() const
 {
-    const bool write_in_flight = m_in_flight && m_next;
+    const bool write_in_flight = m_exchange.outstanding() && m_next;
     return m_state == patch_state::accepted || m_state == patch_state::unknown ||
            (m_state == patch_state::pending && (m_unanswered_write || write_in_flight));
 }
--- a/src/state/config_tracker.cpp
+++ b/src/state/config_tracker.cpp
@@ -7,7 +7,7 @@
 {
 
 config_tracker::config_tracker(config_tracker_options options, std::uint64_t seed)
-    : m_options(options), m_random(seed), m_retry(options.retry, seed)
+    : m_options(options), m_random(seed), m_exchange(options.retry, seed)
 {
 }
 
@@ -17,29 +17,34 @@
     {
         return std::nullopt;
     }
-    m_in_flight = true;
+    m_exchange.sent();
+    m_named_when_sent = m_newest_named;
     return table_get{std::string(config_key)};
 }
 
 void config_tracker::on_reply(const store_reply& reply, core_time now)
 {
-    if (!std::exchange(m_in_flight, false))
+    const store_answer answer = m_exchange.received(reply, now);
+    if (answer != store_answer::settled)
     {
+        m_store_failed = m_store_failed || answer != store_answer::none;
         return;
     }
-    const bool answered = reply.status == store_status::ok || reply.status == store_status::not_found;
+    m_next_poll = now + jittered(m_options.poll_period, m_random);
     const auto row = reply.status == store_status::not_found ? std::optional(config_row{})
                                                              : decode_config_row(reply.value);
-    if (!answered || !row)
+    if (!row)
     {
         m_store_failed = true;
-        m_retry.failed(now);
         return;
     }
-    m_retry.succeeded();
     m_store_answered = true;
-    m_next_poll = now + jittered(m_options.poll_period, m_random);
     apply(row->version, row->document);
+    if (m_newest_named == m_named_when_sent)
+    {
+        // The row is what counts: a version that it doesn't reach has never been accepted.
+        m_newest_named = m_version;
+    }
 }
 
 void config_tracker::on_named(const incarnation_id& peer, config_version version, core_time now)
@@ -131,13 +136,9 @@
 
 core_time config_tracker::next_store_read() const
 {
-    if (m_in_flight)
-    {
-        return core_time::max();
-    }
     // A peer that named a newer version and doesn't send it is passed over.
     const core_time due = behind() && m_peer_deadline ? std::min(m_next_poll, *m_peer_deadline) : m_next_poll;
-    return std::max(due, m_retry.ready_at());
+    return std::max(due, m_exchange.ready_at());
 }
 
 bool config_tracker::behind() const
--- a/src/state/journal_cleaner.cpp
+++ b/src/state/journal_cleaner.cpp
@@ -11,17 +11,17 @@
 {
 
 journal_cleaner::journal_cleaner(incarnation_id journal, std::size_t most, retry_options retry)
-    : m_journal(std::move(journal)), m_most(most), m_retry(retry, std::hash<incarnation_id>{}(m_journal))
+    : m_journal(std::move(journal)), m_most(most), m_exchange(retry, std::hash<incarnation_id>{}(m_journal))
 {
 }
 
 std::optional<store_op> journal_cleaner::poll(core_time now)
 {
-    if (m_in_flight || m_step == step::finished || !m_retry.allowed(now))
+    if (m_step == step::finished || !m_exchange.open(now))
     {
         return std::nullopt;
     }
-    m_in_flight = true;
+    m_exchange.sent();
     switch (m_step)
     {
     // Entries before rows: an entry that is listed here and named by no row read later is never named again.
@@ -36,17 +36,11 @@
 
 void journal_cleaner::on_reply(const store_reply& reply, core_time now)
 {
-    if (!std::exchange(m_in_flight, false))
-    {
-        return;
-    }
-    if (reply.status == store_status::unavailable || reply.status == store_status::lost)
+    if (m_exchange.received(reply, now) != store_answer::settled)
     {
         // All three steps may be done twice.
-        m_retry.failed(now);
         return;
     }
-    m_retry.succeeded();
     switch (m_step)
     {
     case step::list_entries:
@@ -68,7 +62,7 @@
 
 core_time journal_cleaner::next_wakeup() const
 {
-    return m_in_flight || m_step == step::finished ? core_time::max() : m_retry.ready_at();
+    return m_step == step::finished ? core_time::max() : m_exchange.ready_at();
 }
 
 bool journal_cleaner::done() const
--- a/src/state/journal_recovery.cpp
+++ b/src/state/journal_recovery.cpp
@@ -49,7 +49,7 @@
 
 journal_recovery::journal_recovery(incarnation_id journal, incarnation_id reader, retry_options retry)
     : m_journal(std::move(journal)), m_reader(std::move(reader)),
-      m_retry(retry, std::hash<incarnation_id>{}(m_reader) ^ std::hash<incarnation_id>{}(m_journal))
+      m_exchange(retry, std::hash<incarnation_id>{}(m_reader) ^ std::hash<incarnation_id>{}(m_journal))
 {
 }
 
@@ -77,7 +77,7 @@
 
 std::optional<store_op> journal_recovery::poll(core_time now)
 {
-    if (m_in_flight || !m_retry.allowed(now))
+    if (!m_exchange.open(now))
     {
         return std::nullopt;
     }
@@ -86,24 +86,19 @@
     {
         return std::nullopt;
     }
-    m_in_flight = true;
+    m_exchange.sent();
     return operation_for(m_step);
 }
 
 void journal_recovery::on_reply(const store_reply& reply, core_time now)
 {
-    if (!std::exchange(m_in_flight, false))
+    const store_answer answer = m_exchange.received(reply, now);
+    if (answer != store_answer::settled)
     {
+        // Whether a seal stands that had no answer shows in the listing.
+        m_listed = m_listed && !(m_step == step::write_seal && answer == store_answer::lost);
         return;
     }
-    const bool lost_seal = m_step == step::write_seal && reply.status == store_status::lost;
-    if (reply.status == store_status::unavailable || reply.status == store_status::lost)
-    {
-        m_retry.failed(now);
-        m_listed = m_listed && !lost_seal;
-        return;
-    }
-    m_retry.succeeded();
     switch (m_step)
     {
     case step::list:
@@ -125,7 +120,7 @@
 
 core_time journal_recovery::next_wakeup() const
 {
-    return m_in_flight || next_step() == step::idle ? core_time::max() : m_retry.ready_at();
+    return next_step() == step::idle ? core_time::max() : m_exchange.ready_at();
 }
 
 std::optional<std::uint64_t> journal_recovery::end() const
--- a/src/state/shard_claim.cpp
+++ b/src/state/shard_claim.cpp
@@ -9,23 +9,19 @@
 
 shard_claim::shard_claim(shard_index shard, claimant self, recovered_journals& journals)
     : m_shard(shard), m_self(std::move(self)), m_journals(&journals),
-      m_retry(m_self.retry, std::hash<incarnation_id>{}(m_self.incarnation) + shard)
+      m_exchange(m_self.retry, std::hash<incarnation_id>{}(m_self.incarnation) + shard)
 {
     m_row.shard = shard;
 }
 
 std::optional<store_op> shard_claim::poll(core_time now)
 {
-    if (m_in_flight)
-    {
-        return std::nullopt;
-    }
     advance();
-    if (!m_retry.allowed(now) || (m_step != step::read_row && m_step != step::write_row))
+    if (!m_exchange.open(now) || (m_step != step::read_row && m_step != step::write_row))
     {
         return std::nullopt;
     }
-    m_in_flight = true;
+    m_exchange.sent();
     if (m_step == step::read_row)
     {
         return table_get{shard_key(m_shard)};
@@ -36,20 +32,17 @@
 
 void shard_claim::on_reply(const store_reply& reply, core_time now)
 {
-    if (!std::exchange(m_in_flight, false))
+    const store_answer answer = m_exchange.received(reply, now);
+    if (answer == store_answer::lost)
     {
-        return;
+        // A write without an answer is settled by the row itself.
+        m_step = step::read_row;
     }
-    const bool writing = m_step == step::write_row;
-    if (reply.status == store_status::unavailable || reply.status == store_status::lost)
+    if (answer != store_answer::settled)
     {
-        m_retry.failed(now);
-        // A write without an answer is settled by the row itself.
-        m_step = writing && reply.status == store_status::lost ? step::read_row : m_step;
         return;
     }
-    m_retry.succeeded();
-    if (writing)
+    if (m_step == step::write_row)
     {
         on_row_written(reply);
     }
@@ -63,7 +56,7 @@
 core_time shard_claim::next_wakeup() const
 {
     const bool has_work = m_step == step::read_row || m_step == step::write_row;
-    return has_work && !m_in_flight ? m_retry.ready_at() : core_time::max();
+    return has_work ? m_exchange.ready_at() : core_time::max();
 }
 
 claim_state shard_claim::state() const
--- a/src/state/shard_update.cpp
+++ b/src/state/shard_update.cpp
@@ -8,17 +8,17 @@
 {
 
 shard_update::shard_update(shard_row next, row_version version, retry_options retry)
-    : m_next(std::move(next)), m_version(version), m_retry(retry, m_next.epoch + m_next.shard)
+    : m_next(std::move(next)), m_version(version), m_exchange(retry, m_next.epoch + m_next.shard)
 {
 }
 
 std::optional<store_op> shard_update::poll(core_time now)
 {
-    if (m_in_flight || m_state != update_state::updating || !m_retry.allowed(now))
+    if (m_state != update_state::updating || !m_exchange.open(now))
     {
         return std::nullopt;
     }
-    m_in_flight = true;
+    m_exchange.sent();
     if (m_reading_back)
     {
         return table_get{shard_key(m_next.shard)};
@@ -28,17 +28,12 @@
 
 void shard_update::on_reply(const store_reply& reply, core_time now)
 {
-    if (!std::exchange(m_in_flight, false))
+    const store_answer answer = m_exchange.received(reply, now);
+    if (answer != store_answer::settled)
     {
+        m_reading_back = m_reading_back || answer == store_answer::lost;
         return;
     }
-    if (reply.status == store_status::unavailable || reply.status == store_status::lost)
-    {
-        m_retry.failed(now);
-        m_reading_back = m_reading_back || reply.status == store_status::lost;
-        return;
-    }
-    m_retry.succeeded();
     if (std::exchange(m_reading_back, false))
     {
         on_read_reply(reply);
@@ -51,7 +46,7 @@
 
 core_time shard_update::next_wakeup() const
 {
-    return m_in_flight || m_state != update_state::updating ? core_time::max() : m_retry.ready_at();
+    return m_state == update_state::updating ? m_exchange.ready_at() : core_time::max();
 }
 
 update_state shard_update::state() const
--- a/src/state/store_retry.cpp
+++ b/src/state/store_retry.cpp
@@ -1,6 +1,7 @@
 #include "masticcourse/state/store_retry.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace masticcourse
 {
@@ -50,4 +51,42 @@
     return m_ready_at;
 }
 
+store_exchange::store_exchange(retry_options options, std::uint64_t seed) : m_retry(options, seed) {}
+
+bool store_exchange::open(core_time now) const
+{
+    return !m_outstanding && m_retry.allowed(now);
+}
+
+void store_exchange::sent()
+{
+    m_outstanding = true;
+}
+
+bool store_exchange::outstanding() const
+{
+    return m_outstanding;
+}
+
+store_answer store_exchange::received(const store_reply& reply, core_time now)
+{
+    if (!std::exchange(m_outstanding, false))
+    {
+        return store_answer::none;
+    }
+    const bool lost = reply.status == store_status::lost;
+    if (lost || reply.status == store_status::unavailable)
+    {
+        m_retry.failed(now);
+        return lost ? store_answer::lost : store_answer::refused;
+    }
+    m_retry.succeeded();
+    return store_answer::settled;
+}
+
+core_time store_exchange::ready_at() const
+{
+    return m_outstanding ? core_time::max() : m_retry.ready_at();
+}
+
 } // namespace masticcourse
