--- a/include/masticcourse/state/program_state.hpp
+++ b/include/masticcourse/state/program_state.hpp
@@ -81,6 +81,7 @@
     apply_result apply_record(const intent_withdrawn& it);
     apply_result apply_record(const program_ended& it);
     apply_result apply_record(const program_snapshot& it);
+    apply_result apply_record(const ownership_probe& it);
     program_state* known(const program_id& program);
     apply_result damage(const program_id& program, std::uint32_t expected, std::uint32_t found);
 
--- a/src/codec/cbor.hpp
+++ b/src/codec/cbor.hpp
@@ -47,6 +47,19 @@
 /// @return the value, or nothing if @a bytes is not exactly one sane CBOR item. Never throws.
 [[nodiscard]] std::optional<json> from_bytes(std::string_view bytes);
 
+/// The short names of a variant's alternatives, in their order; specialised for each one that is a member.
+template <typename Variant>
+inline constexpr std::array<std::string_view, 0> alternative_names{};
+
+template <typename... Ts>
+json write_variant(const std::variant<Ts...>& value, const std::array<std::string_view, sizeof...(Ts)>& names);
+
+class reader;
+
+template <typename... Ts>
+void read_variant(reader& in, const json& from, const std::array<std::string_view, sizeof...(Ts)>& names,
+                  std::variant<Ts...>& to);
+
 /// Turns a value into JSON of the same shape.
 class writer
 {
@@ -103,6 +116,12 @@
         return result;
     }
 
+    template <typename... Ts>
+    json operator()(const std::variant<Ts...>& it) const
+    {
+        return write_variant(it, alternative_names<std::variant<Ts...>>);
+    }
+
     template <with_members T>
     json operator()(const T& it) const
     {
@@ -129,6 +148,12 @@
         return m_ok;
     }
 
+    template <typename... Ts>
+    void operator()(const json& from, std::variant<Ts...>& to)
+    {
+        read_variant(*this, from, alternative_names<std::variant<Ts...>>, to);
+    }
+
     void operator()(const json& from, bool& to)
     {
         check(from.is_boolean()) && assign(to, from.get<bool>());
--- a/src/messages/peer_members.hpp
+++ b/src/messages/peer_members.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "../codec/model_members.hpp"
+#include "store_members.hpp"
 #include "masticcourse/messages/peer_message.hpp"
 
 namespace masticcourse
@@ -54,7 +55,7 @@
 auto members(T& it)
 {
     return std::tie(it.call, it.shard, it.epoch, it.request, it.workspace, it.priority, it.prompt,
-                    it.attained, it.remaining, it.parent);
+                    it.attained, it.remaining, it.parent, it.turn_number);
 }
 
 template <codec::like<cancel_call> T>
@@ -161,4 +162,46 @@
     return std::tie(it.owners);
 }
 
+template <codec::like<collect_shard> T>
+auto members(T& it)
+{
+    return std::tie(it.shard, it.epoch);
+}
+
+template <codec::like<kept_result> T>
+auto members(T& it)
+{
+    return std::tie(it.call, it.turn_number, it.request, it.outcome);
+}
+
+template <codec::like<kept_results> T>
+auto members(T& it)
+{
+    return std::tie(it.shard, it.epoch, it.results, it.in_progress);
+}
+
+template <codec::like<liveness_ask> T>
+auto members(T& it)
+{
+    return std::tie(it.incarnation);
+}
+
+template <codec::like<liveness_answer> T>
+auto members(T& it)
+{
+    return std::tie(it.incarnation, it.heard);
+}
+
+template <codec::like<relay_store> T>
+auto members(T& it)
+{
+    return std::tie(it.id, it.operation);
+}
+
+template <codec::like<relay_reply> T>
+auto members(T& it)
+{
+    return std::tie(it.id, it.reply);
+}
+
 } // namespace masticcourse
--- /dev/null
+++ b/src/messages/store_members.hpp
@@ -0,0 +1,77 @@
+/// @file
+/// Operations on the store and their answers as they travel between processes.
+#pragma once
+
+#include "../codec/cbor.hpp"
+#include "masticcourse/store/store_op.hpp"
+
+namespace masticcourse
+{
+
+template <codec::like<table_get> T>
+auto members(T& it)
+{
+    return std::tie(it.key);
+}
+
+template <codec::like<table_put> T>
+auto members(T& it)
+{
+    return std::tie(it.key, it.value, it.expected);
+}
+
+template <codec::like<table_list> T>
+auto members(T& it)
+{
+    return std::tie(it.prefix);
+}
+
+template <codec::like<object_create> T>
+auto members(T& it)
+{
+    return std::tie(it.key, it.bytes);
+}
+
+template <codec::like<object_get> T>
+auto members(T& it)
+{
+    return std::tie(it.key);
+}
+
+template <codec::like<object_delete> T>
+auto members(T& it)
+{
+    return std::tie(it.key);
+}
+
+template <codec::like<object_list> T>
+auto members(T& it)
+{
+    return std::tie(it.prefix);
+}
+
+template <codec::like<table_row> T>
+auto members(T& it)
+{
+    return std::tie(it.key, it.value, it.version);
+}
+
+template <codec::like<store_reply> T>
+auto members(T& it)
+{
+    return std::tie(it.status, it.version, it.value, it.rows);
+}
+
+namespace codec
+{
+
+template <>
+inline constexpr std::array<std::string_view, std::variant_size_v<store_op>> alternative_names<store_op>{
+    "get", "put", "list", "create", "read", "delete", "keys"};
+
+template <>
+inline constexpr unsigned last_value<store_status> = static_cast<unsigned>(store_status::lost);
+
+} // namespace codec
+
+} // namespace masticcourse
--- a/src/state/journal_codec.cpp
+++ b/src/state/journal_codec.cpp
@@ -24,7 +24,7 @@
 
 /// In the order of the variant's alternatives. A name never changes its meaning.
 constexpr std::array<std::string_view, std::variant_size_v<journal_payload>> record_names{
-    "created", "escrow", "intended", "turn", "withdrawn", "ended", "snapshot"};
+    "created", "escrow", "intended", "turn", "withdrawn", "ended", "snapshot", "probe"};
 
 template <typename T>
 void put_number(std::string& out, T value)
--- a/src/state/journal_members.hpp
+++ b/src/state/journal_members.hpp
@@ -44,6 +44,12 @@
     return std::tie(it.program);
 }
 
+template <codec::like<ownership_probe> T>
+auto members(T& /*it*/)
+{
+    return std::tuple<>{};
+}
+
 template <codec::like<program_snapshot> T>
 auto members(T& it)
 {
--- a/src/state/journal_writer.cpp
+++ b/src/state/journal_writer.cpp
@@ -196,6 +196,11 @@
 
 struct payload_bytes
 {
+    std::size_t operator()(const ownership_probe& /*it*/) const
+    {
+        return 0;
+    }
+
     std::size_t operator()(const program_created& it) const
     {
         return it.program.value.size() + it.spec.workspace.value.size() + it.spec.parent.value.size();
--- a/src/state/program_state.cpp
+++ b/src/state/program_state.cpp
@@ -11,6 +11,11 @@
     return std::visit([this](const auto& it) { return apply_record(it); }, payload);
 }
 
+apply_result program_table::apply_record(const ownership_probe& /*it*/)
+{
+    return apply_result::applied;
+}
+
 const program_state* program_table::find(const program_id& program) const
 {
     const auto it = m_programs.find(program);
