--- /dev/null
+++ b/standins/cache_events.hpp
@@ -0,0 +1,49 @@
+/// @file
+/// The cache events of the HTTP model engine: what changed in the listing, told late and with gaps.
+#pragma once
+
+#include "masticcourse/core/clock.hpp"
+#include "masticcourse/messages/peer_message.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace masticcourse::standins
+{
+
+/// A program's memory changed; 0 tokens: it was evicted.
+struct cache_event
+{
+    std::uint64_t number = 0;
+    program_id program;
+    token_count tokens = 0;
+    core_time at;
+};
+
+class cache_events
+{
+  public:
+    /// @param delay how late events are told
+    /// @param gap   every event whose number this divides is lost; 0: none
+    cache_events(core_duration delay, std::uint32_t gap);
+
+    /// Compares the full listing with the last one.
+    void observe(const std::vector<cached_program>& listing, core_time now);
+
+    /// @return the events after number @a after that are old enough to be told
+    [[nodiscard]] std::vector<cache_event> told(std::uint64_t after, core_time now) const;
+
+  private:
+    void add(const program_id& program, token_count tokens, core_time now);
+
+    core_duration m_delay;
+    std::uint32_t m_gap;
+    std::uint64_t m_last = 0;
+    std::map<program_id, token_count> m_known;
+    std::deque<cache_event> m_events;
+};
+
+} // namespace masticcourse::standins
--- /dev/null
+++ b/standins/engine_streams.hpp
@@ -0,0 +1,57 @@
+/// @file
+/// The streams of the HTTP model engine: what has been said on each, and who listens.
+#pragma once
+
+#include "engine_model.hpp"
+#include "masticcourse/net/http_server.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticcourse::standins
+{
+
+/// Keeps the events of streams, so that a listener can resume from any of them.
+class engine_streams
+{
+  public:
+    /// @return false if there is a stream of that name
+    bool open(const stream_id& id);
+
+    [[nodiscard]] bool contains(const stream_id& id) const;
+
+    /// Sends a listener all events after @a last, and what comes later.
+    void listen(const stream_id& id, std::optional<std::uint64_t> last,
+                std::shared_ptr<http_exchange> exchange);
+
+    void add_token(const token_event& event);
+
+    /// Ends a stream; @a reason is `stop`, `cancelled` or `too_long`.
+    void finish(const stream_id& id, const token_usage& usage, const std::string& reason);
+
+    /// The next @a count streams that give more than @a tokens tokens lose their connections at that point.
+    void drop_after(std::uint64_t tokens, std::uint32_t count);
+
+  private:
+    struct stream
+    {
+        std::vector<std::string> events;
+        bool finished = false;
+        std::vector<std::shared_ptr<http_exchange>> listeners;
+    };
+
+    void add(stream& s, const std::string& data);
+
+    std::map<stream_id, stream> m_streams;
+    /// Finished streams, oldest first.
+    std::deque<stream_id> m_finished;
+    std::uint64_t m_drop_tokens = 0;
+    std::uint32_t m_drop_count = 0;
+};
+
+} // namespace masticcourse::standins
