--- a/include/masticcourse/settings/settings.hpp
+++ b/include/masticcourse/settings/settings.hpp
@@ -32,6 +32,8 @@
     region_name region;
     failure_domain_name failure_domain;
     service_name service;
+    /// Where operators reach it: `/healthz`, `/readyz`, `/metrics`, `/v1/timeline`.
+    std::string http_address;
     std::string peer_address;
     /// Where the engine or service beside this process takes HTTP.
     std::string backend_address;
--- a/src/settings/settings_checks.cpp
+++ b/src/settings/settings_checks.cpp
@@ -55,6 +55,7 @@
     {
         const auto& it = settings.targets[n];
         names.add(it.name.value, lines.targets[n], element_key("targets", n, "name"));
+        addresses.add(it.http_address, lines.targets[n], element_key("targets", n, "http_address"));
         addresses.add(it.peer_address, lines.targets[n], element_key("targets", n, "peer_address"));
         addresses.add(it.backend_address, lines.targets[n], element_key("targets", n, "backend_address"));
     }
--- a/tests/unit/test_settings.cpp
+++ b/tests/unit/test_settings.cpp
@@ -35,6 +35,7 @@
 region = "r"
 failure_domain = "d"
 service = "llm"
+http_address = "127.0.0.1:21301"
 peer_address = "127.0.0.1:21101"
 backend_address = "127.0.0.1:21201"
 )";
