--- a/cmake/state.cmake
+++ b/cmake/state.cmake
@@ -1,11 +1,14 @@
-# The long randomised run, and seeds of property tests that are the same on every run.
-if(EXISTS ${CMAKE_SOURCE_DIR}/tests/soak/soak_main.cpp)
-  file(GLOB soak_sources CONFIGURE_DEPENDS tests/soak/*.cpp)
-  add_executable(soak ${soak_sources})
-  target_link_libraries(soak PRIVATE masticcourse standins warnings)
-  target_include_directories(soak PRIVATE tests)
-  add_test(NAME soak.fixed_seeds COMMAND soak --fixed)
-endif()
+# What randomised tests of the state machines share, the long randomised run, and fixed seeds for property tests.
+file(GLOB test_support CONFIGURE_DEPENDS tests/support/*.cpp)
+add_library(test_support STATIC ${test_support})
+target_include_directories(test_support PUBLIC tests)
+target_link_libraries(test_support PUBLIC standins masticcourse PRIVATE warnings)
+target_link_libraries(unit_tests PRIVATE test_support)
+
+file(GLOB soak_sources CONFIGURE_DEPENDS tests/soak/*.cpp)
+add_executable(soak ${soak_sources})
+target_link_libraries(soak PRIVATE test_support warnings)
+add_test(NAME soak.fixed_seeds COMMAND soak --fixed)
 
 get_property(all_tests DIRECTORY PROPERTY TESTS)
 foreach(test ${all_tests})
--- /dev/null
+++ b/standins/faulty_store.cpp
@@ -0,0 +1,86 @@
+#include "faulty_store.hpp"
+
+#include <utility>
+
+namespace masticcourse::standins
+{
+
+namespace
+{
+
+using difference = std::ptrdiff_t;
+
+} // namespace
+
+void faulty_store::send(store_op op, answer_handler handler)
+{
+    m_waiting.push_back({std::move(op), std::move(handler)});
+}
+
+std::size_t faulty_store::waiting() const
+{
+    return m_waiting.size();
+}
+
+void faulty_store::deliver(std::size_t which, op_fate fate, core_time now)
+{
+    if (m_waiting.empty())
+    {
+        return;
+    }
+    const auto at = m_waiting.begin() + static_cast<difference>(which % m_waiting.size());
+    const waiting_op taken = std::move(*at);
+    m_waiting.erase(at);
+    ++m_fates.at(static_cast<std::size_t>(fate));
+    store_reply reply{.status = store_status::lost};
+    switch (fate)
+    {
+    case op_fate::answered:
+        reply = carry_out(taken.op, now);
+        break;
+    case op_fate::refused:
+        reply.status = store_status::unavailable;
+        break;
+    case op_fate::done_but_lost:
+        static_cast<void>(carry_out(taken.op, now));
+        break;
+    case op_fate::late:
+        m_late.push_back(taken.op);
+        break;
+    case op_fate::dropped:
+        break;
+    }
+    taken.handler(reply);
+}
+
+void faulty_store::deliver_late(std::size_t which, core_time now)
+{
+    if (!m_late.empty())
+    {
+        const auto at = m_late.begin() + static_cast<difference>(which % m_late.size());
+        static_cast<void>(carry_out(*at, now));
+        m_late.erase(at);
+    }
+}
+
+const std::array<std::uint64_t, fate_count>& faulty_store::fates() const
+{
+    return m_fates;
+}
+
+platform_store& faulty_store::store()
+{
+    return m_store;
+}
+
+store_reply faulty_store::carry_out(const store_op& op, core_time now)
+{
+    auto reply = m_store.apply(op, now);
+    if (observer)
+    {
+        observer(op, reply);
+    }
+    return reply;
+}
+
+} // namespace masticcourse::standins
