--- a/src/codec/cbor.hpp
+++ b/src/codec/cbor.hpp
@@ -52,7 +52,8 @@
 inline constexpr std::array<std::string_view, 0> alternative_names{};
 
 template <typename... Ts>
-json write_variant(const std::variant<Ts...>& value, const std::array<std::string_view, sizeof...(Ts)>& names);
+json write_variant(const std::variant<Ts...>& value,
+                   const std::array<std::string_view, sizeof...(Ts)>& names);
 
 class reader;
 
--- a/src/messages/peer_codec.cpp
+++ b/src/messages/peer_codec.cpp
@@ -11,8 +11,9 @@
 
 /// In the order of the variant's alternatives. A name never changes its meaning.
 constexpr std::array<std::string_view, std::variant_size_v<peer_message>> message_names{
-    "hello", "beat", "cfg?", "cfg",  "call", "cancel", "ask", "durable", "renew",  "release",
-    "no",    "t",    "f",    "know", "load", "cache",  "fwd", "fwd_end", "fwd_ev", "owners", "collect", "kept", "live?", "live", "store", "stored"};
+    "hello",   "beat",   "cfg?",    "cfg",  "call",  "cancel", "ask",   "durable", "renew",
+    "release", "no",     "t",       "f",    "know",  "load",   "cache", "fwd",     "fwd_end",
+    "fwd_ev",  "owners", "collect", "kept", "live?", "live",   "store", "stored"};
 
 } // namespace
 
--- a/src/messages/peer_members.hpp
+++ b/src/messages/peer_members.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "../codec/model_members.hpp"
-#include "store_members.hpp"
 #include "masticcourse/messages/peer_message.hpp"
+#include "store_members.hpp"
 
 namespace masticcourse
 {
