--- a/src/daemon/caller_desk.cpp
+++ b/src/daemon/caller_desk.cpp
@@ -118,7 +118,7 @@
     exchange->on_closed(
         [this, id]
         {
-            take_out(id);
+            static_cast<void>(take_out(id));
             m_on_input(caller_gone{id});
         });
     m_on_input(caller_request{id, raw_request(request, who.workspace)});
