--- /dev/null
+++ b/src/net/http_answer.cpp
@@ -0,0 +1,123 @@
+#include "http_answer.hpp"
+
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <sstream>
+
+namespace masticcourse::detail
+{
+
+namespace
+{
+
+namespace http = beast_http;
+
+constexpr int status_timeout = 408;
+constexpr int status_header_too_large = 431;
+constexpr std::array statuses_without_body{204, 304};
+
+bool allows_body(int status)
+{
+    return std::ranges::find(statuses_without_body, status) == statuses_without_body.end();
+}
+
+template <typename Body>
+http::response<Body> make_head(int status, const std::vector<http_header>& headers, unsigned version,
+                               bool keep_alive)
+{
+    http::response<Body> message;
+    message.version(version);
+    message.result(static_cast<unsigned>(status));
+    std::ranges::for_each(headers, [&message](const http_header& it) { message.set(it.name, it.value); });
+    message.keep_alive(keep_alive);
+    return message;
+}
+
+http_response malformed(std::string detail, int status = 0)
+{
+    return problem_response({.id = problem_id::malformed_request, .detail = std::move(detail)}, status);
+}
+
+} // namespace
+
+std::vector<http_header> to_headers(const http::fields& fields)
+{
+    std::vector<http_header> headers;
+    std::ranges::transform(fields, std::back_inserter(headers),
+                           [](const auto& it) {
+                               return http_header{std::string(it.name_string()), std::string(it.value())};
+                           });
+    return headers;
+}
+
+http_request to_request(http::request<http::string_body>& message)
+{
+    return {.method = std::string(message.method_string()),
+            .target = std::string(message.target()),
+            .body = std::move(message.body()),
+            .headers = to_headers(message)};
+}
+
+http::response<http::string_body> to_message(http_response response, unsigned version, bool keep_alive)
+{
+    auto message = make_head<http::string_body>(response.status, response.headers, version, keep_alive);
+    if (allows_body(response.status))
+    {
+        message.set(http::field::content_type, response.content_type);
+        message.body() = std::move(response.body);
+    }
+    message.prepare_payload();
+    return message;
+}
+
+http::response<http::empty_body> to_stream_head(int status, const std::vector<http_header>& headers,
+                                                unsigned version, bool keep_alive)
+{
+    auto message = make_head<http::empty_body>(status, headers, version, keep_alive);
+    if (message.find(http::field::content_type) == message.end())
+    {
+        message.set(http::field::content_type, "text/event-stream");
+    }
+    message.set(http::field::cache_control, "no-store");
+    message.chunked(version >= 11);
+    return message;
+}
+
+chunk_frame make_chunk_frame(std::size_t size, bool chunked)
+{
+    if (!chunked)
+    {
+        return {};
+    }
+    std::ostringstream before;
+    before << std::hex << size << "\r\n";
+    return {.before = before.str(), .after = "\r\n"};
+}
+
+std::optional<http_response> refusal_of(boost::system::error_code ec, bool timed_out)
+{
+    if (timed_out)
+    {
+        return malformed("the request did not come in time", status_timeout);
+    }
+    if (ec == http::error::body_limit)
+    {
+        return problem_response({.id = problem_id::body_too_large});
+    }
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+    {
+        return malformed("the header is too large", status_header_too_large);
+    }
+    const bool sender_gone = ec == http::error::end_of_stream || ec == http::error::partial_message;
+    const bool malformed_message = ec.category() == make_error_code(http::error::bad_method).category();
+    if (sender_gone || !malformed_message)
+    {
+        return std::nullopt;
+    }
+    return malformed(ec.message());
+}
+
+} // namespace masticcourse::detail
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,55 @@
+#include "masticcourse/net/http_client.hpp"
+
+#include "http_transfer.hpp"
+
+#include <utility>
+
+namespace masticcourse
+{
+
+std::optional<std::string> http_client_reply::header(std::string_view name) const
+{
+    return find_header(headers, name);
+}
+
+/// The connections that wait for their next request, and where new ones run.
+class http_client::pool
+{
+  public:
+    explicit pool(boost::asio::io_context& context)
+        : m_context(context), m_idle(std::make_shared<detail::connection_pool>())
+    {
+    }
+
+    [[nodiscard]] std::shared_ptr<detail::http_transfer> make_transfer(http_client_request request,
+                                                                       http_chunk_callback on_chunk,
+                                                                       http_reply_callback on_reply) const
+    {
+        return std::make_shared<detail::http_transfer>(m_context, m_idle, std::move(request),
+                                                       std::move(on_chunk), std::move(on_reply));
+    }
+
+  private:
+    boost::asio::io_context& m_context;
+    std::shared_ptr<detail::connection_pool> m_idle;
+};
+
+http_client::http_client(boost::asio::io_context& context) : m_pool(std::make_shared<pool>(context)) {}
+
+http_client::~http_client() = default;
+
+void http_client::send(http_client_request request, http_reply_callback on_reply)
+{
+    m_pool->make_transfer(std::move(request), nullptr, std::move(on_reply))->start();
+}
+
+std::shared_ptr<http_stream> http_client::open_stream(http_client_request request,
+                                                      http_chunk_callback on_chunk,
+                                                      http_reply_callback on_end)
+{
+    const auto transfer = m_pool->make_transfer(std::move(request), std::move(on_chunk), std::move(on_end));
+    transfer->start();
+    return transfer;
+}
+
+} // namespace masticcourse
--- /dev/null
+++ b/src/net/http_connection.hpp
@@ -0,0 +1,58 @@
+/// @file
+/// One connection of the HTTP client, and the pool of those that wait for their next request.
+#pragma once
+
+#include "deadline.hpp"
+
+#include "masticcourse/net/http_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticcourse::detail
+{
+
+/// A connection on a strand of its own.
+struct http_connection
+{
+    explicit http_connection(boost::asio::io_context& context);
+
+    /// @return whether the other end has neither closed nor sent anything unasked
+    [[nodiscard]] bool quiet();
+
+    void close();
+
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    deadline timer;
+    /// Whether an earlier request was answered on it.
+    bool reused = false;
+    std::chrono::steady_clock::time_point idle_since;
+};
+
+/// Idle connections by address. Thread-safe.
+class connection_pool
+{
+  public:
+    /// @return a quiet connection, or null if there is none
+    [[nodiscard]] std::shared_ptr<http_connection> take(const std::string& address);
+
+    /// Keeps @a connection for the next request, unless enough are kept.
+    void put(const std::string& address, const std::shared_ptr<http_connection>& connection);
+
+  private:
+    [[nodiscard]] std::shared_ptr<http_connection> pop(const std::string& address);
+
+    std::mutex m_mutex;
+    std::unordered_map<std::string, std::vector<std::shared_ptr<http_connection>>> m_idle;
+};
+
+} // namespace masticcourse::detail
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,122 @@
+#include "masticcourse/net/http_server.hpp"
+
+#include "http_session.hpp"
+#include "tcp_acceptor.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace masticcourse
+{
+
+/// Takes connections and keeps count of them.
+class http_server::listener : public std::enable_shared_from_this<listener>
+{
+  public:
+    listener(boost::asio::io_context& context, const std::string& address, http_limits limits,
+             http_handler handler)
+        : m_state(std::make_shared<detail::http_server_state>()),
+          m_acceptor(std::make_shared<detail::tcp_acceptor>(
+              context, address, [state = m_state](auto socket) { take(state, std::move(socket)); }))
+    {
+        m_state->limits = limits;
+        m_state->handler = std::move(handler);
+    }
+
+    void start()
+    {
+        m_acceptor->start();
+    }
+
+    void stop()
+    {
+        m_state->stopping = true;
+        m_acceptor->finish([state = m_state]
+                           { for_each_session(*state, [](detail::http_session& it) { it.stop(); }); });
+    }
+
+    void abort()
+    {
+        m_state->stopping = true;
+        m_acceptor->close();
+        for_each_session(*m_state, [](detail::http_session& it) { it.abort(); });
+    }
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return m_acceptor->port();
+    }
+
+    [[nodiscard]] std::size_t open_exchanges() const
+    {
+        return m_state->open_exchanges;
+    }
+
+  private:
+    using state_ptr = std::shared_ptr<detail::http_server_state>;
+
+    static void take(const state_ptr& state, boost::asio::ip::tcp::socket socket)
+    {
+        const auto session = std::make_shared<detail::http_session>(std::move(socket), state);
+        if (full(*state))
+        {
+            session->refuse();
+        }
+        else
+        {
+            session->serve();
+        }
+    }
+
+    [[nodiscard]] static bool full(detail::http_server_state& state)
+    {
+        const std::scoped_lock lock(state.mutex);
+        return state.sessions.size() >= state.limits.max_connections;
+    }
+
+    template <typename Action>
+    static void for_each_session(detail::http_server_state& state, Action action)
+    {
+        std::vector<std::shared_ptr<detail::http_session>> sessions;
+        {
+            const std::scoped_lock lock(state.mutex);
+            std::ranges::transform(state.sessions, std::back_inserter(sessions),
+                                   [](const auto& it) { return it.second.lock(); });
+        }
+        std::erase(sessions, nullptr);
+        std::ranges::for_each(sessions, [&action](const auto& it) { action(*it); });
+    }
+
+    state_ptr m_state;
+    std::shared_ptr<detail::tcp_acceptor> m_acceptor;
+};
+
+http_server::http_server(boost::asio::io_context& context, const std::string& address, http_limits limits,
+                         http_handler handler)
+    : m_listener(std::make_shared<listener>(context, address, limits, std::move(handler)))
+{
+    m_listener->start();
+}
+
+http_server::~http_server()
+{
+    m_listener->abort();
+}
+
+std::uint16_t http_server::port() const
+{
+    return m_listener->port();
+}
+
+void http_server::stop_accepting()
+{
+    m_listener->stop();
+}
+
+std::size_t http_server::open_exchanges() const
+{
+    return m_listener->open_exchanges();
+}
+
+} // namespace masticcourse
--- /dev/null
+++ b/src/net/http_session.cpp
@@ -0,0 +1,563 @@
+#include "http_session.hpp"
+
+#include "http_answer.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <iterator>
+#include <utility>
+
+namespace masticcourse::detail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t read_size = std::size_t{16} * 1024;
+/// How much of the requests that follow is read while one is being answered.
+constexpr std::size_t max_read_ahead = std::size_t{64} * 1024;
+/// How long a caller may take to close after the last answer.
+constexpr std::chrono::milliseconds linger_time{1'000};
+
+/// Counts a request as under way while it exists.
+class open_exchange_count
+{
+  public:
+    explicit open_exchange_count(std::shared_ptr<http_server_state> server) : m_server(std::move(server))
+    {
+        ++m_server->open_exchanges;
+    }
+    open_exchange_count(const open_exchange_count&) = delete;
+    open_exchange_count(open_exchange_count&&) = delete;
+    open_exchange_count& operator=(const open_exchange_count&) = delete;
+    open_exchange_count& operator=(open_exchange_count&&) = delete;
+    ~open_exchange_count()
+    {
+        --m_server->open_exchanges;
+    }
+
+  private:
+    std::shared_ptr<http_server_state> m_server;
+};
+
+/// The handler's handle on one request of a session. It does not keep the session, which goes with the
+/// context.
+class session_exchange final : public http_exchange
+{
+  public:
+    session_exchange(std::weak_ptr<http_session> session, std::uint64_t number)
+        : m_session(std::move(session)), m_number(number)
+    {
+    }
+    session_exchange(const session_exchange&) = delete;
+    session_exchange(session_exchange&&) = delete;
+    session_exchange& operator=(const session_exchange&) = delete;
+    session_exchange& operator=(session_exchange&&) = delete;
+    ~session_exchange() override
+    {
+        forward([this](http_session& it) { it.post_dropped(m_number); });
+    }
+
+    void respond(http_response response) override
+    {
+        m_complete = true;
+        forward([&](http_session& it) { it.post_response(m_number, std::move(response)); });
+    }
+
+    void begin_stream(int status, std::vector<http_header> headers) override
+    {
+        forward([&](http_session& it) { it.post_stream(m_number, status, std::move(headers)); });
+    }
+
+    void write(std::string chunk) override
+    {
+        forward([&](http_session& it) { it.post_chunk(m_number, std::move(chunk)); });
+    }
+
+    void end_stream() override
+    {
+        m_complete = true;
+        forward([this](http_session& it) { it.post_end(m_number); });
+    }
+
+    void on_closed(std::function<void()> callback) override
+    {
+        const bool forwarded =
+            forward([&](http_session& it) { it.post_on_closed(m_number, std::move(callback)); });
+        if (!forwarded && !m_complete)
+        {
+            callback();
+        }
+    }
+
+  private:
+    /// @return whether the session is still there
+    template <typename Action>
+    bool forward(Action action)
+    {
+        const auto session = m_session.lock();
+        if (session)
+        {
+            action(*session);
+        }
+        return session != nullptr;
+    }
+
+    std::weak_ptr<http_session> m_session;
+    std::uint64_t m_number;
+    std::atomic<bool> m_complete = false;
+};
+
+} // namespace
+
+http_session::http_session(asio::ip::tcp::socket socket, std::shared_ptr<http_server_state> server)
+    : m_socket(std::move(socket)), m_server(std::move(server)), m_deadline(m_socket.get_executor()),
+      m_wake(m_socket.get_executor(), asio::steady_timer::time_point::max())
+{
+}
+
+void http_session::serve()
+{
+    register_session();
+    asio::co_spawn(
+        m_socket.get_executor(), [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
+void http_session::refuse()
+{
+    auto work = [](std::shared_ptr<http_session> self) -> asio::awaitable<void>
+    {
+        const problem failure{.id = problem_id::overloaded,
+                              .detail = "too many connections",
+                              .retry_after = std::chrono::seconds{1}};
+        if (co_await self->write_response(problem_response(failure)))
+        {
+            co_await self->linger();
+        }
+        self->finish();
+    };
+    register_session();
+    asio::co_spawn(m_socket.get_executor(), work(shared_from_this()), asio::detached);
+}
+
+void http_session::stop()
+{
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this()]
+               {
+                   if (self->m_idle)
+                   {
+                       self->close_on(self->m_server->limits.stop_grace);
+                   }
+               });
+}
+
+void http_session::abort()
+{
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
+}
+
+asio::awaitable<void> http_session::run()
+{
+    bool more = true;
+    while (more)
+    {
+        more = co_await serve_one();
+    }
+    finish();
+}
+
+asio::awaitable<bool> http_session::serve_one()
+{
+    using namespace asio::experimental::awaitable_operators;
+    if (!co_await wait_for_request())
+    {
+        co_return false;
+    }
+    std::optional<open_exchange_count> count(m_server);
+    request_parser parser;
+    if (const auto ec = co_await read_request(parser))
+    {
+        co_await reject(ec);
+        co_return false;
+    }
+    hand_over(parser);
+    const auto done = co_await (write_answer() || watch_peer());
+    m_answer.written = done.index() == 0 && std::get<0>(done);
+    count.reset();
+    if (!m_answer.written)
+    {
+        co_return false;
+    }
+    m_answer.on_closed = nullptr;
+    if (!m_request.keep_alive)
+    {
+        co_await linger();
+    }
+    co_return m_request.keep_alive;
+}
+
+asio::awaitable<bool> http_session::wait_for_request()
+{
+    if (m_buffer.size() > 0)
+    {
+        co_return true;
+    }
+    m_idle = true;
+    close_on(m_server->stopping ? m_server->limits.stop_grace : m_server->limits.idle_timeout);
+    const auto [ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(read_size), use_tuple);
+    m_deadline.clear();
+    m_idle = false;
+    m_buffer.commit(n);
+    co_return !ec;
+}
+
+asio::awaitable<error_code> http_session::read_request(request_parser& parser)
+{
+    parser.header_limit(static_cast<std::uint32_t>(m_server->limits.max_header));
+    parser.body_limit(m_server->limits.max_body);
+    // Shutting down one direction leaves the other for saying that the request came too late.
+    m_deadline.set(m_server->limits.read_timeout,
+                   [weak = weak_from_this()]
+                   {
+                       if (const auto self = weak.lock())
+                       {
+                           error_code ignored;
+                           self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_receive, ignored);
+                       }
+                   });
+    auto [ec, n] = co_await http::async_read_header(m_socket, m_buffer, parser, use_tuple);
+    if (!ec && !parser.is_done() && boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
+    {
+        static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        const auto written = co_await asio::async_write(m_socket, asio::buffer(go_on), use_tuple);
+        ec = std::get<0>(written);
+    }
+    if (!ec)
+    {
+        const auto rest = co_await http::async_read(m_socket, m_buffer, parser, use_tuple);
+        ec = std::get<0>(rest);
+    }
+    m_deadline.clear();
+    co_return ec;
+}
+
+asio::awaitable<void> http_session::reject(error_code ec)
+{
+    const auto refusal = refusal_of(ec, m_deadline.expired());
+    m_request = {};
+    if (refusal && co_await write_response(*refusal))
+    {
+        co_await linger();
+    }
+}
+
+void http_session::hand_over(request_parser& parser)
+{
+    auto& message = parser.get();
+    m_request = {.keep_alive = message.keep_alive(),
+                 .head_only = message.method() == http::verb::head,
+                 .version = message.version()};
+    m_answer = {.number = m_answer.number + 1};
+    m_caller_gone = false;
+    auto exchange = std::make_shared<session_exchange>(weak_from_this(), m_answer.number);
+    try
+    {
+        m_server->handler(to_request(message), exchange);
+    }
+    catch (const std::exception& error)
+    {
+        // Nobody can tell how far the handler came.
+        exchange->respond(problem_response(
+            {.id = problem_id::outcome_unknown, .ran = ran_state::unknown, .detail = error.what()}, 500));
+    }
+}
+
+asio::awaitable<bool> http_session::write_answer()
+{
+    bool ok = true;
+    while (ok)
+    {
+        if (auto response = std::exchange(m_answer.response, std::nullopt))
+        {
+            co_return co_await write_response(std::move(*response));
+        }
+        if (auto head = std::exchange(m_answer.head, std::nullopt))
+        {
+            ok = co_await write_head(std::move(*head));
+        }
+        else if (!m_answer.chunks.empty())
+        {
+            ok = co_await write_chunks();
+        }
+        else if (m_answer.complete)
+        {
+            co_return co_await write_end();
+        }
+        else if (m_answer.dropped || !m_socket.is_open())
+        {
+            co_return false;
+        }
+        else
+        {
+            co_await wait_for_answer();
+        }
+    }
+    co_return false;
+}
+
+asio::awaitable<bool> http_session::write_response(http_response response)
+{
+    m_request.keep_alive = m_request.keep_alive && !m_server->stopping;
+    auto message = to_message(std::move(response), m_request.version, m_request.keep_alive);
+    http::response_serializer<http::string_body> serializer(message);
+    close_on(m_server->limits.write_timeout);
+    error_code ec;
+    if (m_request.head_only)
+    {
+        ec = std::get<0>(co_await http::async_write_header(m_socket, serializer, use_tuple));
+    }
+    else
+    {
+        ec = std::get<0>(co_await http::async_write(m_socket, serializer, use_tuple));
+    }
+    m_deadline.clear();
+    co_return !ec;
+}
+
+bool http_session::chunked() const
+{
+    return m_request.version >= 11;
+}
+
+asio::awaitable<bool> http_session::write_head(stream_head head)
+{
+    m_request.keep_alive = m_request.keep_alive && chunked() && !m_server->stopping;
+    auto message = to_stream_head(head.status, head.headers, m_request.version, m_request.keep_alive);
+    http::response_serializer<http::empty_body> serializer(message);
+    close_on(m_server->limits.write_timeout);
+    const auto [ec, n] = co_await http::async_write_header(m_socket, serializer, use_tuple);
+    m_deadline.clear();
+    co_return !ec;
+}
+
+template <typename Buffers>
+asio::awaitable<bool> http_session::write_buffers(const Buffers& buffers)
+{
+    close_on(m_server->limits.write_timeout);
+    const auto [ec, n] = co_await asio::async_write(m_socket, buffers, use_tuple);
+    m_deadline.clear();
+    co_return !ec;
+}
+
+asio::awaitable<bool> http_session::write_chunks()
+{
+    const auto chunks = std::exchange(m_answer.chunks, {});
+    const auto size = std::exchange(m_answer.backlog, 0);
+    if (m_request.head_only)
+    {
+        co_return true;
+    }
+    // The parts go out as one chunk, straight from the strings that the handler gave.
+    const auto frame = make_chunk_frame(size, chunked());
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(chunks.size() + 2);
+    buffers.push_back(asio::buffer(frame.before));
+    std::ranges::transform(chunks, std::back_inserter(buffers),
+                           [](const std::string& it) { return asio::buffer(it); });
+    buffers.push_back(asio::buffer(frame.after));
+    co_return co_await write_buffers(buffers);
+}
+
+asio::awaitable<bool> http_session::write_end()
+{
+    static constexpr std::string_view last_chunk = "0\r\n\r\n";
+    if (!chunked() || m_request.head_only)
+    {
+        co_return true;
+    }
+    co_return co_await write_buffers(asio::buffer(last_chunk));
+}
+
+asio::awaitable<void> http_session::wait_for_answer()
+{
+    co_await m_wake.async_wait(use_tuple);
+}
+
+asio::awaitable<void> http_session::watch_peer()
+{
+    error_code ec;
+    while (!ec && m_buffer.size() < max_read_ahead)
+    {
+        const auto [read_ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(read_size), use_tuple);
+        m_buffer.commit(n);
+        ec = read_ec;
+    }
+    if (ec && ec != asio::error::operation_aborted)
+    {
+        // The caller may have closed one direction only and still wait for its answer.
+        m_request.keep_alive = false;
+        caller_gone();
+    }
+    // Ends when the answer does.
+    asio::steady_timer never(m_socket.get_executor(), asio::steady_timer::time_point::max());
+    co_await never.async_wait(use_tuple);
+}
+
+asio::awaitable<void> http_session::linger()
+{
+    // Closing with unread bytes would reset the connection and may destroy the answer on its way.
+    error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    close_on(linger_time);
+    m_buffer.clear();
+    error_code ec;
+    while (!ec)
+    {
+        const auto read = co_await m_socket.async_read_some(m_buffer.prepare(read_size), use_tuple);
+        ec = std::get<0>(read);
+    }
+    m_deadline.clear();
+}
+
+template <typename Change>
+void http_session::post_change(std::uint64_t exchange, Change change)
+{
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this(), exchange, change = std::move(change)]() mutable
+               {
+                   auto& answer = self->m_answer;
+                   if (answer.number == exchange && !answer.complete && !answer.dropped)
+                   {
+                       change(*self, answer);
+                       self->m_wake.cancel();
+                   }
+               });
+}
+
+void http_session::post_response(std::uint64_t exchange, http_response response)
+{
+    post_change(exchange,
+                [response = std::move(response)](http_session&, answer_state& answer) mutable
+                {
+                    answer.response = std::move(response);
+                    answer.complete = true;
+                });
+}
+
+void http_session::post_stream(std::uint64_t exchange, int status, std::vector<http_header> headers)
+{
+    post_change(exchange,
+                [status, headers = std::move(headers)](http_session&, answer_state& answer) mutable {
+                    answer.head = stream_head{status, std::move(headers)};
+                });
+}
+
+void http_session::post_chunk(std::uint64_t exchange, std::string chunk)
+{
+    if (chunk.empty())
+    {
+        return;
+    }
+    post_change(exchange,
+                [chunk = std::move(chunk)](http_session& self, answer_state& answer) mutable
+                {
+                    answer.backlog += chunk.size();
+                    answer.chunks.push_back(std::move(chunk));
+                    if (answer.backlog > self.m_server->limits.max_stream_backlog)
+                    {
+                        self.close();
+                    }
+                });
+}
+
+void http_session::post_end(std::uint64_t exchange)
+{
+    post_change(exchange, [](http_session&, answer_state& answer) { answer.complete = true; });
+}
+
+void http_session::post_dropped(std::uint64_t exchange)
+{
+    post_change(exchange, [](http_session&, answer_state& answer) { answer.dropped = true; });
+}
+
+void http_session::post_on_closed(std::uint64_t exchange, std::function<void()> callback)
+{
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this(), exchange, callback = std::move(callback)]() mutable
+               {
+                   if (self->m_answer.number != exchange || self->m_answer.written)
+                   {
+                       return;
+                   }
+                   self->m_answer.on_closed = std::move(callback);
+                   if (self->m_caller_gone || self->m_finished)
+                   {
+                       self->caller_gone();
+                   }
+               });
+}
+
+void http_session::caller_gone()
+{
+    m_caller_gone = true;
+    if (const auto callback = std::exchange(m_answer.on_closed, nullptr))
+    {
+        callback();
+    }
+}
+
+void http_session::close_on(std::chrono::milliseconds timeout)
+{
+    m_deadline.set(timeout,
+                   [weak = weak_from_this()]
+                   {
+                       if (const auto self = weak.lock())
+                       {
+                           self->close();
+                       }
+                   });
+}
+
+void http_session::close()
+{
+    error_code ignored;
+    m_socket.close(ignored);
+    m_wake.cancel();
+}
+
+void http_session::register_session()
+{
+    const std::scoped_lock lock(m_server->mutex);
+    m_server->sessions.emplace(this, weak_from_this());
+}
+
+void http_session::finish()
+{
+    m_finished = true;
+    close();
+    if (!m_answer.written)
+    {
+        caller_gone();
+    }
+    const std::scoped_lock lock(m_server->mutex);
+    m_server->sessions.erase(this);
+}
+
+} // namespace masticcourse::detail
--- /dev/null
+++ b/src/net/http_transfer.cpp
@@ -0,0 +1,278 @@
+#include "http_transfer.hpp"
+
+#include "endpoint.hpp"
+#include "http_answer.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace masticcourse::detail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr unsigned http_1_1 = 11;
+constexpr int success_class = 2;
+constexpr std::uint32_t max_reply_header = 64 * 1024;
+
+http::request<http::string_body> to_message(http_client_request& request)
+{
+    http::request<http::string_body> message;
+    message.version(http_1_1);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, request.address);
+    std::ranges::for_each(request.headers,
+                          [&message](const http_header& it) { message.set(it.name, it.value); });
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+http_transfer::http_transfer(asio::io_context& context, std::shared_ptr<connection_pool> pool,
+                             http_client_request request, http_chunk_callback on_chunk,
+                             http_reply_callback on_reply)
+    : m_context(context), m_pool(std::move(pool)), m_request(std::move(request)),
+      m_on_chunk(std::move(on_chunk)), m_on_reply(std::move(on_reply)),
+      m_deadline(std::chrono::steady_clock::now() + m_request.timeout)
+{
+}
+
+void http_transfer::start()
+{
+    auto connection = m_pool->take(m_request.address);
+    begin_on(connection ? connection : std::make_shared<http_connection>(m_context));
+}
+
+void http_transfer::begin_on(const std::shared_ptr<http_connection>& connection)
+{
+    asio::co_spawn(
+        connection->socket.get_executor(),
+        [self = shared_from_this(), connection] { return self->run(connection); }, asio::detached);
+}
+
+void http_transfer::cancel()
+{
+    std::shared_ptr<http_connection> connection;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_cancelled = true;
+        connection = m_connection;
+    }
+    if (connection)
+    {
+        asio::post(connection->socket.get_executor(),
+                   [self = shared_from_this(), connection]
+                   {
+                       // It may have gone back to the pool meanwhile.
+                       const std::scoped_lock lock(self->m_mutex);
+                       if (self->m_connection == connection)
+                       {
+                           connection->close();
+                       }
+                   });
+    }
+}
+
+asio::awaitable<void> http_transfer::run(std::shared_ptr<http_connection> connection)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_connection = connection;
+    }
+    if (m_cancelled)
+    {
+        fail(http_failure::broken);
+    }
+    else if (connection->socket.is_open() || co_await connect())
+    {
+        set_timer();
+        const bool whole = co_await exchange();
+        connection->timer.clear();
+        if (!whole && may_retry())
+        {
+            connection->close();
+            begin_on(std::make_shared<http_connection>(m_context));
+            co_return;
+        }
+        if (!whole)
+        {
+            fail(connection->timer.expired() ? http_failure::timeout : http_failure::broken);
+        }
+    }
+    finish();
+}
+
+asio::awaitable<bool> http_transfer::connect()
+{
+    const auto endpoint = parse_endpoint(m_request.address);
+    if (!endpoint)
+    {
+        fail(http_failure::connect);
+        co_return false;
+    }
+    set_timer();
+    const auto [ec] = co_await m_connection->socket.async_connect(*endpoint, use_tuple);
+    m_connection->timer.clear();
+    if (ec || !m_connection->socket.is_open())
+    {
+        fail(http_failure::connect);
+        co_return false;
+    }
+    error_code ignored;
+    m_connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return true;
+}
+
+asio::awaitable<bool> http_transfer::exchange()
+{
+    // A server that refuses a request may answer before it has read it all.
+    const bool sent = co_await write_request();
+    if (!sent && m_bytes_written == 0)
+    {
+        co_return false;
+    }
+    reply_parser parser;
+    parser.header_limit(max_reply_header);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser.skip(m_request.method == "HEAD");
+    auto& connection = *m_connection;
+    const auto [ec, n] =
+        co_await http::async_read_header(connection.socket, connection.buffer, parser, use_tuple);
+    m_answer_begun = n > 0 || connection.buffer.size() > 0;
+    if (ec)
+    {
+        co_return false;
+    }
+    m_reply.status = static_cast<int>(parser.get().result_int());
+    m_reply.headers = to_headers(parser.get());
+    m_keep_alive = sent && parser.get().keep_alive() && !parser.need_eof();
+    co_return co_await read_body(parser);
+}
+
+asio::awaitable<bool> http_transfer::write_request()
+{
+    const auto message = to_message(m_request);
+    http::request_serializer<http::string_body> serializer(message);
+    error_code ec;
+    while (!ec && !serializer.is_done())
+    {
+        const auto [write_ec, n] =
+            co_await http::async_write_some(m_connection->socket, serializer, use_tuple);
+        m_bytes_written += n;
+        ec = write_ec;
+    }
+    co_return !ec;
+}
+
+asio::awaitable<bool> http_transfer::read_body(reply_parser& parser)
+{
+    auto& connection = *m_connection;
+    auto& body = parser.get().body();
+    error_code ec;
+    if (streamed())
+    {
+        set_timer();
+    }
+    while (!ec && !parser.is_done())
+    {
+        body.data = m_piece.data();
+        body.size = m_piece.size();
+        const auto [read_ec, n] =
+            co_await http::async_read_some(connection.socket, connection.buffer, parser, use_tuple);
+        ec = read_ec == http::error::need_buffer ? error_code{} : read_ec;
+        take_piece({m_piece.data(), m_piece.size() - body.size});
+        if (streamed() && n > 0)
+        {
+            set_timer();
+        }
+    }
+    co_return !ec;
+}
+
+bool http_transfer::streamed() const
+{
+    return m_on_chunk && m_reply.status / 100 == success_class;
+}
+
+void http_transfer::take_piece(std::string_view piece)
+{
+    if (piece.empty())
+    {
+        return;
+    }
+    if (streamed())
+    {
+        m_on_chunk(piece);
+    }
+    else
+    {
+        m_reply.body += piece;
+    }
+}
+
+bool http_transfer::may_retry() const
+{
+    const bool harmless = m_bytes_written == 0 || m_request.method == "GET" || m_request.method == "HEAD";
+    return m_connection->reused && !m_answer_begun && harmless && !m_cancelled &&
+           !m_connection->timer.expired();
+}
+
+void http_transfer::set_timer()
+{
+    const auto left = m_deadline - std::chrono::steady_clock::now();
+    const auto bound = streamed() ? m_request.timeout : std::chrono::ceil<std::chrono::milliseconds>(left);
+    m_connection->timer.set(bound,
+                            [weak = std::weak_ptr{m_connection}]
+                            {
+                                if (const auto connection = weak.lock())
+                                {
+                                    connection->close();
+                                }
+                            });
+}
+
+void http_transfer::fail(http_failure failure)
+{
+    m_reply.failure = failure;
+}
+
+void http_transfer::finish()
+{
+    std::shared_ptr<http_connection> connection;
+    {
+        const std::scoped_lock lock(m_mutex);
+        connection = std::exchange(m_connection, nullptr);
+    }
+    const bool keep = m_reply.failure == http_failure::none && m_keep_alive && !m_cancelled;
+    if (keep && connection->socket.is_open())
+    {
+        m_pool->put(m_request.address, connection);
+    }
+    else
+    {
+        connection->close();
+    }
+    const auto on_reply = std::exchange(m_on_reply, nullptr);
+    m_on_chunk = nullptr;
+    on_reply(std::move(m_reply));
+}
+
+} // namespace masticcourse::detail
--- /dev/null
+++ b/src/net/http_transfer.hpp
@@ -0,0 +1,68 @@
+/// @file
+/// One request of the HTTP client on its way: connects, sends, reads the answer, tries again where that is
+/// safe.
+#pragma once
+
+#include "http_connection.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+
+namespace masticcourse::detail
+{
+
+/// Runs on the strand of its connection; `cancel` may come from any thread.
+class http_transfer final : public http_stream, public std::enable_shared_from_this<http_transfer>
+{
+  public:
+    /// @param on_chunk empty if the body is to come whole in the reply
+    http_transfer(boost::asio::io_context& context, std::shared_ptr<connection_pool> pool,
+                  http_client_request request, http_chunk_callback on_chunk, http_reply_callback on_reply);
+
+    void start();
+    void cancel() override;
+
+  private:
+    using reply_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    void begin_on(const std::shared_ptr<http_connection>& connection);
+    boost::asio::awaitable<void> run(std::shared_ptr<http_connection> connection);
+    boost::asio::awaitable<bool> connect();
+    boost::asio::awaitable<bool> exchange();
+    boost::asio::awaitable<bool> write_request();
+    boost::asio::awaitable<bool> read_body(reply_parser& parser);
+    void take_piece(std::string_view piece);
+
+    [[nodiscard]] bool may_retry() const;
+    [[nodiscard]] bool streamed() const;
+    void set_timer();
+    void fail(http_failure failure);
+    void finish();
+
+    boost::asio::io_context& m_context;
+    std::shared_ptr<connection_pool> m_pool;
+    http_client_request m_request;
+    http_chunk_callback m_on_chunk;
+    http_reply_callback m_on_reply;
+    std::chrono::steady_clock::time_point m_deadline;
+    http_client_reply m_reply;
+    std::array<char, std::size_t{16} * 1024> m_piece{};
+    std::size_t m_bytes_written = 0;
+    bool m_answer_begun = false;
+    bool m_keep_alive = false;
+
+    std::mutex m_mutex;
+    /// Under @a m_mutex: the connection to close on cancelling.
+    std::shared_ptr<http_connection> m_connection;
+    std::atomic<bool> m_cancelled = false;
+};
+
+} // namespace masticcourse::detail
--- /dev/null
+++ b/src/net/peer_link.cpp
@@ -0,0 +1,320 @@
+#include "masticcourse/net/peer_link.hpp"
+
+#include "deadline.hpp"
+#include "endpoint.hpp"
+#include "tcp_acceptor.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace masticcourse
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr std::size_t read_size = std::size_t{64} * 1024;
+
+/// A link over a TCP socket. All but `send`, `close` and `remote_address` runs on the socket's strand.
+class tcp_peer_link final : public peer_link, public std::enable_shared_from_this<tcp_peer_link>
+{
+  public:
+    tcp_peer_link(asio::ip::tcp::socket socket, std::string remote, peer_link_limits limits)
+        : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_remote(std::move(remote)),
+          m_limits(limits), m_decoder(limits.max_frame)
+    {
+    }
+
+    void begin_connect(peer_link_callbacks callbacks, std::chrono::milliseconds timeout)
+    {
+        post([callbacks = std::move(callbacks), timeout](tcp_peer_link& self) mutable
+             { self.connect_now(std::move(callbacks), timeout); });
+    }
+
+    void start(peer_link_callbacks callbacks) override
+    {
+        post([callbacks = std::move(callbacks)](tcp_peer_link& self) mutable
+             { self.start_now(std::move(callbacks)); });
+    }
+
+    void send(std::string frame) override
+    {
+        if (frame.size() > m_limits.max_frame)
+        {
+            post([](tcp_peer_link& self) { self.fail("frame to send is over the limit"); });
+            return;
+        }
+        const auto size = frame.size() + frame_header_size;
+        if (m_queued.fetch_add(size) + size > m_limits.max_queued)
+        {
+            post([](tcp_peer_link& self) { self.fail("outgoing queue is over its limit"); });
+            return;
+        }
+        post([frame = std::move(frame)](tcp_peer_link& self) mutable { self.enqueue(std::move(frame)); });
+    }
+
+    void close() override
+    {
+        post([](tcp_peer_link& self) { self.fail("closed by this end"); });
+    }
+
+    [[nodiscard]] std::string remote_address() const override
+    {
+        return m_remote;
+    }
+
+  private:
+    template <typename Action>
+    void post(Action action)
+    {
+        asio::post(m_socket.get_executor(),
+                   [self = shared_from_this(), action = std::move(action)]() mutable { action(*self); });
+    }
+
+    void connect_now(peer_link_callbacks callbacks, std::chrono::milliseconds timeout)
+    {
+        m_callbacks = std::move(callbacks);
+        const auto endpoint = detail::parse_endpoint(m_remote);
+        if (!endpoint)
+        {
+            fail("not an address of the form ip:port: \"" + m_remote + "\"");
+            return;
+        }
+        m_timer.set(timeout,
+                    [weak = weak_from_this()]
+                    {
+                        if (const auto self = weak.lock())
+                        {
+                            self->fail("connect timed out");
+                        }
+                    });
+        m_socket.async_connect(*endpoint,
+                               [self = shared_from_this()](error_code ec) { self->connected(ec); });
+    }
+
+    void connected(error_code ec)
+    {
+        if (m_closed)
+        {
+            return;
+        }
+        m_timer.clear();
+        if (ec)
+        {
+            fail("connect: " + ec.message());
+            return;
+        }
+        error_code ignored;
+        m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        open();
+    }
+
+    void start_now(peer_link_callbacks callbacks)
+    {
+        if (m_open)
+        {
+            return;
+        }
+        m_callbacks = std::move(callbacks);
+        if (m_closed)
+        {
+            report_closed();
+            return;
+        }
+        open();
+    }
+
+    void open()
+    {
+        m_open = true;
+        if (m_callbacks.on_open)
+        {
+            m_callbacks.on_open();
+        }
+        read();
+        write();
+    }
+
+    void read()
+    {
+        m_socket.async_read_some(asio::buffer(m_input),
+                                 [self = shared_from_this()](error_code ec, std::size_t n)
+                                 { self->take_input(ec, n); });
+    }
+
+    void take_input(error_code ec, std::size_t n)
+    {
+        if (m_closed)
+        {
+            return;
+        }
+        if (ec)
+        {
+            const bool torn = ec == asio::error::eof && m_decoder.torn();
+            fail(torn ? "closed by the other end in the middle of a frame" : ec.message());
+            return;
+        }
+        if (!m_decoder.feed({m_input.data(), n}, m_callbacks.on_frame))
+        {
+            fail("frame received is over the limit");
+            return;
+        }
+        read();
+    }
+
+    void enqueue(std::string frame)
+    {
+        if (m_closed)
+        {
+            return;
+        }
+        m_queue.push_back(std::move(frame));
+        write();
+    }
+
+    /// Sends all that waits by one write, straight from the frames.
+    void write()
+    {
+        if (!m_open || m_closed || !m_sending.empty() || m_queue.empty())
+        {
+            return;
+        }
+        m_sending = std::exchange(m_queue, {});
+        m_headers.clear();
+        std::ranges::transform(m_sending, std::back_inserter(m_headers),
+                               [](const std::string& it) { return make_frame_header(it.size()); });
+        std::vector<asio::const_buffer> buffers;
+        buffers.reserve(2 * m_sending.size());
+        for (std::size_t it = 0; it < m_sending.size(); ++it)
+        {
+            buffers.push_back(asio::buffer(m_headers[it]));
+            buffers.push_back(asio::buffer(m_sending[it]));
+        }
+        asio::async_write(m_socket, buffers,
+                          [self = shared_from_this()](error_code ec, std::size_t n)
+                          { self->written(ec, n); });
+    }
+
+    void written(error_code ec, std::size_t n)
+    {
+        m_sending.clear();
+        m_queued -= n;
+        if (m_closed)
+        {
+            return;
+        }
+        if (ec)
+        {
+            fail(ec.message());
+            return;
+        }
+        write();
+    }
+
+    void fail(std::string reason)
+    {
+        if (std::exchange(m_closed, true))
+        {
+            return;
+        }
+        m_reason = std::move(reason);
+        m_timer.clear();
+        error_code ignored;
+        m_socket.close(ignored);
+        m_queue.clear();
+        report_closed();
+    }
+
+    /// The callbacks go, so that what they own is freed.
+    void report_closed()
+    {
+        const auto callbacks = std::exchange(m_callbacks, {});
+        if (callbacks.on_closed)
+        {
+            callbacks.on_closed(m_reason);
+        }
+    }
+
+    asio::ip::tcp::socket m_socket;
+    detail::deadline m_timer;
+    std::string m_remote;
+    peer_link_limits m_limits;
+    peer_link_callbacks m_callbacks;
+    frame_decoder m_decoder;
+    std::array<char, read_size> m_input{};
+    std::vector<std::string> m_queue;
+    std::vector<std::string> m_sending;
+    std::vector<frame_header> m_headers;
+    std::atomic<std::size_t> m_queued = 0;
+    std::string m_reason;
+    bool m_open = false;
+    bool m_closed = false;
+};
+
+std::string remote_of(const asio::ip::tcp::socket& socket)
+{
+    error_code ec;
+    const auto endpoint = socket.remote_endpoint(ec);
+    return ec ? std::string{} : detail::to_string(endpoint);
+}
+
+} // namespace
+
+std::shared_ptr<peer_link> peer_link::connect(asio::io_context& context, const std::string& address,
+                                              peer_link_callbacks callbacks,
+                                              std::chrono::milliseconds connect_timeout,
+                                              peer_link_limits limits)
+{
+    const auto link =
+        std::make_shared<tcp_peer_link>(asio::ip::tcp::socket(asio::make_strand(context)), address, limits);
+    link->begin_connect(std::move(callbacks), connect_timeout);
+    return link;
+}
+
+/// The acceptor, which makes a link of each connection.
+class peer_listener::acceptor : public detail::tcp_acceptor
+{
+  public:
+    acceptor(asio::io_context& context, const std::string& address, link_callback on_link,
+             peer_link_limits limits)
+        : tcp_acceptor(context, address,
+                       [on_link = std::move(on_link), limits](asio::ip::tcp::socket socket)
+                       {
+                           auto remote = remote_of(socket);
+                           on_link(
+                               std::make_shared<tcp_peer_link>(std::move(socket), std::move(remote), limits));
+                       })
+    {
+    }
+};
+
+peer_listener::peer_listener(asio::io_context& context, const std::string& address, link_callback on_link,
+                             peer_link_limits limits)
+    : m_acceptor(std::make_shared<acceptor>(context, address, std::move(on_link), limits))
+{
+    m_acceptor->start();
+}
+
+peer_listener::~peer_listener()
+{
+    m_acceptor->close();
+}
+
+std::uint16_t peer_listener::port() const
+{
+    return m_acceptor->port();
+}
+
+} // namespace masticcourse
--- /dev/null
+++ b/src/net/tcp_acceptor.cpp
@@ -0,0 +1,109 @@
+#include "tcp_acceptor.hpp"
+
+#include "endpoint.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace masticcourse::detail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+/// How long to wait before accepting again when the process is out of descriptors.
+constexpr std::chrono::milliseconds accept_pause{20};
+
+} // namespace
+
+tcp_acceptor::tcp_acceptor(asio::io_context& context, const std::string& address, socket_callback on_socket)
+    : m_context(context), m_strand(asio::make_strand(context)), m_acceptor(listen_on(m_strand, address)),
+      m_port(m_acceptor.local_endpoint().port()), m_on_socket(std::move(on_socket))
+{
+}
+
+void tcp_acceptor::start()
+{
+    asio::co_spawn(
+        m_strand, [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
+void tcp_acceptor::finish(std::function<void()> on_done)
+{
+    asio::post(m_strand,
+               [self = shared_from_this(), on_done = std::move(on_done)]
+               {
+                   self->take_waiting();
+                   self->close_now();
+                   on_done();
+               });
+}
+
+void tcp_acceptor::close()
+{
+    asio::post(m_strand, [self = shared_from_this()] { self->close_now(); });
+}
+
+std::uint16_t tcp_acceptor::port() const
+{
+    return m_port;
+}
+
+asio::awaitable<void> tcp_acceptor::run()
+{
+    while (m_acceptor.is_open())
+    {
+        auto [ec, socket] = co_await m_acceptor.async_accept(asio::make_strand(m_context), use_tuple);
+        if (!ec)
+        {
+            take(std::move(socket));
+        }
+        else if (ec != asio::error::operation_aborted)
+        {
+            asio::steady_timer pause(m_strand, accept_pause);
+            co_await pause.async_wait(use_tuple);
+        }
+    }
+}
+
+void tcp_acceptor::take(asio::ip::tcp::socket socket)
+{
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_on_socket(std::move(socket));
+}
+
+void tcp_acceptor::take_waiting()
+{
+    error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec && m_acceptor.is_open())
+    {
+        asio::ip::tcp::socket socket(asio::make_strand(m_context));
+        m_acceptor.accept(socket, ec);
+        if (!ec)
+        {
+            take(std::move(socket));
+        }
+    }
+}
+
+void tcp_acceptor::close_now()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+} // namespace masticcourse::detail
--- /dev/null
+++ b/tests/unit/net_fixture.hpp
@@ -0,0 +1,174 @@
+/// @file
+/// What the tests of the network layer share: I/O threads, waiting on conditions, raw loopback sockets.
+#pragma once
+
+#include "masticcourse/net/http_client.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <future>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace masticcourse::testing
+{
+
+/// Long enough never to be reached on any machine; tests wait on conditions, not on times.
+constexpr std::chrono::seconds patience{60};
+
+/// An I/O context with threads that run it.
+class io_threads
+{
+  public:
+    explicit io_threads(int count = 3) : m_guard(m_context.get_executor())
+    {
+        for (int it = 0; it < count; ++it)
+        {
+            m_threads.emplace_back([this] { m_context.run(); });
+        }
+    }
+    io_threads(const io_threads&) = delete;
+    io_threads(io_threads&&) = delete;
+    io_threads& operator=(const io_threads&) = delete;
+    io_threads& operator=(io_threads&&) = delete;
+    ~io_threads()
+    {
+        stop();
+    }
+
+    /// Ends the threads, so that what their callbacks use may go.
+    void stop()
+    {
+        m_context.stop();
+        m_threads.clear();
+    }
+
+    [[nodiscard]] boost::asio::io_context& context()
+    {
+        return m_context;
+    }
+
+  private:
+    boost::asio::io_context m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
+    std::vector<std::jthread> m_threads;
+};
+
+/// A value that callbacks change and tests wait on.
+template <typename T>
+class watched
+{
+  public:
+    template <typename Change>
+    void change(Change change)
+    {
+        const std::scoped_lock lock(m_mutex);
+        change(m_value);
+        m_changed.notify_all();
+    }
+
+    /// @return whether the value came to satisfy @a condition
+    template <typename Condition>
+    [[nodiscard]] bool wait(Condition condition)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, patience, [&] { return condition(m_value); });
+    }
+
+    [[nodiscard]] T get()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_value;
+    }
+
+  private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    T m_value{};
+};
+
+/// Waits for a condition that nothing announces.
+template <typename Condition>
+[[nodiscard]] bool eventually(Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!condition() && std::chrono::steady_clock::now() < end)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    return condition();
+}
+
+/// A blocking socket, for bytes that no well-behaved client sends.
+class raw_socket
+{
+  public:
+    explicit raw_socket(std::uint16_t port) : m_socket(m_context)
+    {
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    }
+
+    void write(const std::string& bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// @return all that comes until the other end closes
+    [[nodiscard]] std::string read_all()
+    {
+        std::string text;
+        boost::system::error_code ignored;
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(text), ignored);
+        return text;
+    }
+
+    /// @return all that came until @a mark, and it
+    [[nodiscard]] std::string read_to(const std::string& mark)
+    {
+        std::string text;
+        boost::system::error_code ec;
+        while (!ec && text.find(mark) == std::string::npos)
+        {
+            boost::asio::read(m_socket, boost::asio::dynamic_buffer(text), boost::asio::transfer_exactly(1),
+                              ec);
+        }
+        return text;
+    }
+
+    void close()
+    {
+        m_socket.close();
+    }
+
+  private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+};
+
+[[nodiscard]] inline std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+/// @return the answer, waited for
+[[nodiscard]] inline http_client_reply fetch(http_client& client, http_client_request request)
+{
+    const auto done = std::make_shared<std::promise<http_client_reply>>();
+    auto answer = done->get_future();
+    client.send(std::move(request), [done](http_client_reply reply) { done->set_value(std::move(reply)); });
+    return answer.get();
+}
+
+} // namespace masticcourse::testing
--- /dev/null
+++ b/tests/unit/test_http.cpp
@@ -0,0 +1,384 @@
+// The HTTP server and client against each other, and the server against raw bytes.
+#include "masticcourse/net/http_client.hpp"
+#include "masticcourse/net/http_server.hpp"
+
+#include "net_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+using namespace masticcourse;
+using namespace masticcourse::testing;
+
+namespace
+{
+
+constexpr std::size_t small_body = 1000;
+constexpr std::size_t small_header = 1024;
+
+http_limits small_limits()
+{
+    return {.max_body = small_body, .max_header = small_header};
+}
+
+/// A server whose handler may be set per test, and a client.
+struct http_fixture
+{
+    explicit http_fixture(http_limits limits = {}, http_handler handler = echo)
+        : server(threads.context(), "127.0.0.1:0", limits, std::move(handler)), client(threads.context())
+    {
+    }
+    http_fixture(const http_fixture&) = delete;
+    http_fixture(http_fixture&&) = delete;
+    http_fixture& operator=(const http_fixture&) = delete;
+    http_fixture& operator=(http_fixture&&) = delete;
+    ~http_fixture()
+    {
+        threads.stop();
+    }
+
+    /// Answers with method, target and body.
+    static void echo(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+    {
+        exchange->respond({.body = request.method + " " + request.target + " " + request.body,
+                           .headers = {{"X-Seen", request.header("x-sent").value_or("")}}});
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return loopback(server.port());
+    }
+
+    io_threads threads;
+    http_server server;
+    http_client client;
+};
+
+/// The exchanges that a handler kept to answer later.
+struct kept_exchanges
+{
+    watched<std::vector<std::shared_ptr<http_exchange>>> kept;
+
+    [[nodiscard]] http_handler handler()
+    {
+        return [this](const http_request&, const std::shared_ptr<http_exchange>& exchange)
+        { kept.change([&](auto& all) { all.push_back(exchange); }); };
+    }
+
+    [[nodiscard]] std::shared_ptr<http_exchange> at(std::size_t index)
+    {
+        REQUIRE(kept.wait([=](const auto& all) { return all.size() > index; }));
+        return kept.get().at(index);
+    }
+};
+
+/// What a stream has brought so far.
+struct stream_state
+{
+    std::string text;
+    std::optional<http_client_reply> end;
+};
+
+struct stream_reader
+{
+    watched<stream_state> state;
+
+    std::shared_ptr<http_stream> open(http_client& client, const std::string& address)
+    {
+        return client.open_stream(
+            {.address = address},
+            [this](std::string_view chunk) { state.change([&](auto& it) { it.text += chunk; }); },
+            [this](const http_client_reply& reply) { state.change([&](auto& it) { it.end = reply; }); });
+    }
+
+    [[nodiscard]] bool wait_for_text(const std::string& text)
+    {
+        return state.wait([&](const auto& it) { return it.text == text; });
+    }
+
+    [[nodiscard]] http_client_reply wait_for_end()
+    {
+        REQUIRE(state.wait([](const auto& it) { return it.end.has_value(); }));
+        return *state.get().end;
+    }
+};
+
+} // namespace
+
+TEST_CASE("http: requests and answers")
+{
+    http_fixture it;
+    SUBCASE("method, target, body and headers reach the handler")
+    {
+        const auto reply = fetch(it.client, {.address = it.address(),
+                                             .method = "PUT",
+                                             .target = "/a%20b?c=d",
+                                             .body = "text",
+                                             .headers = {{"X-Sent", "value"}}});
+        CHECK(reply.failure == http_failure::none);
+        CHECK(reply.status == 200);
+        CHECK(reply.body == "PUT /a%20b?c=d text");
+        CHECK(reply.header("x-SEEN") == "value");
+        CHECK(reply.header("Content-Type") == "application/json");
+    }
+    SUBCASE("a large body comes whole")
+    {
+        const std::string large(3'000'000, 'x');
+        const auto reply =
+            fetch(it.client, {.address = it.address(), .method = "POST", .target = "/", .body = large});
+        CHECK(reply.body == "POST / " + large);
+    }
+    SUBCASE("HEAD has no body")
+    {
+        const auto reply = fetch(it.client, {.address = it.address(), .method = "HEAD"});
+        CHECK(reply.status == 200);
+        CHECK(reply.body.empty());
+    }
+    SUBCASE("many requests at once each get their own answer")
+    {
+        constexpr int count = 400;
+        watched<int> right;
+        for (int n = 0; n < count; ++n)
+        {
+            const auto text = std::to_string(n);
+            it.client.send({.address = it.address(), .method = "POST", .target = "/", .body = text},
+                           [&right, text](const http_client_reply& reply) {
+                               right.change([&](int& sum) { sum += reply.body == "POST / " + text ? 1 : 0; });
+                           });
+        }
+        CHECK(right.wait([](int sum) { return sum == count; }));
+        CHECK(eventually([&] { return it.server.open_exchanges() == 0; }));
+    }
+}
+
+TEST_CASE("http: one connection carries several requests, pipelined too")
+{
+    http_fixture it;
+    raw_socket socket(it.server.port());
+    socket.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(socket.read_to("GET /1 ").starts_with("HTTP/1.1 200 OK"));
+    CHECK(socket.read_to("GET /2 ").starts_with("HTTP/1.1 200 OK"));
+    socket.write("GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(socket.read_all().ends_with("GET /3 "));
+}
+
+TEST_CASE("http: bad requests are refused with a problem and closed")
+{
+    struct row
+    {
+        const char* what;
+        std::string bytes;
+        const char* status;
+    };
+    const std::array table{
+        row{"body over the limit",
+            "POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(small_body + 1, 'x'), "413"},
+        row{"chunked body over the limit",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+                std::string(small_body + 1, 'x') + "\r\n0\r\n\r\n",
+            "413"},
+        row{"header over the limit", "GET / HTTP/1.1\r\nX: " + std::string(small_header, 'x') + "\r\n\r\n",
+            "431"},
+        row{"no method line", "this is no request\r\n\r\n", "400"},
+        row{"bad version", "GET / HTTP/9.9\r\n\r\n", "400"},
+        row{"bad length", "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n", "400"},
+    };
+    http_fixture it(small_limits());
+    for (const auto& row : table)
+    {
+        CAPTURE(row.what);
+        raw_socket socket(it.server.port());
+        socket.write(row.bytes);
+        const auto answer = socket.read_all();
+        CHECK(answer.starts_with(std::string("HTTP/1.1 ") + row.status));
+        CHECK(answer.find("application/problem+json") != std::string::npos);
+        CHECK(answer.find(R"("ran":"no")") != std::string::npos);
+    }
+    CHECK(fetch(it.client, {.address = it.address()}).status == 200);
+}
+
+TEST_CASE("http: a body at the limit passes, and waits for 100 Continue if it says so")
+{
+    http_fixture it(small_limits());
+    raw_socket socket(it.server.port());
+    socket.write("POST / HTTP/1.1\r\nContent-Length: 1000\r\nExpect: 100-continue\r\n\r\n");
+    CHECK(socket.read_to("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    const std::string body(small_body, 'x');
+    socket.write(body);
+    CHECK(socket.read_to("POST / " + body).starts_with("HTTP/1.1 200 OK"));
+}
+
+TEST_CASE("http: half a request times out; the server says so")
+{
+    const std::array halves{"GET / HT", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"};
+    for (const auto* half : halves)
+    {
+        CAPTURE(half);
+        http_fixture it({.read_timeout = std::chrono::milliseconds{20}});
+        raw_socket socket(it.server.port());
+        socket.write(half);
+        const auto answer = socket.read_all();
+        CHECK(answer.starts_with("HTTP/1.1 408"));
+        CHECK(answer.find(R"("ran":"no")") != std::string::npos);
+    }
+}
+
+TEST_CASE("http: an idle connection is closed")
+{
+    http_fixture it({.idle_timeout = std::chrono::milliseconds{20}});
+    raw_socket socket(it.server.port());
+    CHECK(socket.read_all().empty());
+}
+
+TEST_CASE("http: connections over the limit are told so")
+{
+    http_fixture it({.max_connections = 1});
+    raw_socket first(it.server.port());
+    first.write("GET / HTTP/1.1\r\n\r\n");
+    CHECK(first.read_to("GET / ").starts_with("HTTP/1.1 200"));
+    raw_socket second(it.server.port());
+    CHECK(second.read_to("}").starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("http: a handler that throws leaves the outcome unknown")
+{
+    http_fixture it({}, [](const http_request&, const std::shared_ptr<http_exchange>&)
+                    { throw std::runtime_error("fault"); });
+    const auto reply = fetch(it.client, {.address = it.address(), .method = "POST"});
+    CHECK(reply.status == 500);
+    CHECK(reply.body.find(R"("ran":"unknown")") != std::string::npos);
+}
+
+TEST_CASE("http: an exchange dropped without an answer closes the connection")
+{
+    http_fixture it({}, [](const http_request&, const std::shared_ptr<http_exchange>&) {});
+    CHECK(fetch(it.client, {.address = it.address(), .method = "POST"}).failure == http_failure::broken);
+}
+
+TEST_CASE("http: streams")
+{
+    kept_exchanges exchanges;
+    http_fixture it({}, exchanges.handler());
+    stream_reader reader;
+    const auto stream = reader.open(it.client, it.address());
+    auto exchange = exchanges.at(0);
+    exchange->begin_stream(200, {{"X-Kind", "tokens"}});
+    exchange->write("one ");
+    REQUIRE(reader.wait_for_text("one "));
+
+    SUBCASE("come piece by piece and end")
+    {
+        exchange->write("two ");
+        exchange->write("three");
+        exchange->end_stream();
+        const auto end = reader.wait_for_end();
+        CHECK(end.failure == http_failure::none);
+        CHECK(end.header("x-kind") == "tokens");
+        CHECK(end.header("content-type") == "text/event-stream");
+        CHECK(reader.state.get().text == "one two three");
+    }
+    SUBCASE("cancelled by the client: the server hears of it, and the client gets its end")
+    {
+        watched<bool> closed;
+        exchange->on_closed([&] { closed.change([](bool& value) { value = true; }); });
+        stream->cancel();
+        CHECK(reader.wait_for_end().failure == http_failure::broken);
+        CHECK(closed.wait([](bool value) { return value; }));
+    }
+    SUBCASE("a callback set after the caller went is called too")
+    {
+        stream->cancel();
+        CHECK(reader.wait_for_end().failure == http_failure::broken);
+        watched<bool> closed;
+        exchange->on_closed([&] { closed.change([](bool& value) { value = true; }); });
+        CHECK(closed.wait([](bool value) { return value; }));
+    }
+    SUBCASE("one that is cut off is not taken for whole")
+    {
+        exchanges.kept.change([](auto& all) { all.clear(); });
+        exchange.reset();
+        CHECK(reader.wait_for_end().failure == http_failure::broken);
+    }
+    SUBCASE("a reader that is too slow is cut off")
+    {
+        // Nobody reads on this connection, so that the server's backlog must overflow.
+        raw_socket slow(it.server.port());
+        slow.write("GET / HTTP/1.1\r\n\r\n");
+        const auto second = exchanges.at(1);
+        watched<bool> closed;
+        second->on_closed([&] { closed.change([](bool& value) { value = true; }); });
+        second->begin_stream(200, {});
+        for (int n = 0; n < 40; ++n)
+        {
+            second->write(std::string(1'000'000, 'x'));
+        }
+        CHECK(closed.wait([](bool value) { return value; }));
+    }
+}
+
+TEST_CASE("http: an error in answer to a stream comes whole in the reply")
+{
+    http_fixture it({}, [](const http_request&, const std::shared_ptr<http_exchange>& exchange)
+                    { exchange->respond({.status = 503, .body = "refused"}); });
+    stream_reader reader;
+    reader.open(it.client, it.address());
+    const auto end = reader.wait_for_end();
+    CHECK(end.status == 503);
+    CHECK(end.body == "refused");
+    CHECK(reader.state.get().text.empty());
+}
+
+TEST_CASE("http: stopping finishes what is under way")
+{
+    kept_exchanges exchanges;
+    http_fixture it({.stop_grace = std::chrono::milliseconds{1}}, exchanges.handler());
+    raw_socket idle(it.server.port());
+    watched<std::optional<http_client_reply>> reply;
+    it.client.send({.address = it.address(), .method = "POST"},
+                   [&](const http_client_reply& got) { reply.change([&](auto& value) { value = got; }); });
+    const auto exchange = exchanges.at(0);
+    CHECK(it.server.open_exchanges() == 1);
+    it.server.stop_accepting();
+    CHECK(idle.read_all().empty());
+    exchange->respond({.body = "done"});
+    REQUIRE(reply.wait([](const auto& value) { return value.has_value(); }));
+    CHECK(reply.get()->body == "done");
+    CHECK(reply.get()->header("connection") == "close");
+    CHECK(eventually([&] { return it.server.open_exchanges() == 0; }));
+    CHECK(fetch(it.client, {.address = it.address()}).failure == http_failure::connect);
+}
+
+TEST_CASE("http: addresses that can't be bound are named")
+{
+    io_threads threads;
+    const http_server first(threads.context(), "127.0.0.1:0", {}, http_fixture::echo);
+    for (const auto& address : {loopback(first.port()), std::string("nowhere"), std::string("127.0.0.1:x")})
+    {
+        CAPTURE(address);
+        CHECK_THROWS_WITH_AS(http_server(threads.context(), address, {}, http_fixture::echo),
+                             doctest::Contains(address.c_str()), std::runtime_error);
+    }
+    threads.stop();
+}
+
+TEST_CASE("http client: failures say what may have run")
+{
+    SUBCASE("nobody listens")
+    {
+        io_threads threads;
+        http_client client(threads.context());
+        CHECK(fetch(client, {.address = "127.0.0.1:1"}).failure == http_failure::connect);
+        CHECK(fetch(client, {.address = "no address"}).failure == http_failure::connect);
+    }
+    SUBCASE("no answer in time")
+    {
+        kept_exchanges exchanges;
+        http_fixture it({}, exchanges.handler());
+        const auto reply =
+            fetch(it.client, {.address = it.address(), .timeout = std::chrono::milliseconds{30}});
+        CHECK(reply.failure == http_failure::timeout);
+    }
+}
