--- a/include/masticcourse/messages/peer_message.hpp
+++ b/include/masticcourse/messages/peer_message.hpp
@@ -256,8 +256,17 @@
     std::optional<config_version> if_match;
     bool stream = false;
     workspace_id workspace;
+    /// It was sent to a home before that gave no answer, so nobody may say any more that it did not run.
+    bool repeated = false;
 };
 
+/// The statuses of a forwarded answer that no caller gets to see.
+/// @{
+inline constexpr int forward_stream_ended = 0;
+/// The receiver is not the program's home; nothing was done.
+inline constexpr int forward_misdirected = 421;
+/// @}
+
 /// A whole answer, or the end of a streamed one.
 struct forward_reply
 {
--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -48,7 +48,7 @@
             return true;
         }
         stream_to(state, joined, call.streamed);
-        call.waiters.push_back(std::move(joined));
+        call.waiters.push_back(joined);
         return true;
     }
     const auto* const done = find_turn(program, key);
@@ -113,12 +113,14 @@
     return call;
 }
 
-void refuse(entry_state& state, const reply_route& route, const call_ref& ref, const problem& failure)
+void refuse(entry_state& state, const reply_route& route, const forward_request& raw, const call_ref& ref,
+            const problem& failure)
 {
     ++state.counts.calls_refused;
     state.trace(event_id::call_refused, ref.program, ref.key,
                 {{"problem", std::to_string(static_cast<int>(failure.id))}});
-    reply_problem(state, route, failure);
+    auto caller = make_waiter(route, raw);
+    deliver_problem(state, caller, failure);
 }
 
 /// Calls that a program made before this process became its home count too.
@@ -147,47 +149,6 @@
     when_durable(state, ticket, escrow_is_durable{root, total});
 }
 
-/// Sets the worst case of the call aside.
-/// @return whether the call can go on now; if not, it waits for escrow or has been refused
-bool reserve_budget(entry_state& state, call_row& call)
-{
-    const auto root = root_of(call.ref.program);
-    auto& ledger = state.ledgers.at(root);
-    const auto& runtime = state.runtimes[call.ref.program];
-    const auto cost = worst_case_cost(call.request, runtime.history_tokens);
-    call.reserved = ledger.reserve(call.ref.program, cost);
-    if (call.reserved)
-    {
-        if (const auto total = ledger.needs_escrow(cost))
-        {
-            request_escrow(state, root, ledger, *total);
-        }
-        return true;
-    }
-    if (!ledger.affordable(call.ref.program, cost))
-    {
-        state.trace(event_id::budget_refused, call.ref.program, call.ref.key,
-                    {{"cost", std::to_string(cost)}, {"spent", std::to_string(ledger.spent())}});
-        finish_without_turn(state, call.ref,
-                            {problem_id::budget_exceeded, ran_state::no,
-                             "the call may cost " + std::to_string(cost) + " tokens"});
-        return false;
-    }
-    if (journal_is_stalled(state))
-    {
-        finish_without_turn(state, call.ref,
-                            {problem_id::store_unavailable, ran_state::no,
-                             "more of the budget can't be set aside now", std::chrono::seconds{2}});
-        return false;
-    }
-    call.phase = call_phase::waiting_escrow;
-    if (const auto total = ledger.needs_escrow(cost))
-    {
-        request_escrow(state, root, ledger, *total);
-    }
-    return false;
-}
-
 void on_deadline(entry_state& state, call_row& call)
 {
     state.trace(event_id::call_deadline_passed, call.ref.program, call.ref.key);
@@ -238,6 +199,45 @@
 
 } // namespace
 
+bool reserve_budget(entry_state& state, call_row& call)
+{
+    const auto root = root_of(call.ref.program);
+    auto& ledger = state.ledgers.at(root);
+    const auto& runtime = state.runtimes[call.ref.program];
+    const auto cost = worst_case_cost(call.request, runtime.history_tokens);
+    call.reserved = ledger.reserve(call.ref.program, cost);
+    if (call.reserved)
+    {
+        if (const auto total = ledger.needs_escrow(cost))
+        {
+            request_escrow(state, root, ledger, *total);
+        }
+        return true;
+    }
+    if (!ledger.affordable(call.ref.program, cost))
+    {
+        state.trace(event_id::budget_refused, call.ref.program, call.ref.key,
+                    {{"cost", std::to_string(cost)}, {"spent", std::to_string(ledger.spent())}});
+        finish_without_turn(state, call.ref,
+                            {problem_id::budget_exceeded, ran_state::no,
+                             "the call may cost " + std::to_string(cost) + " tokens"});
+        return false;
+    }
+    if (journal_is_stalled(state))
+    {
+        finish_without_turn(state, call.ref,
+                            {problem_id::store_unavailable, ran_state::no,
+                             "more of the budget can't be set aside now", std::chrono::seconds{2}});
+        return false;
+    }
+    call.phase = call_phase::waiting_escrow;
+    if (const auto total = ledger.needs_escrow(cost))
+    {
+        request_escrow(state, root, ledger, *total);
+    }
+    return false;
+}
+
 void handle_call(entry_state& state, const reply_route& route, const forward_request& raw,
                  const submit_call& request)
 {
@@ -245,7 +245,7 @@
     const auto* const program = find_program(state, raw.workspace, request.program);
     if (program == nullptr)
     {
-        refuse(state, route, ref, unknown_program_problem());
+        refuse(state, route, raw, ref, unknown_program_problem());
         return;
     }
     if (repeats(state, route, raw, *program, ref.key, digest_of(request.call)))
@@ -254,13 +254,13 @@
     }
     if (const auto failure = refusal_of(state, *program, request.call); failure.failed())
     {
-        refuse(state, route, ref, failure);
+        refuse(state, route, raw, ref, failure);
         return;
     }
     auto& runtime = state.runtimes[request.program];
     if (runtime.waiting.size() >= state.options.max_waiting_calls)
     {
-        refuse(state, route, ref,
+        refuse(state, route, raw, ref,
                {problem_id::turn_out_of_order, ran_state::no, "too many calls of this program wait",
                 retry_soon});
         return;
--- a/src/control/entry_dispatch.cpp
+++ b/src/control/entry_dispatch.cpp
@@ -68,6 +68,7 @@
     return view;
 }
 
+/// The history; the target process puts the call's own input behind it.
 std::vector<std::string> prompt_of(const program_state& program, const call_request& request)
 {
     std::vector<std::string> prompt;
@@ -80,7 +81,6 @@
         prompt.push_back(it.input);
         prompt.push_back(it.outcome.output);
     }
-    prompt.push_back(request.input);
     return prompt;
 }
 
@@ -130,6 +130,19 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - state.now);
 }
 
+/// An attempt that may have run has to be paid for, besides the next one.
+/// @return whether the next attempt can go on now
+bool reserve_again(entry_state& state, call_row& call, const problem& failure)
+{
+    if (failure.ran == ran_state::no || !call.reserved)
+    {
+        return true;
+    }
+    state.ledgers.at(root_of(call.ref.program)).settle(*call.reserved, call.reserved->amount);
+    call.reserved.reset();
+    return reserve_budget(state, call);
+}
+
 problem refusal_problem(const call_refused& message)
 {
     switch (message.reason)
@@ -261,7 +274,10 @@
     }
     ++state.counts.retries;
     state.trace(event_id::call_retried, call.ref.program, call.ref.key);
-    route_call(state, call);
+    if (reserve_again(state, call, failure))
+    {
+        route_call(state, call);
+    }
 }
 
 call_row* call_at(entry_state& state, const call_ref& ref, const process_name& target)
--- a/src/control/entry_journal.cpp
+++ b/src/control/entry_journal.cpp
@@ -47,7 +47,7 @@
     void operator()(const snapshots_are_durable& it) const
     {
         auto& shard = state.shards[it.shard];
-        if (shard.owned && shard.checkpoint_from)
+        if (shard.owned && shard.checkpoint_from == it.from_index)
         {
             shard.update = std::make_unique<shard_update>(
                 shard_checkpoint(shard.row, shard.version, *shard.checkpoint_from, {}));
--- a/src/control/entry_outcomes.cpp
+++ b/src/control/entry_outcomes.cpp
@@ -150,8 +150,10 @@
     start_next(state, program);
 }
 
-void finish_without_turn(entry_state& state, const call_ref& ref, problem failure)
+void finish_without_turn(entry_state& state, const call_ref& given, const problem& failure)
 {
+    // The reference may point into the row that ends here.
+    const auto ref = given;
     const auto it = state.calls.find(ref);
     if (it == state.calls.end())
     {
@@ -253,7 +255,8 @@
 void on_call_answer(entry_state& state, const process_name& target, const call_answer& message)
 {
     auto* const call = call_at(state, message.call, target);
-    if (call == nullptr || call->phase != call_phase::asking)
+    const bool stale = message.knowledge == call_knowledge::stale_epoch;
+    if (call == nullptr || (call->phase != call_phase::asking && !stale))
     {
         return;
     }
--- a/src/control/entry_replies.cpp
+++ b/src/control/entry_replies.cpp
@@ -123,8 +123,13 @@
     std::visit(end_sender{state}, waiter.route);
 }
 
-void deliver_problem(entry_state& state, waiter& waiter, const problem& failure)
+void deliver_problem(entry_state& state, waiter& waiter, const problem& given)
 {
+    auto failure = given;
+    if (waiter.repeated && failure.ran == ran_state::no)
+    {
+        failure.ran = ran_state::unknown;
+    }
     if (!waiter.stream || waiter.offset == 0)
     {
         reply_problem(state, waiter.route, failure);
@@ -136,7 +141,7 @@
 
 waiter make_waiter(const reply_route& route, const forward_request& raw)
 {
-    waiter made{.route = route, .stream = raw.stream};
+    waiter made{.route = route, .stream = raw.stream, .repeated = raw.repeated};
     if (raw.stream && raw.last_event)
     {
         made.last_event = *raw.last_event;
--- a/src/control/entry_requests.cpp
+++ b/src/control/entry_requests.cpp
@@ -3,6 +3,7 @@
 #include "entry_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace masticcourse::detail
 {
@@ -10,9 +11,8 @@
 namespace
 {
 
-constexpr auto retry_soon = std::chrono::milliseconds{500};
+constexpr auto retry_gap = std::chrono::milliseconds{100};
 constexpr auto retry_after_takeover = std::chrono::seconds{2};
-constexpr int end_of_stream = 0;
 
 /// Hands a typed request to its handler.
 struct request_visitor
@@ -82,7 +82,8 @@
 
 bool serves_here(const shard_state& shard)
 {
-    return shard.owned && (shard.serving || shard.releasing);
+    // While a shard is being released, no record of it may follow: its requests wait for the next home.
+    return shard.owned && shard.serving;
 }
 
 /// Whether a home is about to be there, so that waiting for it beats a refusal.
@@ -94,7 +95,7 @@
 void forward_over(entry_state& state, std::uint64_t id, forwarded_row& row, link_id link)
 {
     row.link = link;
-    row.may_have_run = true;
+    row.raw.repeated = std::exchange(row.may_have_run, true);
     auto raw = row.raw;
     raw.id = id;
     send(state, link, std::move(raw));
@@ -133,10 +134,15 @@
         hold(state, local->id, raw, program, link);
         return;
     }
-    // A forwarded request goes no further: its entry learns who the home is and sends it there.
+    if (local == nullptr)
+    {
+        // A forwarded request goes no further: its entry learns who the home is and sends it there.
+        reply(state, route, forward_misdirected, {});
+        return;
+    }
     reply_problem(state, route,
                   {problem_id::no_home, ran_state::no, "this program has no home at the moment",
-                   local != nullptr ? retry_after_takeover : std::chrono::milliseconds{retry_soon}});
+                   retry_after_takeover});
 }
 
 std::map<std::uint64_t, forwarded_row>::iterator find_forward(entry_state& state, link_id link,
@@ -201,9 +207,17 @@
     {
         return;
     }
+    if (message.status == forward_misdirected)
+    {
+        // Nothing was done there: it counts as not sent, and waits for the home to be known.
+        it->second.may_have_run = it->second.raw.repeated;
+        it->second.link.reset();
+        it->second.next_try = state.now + retry_gap;
+        return;
+    }
     const auto row = std::move(it->second);
     state.forwarded.erase(it);
-    if (message.status == end_of_stream)
+    if (message.status == forward_stream_ended)
     {
         state.emit(caller_end{row.caller});
         return;
@@ -239,7 +253,7 @@
             row.link.reset();
             row.expires = state.now + state.options.forward_patience;
         }
-        if (!row.link)
+        if (!row.link && state.now >= row.next_try)
         {
             homeless.push_back(id);
         }
--- a/src/control/entry_shards.cpp
+++ b/src/control/entry_shards.cpp
@@ -232,7 +232,7 @@
         shard.checkpoint_from.reset();
         return;
     }
-    when_durable(state, last, snapshots_are_durable{index});
+    when_durable(state, last, snapshots_are_durable{index, *shard.checkpoint_from});
 }
 
 bool may_release(const entry_state& state, shard_index index)
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -102,6 +102,7 @@
     /// The link it went over; none while its home is being looked for again.
     std::optional<link_id> link;
     core_time expires{};
+    core_time next_try{};
     /// Whether giving up now leaves open if the request ran.
     bool may_have_run = false;
 };
@@ -119,6 +120,8 @@
     std::size_t offset = 0;
     /// The id of the last event that it has: names the bytes before @a offset.
     std::uint64_t last_event = 0;
+    /// An earlier home may have run its request, so that it is never told "not run".
+    bool repeated = false;
 };
 
 enum class call_phase : std::uint8_t
@@ -255,6 +258,7 @@
 struct snapshots_are_durable
 {
     shard_index shard = 0;
+    std::uint64_t from_index = 0;
 };
 
 using durable_event = std::variant<creation_durable, escrow_is_durable, intent_is_durable, turn_is_durable,
@@ -466,7 +470,7 @@
 /// @{
 journal_ticket append(entry_state& state, const program_id& program, journal_payload payload);
 void when_durable(entry_state& state, journal_ticket ticket, durable_event event);
-void run_on_store(entry_state& state, store_op operation, store_purpose purpose);
+void run_on_store(entry_state& state, store_op operation, const store_purpose& purpose);
 void on_store_done(entry_state& state, const store_done& done);
 void on_relay_reply(entry_state& state, const relay_reply& message);
 /// @return whether records wait so long that nothing that must be durable first can start
@@ -508,13 +512,16 @@
                      const get_call& request);
 void start_next(entry_state& state, const program_id& program);
 void begin_call(entry_state& state, call_row& call);
+/// Sets the worst case of the call aside.
+/// @return whether the call can go on now; if not, it waits for escrow or has been refused
+bool reserve_budget(entry_state& state, call_row& call);
 void route_call(entry_state& state, call_row& call);
 void send_dispatch(entry_state& state, call_row& call);
 void leave_target(entry_state& state, call_row& call);
 /// Ends the call with an outcome that becomes a turn of the history.
 void finish_with_turn(entry_state& state, call_row& call, call_outcome outcome);
 /// Ends the call with a failure that is no turn: it did not run, or may be run again.
-void finish_without_turn(entry_state& state, const call_ref& ref, problem failure);
+void finish_without_turn(entry_state& state, const call_ref& ref, const problem& failure);
 /// Tries another target, or fails the call with @a failure.
 void retry_or_fail(entry_state& state, call_row& call, const problem& failure);
 void on_call_refused(entry_state& state, const process_name& target, const call_refused& message);
--- a/src/control/entry_store.cpp
+++ b/src/control/entry_store.cpp
@@ -112,11 +112,11 @@
 
 } // namespace
 
-void run_on_store(entry_state& state, store_op operation, store_purpose purpose)
+void run_on_store(entry_state& state, store_op operation, const store_purpose& purpose)
 {
     const auto id = state.next_store_op++;
     const bool relayed = std::holds_alternative<relayed_purpose>(purpose);
-    state.store_ops.emplace(id, std::move(purpose));
+    state.store_ops.emplace(id, purpose);
     // Every other operation goes directly all the same: that is how this process learns that it reaches the
     // store again.
     const auto* const peer = relayed || id % 2 == 0 ? nullptr : relay_for(state);
--- a/src/control/entry_takeover.cpp
+++ b/src/control/entry_takeover.cpp
@@ -42,8 +42,12 @@
     state.runtimes[program.program].active = call.ref.key;
     const auto ref = call.ref;
     state.calls[ref] = std::move(call);
-    const auto index = shard_of(ref.program, state.options.shards);
-    send_to(state, intent.target, ask_call{ref, index, state.shards[index].epoch});
+    const auto peer = state.peers.find(intent.target);
+    if (peer != state.peers.end() && peer->second.live)
+    {
+        // Only the life of the target process that the call was sent to can know.
+        resume_at(state, state.calls.at(ref), true);
+    }
 }
 
 /// The call runs at a target process, which will send its outcome here.
@@ -217,7 +221,7 @@
         return;
     }
     auto& shard = state.shards[message.shard];
-    if (!shard.owned || message.epoch != shard.epoch)
+    if (!shard.owned || shard.releasing || message.epoch != shard.epoch)
     {
         return;
     }
--- a/src/control/target_gate.cpp
+++ b/src/control/target_gate.cpp
@@ -84,7 +84,7 @@
             .max_tokens = order.request.max_tokens,
             .arrived = call.arrived,
             .deadline = call.deadline,
-            .first_turn = order.turn_number == 0,
+            .first_turn = order.turn_number <= 1,
             .parent = order.parent};
 }
 
@@ -144,7 +144,10 @@
         refuse_stale(s, link, ref);
         return;
     }
-    if (const auto how = s.settled.find(ref))
+    const auto how = s.settled.find(ref);
+    // An idempotent call whose home no longer has its result may run again.
+    const bool runs_again = message.request.idempotent && how == settlement::ended;
+    if (how && !runs_again)
     {
         answer_settled(s, link, ref, *how);
         return;
--- a/src/daemon/peer_hub.cpp
+++ b/src/daemon/peer_hub.cpp
@@ -107,7 +107,7 @@
 
 peer_link_callbacks peer_hub::callbacks_for(link_id id, bool inbound)
 {
-    peer_link_callbacks callbacks{.on_frame = [this, id](std::string frame) { on_frame(id, frame); },
+    peer_link_callbacks callbacks{.on_frame = [this, id](const std::string& frame) { on_frame(id, frame); },
                                   .on_closed = [this, id](const std::string& /*reason*/) { on_closed(id); },
                                   .on_open = {}};
     callbacks.on_open = [this, id, inbound]
--- a/src/daemon/target_daemon.cpp
+++ b/src/daemon/target_daemon.cpp
@@ -142,12 +142,12 @@
 
     /// @name What the core wants done
     /// @{
-    void perform(send_peer it)
+    void perform(const send_peer& it)
     {
         m_hub.send(it);
     }
 
-    void perform(close_peer it)
+    void perform(const close_peer& it)
     {
         m_hub.close(it);
     }
--- a/src/messages/peer_members.hpp
+++ b/src/messages/peer_members.hpp
@@ -135,7 +135,7 @@
 auto members(T& it)
 {
     return std::tie(it.id, it.method, it.path, it.body, it.key, it.last_event, it.if_match, it.stream,
-                    it.workspace);
+                    it.workspace, it.repeated);
 }
 
 template <codec::like<forward_reply> T>
--- /dev/null
+++ b/standins/standin_main.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// What the mains of small HTTP stand-ins share.
+#pragma once
+
+#include "masticcourse/net/http_server.hpp"
+#include "routes.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/program_options.hpp>
+
+#include <cstdlib>
+#include <exception>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <string>
+
+namespace masticcourse::standins
+{
+
+/// Reads `--listen` and further options, and serves until a signal.
+/// @param about   the program's name and what it is, for the help
+/// @param options what is read besides `--listen` and `--help`
+/// @param make    makes the handler once the options are read
+/// @return the exit code
+inline int standin_main(int argc, char** argv, const std::string& about,
+                        const boost::program_options::options_description& options,
+                        const std::function<http_handler(boost::asio::io_context&)>& make)
+{
+    namespace po = boost::program_options;
+    try
+    {
+        std::string address;
+        po::options_description all{about};
+        all.add_options()("help", "print this help");
+        all.add_options()("listen", po::value(&address)->default_value("127.0.0.1:0"), "ip:port; port 0: any");
+        all.add(options);
+        po::variables_map given;
+        po::store(po::parse_command_line(argc, argv, all), given);
+        po::notify(given);
+        if (given.contains("help"))
+        {
+            std::cout << all;
+            return EXIT_SUCCESS;
+        }
+        boost::asio::io_context context{1};
+        http_limits limits;
+        limits.max_body = std::size_t{64} << 20U;
+        const http_server server{context, address, limits, make(context)};
+        serve_until_signal(context, server);
+        return EXIT_SUCCESS;
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << about << ": " << error.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
+
+} // namespace masticcourse::standins
--- /dev/null
+++ b/standins/store_http.cpp
@@ -0,0 +1,227 @@
+#include "store_http.hpp"
+
+#include "routes.hpp"
+
+#include "masticcourse/daemon/control_loop.hpp"
+#include "masticcourse/net/percent.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace masticcourse::standins
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_created = 201;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_precondition_failed = 412;
+constexpr int status_unavailable = 503;
+
+std::optional<row_version> expected_version(const http_request& request)
+{
+    if (request.header("If-None-Match") == "*")
+    {
+        return 0;
+    }
+    const auto tag = request.header("If-Match").value_or("");
+    const auto from = tag.find_first_not_of('"');
+    row_version version = 0;
+    if (from == std::string::npos ||
+        std::from_chars(tag.data() + from, tag.data() + tag.size(), version).ec != std::errc{})
+    {
+        return std::nullopt;
+    }
+    return version;
+}
+
+std::optional<store_op> table_op(const http_request& request, const std::string& key)
+{
+    if (request.method == "GET")
+    {
+        return table_get{key};
+    }
+    const auto expected = expected_version(request);
+    if (request.method != "PUT" || !expected)
+    {
+        return std::nullopt;
+    }
+    return table_put{key, request.body, *expected};
+}
+
+std::optional<store_op> object_op(const http_request& request, const std::string& key)
+{
+    if (request.method == "GET")
+    {
+        return object_get{key};
+    }
+    if (request.method == "DELETE")
+    {
+        return object_delete{key};
+    }
+    if (request.method != "PUT" || request.header("If-None-Match") != "*")
+    {
+        return std::nullopt;
+    }
+    return object_create{key, request.body};
+}
+
+/// The operation that a request asks for, if it is a valid one.
+std::optional<store_op> operation_of(const http_request& request)
+{
+    const auto path = path_segments(request.target);
+    const auto prefix = query_value(split_target(request.target).query, "prefix");
+    if (path.size() == 1 && prefix && request.method == "GET")
+    {
+        return path[0] == "table"     ? std::optional<store_op>{table_list{*prefix}}
+               : path[0] == "objects" ? std::optional<store_op>{object_list{*prefix}}
+                                      : std::nullopt;
+    }
+    if (path.size() != 2)
+    {
+        return std::nullopt;
+    }
+    return path[0] == "table"     ? table_op(request, path[1])
+           : path[0] == "objects" ? object_op(request, path[1])
+                                  : std::nullopt;
+}
+
+std::string listing(const std::vector<table_row>& rows, bool objects)
+{
+    json document = json::array();
+    for (const auto& it : rows)
+    {
+        document.push_back(objects ? json(it.key)
+                                   : json{{"key", it.key}, {"value", it.value}, {"version", it.version}});
+    }
+    return document.dump();
+}
+
+http_response response_of(const store_reply& reply, bool creates)
+{
+    switch (reply.status)
+    {
+    case store_status::ok:
+        break;
+    case store_status::conflict:
+        return json_error(status_precondition_failed, "the condition does not hold");
+    case store_status::not_found:
+        return json_error(status_not_found, "there is none");
+    default:
+        return json_error(status_unavailable, "refused");
+    }
+    http_response response{.status = creates ? status_created : status_ok,
+                           .content_type = "application/octet-stream",
+                           .body = reply.value};
+    if (reply.version > 0)
+    {
+        response.headers.push_back({"ETag", '"' + std::to_string(reply.version) + '"'});
+    }
+    return response;
+}
+
+/// Reads the members that the document has; the others stay as they are.
+bool read_faults(const std::string& body, store_faults& faults)
+{
+    const auto document = json::parse(body, nullptr, false);
+    if (!document.is_object())
+    {
+        return false;
+    }
+    faults.outage = document.value("outage", faults.outage);
+    faults.delay = std::chrono::milliseconds{document.value("delay_ms", faults.delay.count())};
+    faults.lose_answers = document.value("lose_answers", faults.lose_answers);
+    if (document.contains("writes_per_second"))
+    {
+        faults.writes_per_second = document["writes_per_second"].get<double>();
+    }
+    if (document.contains("reads_per_second"))
+    {
+        faults.reads_per_second = document["reads_per_second"].get<double>();
+    }
+    return true;
+}
+
+} // namespace
+
+store_http::store_http(boost::asio::io_context& context) : m_context(context) {}
+
+void store_http::handle(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+{
+    if (request.target == "/stats")
+    {
+        show_stats(*exchange);
+        return;
+    }
+    if (request.target == "/faults")
+    {
+        set_faults(request, *exchange);
+        return;
+    }
+    const auto operation = operation_of(request);
+    if (!operation)
+    {
+        exchange->respond(json_error(status_bad_request, "no such operation"));
+        return;
+    }
+    auto reply = m_store.apply(*operation, monotonic_now());
+    const bool objects = std::holds_alternative<object_list>(*operation);
+    if (objects || std::holds_alternative<table_list>(*operation))
+    {
+        reply.value = listing(reply.rows, objects);
+    }
+    answer_later(exchange, reply, std::holds_alternative<object_create>(*operation));
+}
+
+void store_http::answer_later(const std::shared_ptr<http_exchange>& exchange, const store_reply& reply,
+                              bool creates)
+{
+    if (reply.status == store_status::lost)
+    {
+        // Dropping the exchange closes the connection without an answer.
+        return;
+    }
+    if (m_store.faults().delay.count() == 0)
+    {
+        exchange->respond(response_of(reply, creates));
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_store.faults().delay);
+    timer->async_wait([timer, exchange, response = response_of(reply, creates)](const auto& /*ec*/)
+                      { exchange->respond(response); });
+}
+
+void store_http::set_faults(const http_request& request, http_exchange& exchange)
+{
+    auto faults = m_store.faults();
+    if (!read_faults(request.body, faults))
+    {
+        exchange.respond(json_error(status_bad_request, "not an object"));
+        return;
+    }
+    m_store.set_faults(faults);
+    exchange.respond(json_response(status_ok, "{}"));
+}
+
+void store_http::show_stats(http_exchange& exchange) const
+{
+    const auto& stats = m_store.stats();
+    exchange.respond(json_response(status_ok, json{{"reads", stats.reads},
+                                                   {"writes", stats.writes},
+                                                   {"conflicts", stats.conflicts},
+                                                   {"refused", stats.refused},
+                                                   {"lost_answers", stats.lost_answers}}
+                                                  .dump()));
+}
+
+} // namespace masticcourse::standins
--- /dev/null
+++ b/standins/store_http.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// The platform's table service and object store over HTTP, with faults on command.
+#pragma once
+
+#include "masticcourse/net/http_server.hpp"
+#include "platform_store.hpp"
+
+#include <memory>
+#include <string>
+
+namespace boost::asio
+{
+class io_context;
+} // namespace boost::asio
+
+namespace masticcourse::standins
+{
+
+/// `GET|PUT /table/{key}`, `GET /table?prefix=`, `GET|PUT|DELETE /objects/{key}`, `GET /objects?prefix=`,
+/// `POST /faults`, `GET /stats`. Not thread-safe.
+class store_http
+{
+  public:
+    explicit store_http(boost::asio::io_context& context);
+
+    void handle(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+
+  private:
+    void set_faults(const http_request& request, http_exchange& exchange);
+    void show_stats(http_exchange& exchange) const;
+    void answer_later(const std::shared_ptr<http_exchange>& exchange, const store_reply& reply, bool creates);
+
+    boost::asio::io_context& m_context;
+    platform_store m_store;
+};
+
+} // namespace masticcourse::standins
--- /dev/null
+++ b/standins/vm_list.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// A stand-in for the platform's list of VMs, which lags.
+#pragma once
+
+#include "masticcourse/net/http_server.hpp"
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace masticcourse::standins
+{
+
+/// `GET /vms` shows what `PUT /vms` said a while ago. Not thread-safe.
+class vm_list
+{
+  public:
+    /// @param lag how old what is shown is
+    explicit vm_list(std::chrono::milliseconds lag);
+
+    void handle(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+
+  private:
+    struct version
+    {
+        std::chrono::steady_clock::time_point said;
+        std::string list;
+    };
+
+    [[nodiscard]] std::string shown();
+
+    std::chrono::milliseconds m_lag;
+    std::deque<version> m_versions;
+};
+
+} // namespace masticcourse::standins
--- a/tests/support/system_world.cpp
+++ b/tests/support/system_world.cpp
@@ -119,12 +119,15 @@
 std::vector<known_process> system_world::all_processes() const
 {
     std::vector<known_process> all;
+    all.reserve(m_nodes.size());
     for (const auto& it : m_nodes)
     {
         all.push_back({.role = it->is_entry ? process_role::entry : process_role::target,
                        .name = it->name,
                        .address = it->address,
-                       .service = it->is_entry ? service_name{} : it->is_model ? model_service : tool_service,
+                       .service = it->is_entry   ? service_name{}
+                                  : it->is_model ? model_service
+                                                 : tool_service,
                        .failure_domain = {"d" + std::to_string(it->index % 3)}});
     }
     return all;
@@ -318,9 +321,9 @@
 {
     const auto find_caller = [&](request_id id)
     {
-        return std::ranges::find_if(m_callers, [&](const auto& it)
-                                    { return it.second.entry == at.index && it.second.life == at.life &&
-                                             it.second.id == id; });
+        return std::ranges::find_if(
+            m_callers, [&](const auto& it)
+            { return it.second.entry == at.index && it.second.life == at.life && it.second.id == id; });
     };
     const auto finish = [&](auto it)
     {
@@ -521,7 +524,8 @@
     auto decoded = decode_message(encode(order.message));
     const auto at_time = std::max(line->last_delivery[1 - end], m_now + network_delay());
     line->last_delivery[1 - end] = at_time;
-    deliver(to, line->lives[1 - end], peer_received{line->ids[1 - end], std::move(*decoded)}, at_time - m_now);
+    deliver(to, line->lives[1 - end], peer_received{line->ids[1 - end], std::move(*decoded)},
+            at_time - m_now);
 }
 
 void system_world::do_close(node& at, const close_peer& order)
@@ -598,7 +602,7 @@
         stream_answer(at, order, m_options.model_time);
         return;
     }
-    const auto time = m_options.tool_time / 2 + core_duration{random(1 + m_options.tool_time.count())};
+    const auto time = m_options.tool_time / 2 + core_duration{random(1 + static_cast<std::uint64_t>(m_options.tool_time.count()))};
     after(time,
           [this, &at, order, token]
           {
@@ -637,7 +641,8 @@
         const auto size = answer.size();
         const auto from = size * static_cast<std::size_t>(part) / token_parts;
         const auto to = size * static_cast<std::size_t>(part + 1) / token_parts;
-        const auto input = engine_tokens{order.call, static_cast<std::uint64_t>(part), answer.substr(from, to - from)};
+        const auto input =
+            engine_tokens{order.call, static_cast<std::uint64_t>(part), answer.substr(from, to - from)};
         after(time * (part + 1) / (token_parts + 1),
               [this, &at, still_runs, input]
               {
@@ -699,8 +704,13 @@
     {
         line += " " + it.key + "=" + it.value;
     }
-    m_trace.push_back(std::move(line));
-    if (m_trace.size() > 2 * trace_length)
+    note(line);
+}
+
+void system_world::note(const std::string& what)
+{
+    m_trace.push_back(what);
+    if (!m_options.keep_trace && m_trace.size() > 2 * trace_length)
     {
         m_trace.erase(m_trace.begin(), m_trace.begin() + trace_length);
     }
@@ -720,7 +730,8 @@
                   on_answer({});
                   return;
               }
-              m_callers[number] = {.entry = entry, .life = at.life, .id = number, .on_answer = std::move(on_answer)};
+              m_callers[number] = {
+                  .entry = entry, .life = at.life, .id = number, .on_answer = std::move(on_answer)};
               take(at, caller_request{number, std::move(raw)});
           });
     return number;
@@ -765,6 +776,7 @@
 
 void system_world::kill_entry(std::size_t entry, bool silent)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: kill entry " + std::to_string(entry) + (silent ? " silent" : ""));
     auto& it = *m_nodes[entry];
     if (!it.alive())
     {
@@ -777,6 +789,7 @@
 
 void system_world::start_entry(std::size_t entry)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: start entry " + std::to_string(entry));
     if (!m_nodes[entry]->alive())
     {
         make_core(*m_nodes[entry]);
@@ -785,11 +798,13 @@
 
 void system_world::freeze_entry(std::size_t entry, core_duration time)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: freeze entry " + std::to_string(entry) + " " + std::to_string(time.count()));
     m_nodes[entry]->frozen_until = m_now + time;
 }
 
 void system_world::stop_entry(std::size_t entry)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: stop entry " + std::to_string(entry));
     if (m_nodes[entry]->alive())
     {
         take(*m_nodes[entry], stop_requested{});
@@ -798,6 +813,7 @@
 
 void system_world::kill_target(std::size_t target, bool silent)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: kill target " + std::to_string(target));
     auto& it = target_node(target);
     if (it.alive())
     {
@@ -808,6 +824,7 @@
 
 void system_world::start_target(std::size_t target)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: start target " + std::to_string(target));
     if (!target_node(target).alive())
     {
         make_core(target_node(target));
@@ -816,6 +833,7 @@
 
 void system_world::freeze_target(std::size_t target, core_duration time)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: freeze target " + std::to_string(target) + " " + std::to_string(time.count()));
     target_node(target).frozen_until = m_now + time;
 }
 
@@ -829,6 +847,7 @@
 
 void system_world::cut(const process_name& a, const process_name& b)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: cut " + a.value + " " + b.value);
     m_cuts.insert(ordered(a, b));
 }
 
@@ -839,6 +858,7 @@
 
 void system_world::cut_from_store(const process_name& process, bool cut)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: store cut " + process.value + (cut ? " on" : " off"));
     if (cut)
     {
         m_cut_from_store.insert(process);
@@ -849,6 +869,7 @@
 
 void system_world::silence(const process_name& a, const process_name& b)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: silence " + a.value + " " + b.value);
     for (const auto& it : m_wires)
     {
         if (ordered(it->ends[0]->name, it->ends[1]->name) == ordered(a, b))
@@ -946,7 +967,8 @@
 std::string system_world::trace() const
 {
     std::string text;
-    const auto from = m_trace.size() > trace_length ? m_trace.size() - trace_length : 0;
+    const bool all = m_options.keep_trace || m_trace.size() <= trace_length;
+    const auto from = all ? 0 : m_trace.size() - trace_length;
     for (auto n = from; n < m_trace.size(); ++n)
     {
         text += m_trace[n] + "\n";
--- a/tests/support/system_world.hpp
+++ b/tests/support/system_world.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// The real control cores of several entries and targets in virtual time, with small fakes at their interfaces:
-/// connections, store, engines and services, callers. Every choice comes from one seed.
+/// The real control cores of several entries and targets in virtual time, with small fakes at their
+/// interfaces: connections, store, engines and services, callers. Every choice comes from one seed.
 #pragma once
 
 #include "platform_store.hpp"
@@ -8,6 +8,7 @@
 #include "masticcourse/control/entry_core.hpp"
 #include "masticcourse/control/target_core.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -34,6 +35,8 @@
     core_duration store_delay = std::chrono::milliseconds{3};
     core_duration model_time = std::chrono::milliseconds{60};
     core_duration tool_time = std::chrono::milliseconds{40};
+    /// Keep all events, not only the latest.
+    bool keep_trace = false;
 };
 
 /// The answer to one request of a caller.
@@ -133,6 +136,7 @@
     [[nodiscard]] std::uint64_t random(std::uint64_t below);
     /// @return the latest events, for a failing test's report
     [[nodiscard]] std::string trace() const;
+    void note(const std::string& what);
     /// @}
 
     [[nodiscard]] process_name entry_name(std::size_t entry) const;
@@ -153,10 +157,10 @@
     };
     struct wire
     {
-        node* ends[2] = {};
-        link_id ids[2] = {};
-        std::uint64_t lives[2] = {};
-        core_time last_delivery[2] = {};
+        std::array<node*, 2> ends{};
+        std::array<link_id, 2> ids{};
+        std::array<std::uint64_t, 2> lives{};
+        std::array<core_time, 2> last_delivery{};
         bool silent = false;
         bool open = false;
     };
--- a/tests/unit/test_system.cpp
+++ b/tests/unit/test_system.cpp
@@ -1,5 +1,7 @@
-// The real cores of entries and targets together, in virtual time: the main job, and what must hold under each fault.
+// The real cores of entries and targets together, in virtual time: the main job, and what must hold under
+// each fault.
 #include "support/caller_agent.hpp"
+#include "support/chaos.hpp"
 #include "support/system_world.hpp"
 
 #include <doctest/doctest.h>
@@ -64,3 +66,17 @@
         f.check();
     }
 }
+
+TEST_CASE("random faults")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed)
+    {
+        const auto report = run_chaos({.seed = seed});
+        INFO("seed " << seed);
+        for (const auto& it : report.violations)
+        {
+            FAIL_CHECK(it << " seed " << seed);
+        }
+        MESSAGE(seed << ": turns " << report.turns << ", unknown " << report.unknown_turns << ", refusals " << report.refusals << ", takeovers " << report.takeovers << ", seconds " << report.elapsed.count() / 1000000);
+    }
+}
