--- /dev/null
+++ b/src/cli/check_command.cpp
@@ -0,0 +1,78 @@
+// `masticcourse check`: reads a settings file and says all that is wrong with it.
+#include "deployment_access.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <ostream>
+
+namespace masticcourse::detail
+{
+
+namespace
+{
+
+void add_options(po::options_description& options)
+{
+    options.add_options()("json", "write the faults as JSON");
+    options.add_options()("markdown", "write the reference of all keys instead");
+}
+
+nlohmann::json fault_json(const settings_fault& fault)
+{
+    return {{"file", fault.file}, {"line", fault.line}, {"key", fault.key}, {"message", fault.message}};
+}
+
+void write_faults(const std::vector<settings_fault>& faults, bool as_json, console& to)
+{
+    auto rows = nlohmann::json::array();
+    for (const auto& it : faults)
+    {
+        rows.push_back(fault_json(it));
+        if (!as_json)
+        {
+            to.err << to_string(it) << "\n";
+        }
+    }
+    if (as_json)
+    {
+        to.out << rows.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
+    }
+}
+
+exit_code run(const po::variables_map& options, console& to)
+{
+    if (options.count("markdown") != 0)
+    {
+        to.out << settings_reference();
+        return exit_code::ok;
+    }
+    const auto path = argument_of(options);
+    if (path.empty())
+    {
+        to.err << "check: the settings file is missing\n";
+        return exit_code::usage;
+    }
+    const bool as_json = options.count("json") != 0;
+    const auto result = read_settings(path);
+    if (const auto* const faults = std::get_if<std::vector<settings_fault>>(&result))
+    {
+        write_faults(*faults, as_json, to);
+        return exit_code::usage;
+    }
+    const auto& settings = std::get<deployment_settings>(result);
+    if (as_json)
+    {
+        write_faults({}, true, to);
+        return exit_code::ok;
+    }
+    to.out << path << ": good (" << settings.customer << ": " << settings.entries.size() << " entries, "
+           << settings.targets.size() << " targets, " << settings.workspaces.size() << " workspaces)\n";
+    return exit_code::ok;
+}
+
+} // namespace
+
+const command_row check_command{"check", "FILE", "Checks a settings file and lists all its faults.",
+                                add_options, run};
+
+} // namespace masticcourse::detail
--- /dev/null
+++ b/src/cli/json_reply.hpp
@@ -0,0 +1,31 @@
+/// @file
+/// Reads members of JSON replies for display; what is missing or malformed shows as a dash.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace masticcourse::detail
+{
+
+/// @return the document, or null if @a text is no JSON
+[[nodiscard]] inline nlohmann::json parse_reply(const std::string& text)
+{
+    auto document = nlohmann::json::parse(text, nullptr, false);
+    return document.is_discarded() ? nlohmann::json{} : document;
+}
+
+/// @return a member as text for a table
+[[nodiscard]] inline std::string member_text(const nlohmann::json& document, std::string_view name)
+{
+    if (!document.is_object() || !document.contains(name))
+    {
+        return "-";
+    }
+    const auto& value = document.at(std::string{name});
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+} // namespace masticcourse::detail
--- /dev/null
+++ b/src/cli/load_command.cpp
@@ -0,0 +1,78 @@
+// `masticcourse load`: drives a deployment with its own mix of programs and measures them.
+#include "deployment_access.hpp"
+#include "load_plan.hpp"
+#include "load_report.hpp"
+#include "load_run.hpp"
+
+#include <ostream>
+
+namespace masticcourse::detail
+{
+
+namespace
+{
+
+void add_options(po::options_description& options)
+{
+    const load_options initial;
+    options.add_options()("settings", po::value<std::string>(), "the deployment's settings file");
+    options.add_options()("rate", po::value<double>()->default_value(initial.rate),
+                          "programs that start in a second");
+    options.add_options()("seconds", po::value<std::int64_t>()->default_value(initial.duration.count()),
+                          "for how long programs start");
+    options.add_options()("seed", po::value<std::uint64_t>()->default_value(initial.seed),
+                          "seed of programs and arrivals");
+    options.add_options()("pause-scale", po::value<double>()->default_value(initial.pause_scale),
+                          "factor of all pauses");
+    options.add_options()("json", "write JSON");
+}
+
+std::optional<load_options> read_options(const po::variables_map& options, console& to)
+{
+    load_options load{.rate = options["rate"].as<double>(),
+                      .duration = std::chrono::seconds{options["seconds"].as<std::int64_t>()},
+                      .seed = options["seed"].as<std::uint64_t>(),
+                      .pause_scale = options["pause-scale"].as<double>()};
+    // Negated, so that "not a number" is refused as well.
+    if (!(load.rate > 0) || load.duration.count() <= 0 || !(load.pause_scale >= 0))
+    {
+        to.err << "load: --rate and --seconds must be greater than 0, --pause-scale at least 0\n";
+        return std::nullopt;
+    }
+    return load;
+}
+
+exit_code run(const po::variables_map& options, console& to)
+{
+    const auto load = read_options(options, to);
+    if (!load)
+    {
+        return exit_code::usage;
+    }
+    const auto path = text_of(options, "settings");
+    const auto settings = path.empty() ? std::nullopt : load_settings(path, to);
+    if (!settings)
+    {
+        to.err << (path.empty() ? "load: --settings is needed\n" : "");
+        return exit_code::usage;
+    }
+    const auto programs = plan_load(*settings, *load);
+    const auto report = run_load(*settings, programs, to);
+    if (to.shows_progress)
+    {
+        to.err << "\n";
+    }
+    to.out << (options.count("json") != 0 ? report_json(report) : report_table(report));
+    if (report.counts.calls_finished == 0 && !programs.empty())
+    {
+        return exit_code::unreachable;
+    }
+    return report.counts.programs_failed == 0 ? exit_code::ok : exit_code::remote_failure;
+}
+
+} // namespace
+
+const command_row load_command{"load", "", "Drives a deployment with its mix of programs and measures them.",
+                               add_options, run};
+
+} // namespace masticcourse::detail
