--- a/src/cli/load_report.cpp
+++ b/src/cli/load_report.cpp
@@ -134,7 +134,7 @@
         for (std::size_t n = 0; n < names.size(); ++n)
         {
             const auto value = quantile_of(it.values, quantiles.at(n));
-            row[names.at(n)] = value ? nlohmann::json{value->count()} : nlohmann::json{};
+            row[names.at(n)] = value ? nlohmann::json(value->count()) : nlohmann::json();
         }
         document["latency_ms"][it.name] = std::move(row);
     }
--- a/src/cli/load_run.cpp
+++ b/src/cli/load_run.cpp
@@ -34,11 +34,11 @@
 
 asio::awaitable<http_client_reply> send(http_client& client, http_client_request request)
 {
-    const auto start = [&client](auto handler, http_client_request what)
+    const auto start = [&client](auto handler, const http_client_request& what)
     {
         // The client's callback type is copyable, an asynchronous handler is not.
         auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-        client.send(std::move(what), [shared](http_client_reply reply) { (*shared)(std::move(reply)); });
+        client.send(what, [shared](http_client_reply reply) { (*shared)(std::move(reply)); });
     };
     return asio::async_initiate<const asio::use_awaitable_t<>&, void(http_client_reply)>(
         start, asio::use_awaitable, std::move(request));
--- a/src/cli/timeline_command.cpp
+++ b/src/cli/timeline_command.cpp
@@ -25,6 +25,7 @@
 std::vector<process_access> all_processes(const deployment_settings& settings)
 {
     std::vector<process_access> processes;
+    processes.reserve(settings.entries.size() + settings.targets.size());
     for (const auto& it : settings.entries)
     {
         processes.push_back({it.name.value, it.http_address});
@@ -47,6 +48,7 @@
 {
     const auto processes = all_processes(settings);
     std::vector<http_client_request> requests;
+    requests.reserve(processes.size());
     for (const auto& it : processes)
     {
         requests.push_back(make_request(it.address, "GET", "/v1/timeline", settings.operator_token));
--- /dev/null
+++ b/tests/unit/test_cli.cpp
@@ -0,0 +1,258 @@
+// The command line: usage, what needs no network, and the commands against a small server.
+#include "masticcourse/cli/command_line.hpp"
+#include "masticcourse/net/http_server.hpp"
+#include "masticcourse/settings/settings.hpp"
+#include "masticcourse/telemetry/event.hpp"
+#include "masticcourse/telemetry/timeline.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <thread>
+
+using namespace masticcourse;
+
+namespace
+{
+
+/// What one command did.
+struct command_result
+{
+    exit_code code{};
+    std::string out;
+    std::string err;
+};
+
+command_result run(const std::vector<std::string>& args)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    console to{out, err};
+    const auto code = run_command_line(args, to);
+    return {code, out.str(), err.str()};
+}
+
+const std::string urad_settings = std::string{MASTICCOURSE_SOURCE_DIR} + "/deploy/urad.toml";
+
+/// A file that is gone with its owner.
+class scratch_file
+{
+  public:
+    scratch_file(const std::string& name, const std::string& content)
+        : m_path(std::filesystem::temp_directory_path() / ("masticcourse-test-" + name))
+    {
+        std::ofstream{m_path} << content;
+    }
+    scratch_file(const scratch_file&) = delete;
+    scratch_file(scratch_file&&) = delete;
+    scratch_file& operator=(const scratch_file&) = delete;
+    scratch_file& operator=(scratch_file&&) = delete;
+    ~scratch_file()
+    {
+        std::error_code ec;
+        std::filesystem::remove(m_path, ec);
+    }
+
+    [[nodiscard]] std::string path() const
+    {
+        return m_path.string();
+    }
+
+  private:
+    std::filesystem::path m_path;
+};
+
+/// An entry that gives prepared answers and keeps the requests.
+class fake_entry
+{
+  public:
+    explicit fake_entry(std::map<std::string, http_response> answers)
+        : m_answers(std::move(answers)),
+          m_server(m_context, "127.0.0.1:0", {},
+                   [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+                   { answer(request, *exchange); }),
+          m_thread([this] { m_context.run(); })
+    {
+    }
+    fake_entry(const fake_entry&) = delete;
+    fake_entry(fake_entry&&) = delete;
+    fake_entry& operator=(const fake_entry&) = delete;
+    fake_entry& operator=(fake_entry&&) = delete;
+    ~fake_entry()
+    {
+        m_context.stop();
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_server.port());
+    }
+
+    [[nodiscard]] std::vector<http_request> requests()
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_requests;
+    }
+
+  private:
+    void answer(const http_request& request, http_exchange& exchange)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_requests.push_back(request);
+        const auto it = m_answers.find(request.method + " " + request.target);
+        exchange.respond(it != m_answers.end()
+                             ? it->second
+                             : problem_response({problem_id::unknown_path, ran_state::no, "nothing here"}));
+    }
+
+    boost::asio::io_context m_context{1};
+    std::map<std::string, http_response> m_answers;
+    std::mutex m_mutex;
+    std::vector<http_request> m_requests;
+    http_server m_server;
+    std::jthread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("wrong usage ends with code 2 and says why")
+{
+    const std::vector<std::vector<std::string>> table{
+        {},
+        {"frobnicate"},
+        {"check"},
+        {"check", "--frobnicate"},
+        {"check", "a", "b"},
+        {"check", "--mark"},
+        {"status"},
+        {"programs"},
+        {"timeline"},
+        {"load"},
+        {"load", "--settings", urad_settings, "--rate", "0"},
+        {"load", "--settings", urad_settings, "--rate", "x"},
+        {"patch", "--entry", "127.0.0.1:1", "file"},
+        {"patch", "--entry", "127.0.0.1:1", "--expect", "1"},
+        {"patch", "--entry", "127.0.0.1:1", "--expect", "1", "/nonexistent/patch.json"},
+        {"status", "--settings", "/nonexistent/settings.toml"},
+        {"status", "--entry", "127.0.0.1:1", "--token-file", "/nonexistent/token"},
+    };
+    for (const auto& it : table)
+    {
+        const auto result = run(it);
+        CAPTURE(it.size());
+        CHECK(result.code == exit_code::usage);
+        CHECK_FALSE(result.err.empty());
+    }
+}
+
+TEST_CASE("every command has a help")
+{
+    const auto overview = run({"--help"});
+    CHECK(overview.code == exit_code::ok);
+    for (const auto* name : {"check", "patch", "status", "programs", "timeline", "load", "events"})
+    {
+        const auto result = run({name, "--help"});
+        CHECK(result.code == exit_code::ok);
+        CHECK(result.out.starts_with("masticcourse " + std::string{name}));
+        CHECK(overview.out.find("  " + std::string{name}) != std::string::npos);
+    }
+}
+
+TEST_CASE("check tells good settings from bad ones")
+{
+    CHECK(run({"check", urad_settings}).code == exit_code::ok);
+    const scratch_file bad{"bad.toml", "customer = 3\ncolour = 4\n"};
+    const auto result = run({"check", bad.path()});
+    CHECK(result.code == exit_code::usage);
+    CHECK(result.err.find(bad.path() + ":2: colour: unknown key\n") != std::string::npos);
+    const auto as_json = run({"check", "--json", bad.path()});
+    CHECK(nlohmann::json::parse(as_json.out).size() >= 2);
+}
+
+TEST_CASE("the pages of the docs come from the command line")
+{
+    CHECK(run({"events", "--markdown"}).out == event_reference());
+    CHECK(run({"check", "--markdown"}).out == settings_reference());
+    CHECK(nlohmann::json::parse(run({"events", "--json"}).out).size() == event_catalogue.size());
+}
+
+TEST_CASE("patch sends the version that it was made against, and the token")
+{
+    fake_entry entry{{{"PATCH /v1/config", {.body = R"({"limits":{}})", .headers = {{"ETag", "\"8\""}}}}}};
+    const scratch_file patch{"patch.json", R"({"limits":null})"};
+    const scratch_file token{"token", "secret-of-operators\n"};
+    const auto result = run(
+        {"patch", "--entry", entry.address(), "--token-file", token.path(), "--expect", "7", patch.path()});
+    CHECK(result.code == exit_code::ok);
+    CHECK(result.out == "version \"8\"\n{\"limits\":{}}\n");
+    const auto requests = entry.requests();
+    REQUIRE(requests.size() == 1);
+    CHECK(requests.front().body == R"({"limits":null})");
+    CHECK(requests.front().header("If-Match") == "\"7\"");
+    CHECK(requests.front().header("Authorization") == "Bearer secret-of-operators");
+}
+
+TEST_CASE("a refused patch ends with code 1 and shows the problem")
+{
+    fake_entry entry{{{"PATCH /v1/config", problem_response({problem_id::version_conflict, ran_state::no,
+                                                             "version 9 is in force"})}}};
+    const scratch_file patch{"conflict.json", "{}"};
+    const auto result = run({"patch", "--entry", entry.address(), "--expect", "7", patch.path()});
+    CHECK(result.code == exit_code::remote_failure);
+    CHECK(result.err.find("version 9 is in force") != std::string::npos);
+}
+
+TEST_CASE("without a version patch shows the configuration in force")
+{
+    fake_entry entry{{{"GET /v1/config", {.body = "{}", .headers = {{"ETag", "\"3\""}}}}}};
+    CHECK(run({"patch", "--entry", entry.address()}).out == "version \"3\"\n{}\n");
+}
+
+TEST_CASE("an entry that is away ends with code 3")
+{
+    // The port is free once its owner is gone.
+    std::string address;
+    {
+        const fake_entry gone{{}};
+        address = gone.address();
+    }
+    const auto result = run({"status", "--entry", address});
+    CHECK(result.code == exit_code::unreachable);
+    CHECK(result.out.find("unreachable") != std::string::npos);
+}
+
+TEST_CASE("status and programs show what the entries say, and stand malformed answers")
+{
+    struct row
+    {
+        const char* status;
+        const char* programs;
+        const char* shown;
+    };
+    constexpr std::array table{
+        row{R"({"programs":17,"config":4,"peers":[{"live":true},{"live":false}]})",
+            R"({"programs":[{"program":"p-1","turns":3,"class":"assistance"}]})", "1/2"},
+        row{"no json", "[]", "-"},
+        row{R"({"peers":3})", R"({"programs":7})", "-"},
+    };
+    for (const auto& it : table)
+    {
+        fake_entry entry{{{"GET /readyz", {}},
+                          {"GET /v1/status", {.body = it.status}},
+                          {"GET /v1/programs", {.body = it.programs}}}};
+        const auto status = run({"status", "--entry", entry.address()});
+        CHECK(status.code == exit_code::ok);
+        CHECK(status.out.find(it.shown) != std::string::npos);
+        CHECK(run({"programs", "--entry", entry.address()}).code == exit_code::ok);
+        CHECK(nlohmann::json::parse(run({"programs", "--json", "--entry", entry.address()}).out).is_array());
+        CHECK(nlohmann::json::parse(run({"status", "--json", "--entry", entry.address()}).out).size() == 1);
+    }
+}
