--- a/src/cli/timeline_command.cpp
+++ b/src/cli/timeline_command.cpp
@@ -15,9 +15,9 @@
 void add_options(po::options_description& options)
 {
     options.add_options()("settings", po::value<std::string>(), "the deployment's settings file");
-    options.add_options()("trace", po::value<std::string>(), "file for the Chrome trace JSON");
-    options.add_options()("listing", po::value<std::string>(),
-                          "file for the plain listing; without it the listing is shown");
+    options.add_options()(
+        "out", po::value<std::string>(),
+        "write PREFIX.json (Chrome trace) and PREFIX.txt (listing) in place of showing one");
     options.add_options()("program", po::value<std::string>(), "only events of this program");
     options.add_options()("json", "show the Chrome trace JSON in place of the listing");
 }
@@ -74,16 +74,17 @@
     return fetched;
 }
 
-/// Writes to the file that an option names, if it names one.
-bool write_option(const po::variables_map& options, const char* name, const std::string& content, console& to)
+/// Writes both forms beside each other.
+/// @return whether both were written
+bool write_files(const std::string& prefix, const std::vector<timeline_event>& events, console& to)
 {
-    const auto path = text_of(options, name);
-    if (path.empty() || write_file(path, content))
+    const bool written = write_file(prefix + ".json", to_chrome_trace(events)) &&
+                         write_file(prefix + ".txt", to_listing(events));
+    if (!written)
     {
-        return true;
+        to.err << prefix << ": can't be written\n";
     }
-    to.err << path << ": can't be written\n";
-    return false;
+    return written;
 }
 
 exit_code run(const po::variables_map& options, console& to)
@@ -101,20 +102,11 @@
     {
         std::erase_if(events, [&](const timeline_event& it) { return it.program != program; });
     }
-    const auto trace = to_chrome_trace(events);
-    const auto listing = to_listing(events);
-    if (!write_option(options, "trace", trace, to) || !write_option(options, "listing", listing, to))
+    if (const auto prefix = text_of(options, "out"); !prefix.empty())
     {
-        return exit_code::usage;
-    }
-    if (options.count("json") != 0)
-    {
-        to.out << trace << "\n";
-    }
-    else if (options.count("listing") == 0)
-    {
-        to.out << listing;
+        return write_files(prefix, events, to) ? fetched.code : exit_code::usage;
     }
+    to.out << (options.count("json") != 0 ? to_chrome_trace(events) + "\n" : to_listing(events));
     return fetched.code;
 }
 
--- a/tests/support/caller_agent.cpp
+++ b/tests/support/caller_agent.cpp
@@ -72,8 +72,8 @@
     m_world.after(wait, std::move(action));
 }
 
-/// Sends a request to any entry. A request that gets no answer for long, or whose caller loses its patience, counts as
-/// one whose connection broke.
+/// Sends a request to any entry. A request that gets no answer for long, or whose caller loses its patience,
+/// counts as one whose connection broke.
 void caller_agent::send(forward_request raw, std::function<void(const caller_answer&)> on_answer)
 {
     const auto attempt = ++m_attempt;
@@ -87,9 +87,8 @@
     };
     raw.workspace = {"w1"};
     const auto number = m_world.request(m_world.random(m_world.options().entries), std::move(raw), once);
-    const auto patience = chance(m_options.hang_up)
-                              ? core_duration{m_world.random(200'000)}
-                              : m_options.patience;
+    const auto patience =
+        chance(m_options.hang_up) ? core_duration{m_world.random(200'000)} : m_options.patience;
     m_world.after(patience,
                   [this, attempt, number, once]
                   {
@@ -136,9 +135,8 @@
         return;
     }
     const auto number = std::to_string(++m_keys);
-    m_current = seen_turn{.key = {"c" + number},
-                          .tool = chance(m_options.tool),
-                          .input = m_name + " says " + number};
+    m_current =
+        seen_turn{.key = {"c" + number}, .tool = chance(m_options.tool), .input = m_name + " says " + number};
     m_certainly_not_run = true;
     m_streams = !m_current->tool && chance(m_options.stream);
     send_call();
@@ -328,7 +326,8 @@
     }
     if (m_world.computed_for(m_program) > m_options.budget)
     {
-        violate("engines computed " + std::to_string(m_world.computed_for(m_program)) + " tokens over the budget");
+        violate("engines computed " + std::to_string(m_world.computed_for(m_program)) +
+                " tokens over the budget");
     }
 }
 
--- a/tests/support/system_world.cpp
+++ b/tests/support/system_world.cpp
@@ -124,7 +124,9 @@
         all.push_back({.role = it->is_entry ? process_role::entry : process_role::target,
                        .name = it->name,
                        .address = it->address,
-                       .service = it->is_entry ? service_name{} : it->is_model ? model_service : tool_service,
+                       .service = it->is_entry   ? service_name{}
+                                  : it->is_model ? model_service
+                                                 : tool_service,
                        .failure_domain = {"d" + std::to_string(it->index % 3)}});
     }
     return all;
@@ -318,9 +320,9 @@
 {
     const auto find_caller = [&](request_id id)
     {
-        return std::ranges::find_if(m_callers, [&](const auto& it)
-                                    { return it.second.entry == at.index && it.second.life == at.life &&
-                                             it.second.id == id; });
+        return std::ranges::find_if(
+            m_callers, [&](const auto& it)
+            { return it.second.entry == at.index && it.second.life == at.life && it.second.id == id; });
     };
     const auto finish = [&](auto it)
     {
@@ -521,7 +523,8 @@
     auto decoded = decode_message(encode(order.message));
     const auto at_time = std::max(line->last_delivery[1 - end], m_now + network_delay());
     line->last_delivery[1 - end] = at_time;
-    deliver(to, line->lives[1 - end], peer_received{line->ids[1 - end], std::move(*decoded)}, at_time - m_now);
+    deliver(to, line->lives[1 - end], peer_received{line->ids[1 - end], std::move(*decoded)},
+            at_time - m_now);
 }
 
 void system_world::do_close(node& at, const close_peer& order)
@@ -637,7 +640,8 @@
         const auto size = answer.size();
         const auto from = size * static_cast<std::size_t>(part) / token_parts;
         const auto to = size * static_cast<std::size_t>(part + 1) / token_parts;
-        const auto input = engine_tokens{order.call, static_cast<std::uint64_t>(part), answer.substr(from, to - from)};
+        const auto input =
+            engine_tokens{order.call, static_cast<std::uint64_t>(part), answer.substr(from, to - from)};
         after(time * (part + 1) / (token_parts + 1),
               [this, &at, still_runs, input]
               {
@@ -720,7 +724,8 @@
                   on_answer({});
                   return;
               }
-              m_callers[number] = {.entry = entry, .life = at.life, .id = number, .on_answer = std::move(on_answer)};
+              m_callers[number] = {
+                  .entry = entry, .life = at.life, .id = number, .on_answer = std::move(on_answer)};
               take(at, caller_request{number, std::move(raw)});
           });
     return number;
--- a/tests/support/system_world.hpp
+++ b/tests/support/system_world.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// The real control cores of several entries and targets in virtual time, with small fakes at their interfaces:
-/// connections, store, engines and services, callers. Every choice comes from one seed.
+/// The real control cores of several entries and targets in virtual time, with small fakes at their
+/// interfaces: connections, store, engines and services, callers. Every choice comes from one seed.
 #pragma once
 
 #include "platform_store.hpp"
--- a/tests/unit/test_cli.cpp
+++ b/tests/unit/test_cli.cpp
@@ -256,3 +256,51 @@
         CHECK(nlohmann::json::parse(run({"status", "--json", "--entry", entry.address()}).out).size() == 1);
     }
 }
+
+TEST_CASE("timeline merges what all processes export, and says who did not answer")
+{
+    timeline of_entry{{"entry-1"}, 4};
+    of_entry.record(
+        {.stamp = {std::chrono::microseconds{2}, 0}, .id = event_id::call_accepted, .program = {"p"}});
+    timeline of_target{{"llm-1"}, 4};
+    of_target.record({.stamp = {std::chrono::microseconds{1}, 0}, .id = event_id::peer_up});
+    fake_entry entry{{{"GET /v1/timeline", {.body = of_entry.to_json()}}}};
+    fake_entry target{{{"GET /v1/timeline", {.body = of_target.to_json()}}}};
+    fake_entry broken{{{"GET /v1/timeline", {.body = "no json"}}}};
+    const auto settings = [&](const std::string& http_of_target)
+    {
+        return "customer = \"c\"\noperator_token = \"operator-token-16\"\n"
+               "platform = {store_address = \"127.0.0.1:1\"}\nservices = [{name = \"llm\", kind = "
+               "\"model\"}]\n"
+               "entries = [{name = \"entry-1\", region = \"r\", failure_domain = \"d\", peer_address = "
+               "\"127.0.0.1:2\", http_address = \"" +
+               entry.address() +
+               "\"}]\ntargets = [{name = \"llm-1\", region = \"r\", failure_domain = \"d\", service = "
+               "\"llm\", "
+               "peer_address = \"127.0.0.1:3\", backend_address = \"127.0.0.1:4\", http_address = \"" +
+               http_of_target + "\"}]\n";
+    };
+    const scratch_file good{"timeline.toml", settings(target.address())};
+    const auto listed = run({"timeline", "--settings", good.path()});
+    CHECK(listed.code == exit_code::ok);
+    const auto first = listed.out.find("llm-1 . E4001 peer_up");
+    CHECK(first != std::string::npos);
+    CHECK(listed.out.find("entry-1 . E2101 call_accepted program=p") > first);
+    const auto filtered = run({"timeline", "--settings", good.path(), "--program", "p"});
+    CHECK(filtered.out.find("peer_up") == std::string::npos);
+    CHECK(nlohmann::json::parse(run({"timeline", "--settings", good.path(), "--json"}).out)
+              .contains("traceEvents"));
+
+    const scratch_file trace{"out.json", ""};
+    const scratch_file listing{"out.txt", ""};
+    const auto prefix = trace.path().substr(0, trace.path().size() - std::string{".json"}.size());
+    CHECK(run({"timeline", "--settings", good.path(), "--out", prefix}).code == exit_code::ok);
+    CHECK(std::filesystem::file_size(trace.path()) > 0);
+    CHECK(std::filesystem::file_size(listing.path()) == listed.out.size());
+
+    const scratch_file partial{"timeline-partial.toml", settings(broken.address())};
+    const auto incomplete = run({"timeline", "--settings", partial.path()});
+    CHECK(incomplete.code == exit_code::remote_failure);
+    CHECK(incomplete.err.find("llm-1") != std::string::npos);
+    CHECK(incomplete.out.find("call_accepted") != std::string::npos);
+}
--- /dev/null
+++ b/tests/unit/test_load_run.cpp
@@ -0,0 +1,177 @@
+// A load run against a small server that refuses, loses and answers calls.
+#include "../../src/cli/load_run.hpp"
+
+#include "masticcourse/net/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <thread>
+
+using namespace masticcourse;
+using namespace masticcourse::detail;
+using nlohmann::json;
+
+namespace
+{
+
+/// An entry that holds programs, and treats the first request for each call as its test says.
+class scripted_entry
+{
+  public:
+    enum class first_answer
+    {
+        good,
+        refused,
+        lost,
+        unknown,
+    };
+
+    explicit scripted_entry(first_answer first)
+        : m_first(first),
+          m_server(m_context, "127.0.0.1:0", {},
+                   [this](const http_request& request, std::shared_ptr<http_exchange> exchange)
+                   { answer(request, std::move(exchange)); }),
+          m_thread([this] { m_context.run(); })
+    {
+    }
+    scripted_entry(const scripted_entry&) = delete;
+    scripted_entry(scripted_entry&&) = delete;
+    scripted_entry& operator=(const scripted_entry&) = delete;
+    scripted_entry& operator=(scripted_entry&&) = delete;
+    ~scripted_entry()
+    {
+        m_context.stop();
+    }
+
+    [[nodiscard]] deployment_settings settings() const
+    {
+        return {.entries = {{.http_address = "127.0.0.1:" + std::to_string(m_server.port())}},
+                .services = {{.name = {"llm"}}},
+                .workspaces = {{.id = {"w"}, .token = "token", .max_budget = 100}}};
+    }
+
+    /// Calls that ran, each counted once.
+    [[nodiscard]] std::size_t calls()
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_asked.size();
+    }
+
+    [[nodiscard]] int open_programs()
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_open;
+    }
+
+  private:
+    void answer(const http_request& request, std::shared_ptr<http_exchange> exchange)
+    {
+        const std::lock_guard lock{m_mutex};
+        if (request.method == "DELETE")
+        {
+            --m_open;
+            exchange->respond({.body = "{}"});
+        }
+        else if (request.target == "/v1/programs")
+        {
+            ++m_open;
+            exchange->respond({.status = 201, .body = json{{"program", std::to_string(m_next++)}}.dump()});
+        }
+        else
+        {
+            answer_call(request, std::move(exchange));
+        }
+    }
+
+    void answer_call(const http_request& request, std::shared_ptr<http_exchange> exchange)
+    {
+        const bool first = m_asked[request.target + request.header("Idempotency-Key").value_or("")]++ == 0;
+        if (!first || m_first == first_answer::good)
+        {
+            const json usage{{"prompt", 50}, {"cached", 20}, {"completion", 10}};
+            exchange->respond({.body = json{{"output", "x"}, {"ran", "yes"}, {"usage", usage}}.dump()});
+        }
+        else if (m_first == first_answer::refused)
+        {
+            exchange->respond(problem_response(
+                {problem_id::overloaded, ran_state::no, "busy", std::chrono::milliseconds{1}}));
+        }
+        else if (m_first == first_answer::unknown)
+        {
+            exchange->respond(problem_response({problem_id::outcome_unknown, ran_state::unknown, "lost"}));
+        }
+        // Otherwise the exchange is dropped, which closes the connection.
+    }
+
+    first_answer m_first;
+    boost::asio::io_context m_context{1};
+    std::mutex m_mutex;
+    std::map<std::string, int> m_asked;
+    int m_open = 0;
+    int m_next = 1;
+    http_server m_server;
+    std::jthread m_thread;
+};
+
+std::vector<planned_program> two_programs()
+{
+    const planned_turn call{.service = {"llm"}, .input = "x", .max_tokens = 5};
+    planned_turn sub_agent;
+    sub_agent.sub_agent = {call};
+    return {{.budget = 100, .turns = {call, call}}, {.budget = 100, .turns = {call, sub_agent, call}}};
+}
+
+load_report run_against(scripted_entry& entry)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    console to{out, err};
+    return run_load(entry.settings(), two_programs(), to);
+}
+
+} // namespace
+
+TEST_CASE("a run goes through all turns and sub-agents, and ends its programs")
+{
+    scripted_entry entry{scripted_entry::first_answer::good};
+    const auto report = run_against(entry);
+    CHECK(report.counts.programs_finished == 2);
+    CHECK(report.samples.size() == 2);
+    CHECK(report.counts.calls_finished == 5);
+    CHECK(entry.calls() == 5);
+    CHECK(entry.open_programs() == 0);
+    // Two second turns had 60 known tokens, of which the prompt held 50 and the cache 20.
+    CHECK(report.counts.seen_tokens == 100);
+    CHECK(report.counts.wasted_tokens == 60);
+}
+
+TEST_CASE("refused and lost calls are sent again under their own keys")
+{
+    for (const auto first : {scripted_entry::first_answer::refused, scripted_entry::first_answer::lost})
+    {
+        scripted_entry entry{first};
+        const auto report = run_against(entry);
+        const bool refused = first == scripted_entry::first_answer::refused;
+        CHECK(report.counts.programs_finished == 2);
+        CHECK(entry.calls() == 5);
+        CHECK(report.counts.refusals == (refused ? 5 : 0));
+        CHECK(report.counts.repeats == (refused ? 0 : 5));
+    }
+}
+
+TEST_CASE("a call whose outcome is unknown ends its program and is not sent again")
+{
+    scripted_entry entry{scripted_entry::first_answer::unknown};
+    const auto report = run_against(entry);
+    CHECK(report.counts.programs_failed == 2);
+    CHECK(report.counts.outcomes_unknown == 2);
+    CHECK(entry.calls() == 2);
+    CHECK(entry.open_programs() == 0);
+}
--- a/tests/unit/test_system.cpp
+++ b/tests/unit/test_system.cpp
@@ -1,4 +1,5 @@
-// The real cores of entries and targets together, in virtual time: the main job, and what must hold under each fault.
+// The real cores of entries and targets together, in virtual time: the main job, and what must hold under
+// each fault.
 #include "support/caller_agent.hpp"
 #include "support/system_world.hpp"
 
