--- a/tests/unit/test_cli.cpp
+++ b/tests/unit/test_cli.cpp
@@ -9,6 +9,8 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -47,7 +49,7 @@
 {
   public:
     scratch_file(const std::string& name, const std::string& content)
-        : m_path(std::filesystem::temp_directory_path() / ("masticcourse-test-" + name))
+        : m_path(std::filesystem::temp_directory_path() / (std::to_string(::getpid()) + "-" + name))
     {
         std::ofstream{m_path} << content;
     }
