--- a/include/masticcourse/settings/settings.hpp
+++ b/include/masticcourse/settings/settings.hpp
@@ -87,16 +87,8 @@
     std::uint32_t repeat_limit = 8;
     /// Threads that move bytes, beside the one control thread.
     std::uint32_t traffic_threads = 2;
-    /// Entries that write journals of their own; the others append through them.
-    std::uint32_t journal_writers = 8;
     /// Bytes of a request's body.
     std::size_t max_body = std::size_t{1} << 20U;
-    /// Bytes of a call's input.
-    std::size_t max_input = std::size_t{256} << 10U;
-    /// Turns that one entry may hold undurable while the store is away.
-    std::size_t pending_turns = 1000;
-    /// Programs under way that one entry may be home of.
-    std::size_t max_programs = 60'000;
     /// Tokens of budget that a home takes ahead at one time.
     token_count escrow = 20'000;
     std::chrono::milliseconds heartbeat_period{500};
@@ -108,8 +100,6 @@
     std::chrono::milliseconds journal_gap{25};
     /// Longest that a reply waits for its turn to be durable.
     std::chrono::milliseconds durability_wait{250};
-    /// Mean time between two looks at the configuration in the store.
-    std::chrono::milliseconds config_poll{5'000};
     /// Longest that a graceful shutdown waits for work in progress.
     std::chrono::milliseconds drain_wait{120'000};
 };
--- a/src/settings/key_table.hpp
+++ b/src/settings/key_table.hpp
@@ -47,7 +47,8 @@
 
 inline constexpr std::int64_t max_ms = 3'600'000;
 inline constexpr std::int64_t max_tokens = 1'000'000'000;
-inline constexpr std::int64_t max_bytes = 64 << 20;
+/// What the readers of bodies take at most (input_limits).
+inline constexpr std::int64_t max_body_bytes = 1 << 20;
 
 inline constexpr std::array root_keys{
     key_row<root_settings>{.key = "customer",
@@ -205,30 +206,11 @@
                              .least = 1,
                              .most = 64,
                              .doc = "Threads that move bytes, beside the control thread."},
-    key_row<limits_settings>{.key = "journal_writers",
-                             .member = &limits_settings::journal_writers,
-                             .least = 1,
-                             .most = 64,
-                             .doc = "Entries that write journals; the others append through them."},
     key_row<limits_settings>{.key = "max_body",
                              .member = &limits_settings::max_body,
                              .least = 1024,
-                             .most = max_bytes,
+                             .most = max_body_bytes,
                              .doc = "Bytes of a request's body."},
-    key_row<limits_settings>{.key = "max_input",
-                             .member = &limits_settings::max_input,
-                             .least = 1024,
-                             .most = max_bytes,
-                             .doc = "Bytes of a call's input."},
-    key_row<limits_settings>{.key = "pending_turns",
-                             .member = &limits_settings::pending_turns,
-                             .most = 1'000'000,
-                             .doc = "Turns that an entry may hold undurable while the store is away."},
-    key_row<limits_settings>{.key = "max_programs",
-                             .member = &limits_settings::max_programs,
-                             .least = 1,
-                             .most = 10'000'000,
-                             .doc = "Programs under way that one entry may be home of."},
     key_row<limits_settings>{.key = "escrow",
                              .member = &limits_settings::escrow,
                              .least = 1,
@@ -258,11 +240,6 @@
                              .member = &limits_settings::durability_wait,
                              .most = 60'000,
                              .doc = "Longest that a reply waits for its turn to be durable."},
-    key_row<limits_settings>{.key = "config_poll_ms",
-                             .member = &limits_settings::config_poll,
-                             .least = 100,
-                             .most = max_ms,
-                             .doc = "Mean time between two looks at the configuration in the store."},
     key_row<limits_settings>{.key = "drain_wait_ms",
                              .member = &limits_settings::drain_wait,
                              .least = 100,
--- a/src/settings/settings_checks.cpp
+++ b/src/settings/settings_checks.cpp
@@ -115,10 +115,6 @@
     {
         faults.add(line, "limits.lease_ms", "must be longer than limits.peer_timeout_ms");
     }
-    if (limits.max_input > limits.max_body)
-    {
-        faults.add(line, "limits.max_input", "must not be greater than limits.max_body");
-    }
 }
 
 } // namespace
