--- a/src/cli/patch_command.cpp
+++ b/src/cli/patch_command.cpp
@@ -19,11 +19,19 @@
     options.add_options()("json", "write the document alone");
 }
 
+/// The version in an entity tag, without its quotes.
+std::string version_text(const http_client_reply& reply)
+{
+    auto tag = reply.header("ETag").value_or("unknown");
+    std::erase(tag, '"');
+    return tag;
+}
+
 void write_document(const http_client_reply& reply, bool as_json, console& to)
 {
     if (!as_json)
     {
-        to.out << "version " << reply.header("ETag").value_or("unknown") << "\n";
+        to.out << "version " << version_text(reply) << "\n";
     }
     to.out << reply.body << "\n";
 }
--- a/src/cli/programs_command.cpp
+++ b/src/cli/programs_command.cpp
@@ -16,6 +16,7 @@
 void add_options(po::options_description& options)
 {
     add_access_options(options);
+    options.add_options()("all", "also those that have ended");
     options.add_options()("json", "write JSON");
 }
 
@@ -36,7 +37,8 @@
 }
 
 /// Adds the programs that one entry is home of.
-void append_programs(nlohmann::json& rows, const http_client_reply& reply, const std::string& home)
+void append_programs(nlohmann::json& rows, const http_client_reply& reply, const std::string& home,
+                     bool with_ended)
 {
     const auto document = parse_reply(reply.body);
     if (!document.is_object() || !document.contains("programs") || !document.at("programs").is_array())
@@ -45,6 +47,10 @@
     }
     for (auto row : document.at("programs"))
     {
+        if (!row.is_object() || (!with_ended && member_text(row, "ended") == "true"))
+        {
+            continue;
+        }
         row["home"] = home;
         rows.push_back(std::move(row));
     }
@@ -68,7 +74,7 @@
     for (std::size_t n = 0; n < replies.size(); ++n)
     {
         code = std::max(code, judge_reply(replies[n], access->entries[n].name, to));
-        append_programs(rows, replies[n], access->entries[n].name);
+        append_programs(rows, replies[n], access->entries[n].name, options.count("all") != 0);
     }
     to.out << (options.count("json") != 0 ? rows.dump() + "\n" : table_text(rows));
     return code;
