--- a/src/control/api_request.cpp
+++ b/src/control/api_request.cpp
@@ -129,10 +129,9 @@
 {
     const auto same = [](std::string_view pattern, const std::string& segment)
     { return pattern.empty() ? !segment.empty() : pattern == segment; };
-    return path.size() == row.segments &&
-           std::equal(path.begin(), path.end(), row.pattern.begin(),
-                      [&](const std::string& segment, std::string_view pattern)
-                      { return same(pattern, segment); });
+    return path.size() == row.segments && std::equal(path.begin(), path.end(), row.pattern.begin(),
+                                                     [&](const std::string& segment, std::string_view pattern)
+                                                     { return same(pattern, segment); });
 }
 
 struct program_visitor
--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -128,7 +128,8 @@
     {
         return;
     }
-    runtime.guard = loop_guard{{.turns = state.view.limits.turn_limit, .repeats = state.view.limits.repeat_limit}};
+    runtime.guard =
+        loop_guard{{.turns = state.view.limits.turn_limit, .repeats = state.view.limits.repeat_limit}};
     std::ranges::for_each(program.turns, [&](const turn& it) { runtime.guard.check(it.request_digest); });
 }
 
@@ -205,8 +206,9 @@
         finish_without_turn(state, call.ref, late);
         return;
     }
-    finish_without_turn(state, call.ref,
-                        {problem_id::deadline_passed, ran_state::no, "the deadline passed before the call ran"});
+    finish_without_turn(
+        state, call.ref,
+        {problem_id::deadline_passed, ran_state::no, "the deadline passed before the call ran"});
 }
 
 /// An idempotent call whose target process can't be reached for long goes elsewhere.
--- a/src/control/entry_config.cpp
+++ b/src/control/entry_config.cpp
@@ -1,4 +1,5 @@
-// The configuration: followed by the versions that peers name, changed by operators' patches against a version.
+// The configuration: followed by the versions that peers name, changed by operators' patches against a
+// version.
 #include "api_documents.hpp"
 #include "entry_state.hpp"
 
@@ -58,7 +59,8 @@
     }
     const auto first = state.options.initial_config;
     const auto id = state.next_patch++;
-    auto machine = config_patch{0, state.options.incarnation.value + "/first",
+    auto machine = config_patch{0,
+                                state.options.incarnation.value + "/first",
                                 [first](const std::string& /*document*/) { return std::optional{first}; },
                                 {}};
     state.patches.emplace(id, patch_row{.machine = std::move(machine),
@@ -115,7 +117,8 @@
                                            .expires = state.now + patch_patience})
                     .first->second;
     auto* const fault = &row.fault;
-    const auto apply = [patch = request.patch, fault](const std::string& document) -> std::optional<std::string>
+    const auto apply = [patch = request.patch,
+                        fault](const std::string& document) -> std::optional<std::string>
     {
         auto result = apply_merge_patch(document, patch);
         if (const auto* const faults = std::get_if<std::vector<config_fault>>(&result))
@@ -125,8 +128,8 @@
         }
         return std::get<config_accepted>(std::move(result)).document;
     };
-    row.machine = config_patch{request.expected,
-                               state.options.incarnation.value + "/" + std::to_string(id), apply, {}};
+    row.machine =
+        config_patch{request.expected, state.options.incarnation.value + "/" + std::to_string(id), apply, {}};
 }
 
 void on_patch_reply(entry_state& state, std::uint64_t patch, const store_reply& reply)
--- a/src/control/entry_core.cpp
+++ b/src/control/entry_core.cpp
@@ -3,8 +3,8 @@
 #include "entry_state.hpp"
 
 #include <algorithm>
-#include <utility>
 #include <chrono>
+#include <utility>
 
 namespace masticcourse
 {
@@ -19,8 +19,8 @@
 {
     recovery = std::make_unique<recovered_journals>(options.incarnation, retry_options{});
     journal = std::make_unique<journal_writer>(
-        options.incarnation, journal_options{.min_gap = options.journal_gap,
-                                             .max_entry_bytes = options.max_entry_bytes});
+        options.incarnation,
+        journal_options{.min_gap = options.journal_gap, .max_entry_bytes = options.max_entry_bytes});
 }
 
 namespace
--- a/src/control/entry_dispatch.cpp
+++ b/src/control/entry_dispatch.cpp
@@ -121,8 +121,8 @@
 
 problem no_target(const call_row& call)
 {
-    return {problem_id::no_target, ran_state::no, "no target of " + call.request.service.value + " takes work",
-            retry_later};
+    return {problem_id::no_target, ran_state::no,
+            "no target of " + call.request.service.value + " takes work", retry_later};
 }
 
 std::chrono::milliseconds time_left(const entry_state& state, const call_row& call)
@@ -359,8 +359,9 @@
         outcome_is_unknown(state, call, "the target process that was sent the call is gone");
         return;
     }
-    retry_or_fail(state, call,
-                  {problem_id::target_failed, ran_state::unknown, "the target process went away", retry_later});
+    retry_or_fail(
+        state, call,
+        {problem_id::target_failed, ran_state::unknown, "the target process went away", retry_later});
 }
 
 } // namespace masticcourse::detail
--- a/src/control/entry_outcomes.cpp
+++ b/src/control/entry_outcomes.cpp
@@ -56,9 +56,11 @@
 /// Target processes that no longer hold a prefix of the program need no lease for it.
 void narrow_leases(program_runtime& runtime)
 {
-    std::erase_if(runtime.touched, [&](const process_name& name)
-                  { return std::ranges::find(runtime.prefixes, name, &prefix_place::target) ==
-                           runtime.prefixes.end(); });
+    std::erase_if(runtime.touched,
+                  [&](const process_name& name) {
+                      return std::ranges::find(runtime.prefixes, name, &prefix_place::target) ==
+                             runtime.prefixes.end();
+                  });
 }
 
 void remember_prefix(program_runtime& runtime, const process_name& target, token_count tokens)
@@ -126,16 +128,15 @@
     call.outcome = outcome;
     call.phase = call_phase::committing;
     call.finished = state.now;
-    const turn_committed record{
-        .program = call.ref.program,
-        .finished = {.number = call.turn_number,
-                     .key = call.ref.key,
-                     .request_digest = call.digest,
-                     .service = call.request.service,
-                     .kind = call.request.kind,
-                     .input = call.request.input,
-                     .outcome = std::move(outcome)},
-        .spent = state.programs.find(call.ref.program)->spent + spent};
+    const turn_committed record{.program = call.ref.program,
+                                .finished = {.number = call.turn_number,
+                                             .key = call.ref.key,
+                                             .request_digest = call.digest,
+                                             .service = call.request.service,
+                                             .kind = call.request.kind,
+                                             .input = call.request.input,
+                                             .outcome = std::move(outcome)},
+                                .spent = state.programs.find(call.ref.program)->spent + spent};
     const auto applied = state.programs.apply(record);
     MASTICCOURSE_INVARIANT(applied == apply_result::applied, "a turn follows the history it is added to");
     when_durable(state, append(state, call.ref.program, record), turn_is_durable{call.ref});
--- a/src/control/entry_peers.cpp
+++ b/src/control/entry_peers.cpp
@@ -156,7 +156,8 @@
     {
         if (const auto it = state.runtimes.find(program); it != state.runtimes.end())
         {
-            std::erase_if(it->second.prefixes, [&](const prefix_place& place) { return place.target == name; });
+            std::erase_if(it->second.prefixes,
+                          [&](const prefix_place& place) { return place.target == name; });
         }
     };
     for (const auto& held : cache.held)
--- a/src/control/entry_programs.cpp
+++ b/src/control/entry_programs.cpp
@@ -93,8 +93,8 @@
     {
         settled += root_of(id) == root ? member.spent : 0;
     }
-    state.ledgers.insert_or_assign(root, budget_ledger{root, program.spec.budget, program.escrow, settled,
-                                                       state.options.escrow_chunk});
+    state.ledgers.insert_or_assign(
+        root, budget_ledger{root, program.spec.budget, program.escrow, settled, state.options.escrow_chunk});
 }
 
 /// Makes the first part of the budget usable together with the program itself.
@@ -279,8 +279,8 @@
     if (journal_is_stalled(state))
     {
         reply_problem(state, route,
-                      {problem_id::store_unavailable, ran_state::no, "a new program can't be made durable now",
-                       std::chrono::seconds{2}});
+                      {problem_id::store_unavailable, ran_state::no,
+                       "a new program can't be made durable now", std::chrono::seconds{2}});
         return;
     }
     auto spec = request.spec;
@@ -299,7 +299,7 @@
     }
     auto named = request;
     named.spec.workspace = workspace;
-    const auto id = sub_agent            ? sub_agent_id(state, named)
+    const auto id = sub_agent           ? sub_agent_id(state, named)
                     : named.key.empty() ? fresh_id(state)
                                         : keyed_id(workspace, named.key);
     if (id.empty())
--- a/src/control/entry_replies.cpp
+++ b/src/control/entry_replies.cpp
@@ -1,4 +1,5 @@
-// Answers to callers, here or at the entry that forwarded their request, whole or as a stream that can be resumed.
+// Answers to callers, here or at the entry that forwarded their request, whole or as a stream that can be
+// resumed.
 #include "api_documents.hpp"
 #include "entry_state.hpp"
 
@@ -13,8 +14,8 @@
 constexpr int status_ok = 200;
 constexpr std::uint64_t hash_bits = 24;
 
-/// The id of a stream's event: how many bytes of the answer the caller has with it, and a hash of them. So any
-/// home can resume the stream, and notices if the caller holds another answer's beginning.
+/// The id of a stream's event: how many bytes of the answer the caller has with it, and a hash of them. So
+/// any home can resume the stream, and notices if the caller holds another answer's beginning.
 std::uint64_t event_id_at(const std::string& answer, std::size_t offset)
 {
     const auto hash = XXH64(answer.data(), offset, 0) & ((std::uint64_t{1} << hash_bits) - 1);
--- a/src/control/entry_requests.cpp
+++ b/src/control/entry_requests.cpp
@@ -1,4 +1,5 @@
-// Requests: those of programs at home here are handled, others go to the program's home and their answers come back.
+// Requests: those of programs at home here are handled, others go to the program's home and their answers
+// come back.
 #include "entry_state.hpp"
 
 #include <algorithm>
@@ -111,7 +112,10 @@
 {
     const auto id = state.next_forward++;
     auto& row = state.forwarded[id];
-    row = {.caller = caller, .raw = raw, .program = program, .expires = state.now + state.options.forward_patience};
+    row = {.caller = caller,
+           .raw = raw,
+           .program = program,
+           .expires = state.now + state.options.forward_patience};
     if (link)
     {
         forward_over(state, id, row, *link);
--- a/src/control/entry_status.cpp
+++ b/src/control/entry_status.cpp
@@ -17,8 +17,7 @@
     auto counts = state.counts;
     counts.programs = state.programs.programs().size();
     counts.calls_in_progress = state.calls.size();
-    counts.shards_owned =
-        static_cast<std::size_t>(std::ranges::count_if(state.shards, &shard_state::owned));
+    counts.shards_owned = static_cast<std::size_t>(std::ranges::count_if(state.shards, &shard_state::owned));
     counts.peers_live = static_cast<std::size_t>(
         std::ranges::count_if(state.peers, [](const auto& it) { return it.second.live; }));
     counts.ready = state.shards_listed && state.config_applied > 0 && !state.stopping;
--- a/src/control/entry_takeover.cpp
+++ b/src/control/entry_takeover.cpp
@@ -126,7 +126,8 @@
 {
     return std::holds_alternative<journal_purpose>(purpose) ||
            std::holds_alternative<recovery_purpose>(purpose) ||
-           std::holds_alternative<claim_purpose>(purpose) || std::holds_alternative<update_purpose>(purpose) ||
+           std::holds_alternative<claim_purpose>(purpose) ||
+           std::holds_alternative<update_purpose>(purpose) ||
            std::holds_alternative<cleaner_purpose>(purpose);
 }
 
--- a/standins/prefix_cache.cpp
+++ b/standins/prefix_cache.cpp
@@ -3,6 +3,7 @@
 #include "masticcourse/model/call.hpp"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace masticcourse::standins
@@ -76,15 +77,15 @@
 void prefix_cache::unpin(const std::vector<prompt_segment>& prompt, core_time now)
 {
     // Children before parents, so that an uncomputed tail can go.
-    for (auto it = prompt.rbegin(); it != prompt.rend(); ++it)
+    for (const auto& it : std::views::reverse(prompt))
     {
-        node& segment = m_nodes.at(it->key);
+        node& segment = m_nodes.at(it.key);
         segment.pins -= 1;
         touch(segment, now);
         const bool uncomputed = segment.pins == 0 && segment.children == 0 && !segment.ready;
         if (uncomputed || abandoned(segment))
         {
-            erase(it->key);
+            erase(it.key);
         }
     }
 }
--- a/tests/unit/target_harness.hpp
+++ b/tests/unit/target_harness.hpp
@@ -82,6 +82,7 @@
         {
             m_now = std::min(end, m_core.next_wakeup());
             std::vector<target_input> inputs;
+            inputs.reserve(m_alive.size());
             for (const link_id link : m_alive)
             {
                 inputs.emplace_back(peer_received{.link = link, .message = peer_heartbeat{}});
--- a/tests/unit/test_target_gate.cpp
+++ b/tests/unit/test_target_gate.cpp
@@ -123,9 +123,8 @@
         {
             return;
         }
-        const auto it = std::next(m_at_target.begin(), which % m_at_target.size());
-        const call_ref ref = *it;
-        m_at_target.erase(it);
+        const auto steps = static_cast<std::ptrdiff_t>(which % m_at_target.size());
+        const call_ref ref = m_at_target.extract(std::next(m_at_target.begin(), steps)).value();
         call_outcome lost{.error = {.id = problem_id::outcome_unknown, .ran = ran_state::unknown}};
         m_target.give(engine_finished{.call = ref, .outcome = well ? make_outcome(ref.key.value) : lost});
     }
@@ -139,7 +138,7 @@
             m_at_target.insert(it.call);
             m_covered.starts += 1;
         }
-        for (const link_id link : {1, 2})
+        for (const link_id link : {1U, 2U})
         {
             check_messages(link);
         }
