--- a/src/control/target_core.cpp
+++ b/src/control/target_core.cpp
@@ -229,8 +229,6 @@
     target_counts counts = s.counts;
     counts.queued = s.queue.size();
     counts.running = s.admission.running();
-    counts.kept = static_cast<std::size_t>(std::ranges::count_if(
-        s.calls, [](const auto& it) { return it.second.stage == detail::call_stage::finished; }));
     counts.kept_bytes = s.bytes;
     counts.programs = s.programs.size();
     counts.links = s.links.size();
--- a/src/control/target_results.cpp
+++ b/src/control/target_results.cpp
@@ -51,6 +51,7 @@
     call.bytes = call.order.request.input.size() + call.outcome.output.size();
     s.bytes = s.bytes - before + call.bytes;
     s.counts.finished += 1;
+    s.counts.kept += 1;
     s.trace(event_id::call_ended, ref, {{"ok", call.outcome.error.failed() ? "false" : "true"}});
     s.send(s.home_of(call), finished_message(call));
     if (s.released.contains(ref.program))
@@ -92,6 +93,10 @@
         s.queue.remove(ref);
         stop_deadline(s, it->second);
     }
+    else
+    {
+        s.counts.kept -= 1;
+    }
     s.settled.settle(ref, how, s.now);
     s.bytes -= it->second.bytes;
     s.calls.erase(it);
--- a/standins/plain_service.cpp
+++ b/standins/plain_service.cpp
@@ -44,6 +44,10 @@
     {
         exchange->respond(json_response(status_ok, stats()));
     }
+    else if (path == std::vector<std::string>{"faults"} && request.method == "GET")
+    {
+        exchange->respond(json_response(status_ok, json{{"unanswered", m_unanswered.size()}}.dump()));
+    }
     else if (path == std::vector<std::string>{"faults"})
     {
         take_faults(request, *exchange);
--- a/standins/plain_service.hpp
+++ b/standins/plain_service.hpp
@@ -33,7 +33,7 @@
     std::chrono::milliseconds delay{};
 };
 
-/// Serves `POST /v1/invoke`, `GET /stats` and `POST /faults`, all on the context's one thread.
+/// Serves `POST /v1/invoke`, `GET /stats`, `GET` and `POST /faults`, all on the context's one thread.
 class plain_service
 {
   public:
--- a/tests/unit/test_target_core.cpp
+++ b/tests/unit/test_target_core.cpp
@@ -359,6 +359,9 @@
             engine_finished{.call = ref_of("a"), .outcome = {.error = {.id = problem_id::cancelled}}});
         CHECK(target.outputs<engine_free>().size() == 2);
         CHECK(target.core().counts().kept == 0);
+        // A renewal that crosses the release brings nothing back.
+        renew(1);
+        CHECK(target.core().counts().programs == 0);
         target.receive(1, make_dispatch("a"));
         CHECK(target.started() == keys{"a"});
     }
