--- a/include/masticcourse/settings/config_document.hpp
+++ b/include/masticcourse/settings/config_document.hpp
@@ -29,8 +29,6 @@
     /// Whether a call that doesn't say so may be run again.
     bool idempotent_default = false;
     std::chrono::milliseconds default_deadline{60'000};
-    /// Calls of this service that one entry has under way at most; 0 for no bound.
-    std::uint32_t max_concurrent = 0;
     friend bool operator==(const service_config&, const service_config&) = default;
 };
 
@@ -40,21 +38,15 @@
     workspace_id id;
     token_count max_budget = 300'000;
     service_class priority = service_class::standard;
-    /// Programs under way; 0 for no bound.
-    std::uint32_t max_programs = 0;
-    /// 0 for no bound.
-    token_count tokens_per_second = 0;
     friend bool operator==(const workspace_config&, const workspace_config&) = default;
 };
 
-/// `targets.NAME`; targets that it doesn't name take work with weight 1.
+/// `targets.NAME`; targets that it doesn't name take work.
 struct target_config
 {
     process_name name;
     /// Takes no new work.
     bool leaving = false;
-    /// Its share of new programs against other targets' 1.
-    double weight = 1;
     friend bool operator==(const target_config&, const target_config&) = default;
 };
 
@@ -117,6 +109,9 @@
 /// @return the document that a new deployment starts with
 [[nodiscard]] std::string initial_config(const deployment_settings& settings);
 
+/// @return the table of all members, as it stands in docs/operators/configuration.md
+[[nodiscard]] std::string config_reference();
+
 /// @return all faults in one line, for a problem's detail
 [[nodiscard]] std::string to_string(const std::vector<config_fault>& faults);
 
--- a/src/input/json_members.cpp
+++ b/src/input/json_members.cpp
@@ -20,23 +20,18 @@
     return "from " + std::to_string(rule.least) + " to " + std::to_string(rule.most);
 }
 
-std::string choices_text(std::span<const std::string_view> names)
+std::string join(std::span<const std::string_view> names)
 {
-    std::string text = "must be one of";
+    std::string text;
     for (const auto name : names)
     {
-        text.append(" ").append(name);
+        text.append(text.empty() ? "" : ", ").append(name);
     }
     return text;
 }
 
 bool in_range(const json& value, const member_rule& rule)
 {
-    if (value.is_number_float())
-    {
-        const auto number = value.get<double>();
-        return number >= static_cast<double>(rule.least) && number <= static_cast<double>(rule.most);
-    }
     constexpr auto greatest = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
     if (value.is_number_unsigned() && value.get<std::uint64_t>() > greatest)
     {
@@ -69,12 +64,11 @@
     return text_fault(text_format::name, value.get_ref<const std::string&>());
 }
 
-std::optional<std::string> number_fault(const json& value, const member_rule& rule, bool whole)
+std::optional<std::string> integer_fault(const json& value, const member_rule& rule)
 {
-    const bool right_type = whole ? value.is_number_integer() : value.is_number();
-    if (!right_type || !in_range(value, rule))
+    if (!value.is_number_integer() || !in_range(value, rule))
     {
-        return std::string{whole ? "must be an integer " : "must be a number "} + range_text(rule);
+        return "must be an integer " + range_text(rule);
     }
     return std::nullopt;
 }
@@ -83,7 +77,7 @@
 {
     const bool known =
         value.is_string() && std::ranges::find(names, value.get_ref<const std::string&>()) != names.end();
-    return known ? std::nullopt : std::optional{choices_text(names)};
+    return known ? std::nullopt : std::optional{"must be one of " + join(names)};
 }
 
 std::optional<std::string> value_fault(const json& value, const member_rule& rule)
@@ -97,9 +91,7 @@
     case member_type::boolean:
         return value.is_boolean() ? std::nullopt : std::optional<std::string>{"must be true or false"};
     case member_type::integer:
-        return number_fault(value, rule, true);
-    case member_type::number:
-        return number_fault(value, rule, false);
+        return integer_fault(value, rule);
     case member_type::kind:
         return choice_fault(value, call_kind_names());
     case member_type::priority:
@@ -122,6 +114,26 @@
 
 } // namespace
 
+std::string describe_type(const member_rule& rule)
+{
+    switch (rule.type)
+    {
+    case member_type::text:
+        return "text of " + range_text(rule) + " bytes";
+    case member_type::name:
+        return "name";
+    case member_type::boolean:
+        return "true or false";
+    case member_type::integer:
+        return "integer " + range_text(rule);
+    case member_type::kind:
+        return join(call_kind_names());
+    case member_type::priority:
+        return join(service_class_names());
+    }
+    return {};
+}
+
 std::string member_pointer(const std::string& pointer, std::string_view name)
 {
     std::string text = pointer + "/";
--- a/src/input/json_members.hpp
+++ b/src/input/json_members.hpp
@@ -23,7 +23,6 @@
     name,
     boolean,
     integer,
-    number,
     kind,
     priority,
 };
@@ -34,11 +33,16 @@
     std::string_view name;
     member_type type = member_type::text;
     bool required = false;
-    /// Least and greatest number; for a text, its bytes.
+    /// Least and greatest integer; for a text, its bytes.
     std::int64_t least = 0;
     std::int64_t most = 0;
+    /// For the operators' pages.
+    std::string_view doc;
 };
 
+/// @return what values the rule allows, in words
+[[nodiscard]] std::string describe_type(const member_rule& rule);
+
 /// @return the JSON pointer to member @a name of what @a pointer points to
 [[nodiscard]] std::string member_pointer(const std::string& pointer, std::string_view name);
 
--- a/src/settings/config_document.cpp
+++ b/src/settings/config_document.cpp
@@ -22,44 +22,62 @@
 
 constexpr std::int64_t max_ms = 3'600'000;
 constexpr std::int64_t max_tokens = 1'000'000'000;
-constexpr std::int64_t max_count = 10'000'000;
-constexpr std::int64_t max_weight = 100;
 
 constexpr std::array service_rules{
-    member_rule{.name = "kind", .type = member_type::kind, .required = true},
-    member_rule{.name = "idempotent_default", .type = member_type::boolean},
-    member_rule{.name = "default_deadline_ms", .type = member_type::integer, .least = 1, .most = max_ms},
-    member_rule{.name = "max_concurrent", .type = member_type::integer, .most = max_count},
+    member_rule{
+        .name = "kind", .type = member_type::kind, .required = true, .doc = "What a call of the service is."},
+    member_rule{
+        .name = "idempotent_default",
+        .type = member_type::boolean,
+        .doc = "Whether a call that doesn't say so may be run again; if left out, true for models only."},
+    member_rule{.name = "default_deadline_ms",
+                .type = member_type::integer,
+                .least = 1,
+                .most = max_ms,
+                .doc = "Deadline of a call that names none."},
 };
 
 constexpr std::array workspace_rules{
-    member_rule{.name = "max_budget", .type = member_type::integer, .least = 1, .most = max_tokens},
-    member_rule{.name = "class", .type = member_type::priority},
-    member_rule{.name = "max_programs", .type = member_type::integer, .most = max_count},
-    member_rule{.name = "tokens_per_second", .type = member_type::integer, .most = max_tokens},
+    member_rule{.name = "max_budget",
+                .type = member_type::integer,
+                .least = 1,
+                .most = max_tokens,
+                .doc = "Most tokens that one program may be given."},
+    member_rule{
+        .name = "class", .type = member_type::priority, .doc = "Class of its programs that name none."},
 };
 
 constexpr std::array target_rules{
-    member_rule{.name = "leaving", .type = member_type::boolean},
-    member_rule{.name = "weight", .type = member_type::number, .most = max_weight},
+    member_rule{
+        .name = "leaving", .type = member_type::boolean, .doc = "Whether the target gets no new calls."},
 };
 
 constexpr std::array limits_rules{
-    member_rule{.name = "turn_limit", .type = member_type::integer, .least = 1, .most = 100'000},
-    member_rule{.name = "repeat_limit", .type = member_type::integer, .least = 2, .most = 1000},
+    member_rule{.name = "turn_limit",
+                .type = member_type::integer,
+                .least = 1,
+                .most = 100'000,
+                .doc = "Turns that one program may have."},
+    member_rule{.name = "repeat_limit",
+                .type = member_type::integer,
+                .least = 2,
+                .most = 1000,
+                .doc = "Times that one program may make the same call."},
 };
 
 /// One member of the document whose own members are named by the operators.
 struct section_rule
 {
     std::string_view name;
+    /// How the members' own names are called in the reference.
+    std::string_view placeholder;
     std::span<const member_rule> rules;
 };
 
 constexpr std::array sections{
-    section_rule{"services", service_rules},
-    section_rule{"workspaces", workspace_rules},
-    section_rule{"targets", target_rules},
+    section_rule{"services", "NAME", service_rules},
+    section_rule{"workspaces", "ID", workspace_rules},
+    section_rule{"targets", "NAME", target_rules},
 };
 
 constexpr std::string_view limits_name = "limits";
@@ -143,8 +161,6 @@
     row.idempotent_default =
         detail::read_member<bool>(value, "idempotent_default").value_or(row.kind == call_kind::model);
     row.default_deadline = detail::read_ms(value, "default_deadline_ms").value_or(row.default_deadline);
-    row.max_concurrent =
-        detail::read_member<std::uint32_t>(value, "max_concurrent").value_or(row.max_concurrent);
     return row;
 }
 
@@ -153,9 +169,6 @@
     workspace_config row{.id = {id}};
     row.max_budget = detail::read_member<token_count>(value, "max_budget").value_or(row.max_budget);
     row.priority = detail::read_priority(value, "class").value_or(row.priority);
-    row.max_programs = detail::read_member<std::uint32_t>(value, "max_programs").value_or(row.max_programs);
-    row.tokens_per_second =
-        detail::read_member<token_count>(value, "tokens_per_second").value_or(row.tokens_per_second);
     return row;
 }
 
@@ -163,7 +176,6 @@
 {
     target_config row{.name = {name}};
     row.leaving = detail::read_member<bool>(value, "leaving").value_or(row.leaving);
-    row.weight = detail::read_member<double>(value, "weight").value_or(row.weight);
     return row;
 }
 
@@ -198,6 +210,18 @@
     return it != rows.end() && (*it).*member == name ? &*it : nullptr;
 }
 
+std::string reference_rows(const std::string& prefix, std::span<const member_rule> rules)
+{
+    std::string text;
+    for (const auto& it : rules)
+    {
+        text.append("| `").append(prefix).append(".").append(it.name).append("` | ");
+        text.append(detail::describe_type(it)).append(it.required ? ", required | " : " | ");
+        text.append(it.doc).append(" |\n");
+    }
+    return text;
+}
+
 json service_to_json(const service_settings& service)
 {
     return {{"kind", to_string(service.kind)},
@@ -278,6 +302,16 @@
     return document.dump();
 }
 
+std::string config_reference()
+{
+    std::string text = "| member | type | meaning |\n| --- | --- | --- |\n";
+    for (const auto& it : sections)
+    {
+        text += reference_rows(std::string{it.name} + "." + std::string{it.placeholder}, it.rules);
+    }
+    return text + reference_rows(std::string{limits_name}, limits_rules);
+}
+
 std::string to_string(const std::vector<config_fault>& faults)
 {
     std::string text;
--- a/tests/unit/test_docs.cpp
+++ b/tests/unit/test_docs.cpp
@@ -1,5 +1,6 @@
 // Pages that come from tables in the code say what the tables say.
 #include "masticcourse/core/problem.hpp"
+#include "masticcourse/settings/config_document.hpp"
 #include "masticcourse/settings/settings.hpp"
 #include "masticcourse/telemetry/event.hpp"
 
@@ -29,6 +30,12 @@
     CHECK(read_page("operators/settings.md") == settings_reference());
 }
 
+TEST_CASE("docs/operators/configuration.md has the table of members")
+{
+    CHECK(read_page("operators/configuration.md").find("\n" + config_reference() + "\n") !=
+          std::string::npos);
+}
+
 TEST_CASE("docs/EVENTS.md is the catalogue")
 {
     CHECK(read_page("EVENTS.md") == event_reference());
