--- a/src/settings/config_document.cpp
+++ b/src/settings/config_document.cpp
@@ -43,8 +43,9 @@
                 .least = 1,
                 .most = max_tokens,
                 .doc = "Most tokens that one program may be given."},
-    member_rule{
-        .name = "class", .type = member_type::priority, .doc = "Class of its programs that name none."},
+    member_rule{.name = "class",
+                .type = member_type::priority,
+                .doc = "Class of its programs, unless they ask for background."},
 };
 
 constexpr std::array target_rules{
--- a/src/settings/key_table.hpp
+++ b/src/settings/key_table.hpp
@@ -164,7 +164,7 @@
                                 .doc = "Most tokens that one of its programs may be given."},
     key_row<workspace_settings>{.key = "class",
                                 .member = &workspace_settings::priority,
-                                .doc = "The class of its programs that name none."},
+                                .doc = "The class of its programs, unless they ask for background."},
 };
 
 inline constexpr std::array platform_keys{
