--- a/tests/support/system_world.cpp
+++ b/tests/support/system_world.cpp
@@ -119,6 +119,7 @@
 std::vector<known_process> system_world::all_processes() const
 {
     std::vector<known_process> all;
+    all.reserve(m_nodes.size());
     for (const auto& it : m_nodes)
     {
         all.push_back({.role = it->is_entry ? process_role::entry : process_role::target,
@@ -601,7 +602,7 @@
         stream_answer(at, order, m_options.model_time);
         return;
     }
-    const auto time = m_options.tool_time / 2 + core_duration{random(1 + m_options.tool_time.count())};
+    const auto time = m_options.tool_time / 2 + core_duration{random(1 + static_cast<std::uint64_t>(m_options.tool_time.count()))};
     after(time,
           [this, &at, order, token]
           {
@@ -703,8 +704,13 @@
     {
         line += " " + it.key + "=" + it.value;
     }
-    m_trace.push_back(std::move(line));
-    if (m_trace.size() > 2 * trace_length)
+    note(line);
+}
+
+void system_world::note(const std::string& what)
+{
+    m_trace.push_back(what);
+    if (!m_options.keep_trace && m_trace.size() > 2 * trace_length)
     {
         m_trace.erase(m_trace.begin(), m_trace.begin() + trace_length);
     }
@@ -770,6 +776,7 @@
 
 void system_world::kill_entry(std::size_t entry, bool silent)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: kill entry " + std::to_string(entry) + (silent ? " silent" : ""));
     auto& it = *m_nodes[entry];
     if (!it.alive())
     {
@@ -782,6 +789,7 @@
 
 void system_world::start_entry(std::size_t entry)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: start entry " + std::to_string(entry));
     if (!m_nodes[entry]->alive())
     {
         make_core(*m_nodes[entry]);
@@ -790,11 +798,13 @@
 
 void system_world::freeze_entry(std::size_t entry, core_duration time)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: freeze entry " + std::to_string(entry) + " " + std::to_string(time.count()));
     m_nodes[entry]->frozen_until = m_now + time;
 }
 
 void system_world::stop_entry(std::size_t entry)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: stop entry " + std::to_string(entry));
     if (m_nodes[entry]->alive())
     {
         take(*m_nodes[entry], stop_requested{});
@@ -803,6 +813,7 @@
 
 void system_world::kill_target(std::size_t target, bool silent)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: kill target " + std::to_string(target));
     auto& it = target_node(target);
     if (it.alive())
     {
@@ -813,6 +824,7 @@
 
 void system_world::start_target(std::size_t target)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: start target " + std::to_string(target));
     if (!target_node(target).alive())
     {
         make_core(target_node(target));
@@ -821,6 +833,7 @@
 
 void system_world::freeze_target(std::size_t target, core_duration time)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: freeze target " + std::to_string(target) + " " + std::to_string(time.count()));
     target_node(target).frozen_until = m_now + time;
 }
 
@@ -834,6 +847,7 @@
 
 void system_world::cut(const process_name& a, const process_name& b)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: cut " + a.value + " " + b.value);
     m_cuts.insert(ordered(a, b));
 }
 
@@ -844,6 +858,7 @@
 
 void system_world::cut_from_store(const process_name& process, bool cut)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: store cut " + process.value + (cut ? " on" : " off"));
     if (cut)
     {
         m_cut_from_store.insert(process);
@@ -854,6 +869,7 @@
 
 void system_world::silence(const process_name& a, const process_name& b)
 {
+    note(std::to_string(m_now.time_since_epoch().count()) + " fault: silence " + a.value + " " + b.value);
     for (const auto& it : m_wires)
     {
         if (ordered(it->ends[0]->name, it->ends[1]->name) == ordered(a, b))
@@ -951,7 +967,8 @@
 std::string system_world::trace() const
 {
     std::string text;
-    const auto from = m_trace.size() > trace_length ? m_trace.size() - trace_length : 0;
+    const bool all = m_options.keep_trace || m_trace.size() <= trace_length;
+    const auto from = all ? 0 : m_trace.size() - trace_length;
     for (auto n = from; n < m_trace.size(); ++n)
     {
         text += m_trace[n] + "\n";
