--- a/include/masticcourse/policy/load_tracker.hpp
+++ b/include/masticcourse/policy/load_tracker.hpp
@@ -23,7 +23,7 @@
     explicit load_tracker(core_duration lag);
 
     /// A report has come.
-    void on_report(const target_load& report, core_time now);
+    void on_report(core_time now);
 
     /// A call has been sent.
     /// @param prefill tokens of its prompt that the target has to compute
@@ -33,7 +33,7 @@
     /// A call has ended there in any way.
     void on_ended(const call_ref& call);
 
-    /// Writes the last report and the work since then into @a view.
+    /// Writes the own work that @a view's report can't know of into it.
     /// @param lifetime a report older than this counts for nothing: all own calls are taken into account
     void fill(target_view& view, core_time now, core_duration lifetime) const;
 
@@ -50,7 +50,6 @@
     };
 
     core_duration m_lag = std::chrono::milliseconds{1};
-    target_load m_report;
     core_time m_reported{};
     std::map<call_ref, sent_call> m_calls;
     /// The work of calls that the last report can't know of, and of all.
--- a/include/masticcourse/policy/placement.hpp
+++ b/include/masticcourse/policy/placement.hpp
@@ -108,7 +108,11 @@
     placement_policy policy;
     /// Speeds of a target that has not reported any, tokens per second.
     double default_prefill_rate = 8000;
-    double default_decode_rate = 1000;
+    double default_decode_rate = 700;
+    /// Sequences of an engine's full batch, which share its decode rate.
+    double batch = 16;
+    /// How much each running sequence lengthens the steps of the others, as a part of a step.
+    double batch_slowdown = 0.02;
     /// A report older than this tells nothing about the queue.
     core_duration report_lifetime = std::chrono::seconds{5};
 };
--- a/src/policy/load_tracker.cpp
+++ b/src/policy/load_tracker.cpp
@@ -7,9 +7,8 @@
 
 load_tracker::load_tracker(core_duration lag) : m_lag(lag) {}
 
-void load_tracker::on_report(const target_load& report, core_time now)
+void load_tracker::on_report(core_time now)
 {
-    m_report = report;
     m_reported = now;
     m_new_prefill = 0;
     m_new_decode = 0;
@@ -51,8 +50,6 @@
 void load_tracker::fill(target_view& view, core_time now, core_duration lifetime) const
 {
     const bool stale = now - m_reported > lifetime;
-    view.report = m_report;
-    view.reported = m_reported;
     view.in_flight_prefill = stale ? m_all_prefill : m_new_prefill;
     view.in_flight_decode = stale ? m_all_decode : m_new_decode;
     view.in_flight = static_cast<std::uint32_t>(m_calls.size());
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -137,8 +137,7 @@
         const core_duration prefill =
             time_for(m_query.prompt_tokens - cached, prefill_rate(target, m_options));
         const core_duration again = time_for(m_longest.tokens - cached, prefill_rate(target, m_options));
-        const core_duration base = expected_queue(target, m_now, m_options) +
-                                   time_for(m_query.expected_completion, decode_rate(target, m_options));
+        const core_duration base = expected_queue(target, m_now, m_options) + decode_time(target);
         const core_duration extra = to_core(seconds{again} * (m_policy.recompute_weight - 1));
         estimate result{index, base + prefill, base + prefill + std::max(extra, core_duration::zero()), {}};
         consider_move(result, again);
@@ -149,6 +148,15 @@
         return result;
     }
 
+    /// The time of the answer in the batch that it joins.
+    [[nodiscard]] core_duration decode_time(const target_view& target) const
+    {
+        const std::uint32_t beside = std::max(target.report.running, target.in_flight);
+        const double rate = decode_rate(target, m_options) / m_options.batch;
+        return to_core(seconds{time_for(m_query.expected_completion, rate)} *
+                       (1 + m_options.batch_slowdown * beside));
+    }
+
     /// Replaces computing the longest prefix again by moving it, where that is cheaper.
     void consider_move(estimate& at, core_duration again) const
     {
--- a/src/policy/rate_meter.cpp
+++ b/src/policy/rate_meter.cpp
@@ -63,13 +63,11 @@
 
 target_load describe_load(const target_queue& queue, const engine_admission& engine, const rate_meter& meter)
 {
-    // Running answers are in front of a new call only where there is no slot beside them.
-    const token_count in_front = engine.full() ? engine.decoding() : 0;
     target_load load;
     load.queued = static_cast<std::uint32_t>(queue.size());
     load.running = engine.running();
     load.queued_prefill = queue.queued_prefill() + engine.prefilling();
-    load.queued_decode = shared(queue.queued_decode() + in_front, meter.answer_share());
+    load.queued_decode = shared(queue.queued_decode(), meter.answer_share());
     load.prefill_rate = meter.speed().prefill_rate;
     load.decode_rate = meter.speed().decode_rate;
     return load;
