--- a/include/masticcourse/control/entry_core.hpp
+++ b/include/masticcourse/control/entry_core.hpp
@@ -7,6 +7,7 @@
 #include "masticcourse/core/clock.hpp"
 #include "masticcourse/core/ids.hpp"
 #include "masticcourse/messages/peer_message.hpp"
+#include "masticcourse/policy/placement.hpp"
 #include "masticcourse/store/store_op.hpp"
 
 #include <cstddef>
@@ -23,8 +24,6 @@
 
 /// Names a caller's request between the core and the process around it.
 using request_id = std::uint64_t;
-/// Names an operation on the platform's store.
-using store_op_id = std::uint64_t;
 
 /// A process that settings or the platform's list name. Only a hint: it is live when it answers heartbeats.
 struct known_process
@@ -49,8 +48,6 @@
     std::uint64_t seed = 0;
     shard_index shards = 64;
     std::vector<known_process> processes;
-    std::vector<service_name> model_services;
-    std::vector<service_name> tool_services;
     /// The configuration that the first entry of a new deployment writes.
     std::string initial_config;
 
@@ -66,9 +63,15 @@
     /// How old the oldest record may get before new calls are refused.
     core_duration max_tail_age = std::chrono::seconds{60};
     core_duration default_deadline = std::chrono::seconds{60};
+    core_duration longest_deadline = std::chrono::minutes{30};
+    /// How long a target may be unreachable before its idempotent calls go elsewhere.
+    core_duration target_patience = std::chrono::seconds{2};
+    /// How long an idle program's engine memory is kept.
+    core_duration idle_limit = std::chrono::minutes{10};
+    /// How long a request waits for its program's home to be found again.
+    core_duration forward_patience = std::chrono::seconds{8};
+    placement_options placement;
     token_count escrow_chunk = 20'000;
-    std::uint32_t turn_limit = 400;
-    std::uint32_t repeat_limit = 8;
     std::size_t max_waiting_calls = 16;
     /// Records of a shard after which its programs are written as snapshots.
     std::size_t checkpoint_records = 512;
@@ -90,12 +93,6 @@
     request_id id = 0;
 };
 
-struct store_done
-{
-    store_op_id id = 0;
-    store_reply reply;
-};
-
 /// The platform's list of VMs as it was last read.
 struct processes_listed
 {
@@ -136,12 +133,6 @@
     request_id id = 0;
 };
 
-struct run_store_op
-{
-    store_op_id id = 0;
-    store_op operation;
-};
-
 /// @}
 
 using entry_output = std::variant<caller_reply, caller_event, caller_end, run_store_op, open_peer, send_peer,
