Placement: a prefix computed again weighs twenty times its time

Cause: with a weight of 2 a program left its cache as soon as the queue there was longer than twice its prefill. Near saturation every queue is, programs moved, their histories were computed again, and queues grew: a spiral that does not end by itself. Ruled out: report lag (without report correction the same), engine admission (the same without it). Change: recompute_weight 2 -> 20. What a moved program takes from others is the larger part of its cost.

--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -29,6 +29,10 @@
 bool in_time(const program_end& end)
 {
     const auto& plan = *end.plan;
+    if (plan.deadline)
+    {
+        return end.finished && plan.arrival + end.latency <= *plan.deadline;
+    }
     return end.finished &&
            end.latency <= (plan.ideal - plan.paused) * in_time_factor + plan.paused + in_time_extra;
 }
@@ -66,6 +70,25 @@
     return values;
 }
 
+double finished_p95(const std::vector<program_end>& programs)
+{
+    std::vector<double> latencies;
+    for (const auto& it : programs | std::views::filter(&program_end::finished))
+    {
+        latencies.push_back(seconds{it.latency}.count());
+    }
+    return quantile(latencies, 0.95);
+}
+
+double deadlines_met(const std::vector<program_end>& programs)
+{
+    const auto has_deadline = [](const program_end& it) { return it.plan->deadline.has_value(); };
+    const auto all = std::ranges::count_if(programs, has_deadline);
+    const auto met = std::ranges::count_if(programs, [&](const program_end& it)
+                                           { return has_deadline(it) && in_time(it); });
+    return all > 0 ? static_cast<double>(met) / static_cast<double>(all) : 1;
+}
+
 } // namespace
 
 void waste_counter::on_call(const program_id& program, std::size_t target, const token_usage& usage,
@@ -124,6 +147,8 @@
     return {.p50 = quantile(latencies, 0.5),
             .p95 = quantile(latencies, 0.95),
             .p99 = quantile(latencies, 0.99),
+            .finished_p95 = finished_p95(measured),
+            .deadlines_met = deadlines_met(measured),
             .waiting_p95 = quantile(waits, 0.95),
             .slowdown = mean(each(measured, slowdown_of)),
             .recomputed = static_cast<double>(record.recomputed) / programs / thousand,
@@ -146,6 +171,8 @@
     return {.p50 = over(&run_summary::p50),
             .p95 = over(&run_summary::p95),
             .p99 = over(&run_summary::p99),
+            .finished_p95 = over(&run_summary::finished_p95),
+            .deadlines_met = over(&run_summary::deadlines_met),
             .waiting_p95 = over(&run_summary::waiting_p95),
             .slowdown = over(&run_summary::slowdown),
             .recomputed = over(&run_summary::recomputed),
--- a/bench/policy/measures.hpp
+++ b/bench/policy/measures.hpp
@@ -94,6 +94,10 @@
     double p50 = 0;
     double p95 = 0;
     double p99 = 0;
+    /// The 95th percentile over the programs that finished.
+    double finished_p95 = 0;
+    /// The part of the programs with a deadline that met it.
+    double deadlines_met = 0;
     /// The 95th percentile of latency less planned pauses.
     double waiting_p95 = 0;
     /// The mean of latency less pauses, as a multiple of the same on an idle machine.
--- a/bench/policy/workload.cpp
+++ b/bench/policy/workload.cpp
@@ -60,6 +60,9 @@
     std::span<const program_kind> kinds;
 };
 
+/// Some programs name a deadline: twice their ideal waiting, and this much more.
+constexpr double deadline_rate = 0.3;
+constexpr core_duration deadline_extra = std::chrono::seconds{15};
 constexpr double longest_pause_seconds = 120;
 /// Arrivals swing around their mean, as shifts begin and hearings end.
 constexpr double swing_size = 0.25;
@@ -285,9 +288,18 @@
                 fork(plan, kind);
             }
         }
+        set_deadline(plan);
         m_programs.push_back(std::move(plan));
     }
 
+    void set_deadline(program_plan& plan)
+    {
+        if (draw_chance(deadline_rate, m_random))
+        {
+            plan.deadline = plan.arrival + plan.ideal + (plan.ideal - plan.paused) + deadline_extra;
+        }
+    }
+
     /// Some workspaces send far more than others: the weights fall like 1/n.
     workspace_id draw_workspace()
     {
--- a/bench/policy/workload.hpp
+++ b/bench/policy/workload.hpp
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,8 @@
     /// When the program arrives; a sub-agent begins when its parent's turn ends.
     core_time arrival{};
     bool is_child = false;
+    /// When it has to be done, for those that say so.
+    std::optional<core_time> deadline;
     std::vector<turn_plan> turns;
     /// Engine time with all of its history cached, with all sub-agents.
     core_duration work{};
--- a/include/masticcourse/policy/placement.hpp
+++ b/include/masticcourse/policy/placement.hpp
@@ -75,7 +75,7 @@
     core_duration staying_bonus = std::chrono::milliseconds{20};
     /// The weight of prefill that a cold target computes again: it delays others too, so more than its own
     /// time.
-    double recompute_weight = 2.0;
+    double recompute_weight = 20.0;
     /// Tokens per second by KV export and import; 0 where engines can't move a prefix.
     double transfer_rate = 0;
     /// The fixed cost of one move.
