Edge admission: new programs only under a backlog of 0.6 s

Cause: at 1.2 and 2 times capacity goodput fell, since programs were taken in while queues were seconds long, and each of their turns then waited that long. Ruled out: 0.3 s (refuses at 0.9 already), 1 s and 1.5 s without class shares (no better, more turns late).

--- a/include/masticcourse/policy/overload.hpp
+++ b/include/masticcourse/policy/overload.hpp
@@ -37,7 +37,7 @@
 struct overload_options
 {
     /// The longest backlog under which new programs of the first class are taken in.
-    core_duration new_limit = std::chrono::seconds{4};
+    core_duration new_limit = std::chrono::milliseconds{600};
     /// The part of that limit that each class below the first has, of the one above.
     double class_share = 0.7;
     /// The longest backlog under which running programs go on.
