--- a/bench/policy/measures.cpp
+++ b/bench/policy/measures.cpp
@@ -70,6 +70,54 @@
     return values;
 }
 
+std::vector<program_end> of_class(const std::vector<program_end>& programs, service_class priority)
+{
+    std::vector<program_end> chosen;
+    std::ranges::copy_if(programs, std::back_inserter(chosen),
+                         [&](const program_end& it) { return it.plan->priority == priority; });
+    return chosen;
+}
+
+/// The latencies of calls that ended in [from, to), in seconds.
+std::vector<double> latencies_in(const std::vector<call_end>& calls, core_time from, core_time to)
+{
+    std::vector<double> latencies;
+    for (const auto& it : calls)
+    {
+        if (it.at >= from && it.at < to)
+        {
+            latencies.push_back(seconds{it.latency}.count());
+        }
+    }
+    return latencies;
+}
+
+/// The end of the last ten seconds, counted from the fault's begin, in which calls were slower than before.
+double recovery_of(const run_record& record, core_time begins, double before)
+{
+    constexpr core_duration bucket = std::chrono::seconds{10};
+    constexpr double as_good = 1.5;
+    core_time recovered = begins;
+    const core_time end = core_time{} + record.arrivals;
+    for (core_time at = begins; at < end; at += bucket)
+    {
+        if (quantile(latencies_in(record.calls, at, at + bucket), 0.95) > before * as_good)
+        {
+            recovered = at + bucket;
+        }
+    }
+    return seconds{recovered - begins}.count();
+}
+
+/// The mean of one column.
+template <typename Row>
+double column_mean(const std::vector<Row>& rows, double Row::*column)
+{
+    std::vector<double> values;
+    std::ranges::transform(rows, std::back_inserter(values), column);
+    return mean(values);
+}
+
 double finished_p95(const std::vector<program_end>& programs)
 {
     std::vector<double> latencies;
@@ -151,6 +199,7 @@
             .deadlines_met = deadlines_met(measured),
             .waiting_p95 = quantile(waits, 0.95),
             .slowdown = mean(each(measured, slowdown_of)),
+            .assistance = mean(each(of_class(measured, service_class::assistance), slowdown_of)),
             .recomputed = static_cast<double>(record.recomputed) / programs / thousand,
             .unused = static_cast<double>(record.unused) / programs / thousand,
             .goodput = std::accumulate(in_time_work.begin(), in_time_work.end(), 0.0) / engine_time,
@@ -160,14 +209,45 @@
             .fairness = fairness_of(measured)};
 }
 
-run_summary mean_of(const std::vector<run_summary>& runs)
+fault_summary summarise_fault(const run_record& record, core_time begins, core_time ends)
 {
-    const auto over = [&](double run_summary::*column)
+    constexpr core_duration window = std::chrono::seconds{100};
+    const auto p95 = [&](core_time from, core_time to)
+    { return quantile(latencies_in(record.calls, from, to), 0.95); };
+    std::vector<double> programs;
+    std::size_t unfinished = 0;
+    for (const auto& it : record.programs)
     {
-        std::vector<double> values;
-        std::ranges::transform(runs, std::back_inserter(values), column);
-        return mean(values);
-    };
+        if (it.plan->arrival < ends && it.plan->arrival + it.latency > begins)
+        {
+            programs.push_back(seconds{it.latency}.count());
+            unfinished += it.finished ? 0 : 1;
+        }
+    }
+    const double before = p95(begins - window, begins);
+    const auto met = static_cast<double>(std::max<std::size_t>(programs.size(), 1));
+    return {.before = before,
+            .during = p95(begins, ends),
+            .after = p95(ends, ends + window),
+            .recovery = recovery_of(record, begins, before),
+            .program_p95 = quantile(programs, 0.95),
+            .unfinished = static_cast<double>(unfinished) / met};
+}
+
+fault_summary mean_of(const std::vector<fault_summary>& runs)
+{
+    const auto over = [&](double fault_summary::*column) { return column_mean(runs, column); };
+    return {.before = over(&fault_summary::before),
+            .during = over(&fault_summary::during),
+            .after = over(&fault_summary::after),
+            .recovery = over(&fault_summary::recovery),
+            .program_p95 = over(&fault_summary::program_p95),
+            .unfinished = over(&fault_summary::unfinished)};
+}
+
+run_summary mean_of(const std::vector<run_summary>& runs)
+{
+    const auto over = [&](double run_summary::*column) { return column_mean(runs, column); };
     return {.p50 = over(&run_summary::p50),
             .p95 = over(&run_summary::p95),
             .p99 = over(&run_summary::p99),
@@ -175,6 +255,7 @@
             .deadlines_met = over(&run_summary::deadlines_met),
             .waiting_p95 = over(&run_summary::waiting_p95),
             .slowdown = over(&run_summary::slowdown),
+            .assistance = over(&run_summary::assistance),
             .recomputed = over(&run_summary::recomputed),
             .unused = over(&run_summary::unused),
             .goodput = over(&run_summary::goodput),
--- a/bench/policy/measures.hpp
+++ b/bench/policy/measures.hpp
@@ -102,6 +102,8 @@
     double waiting_p95 = 0;
     /// The mean of latency less pauses, as a multiple of the same on an idle machine.
     double slowdown = 0;
+    /// The same over the first class: assistance.
+    double assistance = 0;
     /// Thousands of tokens, per program.
     double recomputed = 0;
     double unused = 0;
@@ -122,9 +124,25 @@
 /// @return the value below which @a part of @a values lie; 0 if there are none
 [[nodiscard]] double quantile(std::vector<double> values, double part);
 
+/// What a fault did to calls: the 95th percentile of their latency, in seconds.
+struct fault_summary
+{
+    double before = 0;
+    double during = 0;
+    double after = 0;
+    /// How long after the fault began until ten seconds passed that were as good as before, for good.
+    double recovery = 0;
+    /// Programs whose calls ran into the fault: the 95th percentile of their latency.
+    double program_p95 = 0;
+    double unfinished = 0;
+};
+
+[[nodiscard]] fault_summary summarise_fault(const run_record& record, core_time begins, core_time ends);
+
 [[nodiscard]] run_summary summarise(const run_record& record);
 
 /// @return the mean of each column
 [[nodiscard]] run_summary mean_of(const std::vector<run_summary>& runs);
+[[nodiscard]] fault_summary mean_of(const std::vector<fault_summary>& runs);
 
 } // namespace masticcourse::bench
--- a/bench/policy/policy_main.cpp
+++ b/bench/policy/policy_main.cpp
@@ -1,42 +1,111 @@
-#include "world.hpp"
+// policy_bench: prints one table, or checks the committed bounds.
+#include "bounds.hpp"
+#include "experiments.hpp"
+#include "report.hpp"
+
+#include <boost/program_options.hpp>
+
 #include <chrono>
-#include <iomanip>
+#include <exception>
+#include <fstream>
 #include <iostream>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace masticcourse;
 using namespace masticcourse::bench;
-int main(int argc, char** argv)
+namespace po = boost::program_options;
+
+struct command
+{
+    std::string table;
+    std::string bounds;
+    std::string csv;
+    experiment plan;
+};
+
+/// The systems of a table.
+std::vector<system_options> systems_of(const std::string& table)
 {
-    const std::string mix = argc > 1 ? argv[1] : "atlas";
-    const double load = argc > 2 ? std::stod(argv[2]) : 0.9;
-    const int seeds = argc > 3 ? std::stoi(argv[3]) : 1;
-    const bool abl = argc > 4;
-    auto systems = baseline_systems();
+    std::vector<system_options> systems;
+    if (table == "loads" || table == "check" || table == "faults")
+    {
+        systems = baseline_systems();
+    }
+    else
+    {
+        systems = ablated_systems();
+    }
     systems.push_back(masticcourse_system());
-    if (abl)
+    return systems;
+}
+
+command parse(int argc, const char* const* argv)
+{
+    command it;
+    double arrivals = 0;
+    po::options_description options{"policy_bench"};
+    auto add = options.add_options();
+    add("table", po::value(&it.table)->default_value("loads"),
+        "loads, ablations, faults, fault-ablations, or check (the bounds)");
+    add("mix", po::value(&it.plan.mixes)->multitoken(), "atlas, urad, held_out");
+    add("load", po::value(&it.plan.loads)->multitoken(), "parts of capacity");
+    add("seed", po::value(&it.plan.seeds)->multitoken(), "seeds of arrivals");
+    add("fault", po::value(&it.plan.fault), "part of the names of the faults to run");
+    add("arrivals", po::value(&arrivals)->default_value(600), "seconds in which programs arrive");
+    add("jobs", po::value(&it.plan.jobs)->default_value(1), "runs at once");
+    add("bounds", po::value(&it.bounds), "the file of bounds");
+    add("csv", po::value(&it.csv), "also writes the table here");
+    po::variables_map given;
+    po::store(po::parse_command_line(argc, argv, options), given);
+    po::notify(given);
+    it.plan.arrivals = std::chrono::duration_cast<core_duration>(std::chrono::duration<double>{arrivals});
+    it.plan.systems = systems_of(it.table);
+    return it;
+}
+
+template <typename Rows, typename Write>
+void print(const command& given, const Rows& rows, Write write)
+{
+    write(std::cout, rows, table_format::markdown);
+    if (!given.csv.empty())
+    {
+        std::ofstream file{given.csv};
+        write(file, rows, table_format::csv);
+    }
+}
+
+int run(const command& given)
+{
+    if (given.table == "faults" || given.table == "fault-ablations")
+    {
+        print(given, run_faults(given.plan), write_faults);
+        return 0;
+    }
+    const auto rows = run_loads(given.plan);
+    print(given, rows, write_loads);
+    if (given.table != "check")
+    {
+        return 0;
+    }
+    std::ifstream file{given.bounds};
+    return check_bounds(read_bounds(file), rows, std::cout) ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
     {
-        systems.clear();
-        systems.push_back(masticcourse_system());
-        auto a = ablated_systems();
-        systems.insert(systems.end(), a.begin(), a.end());
+        return run(parse(argc, argv));
     }
-    for (const auto& s : systems)
+    catch (const std::exception& ex)
     {
-        auto t0 = std::chrono::steady_clock::now();
-        std::vector<run_summary> v;
-        std::size_t n = 0;
-        for (int seed = 1; seed <= seeds; ++seed)
-        {
-            const auto plans = make_workload({.mix = mix, .seed = std::uint64_t(seed), .load = load});
-            n = plans.size();
-            world w{s, plans, {.seed = std::uint64_t(seed)}};
-            v.push_back(summarise(w.run()));
-        }
-        const auto r = mean_of(v);
-        std::cout << std::fixed << std::setprecision(2) << std::setw(34) << s.name << " p50 " << r.p50
-                  << " p95 " << r.p95 << " p99 " << r.p99 << " wait95 " << r.waiting_p95 << " slow "
-                  << r.slowdown << " rec " << r.recomputed << "k unused " << r.unused << "k good "
-                  << r.goodput << " ref " << r.refused << " unf " << r.unfinished << " fair "
-                  << std::setprecision(3) << r.fairness << "  n=" << n << " "
-                  << std::chrono::duration<double>(std::chrono::steady_clock::now() - t0).count() << "s\n"
-                  << std::flush;
+        std::cerr << "policy_bench: " << ex.what() << '\n';
+        return 2;
     }
 }
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -171,7 +171,8 @@
             return;
         }
         at.finish += move - again;
-        at.cost = at.finish;
+        // A move takes time from two engines and leaves a copy behind.
+        at.cost = at.finish + to_core(seconds{move} * (m_policy.recompute_weight - 1));
         at.move_from = m_longest.target;
     }
 
