--- /dev/null
+++ b/tests/unit/test_placement.cpp
@@ -0,0 +1,145 @@
+// Where calls go: tables of small fleets, and what must hold for any.
+#include "masticcourse/policy/placement.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <vector>
+
+using namespace masticcourse;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr core_time now = core_time{} + 10s;
+
+target_view idle_target(const char* domain = "a")
+{
+    return {
+        .failure_domain = {domain}, .report = {.prefill_rate = 8000, .decode_rate = 700}, .reported = now};
+}
+
+placement_options with(placement_policy policy)
+{
+    return {.policy = policy};
+}
+
+} // namespace
+
+TEST_CASE("expected finish chooses")
+{
+    struct row
+    {
+        const char* name;
+        std::vector<token_count> queued;
+        std::vector<cached_on> cached;
+        std::optional<std::size_t> last;
+        std::size_t chosen;
+    };
+    const std::vector<row> table{
+        {"the shortest queue", {8000, 0, 16000}, {}, {}, 1},
+        {"the prefix over an idle target", {4000, 0, 0}, {{0, 8000}}, 0, 0},
+        {"the longer of two prefixes", {0, 0, 0}, {{1, 2000}, {2, 8000}}, 1, 2},
+        {"an idle target over a prefix behind a queue that costs more than the prefix",
+         {400000, 0, 0},
+         {{0, 4000}},
+         0,
+         1},
+        {"to stay where all is equal", {0, 0, 0}, {}, 2, 2},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        std::vector<target_view> targets;
+        for (const token_count queued : it.queued)
+        {
+            targets.push_back(idle_target());
+            targets.back().report.queued_prefill = queued;
+        }
+        const placement_query query{
+            .prompt_tokens = 9000, .expected_completion = 100, .cached = it.cached, .last = it.last};
+        const auto choice = choose_target(query, targets, now, with(expected_finish{}));
+        REQUIRE(choice);
+        CHECK(choice->target == it.chosen);
+    }
+}
+
+TEST_CASE("own work since the report counts")
+{
+    std::vector<target_view> targets{idle_target(), idle_target()};
+    targets[0].in_flight_prefill = 9000;
+    CHECK(choose_target({.prompt_tokens = 100}, targets, now, with(expected_finish{}))->target == 1);
+}
+
+TEST_CASE("an old report tells nothing of the queue")
+{
+    target_view target = idle_target();
+    target.report.queued_prefill = 80000;
+    target.reported = now - 1s;
+    CHECK(expected_queue(target, now, {}) == 9s);
+    target.reported = now - 6s;
+    CHECK(expected_queue(target, now, {}) == 0s);
+}
+
+TEST_CASE("the own failure domain decides between equals")
+{
+    const std::vector<target_view> targets{idle_target("a"), idle_target("b"), idle_target("c")};
+    const placement_query query{.prompt_tokens = 100, .own_domain = {"b"}};
+    CHECK(choose_target(query, targets, now, with(expected_finish{}))->target == 1);
+}
+
+TEST_CASE("a prefix is moved where that is cheaper than computing it again")
+{
+    std::vector<target_view> targets{idle_target(), idle_target()};
+    targets[0].report.queued_prefill = 800000;
+    const std::vector<cached_on> cached{{0, 8000}};
+    const placement_query query{.prompt_tokens = 8100, .cached = cached, .last = 0};
+    const auto moved = choose_target(query, targets, now, with(expected_finish{.transfer_rate = 100000}));
+    CHECK(moved->target == 1);
+    CHECK(moved->move_prefix_from == 0);
+    CHECK_FALSE(choose_target(query, targets, now, with(expected_finish{}))->move_prefix_from);
+}
+
+TEST_CASE("the baselines choose")
+{
+    std::vector<target_view> targets{idle_target(), idle_target(), idle_target()};
+    targets[0].report.queued = 3;
+    targets[1].report.running = 1;
+    targets[2].usable = false;
+    CHECK(choose_target({.sequence = 1}, targets, now, with(round_robin{}))->target == 1);
+    CHECK(choose_target({.sequence = 2}, targets, now, with(round_robin{}))->target == 0);
+    CHECK(choose_target({.last = 0}, targets, now, with(least_load{}))->target == 1);
+    CHECK(choose_target({.last = 0}, targets, now, with(sticky{}))->target == 0);
+    CHECK(choose_target({.last = 2}, targets, now, with(sticky{}))->target == 1);
+}
+
+TEST_CASE("a usable target is found whenever there is one, and none that is not")
+{
+    const bool good = rc::check(
+        [](const std::vector<bool>& usable, std::uint8_t last, std::uint64_t sequence)
+        {
+            std::vector<target_view> targets(usable.size(), idle_target());
+            std::transform(usable.begin(), usable.end(), targets.begin(), targets.begin(),
+                           [](bool is_usable, target_view view)
+                           {
+                               view.usable = is_usable;
+                               return view;
+                           });
+            const bool any = std::ranges::find(usable, true) != usable.end();
+            const placement_query query{
+                .program = {"p"}, .prompt_tokens = 10, .last = last, .sequence = sequence};
+            for (const placement_policy& policy :
+                 {placement_policy{expected_finish{.sample = 2}}, placement_policy{round_robin{}},
+                  placement_policy{least_load{}}, placement_policy{sticky{}}})
+            {
+                const auto choice = choose_target(query, targets, now, with(policy));
+                RC_ASSERT(choice.has_value() == any);
+                RC_ASSERT(!choice || usable.at(choice->target));
+            }
+        });
+    CHECK(good);
+}
--- /dev/null
+++ b/tests/unit/test_retry.cpp
@@ -0,0 +1,167 @@
+// Backoff, the retry budget, hedges, the breaker, loops and refusals at the edge.
+#include "masticcourse/policy/circuit_breaker.hpp"
+#include "masticcourse/policy/hedge.hpp"
+#include "masticcourse/policy/loop_guard.hpp"
+#include "masticcourse/policy/overload.hpp"
+#include "masticcourse/policy/retry.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <chrono>
+#include <optional>
+#include <vector>
+
+using namespace masticcourse;
+using namespace std::chrono_literals;
+
+TEST_CASE("backoff grows, is jittered, and ends at its longest")
+{
+    struct row
+    {
+        unsigned attempt;
+        core_duration longest;
+    };
+    constexpr std::array table{row{1, 50ms}, row{2, 100ms}, row{4, 400ms}, row{40, 5s}};
+    random_source random{7};
+    for (const auto& it : table)
+    {
+        for (int n = 0; n < 100; ++n)
+        {
+            const auto wait = backoff_delay({}, it.attempt, random);
+            CHECK(wait >= it.longest / 2);
+            CHECK(wait <= it.longest);
+        }
+    }
+}
+
+TEST_CASE("retries never exceed the budget's ratio")
+{
+    const bool good = rc::check(
+        [](const std::vector<bool>& steps)
+        {
+            const retry_budget_options options{.ratio = 0.1, .burst = 3};
+            retry_budget budget{options};
+            double requests = 0;
+            double retries = 0;
+            for (const bool is_request : steps)
+            {
+                if (is_request)
+                {
+                    budget.record_request();
+                    requests += 1;
+                }
+                else
+                {
+                    retries += budget.try_retry() ? 1 : 0;
+                }
+                RC_ASSERT(retries <= options.burst + options.ratio * requests + 1e-9);
+            }
+        });
+    CHECK(good);
+}
+
+TEST_CASE("the breaker opens, probes and closes")
+{
+    core_time now{};
+    circuit_breaker breaker{{.failures = 2, .open_for = 1s, .longest_open = 4s, .probes = 1}};
+    const auto fail = [&]
+    {
+        breaker.on_sent(now);
+        breaker.on_failure(now);
+    };
+    fail();
+    CHECK(breaker.allows(now));
+    fail();
+    CHECK(breaker.state(now) == breaker_state::open);
+    CHECK_FALSE(breaker.allows(now));
+    now += 1s;
+    CHECK(breaker.state(now) == breaker_state::half_open);
+    breaker.on_sent(now);
+    CHECK_FALSE(breaker.allows(now));
+    breaker.on_failure(now);
+    now += 1s;
+    CHECK_FALSE(breaker.allows(now));
+    now += 1s;
+    breaker.on_sent(now);
+    breaker.on_success(now);
+    CHECK(breaker.state(now) == breaker_state::closed);
+    CHECK(breaker.allows(now));
+}
+
+TEST_CASE("a probe whose answer never comes does not keep a target out")
+{
+    circuit_breaker breaker{{.failures = 1, .open_for = 1s, .longest_open = 4s, .probes = 1}};
+    breaker.on_failure({});
+    core_time now = core_time{} + 1s;
+    breaker.on_sent(now);
+    CHECK_FALSE(breaker.allows(now));
+    now += 4s;
+    CHECK(breaker.allows(now));
+}
+
+TEST_CASE("hedges are for idempotent calls that are late, within their budget")
+{
+    hedge_policy hedges{
+        {.quantile = 0.5, .factor = 2, .window = 4, .fewest = 2, .budget = {.ratio = 0, .burst = 1}}};
+    CHECK_FALSE(hedges.delay(true));
+    for (const auto latency : {900ms, 1ms, 10ms, 10ms, 10ms, 10ms})
+    {
+        hedges.record_latency(latency);
+    }
+    CHECK(hedges.delay(true) == core_duration{20ms});
+    CHECK_FALSE(hedges.delay(false));
+    CHECK(hedges.try_hedge());
+    CHECK_FALSE(hedges.try_hedge());
+}
+
+TEST_CASE("loops end")
+{
+    loop_guard repeats{{.turns = 100, .repeats = 2, .window = 4}};
+    CHECK(repeats.check(1) == problem_id::none);
+    CHECK(repeats.check(1) == problem_id::none);
+    CHECK(repeats.check(1) == problem_id::repeated_call);
+    for (const std::uint64_t other : {2, 3, 4, 5})
+    {
+        CHECK(repeats.check(other) == problem_id::none);
+    }
+    CHECK(repeats.check(1) == problem_id::none);
+    loop_guard turns{{.turns = 2}};
+    CHECK(turns.check(1) == problem_id::none);
+    CHECK(turns.check(2) == problem_id::none);
+    CHECK(turns.check(3) == problem_id::turn_limit);
+}
+
+TEST_CASE("refusals at the edge")
+{
+    struct row
+    {
+        const char* name;
+        admission_query query;
+        service_backlog backlog;
+        std::optional<core_duration> refused;
+    };
+    const overload_options options{.new_limit = 4s, .class_share = 0.5, .running_limit = 20s};
+    const std::vector<row> table{
+        {"room", {.priority = service_class::assistance, .first_turn = true}, {3s, 2}, {}},
+        {"too long for new programs",
+         {.priority = service_class::assistance, .first_turn = true},
+         {6s, 2},
+         2s},
+        {"too long for a lower class", {.first_turn = true}, {3s, 2}, 1s},
+        {"running programs go on", {}, {6s, 2}, {}},
+        {"but not without end", {}, {30s, 2}, 10s},
+        {"can't be in time", {.estimated_cost = 2s, .remaining = 4s}, {3s, 2}, 1s},
+        {"no target", {}, {0s, 0}, 500ms},
+        {"a time to come back that is not too short",
+         {.priority = service_class::assistance, .first_turn = true},
+         {4001ms, 2},
+         500ms},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        CHECK(refuse_for(it.query, it.backlog, options) == it.refused);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_target_queue.cpp
@@ -0,0 +1,205 @@
+// The queue in front of a target: its order, and that it loses, duplicates and starves nothing.
+#include "masticcourse/policy/target_queue.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <chrono>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace masticcourse;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+waiting_call call_named(const std::string& name, const std::string& workspace = "w")
+{
+    return {.call = {{name}, {"k"}}, .workspace = {workspace}, .prompt_tokens = 100, .max_tokens = 50};
+}
+
+/// The names of all calls in the order in which they leave.
+std::string drain(target_queue& queue, core_time now = {})
+{
+    std::string names;
+    while (const auto call = queue.pop(now))
+    {
+        names += call->call.program.value;
+    }
+    return names;
+}
+
+} // namespace
+
+TEST_CASE("the order of two calls")
+{
+    struct row
+    {
+        const char* rule;
+        std::function<void(waiting_call& a, waiting_call& b)> change;
+        const char* order;
+    };
+    const std::vector<row> table{
+        {"first come, first served", [](auto&, auto&) {}, "ab"},
+        {"assistance first",
+         [](auto& a, auto& b)
+         {
+             b.priority = service_class::assistance;
+             a.priority = service_class::background;
+         },
+         "ba"},
+        {"running programs first", [](auto& a, auto&) { a.first_turn = true; }, "ba"},
+        {"the one that is due", [](auto&, auto& b) { b.deadline = core_time{} + 1s; }, "ba"},
+        {"no class waits for ever",
+         [](auto& a, auto& b)
+         {
+             a.priority = service_class::background;
+             b.arrived = core_time{} + 10min;
+         },
+         "ab"},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.rule);
+        auto a = call_named("a");
+        auto b = call_named("b");
+        it.change(a, b);
+        target_queue queue;
+        queue.push(a);
+        queue.push(b);
+        CHECK(drain(queue) == it.order);
+    }
+}
+
+TEST_CASE("a workspace that floods the queue does not hold up another")
+{
+    target_queue queue;
+    for (int n = 0; n < 50; ++n)
+    {
+        auto call = call_named("f" + std::to_string(n), "flood");
+        call.prompt_tokens = 20000;
+        queue.push(call);
+    }
+    auto late = call_named("late", "quiet");
+    late.arrived = core_time{} + 2s;
+    queue.push(late);
+    std::size_t before = 0;
+    while (queue.pop({})->call.program.value != "late")
+    {
+        ++before;
+    }
+    CHECK(before < 5);
+}
+
+TEST_CASE("a call of the same name is taken once")
+{
+    target_queue queue;
+    CHECK(queue.push(call_named("a")));
+    CHECK_FALSE(queue.push(call_named("a", "other")));
+    CHECK(queue.size() == 1);
+    CHECK(queue.queued_prefill() == 100);
+    CHECK(queue.queued_decode() == 50);
+    CHECK(queue.remove(call_named("a").call));
+    CHECK_FALSE(queue.remove(call_named("a").call));
+    CHECK(queue.queued_prefill() == 0);
+    CHECK_FALSE(queue.pop({}));
+}
+
+TEST_CASE("calls expire in order of their deadlines")
+{
+    target_queue queue;
+    for (const int seconds : {3, 1, 2})
+    {
+        auto call = call_named(std::to_string(seconds));
+        call.deadline = core_time{} + std::chrono::seconds{seconds};
+        queue.push(call);
+    }
+    const auto expired = queue.expire(core_time{} + 2s);
+    REQUIRE(expired.size() == 2);
+    CHECK(expired[0].call.program.value == "1");
+    CHECK(expired[1].call.program.value == "2");
+    CHECK(drain(queue) == "3");
+}
+
+TEST_CASE("nothing is lost or given out twice")
+{
+    const bool good = rc::check(
+        [](const std::vector<std::uint8_t>& steps)
+        {
+            target_queue queue;
+            std::set<call_ref> inside;
+            for (const auto step : steps)
+            {
+                auto call = call_named(std::to_string(step % 16), std::to_string(step % 3));
+                call.priority = static_cast<service_class>(step % 3);
+                if (step < 160)
+                {
+                    RC_ASSERT(queue.push(call) == inside.insert(call.call).second);
+                }
+                else if (step < 200)
+                {
+                    RC_ASSERT(queue.remove(call.call) == (inside.erase(call.call) == 1));
+                }
+                else if (const auto popped = queue.pop({}))
+                {
+                    RC_ASSERT(inside.erase(popped->call) == 1U);
+                }
+                RC_ASSERT(queue.size() == inside.size());
+            }
+            while (const auto popped = queue.pop({}))
+            {
+                RC_ASSERT(inside.erase(popped->call) == 1U);
+            }
+            RC_ASSERT(inside.empty());
+            RC_ASSERT(queue.queued_prefill() == 0);
+            RC_ASSERT(queue.queued_decode() == 0);
+        });
+    CHECK(good);
+}
+
+TEST_CASE("nothing starves: no call is passed by one that came later than the longest delay")
+{
+    const bool good = rc::check(
+        [](const std::vector<std::uint16_t>& arrivals)
+        {
+            const queue_order order;
+            target_queue queue{order};
+            core_time now{};
+            std::size_t number = 0;
+            const auto check_pop = [&]
+            {
+                const auto popped = queue.pop(now);
+                if (!popped)
+                {
+                    return;
+                }
+                auto rest = queue;
+                while (const auto other = rest.pop(now))
+                {
+                    RC_ASSERT(popped->arrived <= other->arrived + order.longest_delay());
+                }
+            };
+            for (const auto it : arrivals)
+            {
+                now += std::chrono::milliseconds{it};
+                auto call = call_named(std::to_string(number++), std::to_string(it % 4));
+                call.arrived = now;
+                call.priority = static_cast<service_class>(it % 3);
+                call.attained = it * 10;
+                call.first_turn = it % 5 == 0;
+                queue.push(call);
+                if (it % 7 < 3)
+                {
+                    check_pop();
+                }
+            }
+            while (queue.size() > 0)
+            {
+                check_pop();
+            }
+        });
+    CHECK(good);
+}
