--- a/include/masticcourse/state/journal_recovery.hpp
+++ b/include/masticcourse/state/journal_recovery.hpp
@@ -104,6 +104,8 @@
     std::optional<std::uint64_t> m_end;
     std::set<std::uint64_t> m_open_ranges;
     std::set<std::uint64_t> m_wanted;
+    /// The entry whose read is outstanding.
+    std::uint64_t m_reading = 0;
     std::set<std::uint64_t> m_seen;
     std::map<std::uint64_t, journal_entry> m_entries;
     std::vector<damaged_entry> m_damages;
--- a/include/masticcourse/state/shard_claim.hpp
+++ b/include/masticcourse/state/shard_claim.hpp
@@ -76,10 +76,15 @@
         seal_owner,
         write_row,
         read_parts,
+        /// The row is read once more: only if it is still as we wrote it, nothing that we read had been
+        /// cleaned away by a successor while we slept.
+        confirm_row,
         finished,
     };
 
     void advance();
+    /// Whether the claim itself has something to ask the store; else it waits for the journals.
+    [[nodiscard]] bool wants_store() const;
     void on_row_read(const store_reply& reply);
     void on_row_written(const store_reply& reply);
     void row_is_ours(row_version version);
--- a/src/state/journal_recovery.cpp
+++ b/src/state/journal_recovery.cpp
@@ -177,7 +177,9 @@
             encode(
                 journal_entry{.journal = m_journal, .writer = m_reader, .index = m_seal_at, .seal = true})};
     default:
-        return object_get{journal_key(m_journal, *m_wanted.begin())};
+        // Remembered: a lower entry may be asked for before the answer is here.
+        m_reading = *m_wanted.begin();
+        return object_get{journal_key(m_journal, m_reading)};
     }
 }
 
@@ -235,8 +237,8 @@
 
 void journal_recovery::on_entry_read(const store_reply& reply)
 {
-    const std::uint64_t index = *m_wanted.begin();
-    m_wanted.erase(m_wanted.begin());
+    const std::uint64_t index = m_reading;
+    m_wanted.erase(index);
     m_seen.insert(index);
     if (reply.status != store_status::ok)
     {
--- a/src/state/shard_claim.cpp
+++ b/src/state/shard_claim.cpp
@@ -17,12 +17,12 @@
 std::optional<store_op> shard_claim::poll(core_time now)
 {
     advance();
-    if (!m_exchange.open(now) || (m_step != step::read_row && m_step != step::write_row))
+    if (!m_exchange.open(now) || !wants_store())
     {
         return std::nullopt;
     }
     m_exchange.sent();
-    if (m_step == step::read_row)
+    if (m_step != step::write_row)
     {
         return table_get{shard_key(m_shard)};
     }
@@ -33,7 +33,7 @@
 void shard_claim::on_reply(const store_reply& reply, core_time now)
 {
     const store_answer answer = m_exchange.received(reply, now);
-    if (answer == store_answer::lost)
+    if (answer == store_answer::lost && m_step == step::write_row)
     {
         // A write without an answer is settled by the row itself.
         m_step = step::read_row;
@@ -55,8 +55,7 @@
 
 core_time shard_claim::next_wakeup() const
 {
-    const bool has_work = m_step == step::read_row || m_step == step::write_row;
-    return has_work ? m_exchange.ready_at() : core_time::max();
+    return wants_store() ? m_exchange.ready_at() : core_time::max();
 }
 
 claim_state shard_claim::state() const
@@ -93,14 +92,19 @@
     if (m_step == step::read_parts &&
         std::ranges::all_of(former_parts(), [&](const journal_part& it) { return m_journals->has(it); }))
     {
-        collect_records();
-        m_step = step::finished;
-        m_state = claim_state::taken;
+        m_step = step::confirm_row;
     }
 }
 
 void shard_claim::on_row_read(const store_reply& reply)
 {
+    if (m_step == step::confirm_row && reply.status == store_status::ok && reply.version == m_version)
+    {
+        collect_records();
+        m_step = step::finished;
+        m_state = claim_state::taken;
+        return;
+    }
     m_version = reply.status == store_status::not_found ? 0 : reply.version;
     if (m_version == 0)
     {
@@ -137,6 +141,11 @@
     }
 }
 
+bool shard_claim::wants_store() const
+{
+    return m_step == step::read_row || m_step == step::write_row || m_step == step::confirm_row;
+}
+
 void shard_claim::on_row_written(const store_reply& reply)
 {
     if (reply.status == store_status::ok)
