--- a/src/messages/peer_members.hpp
+++ b/src/messages/peer_members.hpp
@@ -4,6 +4,7 @@
 
 #include "../codec/model_members.hpp"
 #include "masticcourse/messages/peer_message.hpp"
+#include "store_members.hpp"
 
 namespace masticcourse
 {
@@ -17,19 +18,14 @@
 inline constexpr unsigned last_value<refusal_reason> = static_cast<unsigned>(refusal_reason::breaker_open);
 template <>
 inline constexpr unsigned last_value<call_knowledge> = static_cast<unsigned>(call_knowledge::stale_epoch);
-template <>
-inline constexpr unsigned last_value<store_status> = static_cast<unsigned>(store_status::lost);
 
 /// A name never changes its meaning. The messages of the hot path have the shortest ones.
 template <>
 inline constexpr std::array<std::string_view, std::variant_size_v<peer_message>>
-    alternative_names<peer_message>{"hello",   "beat",   "cfg?",    "cfg",     "call",   "cancel", "ask",
-                                    "durable", "renew",  "release", "no",      "t",      "f",      "know",
-                                    "load",    "cache",  "fwd",     "fwd_end", "fwd_ev", "owners", "collect",
-                                    "kept",    "alive?", "alive",   "store",   "stored"};
-template <>
-inline constexpr std::array<std::string_view, std::variant_size_v<store_op>> alternative_names<store_op>{
-    "get", "put", "list", "create", "read", "delete", "keys"};
+    alternative_names<peer_message>{"hello",   "beat",  "cfg?",    "cfg",     "call",   "cancel", "ask",
+                                    "durable", "renew", "release", "no",      "t",      "f",      "know",
+                                    "load",    "cache", "fwd",     "fwd_end", "fwd_ev", "owners", "collect",
+                                    "kept",    "live?", "live",    "store",   "stored"};
 
 } // namespace codec
 
@@ -204,60 +200,6 @@
     return std::tie(it.incarnation, it.heard);
 }
 
-template <codec::like<table_get> T>
-auto members(T& it)
-{
-    return std::tie(it.key);
-}
-
-template <codec::like<table_put> T>
-auto members(T& it)
-{
-    return std::tie(it.key, it.value, it.expected);
-}
-
-template <codec::like<table_list> T>
-auto members(T& it)
-{
-    return std::tie(it.prefix);
-}
-
-template <codec::like<object_create> T>
-auto members(T& it)
-{
-    return std::tie(it.key, it.bytes);
-}
-
-template <codec::like<object_get> T>
-auto members(T& it)
-{
-    return std::tie(it.key);
-}
-
-template <codec::like<object_delete> T>
-auto members(T& it)
-{
-    return std::tie(it.key);
-}
-
-template <codec::like<object_list> T>
-auto members(T& it)
-{
-    return std::tie(it.prefix);
-}
-
-template <codec::like<table_row> T>
-auto members(T& it)
-{
-    return std::tie(it.key, it.value, it.version);
-}
-
-template <codec::like<store_reply> T>
-auto members(T& it)
-{
-    return std::tie(it.status, it.version, it.value, it.rows);
-}
-
 template <codec::like<relay_store> T>
 auto members(T& it)
 {
