--- a/src/control/entry_status.cpp
+++ b/src/control/entry_status.cpp
@@ -29,7 +29,8 @@
 void run_readiness(entry_state& state)
 {
     const auto homeless = [](const shard_state& it) { return it.owner.empty() || (it.owned && !it.serving); };
-    // Once ready it stays so: a shard without a home for a moment is no reason for the balancer to drop all entries.
+    // Once ready it stays so: a shard without a home for a moment is no reason for the balancer to drop all
+    // entries.
     state.was_ready = state.was_ready || (state.shards_listed && state.config_applied > 0 &&
                                           std::ranges::none_of(state.shards, homeless));
 }
