--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -28,6 +28,13 @@
     return {problem_id::unknown_program, ran_state::no, "there is no such program in this workspace"};
 }
 
+/// Whether an outcome may be told before its record is durable. The outcome of an action that can't be repeated never
+/// is: it would be lost if this process and the target process both died before the store is back.
+bool may_tell_pending(const entry_state& state, const call_row& call)
+{
+    return call.phase == call_phase::committing && call.request.idempotent && may_reply_pending(state);
+}
+
 /// The same key again: the caller gets the outcome, or waits for it beside the others. Nothing runs twice.
 bool repeats(entry_state& state, const reply_route& route, const forward_request& raw,
              const program_state& program, const call_key& key, std::optional<std::uint64_t> digest)
@@ -42,7 +49,7 @@
             return true;
         }
         state.trace(event_id::call_repeated, program.program, key);
-        if (call.phase == call_phase::committing && may_reply_pending(state))
+        if (may_tell_pending(state, call))
         {
             deliver(state, joined, call.turn_number, key, call.outcome, false);
             return true;
@@ -186,7 +193,7 @@
 void tell_pending(entry_state& state, call_row& call)
 {
     const bool waited = state.now - call.finished > state.options.durability_wait;
-    if (call.phase != call_phase::committing || !waited || call.waiters.empty() || !may_reply_pending(state))
+    if (!waited || call.waiters.empty() || !may_tell_pending(state, call))
     {
         return;
     }
--- a/src/control/entry_journal.cpp
+++ b/src/control/entry_journal.cpp
@@ -55,13 +55,34 @@
     }
 };
 
+constexpr auto longest_wait = std::chrono::seconds{5};
+
 void release_durable(entry_state& state)
 {
     while (!state.awaiting.empty() && state.awaiting.front().ticket <= state.journal->durable())
     {
         const auto row = std::move(state.awaiting.front());
         state.awaiting.pop_front();
-        std::visit(durable_visitor{state}, row.event);
+        if (!row.told)
+        {
+            std::visit(durable_visitor{state}, row.event);
+        }
+    }
+}
+
+/// A caller whose program can't be made durable, or ended, for long is told so; the same request asks again.
+void give_up_waiting(entry_state& state)
+{
+    const problem late{problem_id::store_unavailable, ran_state::unknown,
+                       "the store has not answered yet; the same request asks again", std::chrono::seconds{2}};
+    for (auto& row : state.awaiting)
+    {
+        const auto* const route = waiting_route(row.event);
+        if (!row.told && route != nullptr && state.now - row.appended > longest_wait)
+        {
+            row.told = true;
+            reply_problem(state, *route, late);
+        }
     }
 }
 
@@ -83,6 +104,16 @@
 
 } // namespace
 
+const reply_route* waiting_route(const durable_event& event)
+{
+    if (const auto* const created = std::get_if<creation_durable>(&event))
+    {
+        return &created->route;
+    }
+    const auto* const ended = std::get_if<end_is_durable>(&event);
+    return ended != nullptr ? &ended->route : nullptr;
+}
+
 journal_ticket append(entry_state& state, const program_id& program, journal_payload payload)
 {
     const auto index = shard_of(program, state.options.shards);
@@ -110,6 +141,7 @@
         return;
     }
     release_durable(state);
+    give_up_waiting(state);
     if (auto operation = state.journal->poll(state.now))
     {
         run_on_store(state, std::move(*operation), journal_purpose{});
--- a/src/control/entry_outcomes.cpp
+++ b/src/control/entry_outcomes.cpp
@@ -326,13 +326,9 @@
                        retry_soon};
     for (const auto& row : std::exchange(state.awaiting, {}))
     {
-        if (const auto* const created = std::get_if<creation_durable>(&row.event); created && !row.told)
+        if (const auto* const route = waiting_route(row.event); route != nullptr && !row.told)
         {
-            reply_problem(state, created->route, lost);
-        }
-        if (const auto* const ended = std::get_if<end_is_durable>(&row.event); ended && !row.told)
-        {
-            reply_problem(state, ended->route, lost);
+            reply_problem(state, *route, lost);
         }
     }
 }
--- a/src/control/entry_programs.cpp
+++ b/src/control/entry_programs.cpp
@@ -308,9 +308,10 @@
                       {problem_id::no_home, ran_state::no, "this entry owns no shard yet", retry_soon});
         return;
     }
-    if (const auto* const existing = state.programs.find(id))
+    if (state.programs.find(id) != nullptr)
     {
-        reply(state, route, status_ok, program_document(*existing));
+        // It may itself be waiting for its record; so does this answer.
+        when_durable(state, state.journal->last_ticket(), creation_durable{id, route});
         return;
     }
     create(state, route, id, std::move(spec));
@@ -351,7 +352,7 @@
     }
     if (found->ended)
     {
-        reply(state, route, status_ok, program_document(*found));
+        when_durable(state, state.journal->last_ticket(), end_is_durable{program, route});
         return;
     }
     if (const auto failure = obstacle(state); failure.failed())
--- a/src/control/entry_requests.cpp
+++ b/src/control/entry_requests.cpp
@@ -158,8 +158,9 @@
     const auto& shard = shard_for(state, row.program);
     if (serves_here(shard))
     {
-        const auto held = std::move(row);
+        auto held = std::move(row);
         state.forwarded.erase(id);
+        held.raw.repeated = held.may_have_run;
         handle_request(state, local_caller{held.caller}, held.raw);
         return;
     }
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -472,6 +472,8 @@
 /// @{
 journal_ticket append(entry_state& state, const program_id& program, journal_payload payload);
 void when_durable(entry_state& state, journal_ticket ticket, durable_event event);
+/// @return the caller who waits for an event, if it is one of those that callers wait for
+[[nodiscard]] const reply_route* waiting_route(const durable_event& event);
 void run_on_store(entry_state& state, store_op operation, const store_purpose& purpose);
 void on_store_done(entry_state& state, const store_done& done);
 void on_relay_reply(entry_state& state, const relay_reply& message);
--- a/src/control/target_gate.cpp
+++ b/src/control/target_gate.cpp
@@ -107,6 +107,21 @@
     s.trace(event_id::call_queued, ref);
 }
 
+/// A result that was computed from another history than the home's is of no use: turns before it were lost with the
+/// processes that had them, and the call runs again from what is left.
+void forget_other_turn(target_state& s, const dispatch_call& message)
+{
+    const auto it = s.calls.find(message.call);
+    if (it == s.calls.end() || !message.request.idempotent || it->second.stage != call_stage::finished)
+    {
+        return;
+    }
+    if (it->second.order.turn_number != message.turn_number)
+    {
+        settle(s, message.call, settlement::ended);
+    }
+}
+
 kept_result kept_result_of(const target_call& call)
 {
     return {.call = call.order.call,
@@ -144,17 +159,18 @@
         refuse_stale(s, link, ref);
         return;
     }
+    forget_other_turn(s, message);
     const auto how = s.settled.find(ref);
     // An idempotent call whose home no longer has its result may run again.
     const bool runs_again = message.request.idempotent && how == settlement::ended;
-    if (how && !runs_again)
+    if (const auto it = s.calls.find(ref); it != s.calls.end())
     {
-        answer_settled(s, link, ref, *how);
+        send_again(s, link, it->second);
         return;
     }
-    if (const auto it = s.calls.find(ref); it != s.calls.end())
+    if (how && !runs_again)
     {
-        send_again(s, link, it->second);
+        answer_settled(s, link, ref, *how);
         return;
     }
     if (message.request.service != s.options.service)
--- a/tests/support/caller_agent.cpp
+++ b/tests/support/caller_agent.cpp
@@ -19,6 +19,7 @@
 constexpr int status_created = 201;
 constexpr auto reconnect_after = std::chrono::milliseconds{100};
 constexpr unsigned percent = 100;
+constexpr std::uint32_t patience_with_gathering = 20;
 
 } // namespace
 
@@ -52,6 +53,11 @@
     return m_refusals;
 }
 
+std::uint64_t caller_agent::pending_lost() const
+{
+    return m_pending_lost;
+}
+
 core_duration caller_agent::latency() const
 {
     return m_ended - m_started;
@@ -187,6 +193,7 @@
     }
     m_current->output = document.at("output").get<std::string>();
     m_current->unknown = document.at("ran") == "unknown";
+    m_current->pending = document.at("durability") == "pending";
     if (!m_current->unknown)
     {
         check_output(m_current->output);
@@ -237,6 +244,13 @@
         violate("'not run' for a call that ran: " + document.dump());
     }
     const auto wait = core_duration{answer.retry_after.value_or(reconnect_after)};
+    const bool behind = document.at("id") == static_cast<int>(problem_id::history_behind);
+    m_behind = behind ? m_behind + 1 : 0;
+    if (m_behind > patience_with_gathering)
+    {
+        again(wait, [this] { fall_back(); });
+        return;
+    }
     if (m_certainly_not_run && chance(m_options.give_up))
     {
         m_never_run.push_back(current_ref());
@@ -246,6 +260,35 @@
     again(wait, [this] { send_call(); });
 }
 
+/// The home never gathers the last turns: they can only be ones that were told as pending.
+void caller_agent::fall_back()
+{
+    send({.method = "GET", .path = "/v1/programs/" + m_program.value + "/history"},
+         [this](const caller_answer& answer)
+         {
+             if (answer.status != status_ok)
+             {
+                 again(answer.retry_after.value_or(reconnect_after), [this] { fall_back(); });
+                 return;
+             }
+             drop_turns(json::parse(answer.body).at("history").size());
+             send_call();
+         });
+}
+
+void caller_agent::drop_turns(std::size_t known)
+{
+    while (m_turns.size() > known)
+    {
+        if (!m_turns.back().pending)
+        {
+            violate("the durable turn " + m_turns.back().key.value + " is lost");
+        }
+        ++m_pending_lost;
+        m_turns.pop_back();
+    }
+}
+
 void caller_agent::read_history()
 {
     send({.method = "GET", .path = "/v1/programs/" + m_program.value + "/history"},
@@ -265,6 +308,7 @@
 {
     const auto document = json::parse(body);
     const auto& history = document.at("history");
+    drop_turns(history.size());
     if (history.size() != m_turns.size())
     {
         violate("the history has " + std::to_string(history.size()) + " turns, the caller saw " +
--- a/tests/support/caller_agent.hpp
+++ b/tests/support/caller_agent.hpp
@@ -38,6 +38,8 @@
     std::string input;
     std::string output;
     bool unknown = false;
+    /// Told before it was durable.
+    bool pending = false;
 };
 
 /// One program's caller. Violations of what must always hold are collected as text.
@@ -55,6 +57,8 @@
     [[nodiscard]] const program_id& program() const;
     [[nodiscard]] std::uint64_t refusals() const;
     [[nodiscard]] core_duration latency() const;
+    /// Turns that were told as pending and then lost with both processes that had them.
+    [[nodiscard]] std::uint64_t pending_lost() const;
 
     /// Checks what can only be checked when nothing is under way any more.
     void check_at_rest();
@@ -69,6 +73,8 @@
     void on_refusal(const caller_answer& answer);
     void check_output(const std::string& output);
     void read_history();
+    void fall_back();
+    void drop_turns(std::size_t known);
     void check_history(const std::string& body);
     void end();
     void again(core_duration wait, std::function<void()> action);
@@ -90,6 +96,8 @@
     std::vector<call_ref> m_never_run;
     std::vector<std::string> m_violations;
     std::uint64_t m_refusals = 0;
+    std::uint64_t m_pending_lost = 0;
+    std::uint32_t m_behind = 0;
     std::uint64_t m_attempt = 0;
     core_time m_started{};
     core_time m_ended{};
--- a/tests/support/chaos.cpp
+++ b/tests/support/chaos.cpp
@@ -202,6 +202,7 @@
     report.turns += agent.turns().size();
     report.unknown_turns +=
         static_cast<std::uint64_t>(std::ranges::count_if(agent.turns(), &seen_turn::unknown));
+    report.pending_lost += agent.pending_lost();
     report.refusals += agent.refusals();
 }
 
--- a/tests/support/chaos.hpp
+++ b/tests/support/chaos.hpp
@@ -36,6 +36,8 @@
     std::uint64_t faults = 0;
     std::uint64_t turns = 0;
     std::uint64_t unknown_turns = 0;
+    /// Turns told as pending and lost with both processes that had them.
+    std::uint64_t pending_lost = 0;
     std::uint64_t refusals = 0;
     std::uint64_t takeovers = 0;
     core_duration elapsed{};
--- a/tests/system_soak/system_soak_main.cpp
+++ b/tests/system_soak/system_soak_main.cpp
@@ -54,13 +54,15 @@
         sum.faults += report.faults;
         sum.turns += report.turns;
         sum.unknown_turns += report.unknown_turns;
+        sum.pending_lost += report.pending_lost;
         sum.refusals += report.refusals;
         sum.takeovers += report.takeovers;
         sum.elapsed += report.elapsed;
     }
     constexpr double micros_per_hour = 3.6e9;
     std::cout << "seeds " << given.seeds << ", failed " << failed << ", faults " << sum.faults << ", turns "
-              << sum.turns << ", unknown " << sum.unknown_turns << ", refusals " << sum.refusals
+              << sum.turns << ", unknown " << sum.unknown_turns << ", pending turns lost "
+              << sum.pending_lost << ", refusals " << sum.refusals
               << ", shards claimed " << sum.takeovers << ", virtual hours "
               << static_cast<double>(sum.elapsed.count()) / micros_per_hour << '\n';
     return failed;
