A home that slept or stands alone confirms itself before it answers; damage is judged behind the last record

Reads were not held back by the confirmation that calls wait for; they are now, and an entry that no other answers confirms itself again and again.

--- a/src/control/entry_core.cpp
+++ b/src/control/entry_core.cpp
@@ -33,18 +33,40 @@
     return state.last_step && state.now - *state.last_step > state.options.peer_timeout;
 }
 
+/// Nothing is served until a record written from now on is durable: then no successor had sealed the journal.
 void confirm_ownership(entry_state& state)
 {
-    const auto owns = std::ranges::any_of(state.shards, &shard_state::owned);
-    if (!owns)
+    if (std::ranges::none_of(state.shards, &shard_state::owned))
     {
         return;
     }
-    const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - *state.last_step);
-    state.trace(event_id::process_paused, {}, {}, {{"ms", std::to_string(silent.count())}});
     const auto ticket = state.journal->append({.payload = ownership_probe{}}, state.now);
     state.confirm = ticket;
-    when_durable(state, ticket, probe_is_durable{});
+    state.last_confirm = state.now;
+    when_durable(state, ticket, probe_is_durable{ticket});
+}
+
+/// Whether no other entry answers: each may have taken this one for dead by now.
+bool is_alone(const entry_state& state)
+{
+    const auto is_entry = [](const auto& it)
+    { return it.second.listed && it.second.known.role == process_role::entry; };
+    const auto answers = [&](const auto& it) { return is_entry(it) && it.second.live; };
+    return std::ranges::any_of(state.peers, is_entry) && std::ranges::none_of(state.peers, answers);
+}
+
+void doubt_ownership(entry_state& state)
+{
+    if (slept(state))
+    {
+        const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - *state.last_step);
+        state.trace(event_id::process_paused, {}, {}, {{"ms", std::to_string(silent.count())}});
+        confirm_ownership(state);
+    }
+    else if (is_alone(state) && !state.confirm && state.now - state.last_confirm > state.options.peer_timeout / 2)
+    {
+        confirm_ownership(state);
+    }
 }
 
 /// Hands each input to its system.
@@ -129,10 +151,7 @@
 {
     auto& state = *m_state;
     state.now = now;
-    if (detail::slept(state))
-    {
-        detail::confirm_ownership(state);
-    }
+    detail::doubt_ownership(state);
     state.last_step = now;
     for (const auto& input : inputs)
     {
--- a/src/control/entry_journal.cpp
+++ b/src/control/entry_journal.cpp
@@ -39,9 +39,12 @@
         on_end_durable(state, it);
     }
 
-    void operator()(const probe_is_durable& /*it*/) const
+    void operator()(const probe_is_durable& it) const
     {
-        state.confirm.reset();
+        if (state.confirm == it.ticket)
+        {
+            state.confirm.reset();
+        }
     }
 
     void operator()(const snapshots_are_durable& it) const
--- a/src/control/entry_requests.cpp
+++ b/src/control/entry_requests.cpp
@@ -206,6 +206,12 @@
         handle_elsewhere(state, route, raw, program);
         return;
     }
+    if (!program.empty() && state.confirm)
+    {
+        auto caller = make_waiter(route, raw);
+        deliver_problem(state, caller, obstacle(state));
+        return;
+    }
     std::visit(request_visitor{state, route, raw}, *parsed.request);
 }
 
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -254,6 +254,7 @@
 };
 struct probe_is_durable
 {
+    journal_ticket ticket = 0;
 };
 struct snapshots_are_durable
 {
@@ -366,6 +367,7 @@
     std::unique_ptr<journal_cleaner> cleaner;
     /// Nothing is served before this ticket is durable: the process slept, and may have lost its shards.
     std::optional<journal_ticket> confirm;
+    core_time last_confirm{};
 
     program_table programs;
     std::unordered_map<program_id, program_runtime> runtimes;
--- a/src/control/entry_takeover.cpp
+++ b/src/control/entry_takeover.cpp
@@ -126,6 +126,22 @@
     }
 }
 
+/// Programs whose records have a gap are not served, and an operator is told. Records before a snapshot in the same
+/// entry may lack what the snapshot holds; only what is still missing behind the last record counts.
+void report_damages(entry_state& state, shard_index index)
+{
+    for (const auto& [program, damage] : state.programs.damages())
+    {
+        if (shard_of(program, state.options.shards) == index)
+        {
+            state.trace(event_id::journal_damaged, program, {},
+                        {{"shard", std::to_string(index)},
+                         {"expected", std::to_string(damage.expected)},
+                         {"found", std::to_string(damage.found)}});
+        }
+    }
+}
+
 bool is_own_machine(const store_purpose& purpose)
 {
     return std::holds_alternative<journal_purpose>(purpose) ||
@@ -155,11 +171,9 @@
     }
     for (const auto& record : claim.records())
     {
-        if (state.programs.apply(record.payload) == apply_result::damaged)
-        {
-            state.trace(event_id::journal_damaged, {}, {}, {{"shard", std::to_string(index)}});
-        }
+        state.programs.apply(record.payload);
     }
+    report_damages(state, index);
     for (const auto& damage : claim.damages())
     {
         state.trace(event_id::journal_damaged, {}, {}, {{"journal", damage.journal.value}});
--- a/tests/support/chaos.cpp
+++ b/tests/support/chaos.cpp
@@ -237,6 +237,10 @@
         report.violations.emplace_back("engine memory is held for programs that are gone");
     }
     world.run_for(5s);
+    if (world.events(event_id::journal_damaged) > 0)
+    {
+        report.violations.emplace_back("a journal that nobody damaged can't be read");
+    }
     std::ranges::for_each(agents, [&](caller_agent& it) { collect(report, it, finished); });
     report.faults = trouble.count();
     report.takeovers = world.events(event_id::shard_claimed);
