--- a/tests/support/chaos.cpp
+++ b/tests/support/chaos.cpp
@@ -174,7 +174,18 @@
     {
         const auto entry = any_entry();
         m_world.stop_entry(entry);
-        m_world.after(2s + any_time(6s), [this, entry] { m_world.start_entry(entry); });
+        m_world.after(2s + any_time(6s), [this, entry] { start_once_stopped(entry); });
+    }
+
+    /// A drain may take long: the process is started again only when the old one has ended.
+    void start_once_stopped(std::size_t entry)
+    {
+        if (m_world.entry_alive(entry))
+        {
+            m_world.after(1s, [this, entry] { start_once_stopped(entry); });
+            return;
+        }
+        m_world.start_entry(entry);
     }
 
     void hang()
