--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -1,13 +1,12 @@
 #include "http_session.hpp"
 
 #include "http_answer.hpp"
+#include "use_tuple.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
@@ -28,7 +27,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 /// How much of the requests that follow is read while one is being answered.
 constexpr std::size_t max_read_ahead = std::size_t{64} * 1024;
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -2,12 +2,11 @@
 
 #include "endpoint.hpp"
 #include "http_answer.hpp"
+#include "use_tuple.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -25,7 +24,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr unsigned http_1_1 = 11;
 constexpr int success_class = 2;
 constexpr std::uint32_t max_reply_header = 64 * 1024;
@@ -61,7 +59,7 @@
     begin_on(connection ? connection : std::make_shared<http_connection>(m_context));
 }
 
-void http_transfer::begin_on(const std::shared_ptr<http_connection>& connection)
+void http_transfer::begin_on(const connection_ptr& connection)
 {
     asio::co_spawn(
         connection->socket.get_executor(),
@@ -70,11 +68,11 @@
 
 void http_transfer::cancel()
 {
-    std::shared_ptr<http_connection> connection;
+    connection_ptr connection;
     {
         const std::scoped_lock lock(m_mutex);
         m_cancelled = true;
-        connection = m_connection;
+        connection = m_connection.lock();
     }
     if (connection)
     {
@@ -83,7 +81,7 @@
                    {
                        // It may have gone back to the pool meanwhile.
                        const std::scoped_lock lock(self->m_mutex);
-                       if (self->m_connection == connection)
+                       if (self->m_connection.lock() == connection)
                        {
                            connection->close();
                        }
@@ -91,7 +89,7 @@
     }
 }
 
-asio::awaitable<void> http_transfer::run(std::shared_ptr<http_connection> connection)
+asio::awaitable<void> http_transfer::run(connection_ptr connection)
 {
     {
         const std::scoped_lock lock(m_mutex);
@@ -101,12 +99,12 @@
     {
         fail(http_failure::broken);
     }
-    else if (connection->socket.is_open() || co_await connect())
+    else if (connection->socket.is_open() || co_await connect(connection))
     {
-        set_timer();
-        const bool whole = co_await exchange();
+        set_timer(connection);
+        const bool whole = co_await exchange(connection);
         connection->timer.clear();
-        if (!whole && may_retry())
+        if (!whole && may_retry(*connection))
         {
             connection->close();
             begin_on(std::make_shared<http_connection>(m_context));
@@ -117,10 +115,10 @@
             fail(connection->timer.expired() ? http_failure::timeout : http_failure::broken);
         }
     }
-    finish();
+    finish(connection);
 }
 
-asio::awaitable<bool> http_transfer::connect()
+asio::awaitable<bool> http_transfer::connect(connection_ptr connection)
 {
     const auto endpoint = parse_endpoint(m_request.address);
     if (!endpoint)
@@ -128,23 +126,23 @@
         fail(http_failure::connect);
         co_return false;
     }
-    set_timer();
-    const auto [ec] = co_await m_connection->socket.async_connect(*endpoint, use_tuple);
-    m_connection->timer.clear();
-    if (ec || !m_connection->socket.is_open())
+    set_timer(connection);
+    const auto [ec] = co_await connection->socket.async_connect(*endpoint, use_tuple);
+    connection->timer.clear();
+    if (ec || !connection->socket.is_open())
     {
         fail(http_failure::connect);
         co_return false;
     }
     error_code ignored;
-    m_connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     co_return true;
 }
 
-asio::awaitable<bool> http_transfer::exchange()
+asio::awaitable<bool> http_transfer::exchange(connection_ptr connection)
 {
     // A server that refuses a request may answer before it has read it all.
-    const bool sent = co_await write_request();
+    const bool sent = co_await write_request(connection);
     if (!sent && m_bytes_written == 0)
     {
         co_return false;
@@ -153,10 +151,9 @@
     parser.header_limit(max_reply_header);
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     parser.skip(m_request.method == "HEAD");
-    auto& connection = *m_connection;
     const auto [ec, n] =
-        co_await http::async_read_header(connection.socket, connection.buffer, parser, use_tuple);
-    m_answer_begun = n > 0 || connection.buffer.size() > 0;
+        co_await http::async_read_header(connection->socket, connection->buffer, parser, use_tuple);
+    m_answer_begun = n > 0 || connection->buffer.size() > 0;
     if (ec)
     {
         co_return false;
@@ -164,44 +161,42 @@
     m_reply.status = static_cast<int>(parser.get().result_int());
     m_reply.headers = to_headers(parser.get());
     m_keep_alive = sent && parser.get().keep_alive() && !parser.need_eof();
-    co_return co_await read_body(parser);
+    co_return co_await read_body(connection, parser);
 }
 
-asio::awaitable<bool> http_transfer::write_request()
+asio::awaitable<bool> http_transfer::write_request(connection_ptr connection)
 {
     const auto message = to_message(m_request);
     http::request_serializer<http::string_body> serializer(message);
     error_code ec;
     while (!ec && !serializer.is_done())
     {
-        const auto [write_ec, n] =
-            co_await http::async_write_some(m_connection->socket, serializer, use_tuple);
+        const auto [write_ec, n] = co_await http::async_write_some(connection->socket, serializer, use_tuple);
         m_bytes_written += n;
         ec = write_ec;
     }
     co_return !ec;
 }
 
-asio::awaitable<bool> http_transfer::read_body(reply_parser& parser)
+asio::awaitable<bool> http_transfer::read_body(connection_ptr connection, reply_parser& parser)
 {
-    auto& connection = *m_connection;
     auto& body = parser.get().body();
     error_code ec;
     if (streamed())
     {
-        set_timer();
+        set_timer(connection);
     }
     while (!ec && !parser.is_done())
     {
         body.data = m_piece.data();
         body.size = m_piece.size();
         const auto [read_ec, n] =
-            co_await http::async_read_some(connection.socket, connection.buffer, parser, use_tuple);
+            co_await http::async_read_some(connection->socket, connection->buffer, parser, use_tuple);
         ec = read_ec == http::error::need_buffer ? error_code{} : read_ec;
         take_piece({m_piece.data(), m_piece.size() - body.size});
         if (streamed() && n > 0)
         {
-            set_timer();
+            set_timer(connection);
         }
     }
     co_return !ec;
@@ -228,25 +223,24 @@
     }
 }
 
-bool http_transfer::may_retry() const
+bool http_transfer::may_retry(const http_connection& connection) const
 {
     const bool harmless = m_bytes_written == 0 || m_request.method == "GET" || m_request.method == "HEAD";
-    return m_connection->reused && !m_answer_begun && harmless && !m_cancelled &&
-           !m_connection->timer.expired();
+    return connection.reused && !m_answer_begun && harmless && !m_cancelled && !connection.timer.expired();
 }
 
-void http_transfer::set_timer()
+void http_transfer::set_timer(const connection_ptr& connection) const
 {
     const auto left = m_deadline - std::chrono::steady_clock::now();
     const auto bound = streamed() ? m_request.timeout : std::chrono::ceil<std::chrono::milliseconds>(left);
-    m_connection->timer.set(bound,
-                            [weak = std::weak_ptr{m_connection}]
-                            {
-                                if (const auto connection = weak.lock())
-                                {
-                                    connection->close();
-                                }
-                            });
+    connection->timer.set(bound,
+                          [weak = std::weak_ptr{connection}]
+                          {
+                              if (const auto late = weak.lock())
+                              {
+                                  late->close();
+                              }
+                          });
 }
 
 void http_transfer::fail(http_failure failure)
@@ -254,12 +248,11 @@
     m_reply.failure = failure;
 }
 
-void http_transfer::finish()
+void http_transfer::finish(const connection_ptr& connection)
 {
-    std::shared_ptr<http_connection> connection;
     {
         const std::scoped_lock lock(m_mutex);
-        connection = std::exchange(m_connection, nullptr);
+        m_connection.reset();
     }
     const bool keep = m_reply.failure == http_failure::none && m_keep_alive && !m_cancelled;
     if (keep && connection->socket.is_open())
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -33,19 +33,21 @@
   private:
     using reply_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    void begin_on(const std::shared_ptr<http_connection>& connection);
-    boost::asio::awaitable<void> run(std::shared_ptr<http_connection> connection);
-    boost::asio::awaitable<bool> connect();
-    boost::asio::awaitable<bool> exchange();
-    boost::asio::awaitable<bool> write_request();
-    boost::asio::awaitable<bool> read_body(reply_parser& parser);
+    using connection_ptr = std::shared_ptr<http_connection>;
+
+    void begin_on(const connection_ptr& connection);
+    boost::asio::awaitable<void> run(connection_ptr connection);
+    boost::asio::awaitable<bool> connect(connection_ptr connection);
+    boost::asio::awaitable<bool> exchange(connection_ptr connection);
+    boost::asio::awaitable<bool> write_request(connection_ptr connection);
+    boost::asio::awaitable<bool> read_body(connection_ptr connection, reply_parser& parser);
     void take_piece(std::string_view piece);
 
-    [[nodiscard]] bool may_retry() const;
+    [[nodiscard]] bool may_retry(const http_connection& connection) const;
     [[nodiscard]] bool streamed() const;
-    void set_timer();
+    void set_timer(const connection_ptr& connection) const;
     void fail(http_failure failure);
-    void finish();
+    void finish(const connection_ptr& connection);
 
     boost::asio::io_context& m_context;
     std::shared_ptr<connection_pool> m_pool;
@@ -60,8 +62,9 @@
     bool m_keep_alive = false;
 
     std::mutex m_mutex;
-    /// Under @a m_mutex: the connection to close on cancelling.
-    std::shared_ptr<http_connection> m_connection;
+    /// Under @a m_mutex: the connection to close on cancelling. Its coroutine owns it, so that a handle kept
+    /// too long holds no socket of a context that is gone.
+    std::weak_ptr<http_connection> m_connection;
     std::atomic<bool> m_cancelled = false;
 };
 
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 
@@ -27,50 +28,58 @@
 
 constexpr std::size_t read_size = std::size_t{64} * 1024;
 
-/// A link over a TCP socket. All but `send`, `close` and `remote_address` runs on the socket's strand.
-class tcp_peer_link final : public peer_link, public std::enable_shared_from_this<tcp_peer_link>
+/// The connection behind a link, kept by its own operations until it closes. What is public is thread-safe;
+/// the rest runs on the socket's strand.
+class peer_connection : public std::enable_shared_from_this<peer_connection>
 {
   public:
-    tcp_peer_link(asio::ip::tcp::socket socket, std::string remote, peer_link_limits limits)
-        : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_remote(std::move(remote)),
-          m_limits(limits), m_decoder(limits.max_frame)
+    peer_connection(asio::ip::tcp::socket socket, std::string remote, peer_link_limits limits)
+        : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
+          m_unstarted(m_socket.get_executor(), asio::steady_timer::time_point::max()),
+          m_remote(std::move(remote)), m_limits(limits), m_decoder(limits.max_frame)
     {
     }
 
     void begin_connect(peer_link_callbacks callbacks, std::chrono::milliseconds timeout)
     {
-        post([callbacks = std::move(callbacks), timeout](tcp_peer_link& self) mutable
+        post([callbacks = std::move(callbacks), timeout](peer_connection& self) mutable
              { self.connect_now(std::move(callbacks), timeout); });
     }
 
-    void start(peer_link_callbacks callbacks) override
+    void start(peer_link_callbacks callbacks)
     {
-        post([callbacks = std::move(callbacks)](tcp_peer_link& self) mutable
+        post([callbacks = std::move(callbacks)](peer_connection& self) mutable
              { self.start_now(std::move(callbacks)); });
     }
 
-    void send(std::string frame) override
+    void send(std::string frame)
     {
         if (frame.size() > m_limits.max_frame)
         {
-            post([](tcp_peer_link& self) { self.fail("frame to send is over the limit"); });
+            post([](peer_connection& self) { self.fail("frame to send is over the limit"); });
             return;
         }
         const auto size = frame.size() + frame_header_size;
         if (m_queued.fetch_add(size) + size > m_limits.max_queued)
         {
-            post([](tcp_peer_link& self) { self.fail("outgoing queue is over its limit"); });
+            post([](peer_connection& self) { self.fail("outgoing queue is over its limit"); });
             return;
         }
-        post([frame = std::move(frame)](tcp_peer_link& self) mutable { self.enqueue(std::move(frame)); });
+        post([frame = std::move(frame)](peer_connection& self) mutable { self.enqueue(std::move(frame)); });
     }
 
-    void close() override
+    /// Keeps an accepted connection until it is started.
+    void wait_for_start()
     {
-        post([](tcp_peer_link& self) { self.fail("closed by this end"); });
+        m_unstarted.async_wait([self = shared_from_this()](error_code) {});
     }
 
-    [[nodiscard]] std::string remote_address() const override
+    void close()
+    {
+        post([](peer_connection& self) { self.fail("closed by this end"); });
+    }
+
+    [[nodiscard]] const std::string& remote_address() const
     {
         return m_remote;
     }
@@ -139,6 +148,7 @@
     void open()
     {
         m_open = true;
+        m_unstarted.cancel();
         if (m_callbacks.on_open)
         {
             m_callbacks.on_open();
@@ -231,6 +241,7 @@
         }
         m_reason = std::move(reason);
         m_timer.clear();
+        m_unstarted.cancel();
         error_code ignored;
         m_socket.close(ignored);
         m_queue.clear();
@@ -249,6 +260,8 @@
 
     asio::ip::tcp::socket m_socket;
     detail::deadline m_timer;
+    /// Never expires; cancelled when the connection is started or closed.
+    asio::steady_timer m_unstarted;
     std::string m_remote;
     peer_link_limits m_limits;
     peer_link_callbacks m_callbacks;
@@ -263,6 +276,64 @@
     bool m_closed = false;
 };
 
+/// The owner's handle. It holds its connection weakly: the context's operations keep that, and it goes with
+/// them.
+class tcp_peer_link final : public peer_link
+{
+  public:
+    /// @param started false for an accepted connection, which closes if it is dropped before its start
+    tcp_peer_link(const std::shared_ptr<peer_connection>& connection, bool started)
+        : m_connection(connection), m_remote(connection->remote_address()), m_started(started)
+    {
+    }
+    tcp_peer_link(const tcp_peer_link&) = delete;
+    tcp_peer_link(tcp_peer_link&&) = delete;
+    tcp_peer_link& operator=(const tcp_peer_link&) = delete;
+    tcp_peer_link& operator=(tcp_peer_link&&) = delete;
+    ~tcp_peer_link() override
+    {
+        if (!m_started)
+        {
+            forward([](peer_connection& it) { it.close(); });
+        }
+    }
+
+    void start(peer_link_callbacks callbacks) override
+    {
+        m_started = true;
+        forward([&](peer_connection& it) { it.start(std::move(callbacks)); });
+    }
+
+    void send(std::string frame) override
+    {
+        forward([&](peer_connection& it) { it.send(std::move(frame)); });
+    }
+
+    void close() override
+    {
+        forward([](peer_connection& it) { it.close(); });
+    }
+
+    [[nodiscard]] std::string remote_address() const override
+    {
+        return m_remote;
+    }
+
+  private:
+    template <typename Action>
+    void forward(Action action)
+    {
+        if (const auto connection = m_connection.lock())
+        {
+            action(*connection);
+        }
+    }
+
+    std::weak_ptr<peer_connection> m_connection;
+    std::string m_remote;
+    std::atomic<bool> m_started;
+};
+
 std::string remote_of(const asio::ip::tcp::socket& socket)
 {
     error_code ec;
@@ -277,10 +348,10 @@
                                               std::chrono::milliseconds connect_timeout,
                                               peer_link_limits limits)
 {
-    const auto link =
-        std::make_shared<tcp_peer_link>(asio::ip::tcp::socket(asio::make_strand(context)), address, limits);
-    link->begin_connect(std::move(callbacks), connect_timeout);
-    return link;
+    const auto connection =
+        std::make_shared<peer_connection>(asio::ip::tcp::socket(asio::make_strand(context)), address, limits);
+    connection->begin_connect(std::move(callbacks), connect_timeout);
+    return std::make_shared<tcp_peer_link>(connection, true);
 }
 
 /// The acceptor, which makes a link of each connection.
@@ -293,8 +364,10 @@
                        [on_link = std::move(on_link), limits](asio::ip::tcp::socket socket)
                        {
                            auto remote = remote_of(socket);
-                           on_link(
-                               std::make_shared<tcp_peer_link>(std::move(socket), std::move(remote), limits));
+                           const auto connection = std::make_shared<peer_connection>(
+                               std::move(socket), std::move(remote), limits);
+                           connection->wait_for_start();
+                           on_link(std::make_shared<tcp_peer_link>(connection, false));
                        })
     {
     }
--- a/src/net/tcp_acceptor.cpp
+++ b/src/net/tcp_acceptor.cpp
@@ -1,14 +1,13 @@
 #include "tcp_acceptor.hpp"
 
 #include "endpoint.hpp"
+#include "use_tuple.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
 #include <utility>
@@ -22,7 +21,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 /// How long to wait before accepting again when the process is out of descriptors.
 constexpr std::chrono::milliseconds accept_pause{20};
 
