--- /dev/null
+++ b/tests/unit/test_platform_store.cpp
@@ -0,0 +1,114 @@
+// The store stand-in: its semantics and each of its faults, in virtual time; and the VM list's.
+#include "platform_store.hpp"
+#include "vm_list.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+
+using namespace masticcourse;
+using namespace masticcourse::standins;
+
+namespace
+{
+
+constexpr core_time start{};
+
+} // namespace
+
+TEST_CASE("platform_store: a table is written under conditions")
+{
+    struct row
+    {
+        const char* what;
+        store_op op;
+        store_status status;
+        row_version version;
+    };
+    const std::array table{
+        row{"no such row", table_get{"k"}, store_status::not_found, 0},
+        row{"wrong version of no row", table_put{"k", "x", 1}, store_status::conflict, 0},
+        row{"creation", table_put{"k", "a", 0}, store_status::ok, 1},
+        row{"second creation", table_put{"k", "b", 0}, store_status::conflict, 1},
+        row{"change", table_put{"k", "c", 1}, store_status::ok, 2},
+        row{"change of an old version", table_put{"k", "d", 1}, store_status::conflict, 2},
+        row{"reading", table_get{"k"}, store_status::ok, 2},
+    };
+    platform_store store;
+    for (const auto& it : table)
+    {
+        CAPTURE(it.what);
+        const auto reply = store.apply(it.op, start);
+        CHECK(reply.status == it.status);
+        CHECK(reply.version == it.version);
+    }
+    CHECK(store.apply(table_get{"k"}, start).value == "c");
+    CHECK(store.stats().conflicts == 3);
+}
+
+TEST_CASE("platform_store: objects are created once, listed and deleted")
+{
+    platform_store store;
+    CHECK(store.apply(object_create{"a/1", "x"}, start).status == store_status::ok);
+    CHECK(store.apply(object_create{"a/1", "y"}, start).status == store_status::conflict);
+    CHECK(store.apply(object_create{"a/2", ""}, start).status == store_status::ok);
+    CHECK(store.apply(object_create{"b/1", ""}, start).status == store_status::ok);
+    CHECK(store.apply(object_get{"a/1"}, start).value == "x");
+    const auto listed = store.apply(object_list{"a/"}, start).rows;
+    REQUIRE(listed.size() == 2);
+    CHECK(listed[0].key == "a/1");
+    CHECK(store.apply(object_delete{"a/1"}, start).status == store_status::ok);
+    CHECK(store.apply(object_delete{"a/1"}, start).status == store_status::ok);
+    CHECK(store.apply(object_get{"a/1"}, start).status == store_status::not_found);
+}
+
+TEST_CASE("platform_store: an outage refuses all and writes nothing")
+{
+    platform_store store;
+    store.set_faults({.outage = true});
+    CHECK(store.apply(table_put{"k", "a", 0}, start).status == store_status::unavailable);
+    store.set_faults({});
+    CHECK(store.apply(table_get{"k"}, start).status == store_status::not_found);
+    CHECK(store.stats().refused == 1);
+}
+
+TEST_CASE("platform_store: a lost answer has taken effect")
+{
+    platform_store store;
+    store.set_faults({.lose_answers = 1});
+    CHECK(store.apply(object_create{"k", "a"}, start).status == store_status::lost);
+    CHECK(store.apply(object_get{"k"}, start).value == "a");
+}
+
+TEST_CASE("platform_store: rates bound writes and reads apart")
+{
+    platform_store store;
+    store.set_faults({.writes_per_second = 2, .reads_per_second = 1});
+    const auto put = [&](core_time now) { return store.apply(object_create{"k", ""}, now).status; };
+    CHECK(put(start) == store_status::ok);
+    CHECK(put(start) == store_status::conflict);
+    CHECK(put(start) == store_status::unavailable);
+    CHECK(store.apply(object_get{"k"}, start).status == store_status::ok);
+    CHECK(store.apply(object_get{"k"}, start).status == store_status::unavailable);
+    CHECK(put(start + std::chrono::milliseconds{400}) == store_status::unavailable);
+    CHECK(put(start + std::chrono::milliseconds{600}) == store_status::conflict);
+}
+
+TEST_CASE("vm_list: changes show late, and JSON comes back")
+{
+    const std::vector<vm_entry> vms{
+        {"vm-1", "entry", "127.0.0.1:1", "", "domain-a", vm_state::live},
+        {"vm-2", "target", "127.0.0.1:2", "agent-llm", "domain-b", vm_state::leaving}};
+    vm_list list(std::chrono::seconds{2});
+    list.replace(vms, start);
+    list.replace({}, start + std::chrono::seconds{1});
+    CHECK(list.shown(start + std::chrono::seconds{1}).empty());
+    CHECK(list.shown(start + std::chrono::seconds{2}) == vms);
+    CHECK(list.shown(start + std::chrono::seconds{3}).empty());
+    CHECK(vms_from_json(vms_to_json(vms)) == vms);
+    for (const auto* text : {"", "{}", R"([{"name":"vm-1"}])"})
+    {
+        CHECK_THROWS_AS((void)vms_from_json(text), std::invalid_argument);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_store_client.cpp
@@ -0,0 +1,177 @@
+// The store client against the stand-in over HTTP, with each of its faults.
+#include "masticcourse/net/http_server.hpp"
+#include "masticcourse/net/percent.hpp"
+#include "masticcourse/store/store_client.hpp"
+
+#include "net_fixture.hpp"
+#include "platform_store_http.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+
+using namespace masticcourse;
+using namespace masticcourse::testing;
+
+namespace
+{
+
+struct store_fixture
+{
+    store_fixture()
+        : store(threads.context()),
+          server(threads.context(), "127.0.0.1:0", {},
+                 [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+                 { store.handle(request, exchange); }),
+          http(threads.context()), client(http, loopback(server.port()))
+    {
+    }
+    store_fixture(const store_fixture&) = delete;
+    store_fixture(store_fixture&&) = delete;
+    store_fixture& operator=(const store_fixture&) = delete;
+    store_fixture& operator=(store_fixture&&) = delete;
+    ~store_fixture()
+    {
+        threads.stop();
+    }
+
+    [[nodiscard]] store_reply run(const store_op& op, std::chrono::milliseconds timeout = patience)
+    {
+        const auto done = std::make_shared<std::promise<store_reply>>();
+        auto reply = done->get_future();
+        client.run(op, timeout, [done](store_reply it) { done->set_value(std::move(it)); });
+        return reply.get();
+    }
+
+    io_threads threads;
+    standins::platform_store_http store;
+    http_server server;
+    http_client http;
+    store_client client;
+};
+
+/// Keys that break what is not percent-encoded.
+const std::array<std::string, 4> hard_keys{"plain", "a/b#c", "journal/x y?&%", "\xC3\xBArad/\x01"};
+
+} // namespace
+
+TEST_CASE("store_client: rows")
+{
+    store_fixture it;
+    for (const auto& key : hard_keys)
+    {
+        CAPTURE(key);
+        CHECK(it.run(table_get{key}).status == store_status::not_found);
+        const auto created = it.run(table_put{key, "one", 0});
+        CHECK(created.status == store_status::ok);
+        CHECK(created.version == 1);
+        CHECK(it.run(table_put{key, "two", 0}).status == store_status::conflict);
+        CHECK(it.run(table_put{key, "two", 1}).version == 2);
+        const auto read = it.run(table_get{key});
+        CHECK(read.value == "two");
+        CHECK(read.version == 2);
+        CHECK(it.run(table_list{key}).rows == std::vector<table_row>{{key, "two", 2}});
+    }
+    CHECK(it.run(table_list{""}).rows.size() == hard_keys.size());
+}
+
+TEST_CASE("store_client: objects")
+{
+    store_fixture it;
+    const std::string bytes("\0\xFF\r\n binary", 11);
+    for (const auto& key : hard_keys)
+    {
+        CAPTURE(key);
+        CHECK(it.run(object_create{key, bytes}).status == store_status::ok);
+        CHECK(it.run(object_create{key, "other"}).status == store_status::conflict);
+        CHECK(it.run(object_get{key}).value == bytes);
+        CHECK(it.run(object_list{key}).rows == std::vector<table_row>{{key, "", 0}});
+        CHECK(it.run(object_delete{key}).status == store_status::ok);
+        CHECK(it.run(object_get{key}).status == store_status::not_found);
+    }
+}
+
+TEST_CASE("store_client: faults")
+{
+    store_fixture it;
+    SUBCASE("an outage is a refusal")
+    {
+        it.store.set_faults({.outage = true});
+        CHECK(it.run(table_put{"k", "a", 0}).status == store_status::unavailable);
+        CHECK(it.run(table_get{"k"}).status == store_status::unavailable);
+    }
+    SUBCASE("a rate is a refusal")
+    {
+        it.store.set_faults({.writes_per_second = 0});
+        CHECK(it.run(object_create{"k", "a"}).status == store_status::unavailable);
+        it.store.set_faults({});
+        CHECK(it.run(object_get{"k"}).status == store_status::not_found);
+    }
+    SUBCASE("a lost answer is told from a refusal, and the write is there")
+    {
+        it.store.set_faults({.lose_answers = 1});
+        CHECK(it.run(object_create{"k", "a"}).status == store_status::lost);
+        CHECK(it.run(object_get{"k"}).value == "a");
+        CHECK(it.store.stats().writes == 1);
+    }
+    SUBCASE("a slow answer is lost too")
+    {
+        it.store.set_faults({.delay = std::chrono::minutes{10}});
+        CHECK(it.run(table_put{"k", "a", 0}, std::chrono::milliseconds{30}).status == store_status::lost);
+        it.store.set_faults({});
+        CHECK(it.run(table_get{"k"}).value == "a");
+    }
+    SUBCASE("a short delay only delays")
+    {
+        it.store.set_faults({.delay = std::chrono::milliseconds{1}});
+        CHECK(it.run(table_put{"k", "a", 0}).status == store_status::ok);
+    }
+    SUBCASE("nobody there: nothing was written")
+    {
+        store_client away(it.http, "127.0.0.1:1");
+        watched<std::optional<store_status>> status;
+        away.run(table_put{"k", "a", 0}, patience,
+                 [&](const store_reply& reply)
+                 { status.change([&](auto& value) { value = reply.status; }); });
+        CHECK(status.wait([](const auto& value) { return value == store_status::unavailable; }));
+    }
+}
+
+TEST_CASE("platform store over HTTP: faults and stats on command")
+{
+    store_fixture it;
+    const auto address = loopback(it.server.port());
+    const auto post = [&](const std::string& body) {
+        return fetch(it.http, {.address = address, .method = "POST", .target = "/faults", .body = body})
+            .status;
+    };
+    CHECK(post(R"({"outage":true})") == 204);
+    CHECK(it.run(table_get{"k"}).status == store_status::unavailable);
+    CHECK(post(R"({"outage":false,"writes_per_second":0})") == 204);
+    CHECK(it.run(table_put{"k", "a", 0}).status == store_status::unavailable);
+    CHECK(post(R"({"writes_per_second":null})") == 204);
+    CHECK(it.run(table_put{"k", "a", 0}).status == store_status::ok);
+    CHECK(post("{") == 400);
+    CHECK(post("[1]") == 400);
+    const auto stats = fetch(it.http, {.address = address, .target = "/stats"}).body;
+    CHECK(stats == R"({"conflicts":0,"lost_answers":0,"reads":0,"refused":2,"writes":1})");
+}
+
+TEST_CASE("percent-encoding")
+{
+    for (const auto& key : hard_keys)
+    {
+        CHECK(percent_decode(percent_encode(key)) == key);
+    }
+    CHECK(percent_encode("a/b#c d~") == "a%2Fb%23c%20d~");
+    for (const auto* broken : {"%", "%2", "%zz", "a%+1", "%-1"})
+    {
+        CHECK_FALSE(percent_decode(broken));
+    }
+    CHECK(query_value("a=1&prefix=x%2Fy&c", "prefix") == "x/y");
+    CHECK_FALSE(query_value("a=1", "prefix"));
+    CHECK(split_target("/p?q=1").path == "/p");
+    CHECK(split_target("/p?q=1").query == "q=1");
+    CHECK(split_target("/p").query.empty());
+}
