--- /dev/null
+++ b/src/cli/timeline_command.cpp
@@ -0,0 +1,118 @@
+// `masticcourse timeline`: merges the time lines of all processes of a deployment.
+#include "deployment_access.hpp"
+
+#include "masticcourse/telemetry/timeline.hpp"
+
+#include <algorithm>
+#include <ostream>
+
+namespace masticcourse::detail
+{
+
+namespace
+{
+
+void add_options(po::options_description& options)
+{
+    options.add_options()("settings", po::value<std::string>(), "the deployment's settings file");
+    options.add_options()(
+        "out", po::value<std::string>(),
+        "write PREFIX.json (Chrome trace) and PREFIX.txt (listing) in place of showing one");
+    options.add_options()("program", po::value<std::string>(), "only events of this program");
+    options.add_options()("json", "show the Chrome trace JSON in place of the listing");
+}
+
+std::vector<process_access> all_processes(const deployment_settings& settings)
+{
+    std::vector<process_access> processes;
+    processes.reserve(settings.entries.size() + settings.targets.size());
+    for (const auto& it : settings.entries)
+    {
+        processes.push_back({it.name.value, it.http_address});
+    }
+    for (const auto& it : settings.targets)
+    {
+        processes.push_back({it.name.value, it.http_address});
+    }
+    return processes;
+}
+
+/// The exports of all processes that answered.
+struct fetched_timelines
+{
+    std::vector<timeline_export> exports;
+    exit_code code = exit_code::ok;
+};
+
+fetched_timelines fetch_timelines(const deployment_settings& settings, console& to)
+{
+    const auto processes = all_processes(settings);
+    std::vector<http_client_request> requests;
+    requests.reserve(processes.size());
+    for (const auto& it : processes)
+    {
+        requests.push_back(make_request(it.address, "GET", "/v1/timeline", settings.operator_token));
+    }
+    const auto replies = send_all(std::move(requests));
+    fetched_timelines fetched;
+    for (std::size_t n = 0; n < replies.size(); ++n)
+    {
+        const auto code = judge_reply(replies[n], processes[n].name, to);
+        fetched.code = std::max(fetched.code, code);
+        if (code != exit_code::ok)
+        {
+            continue;
+        }
+        if (auto content = parse_timeline(replies[n].body))
+        {
+            fetched.exports.push_back(std::move(*content));
+            continue;
+        }
+        to.err << processes[n].name << ": its time line can't be read\n";
+        fetched.code = std::max(fetched.code, exit_code::remote_failure);
+    }
+    return fetched;
+}
+
+/// Writes both forms beside each other.
+/// @return whether both were written
+bool write_files(const std::string& prefix, const std::vector<timeline_event>& events, console& to)
+{
+    const bool written = write_file(prefix + ".json", to_chrome_trace(events)) &&
+                         write_file(prefix + ".txt", to_listing(events));
+    if (!written)
+    {
+        to.err << prefix << ": can't be written\n";
+    }
+    return written;
+}
+
+exit_code run(const po::variables_map& options, console& to)
+{
+    const auto path = text_of(options, "settings");
+    const auto settings = path.empty() ? std::nullopt : load_settings(path, to);
+    if (!settings)
+    {
+        to.err << (path.empty() ? "timeline: --settings is needed\n" : "");
+        return exit_code::usage;
+    }
+    const auto fetched = fetch_timelines(*settings, to);
+    auto events = merge_timelines(fetched.exports);
+    if (const program_id program{text_of(options, "program")}; !program.empty())
+    {
+        std::erase_if(events, [&](const timeline_event& it) { return it.program != program; });
+    }
+    if (const auto prefix = text_of(options, "out"); !prefix.empty())
+    {
+        return write_files(prefix, events, to) ? fetched.code : exit_code::usage;
+    }
+    to.out << (options.count("json") != 0 ? to_chrome_trace(events) + "\n" : to_listing(events));
+    return fetched.code;
+}
+
+} // namespace
+
+const command_row timeline_command{"timeline", "", "Merges the time lines of all processes.", add_options,
+                                   run};
+
+} // namespace masticcourse::detail
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -3,11 +3,11 @@
 #include "masticcourse/net/http_client.hpp"
 #include "masticcourse/net/percent.hpp"
 
-#include <algorithm>
-#include <charconv>
-#include <iterator>
 #include <nlohmann/json.hpp>
+
+#include <charconv>
 #include <utility>
+#include <variant>
 
 namespace masticcourse
 {
@@ -15,42 +15,49 @@
 namespace
 {
 
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_created = 201;
+constexpr int status_no_content = 204;
 constexpr int status_not_found = 404;
-constexpr int status_conflict = 412;
+constexpr int status_precondition_failed = 412;
 constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
-constexpr int success_class = 2;
 
-std::string row_target(const std::string& key)
+std::string table_path(const std::string& key)
 {
     return "/table/" + percent_encode(key);
 }
 
-std::string object_target(const std::string& key)
+std::string object_path(const std::string& key)
 {
     return "/objects/" + percent_encode(key);
 }
 
-http_header condition_of(row_version expected)
+http_client_request create_condition(http_client_request request)
 {
-    return expected == 0 ? http_header{"If-None-Match", "*"}
-                         : http_header{"If-Match", '"' + std::to_string(expected) + '"'};
+    request.headers.push_back({"If-None-Match", "*"});
+    return request;
 }
 
-/// Writes each operation as a request; what is left unset is the same for all.
-struct request_writer
+/// The request of each operation.
+struct request_visitor
 {
     http_client_request operator()(const table_get& op) const
     {
-        return {.target = row_target(op.key)};
+        return {.target = table_path(op.key)};
     }
 
     http_client_request operator()(const table_put& op) const
     {
-        return {.method = "PUT",
-                .target = row_target(op.key),
-                .body = op.value,
-                .headers = {condition_of(op.expected)}};
+        http_client_request request{.method = "PUT", .target = table_path(op.key), .body = op.value};
+        if (op.expected == 0)
+        {
+            return create_condition(std::move(request));
+        }
+        request.headers.push_back({"If-Match", '"' + std::to_string(op.expected) + '"'});
+        return request;
     }
 
     http_client_request operator()(const table_list& op) const
@@ -60,18 +67,17 @@
 
     http_client_request operator()(const object_create& op) const
     {
-        return {
-            .method = "PUT", .target = object_target(op.key), .body = op.bytes, .headers = {condition_of(0)}};
+        return create_condition({.method = "PUT", .target = object_path(op.key), .body = op.bytes});
     }
 
     http_client_request operator()(const object_get& op) const
     {
-        return {.target = object_target(op.key)};
+        return {.target = object_path(op.key)};
     }
 
     http_client_request operator()(const object_delete& op) const
     {
-        return {.method = "DELETE", .target = object_target(op.key)};
+        return {.method = "DELETE", .target = object_path(op.key)};
     }
 
     http_client_request operator()(const object_list& op) const
@@ -80,7 +86,6 @@
     }
 };
 
-/// A refusal tells that nothing was written; any other failure leaves that open.
 store_status status_of(const http_client_reply& reply)
 {
     switch (reply.failure)
@@ -95,87 +100,81 @@
     }
     switch (reply.status)
     {
+    case status_ok:
+    case status_created:
+    case status_no_content:
+        return store_status::ok;
     case status_not_found:
         return store_status::not_found;
-    case status_conflict:
+    case status_precondition_failed:
         return store_status::conflict;
     case status_too_many:
     case status_unavailable:
         return store_status::unavailable;
     default:
-        return reply.status / 100 == success_class ? store_status::ok : store_status::lost;
+        // Whatever else it means, it does not say that nothing was written.
+        return store_status::lost;
     }
 }
 
-row_version version_in(const std::optional<std::string>& tag)
+row_version version_in(const http_client_reply& reply)
 {
+    const auto tag = reply.header("ETag").value_or("");
+    const auto from = tag.find_first_not_of('"');
     row_version version = 0;
-    if (tag && tag->size() > 2)
+    if (from != std::string::npos)
     {
-        // The tag is the version between quotes.
-        std::from_chars(tag->data() + 1, tag->data() + tag->size() - 1, version);
+        std::from_chars(tag.data() + from, tag.data() + tag.size(), version);
     }
     return version;
 }
 
-table_row to_row(const nlohmann::json& item)
-{
-    return {.key = item.at("key"), .value = item.at("value"), .version = item.at("version")};
-}
-
-table_row to_object_row(const nlohmann::json& item)
-{
-    return {.key = item};
-}
-
-/// @throws nlohmann::json::exception if @a body is not what the service promises
-template <typename Convert>
-std::vector<table_row> parse_rows(const std::string& body, Convert convert)
+/// Reads a listing: rows as objects, keys of objects as strings.
+/// @return false if the answer is no listing
+bool read_rows(const std::string& body, std::vector<table_row>& rows)
 {
-    const auto items = nlohmann::json::parse(body);
-    std::vector<table_row> rows;
-    std::ranges::transform(items, std::back_inserter(rows), convert);
-    return rows;
-}
-
-enum class reply_form : std::uint8_t
-{
-    value,
-    rows,
-    keys,
-};
-
-reply_form form_of(const store_op& op)
-{
-    if (std::holds_alternative<table_list>(op))
+    const auto document = json::parse(body, nullptr, false);
+    if (!document.is_array())
+    {
+        return false;
+    }
+    for (const auto& it : document)
     {
-        return reply_form::rows;
+        if (it.is_string())
+        {
+            rows.push_back({.key = it.get<std::string>()});
+            continue;
+        }
+        const bool row = it.is_object() && it.contains("key") && it["key"].is_string() &&
+                         it.contains("value") && it["value"].is_string() && it.contains("version") &&
+                         it["version"].is_number_unsigned();
+        if (!row)
+        {
+            return false;
+        }
+        rows.push_back(
+            {it["key"].get<std::string>(), it["value"].get<std::string>(), it["version"].get<row_version>()});
     }
-    return std::holds_alternative<object_list>(op) ? reply_form::keys : reply_form::value;
+    return true;
 }
 
-store_reply to_reply(http_client_reply reply, reply_form form)
+store_reply reply_of(http_client_reply answer, bool lists)
 {
-    store_reply result{.status = status_of(reply), .version = version_in(reply.header("ETag"))};
-    if (result.status != store_status::ok)
-    {
-        return result;
-    }
-    if (form == reply_form::value)
+    store_reply reply{.status = status_of(answer)};
+    if (reply.status != store_status::ok)
     {
-        result.value = std::move(reply.body);
-        return result;
+        return reply;
     }
-    try
+    reply.version = version_in(answer);
+    if (lists && !read_rows(answer.body, reply.rows))
     {
-        result.rows =
-            form == reply_form::rows ? parse_rows(reply.body, to_row) : parse_rows(reply.body, to_object_row);
+        reply.status = store_status::unavailable;
     }
-    catch (const nlohmann::json::exception&)
+    if (!lists)
     {
-        result.status = store_status::lost;
+        reply.value = std::move(answer.body);
     }
-    return result;
+    return reply;
 }
 
 } // namespace
@@ -187,12 +186,12 @@
 
 void store_client::run(const store_op& op, std::chrono::milliseconds timeout, reply_callback on_reply)
 {
-    auto request = std::visit(request_writer{}, op);
+    auto request = std::visit(request_visitor{}, op);
     request.address = m_address;
     request.timeout = timeout;
-    m_client.send(std::move(request),
-                  [form = form_of(op), on_reply = std::move(on_reply)](http_client_reply reply)
-                  { on_reply(to_reply(std::move(reply), form)); });
+    const bool lists = std::holds_alternative<table_list>(op) || std::holds_alternative<object_list>(op);
+    m_client.send(std::move(request), [on_reply = std::move(on_reply), lists](http_client_reply answer)
+                  { on_reply(reply_of(std::move(answer), lists)); });
 }
 
 } // namespace masticcourse
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -1,7 +1,6 @@
 #include "platform_store.hpp"
 
 #include <algorithm>
-#include <type_traits>
 #include <utility>
 #include <variant>
 
@@ -11,27 +10,24 @@
 namespace
 {
 
-template <typename Op>
-constexpr bool writes =
-    std::is_same_v<Op, table_put> || std::is_same_v<Op, object_create> || std::is_same_v<Op, object_delete>;
-
-/// Calls @a action with each entry whose key begins with @a prefix, in order.
-template <typename Map, typename Action>
-void for_each_with_prefix(const Map& map, const std::string& prefix, Action action)
+bool is_write(const store_op& op)
 {
-    for (auto it = map.lower_bound(prefix); it != map.end() && it->first.starts_with(prefix); ++it)
-    {
-        action(*it);
-    }
+    return std::holds_alternative<table_put>(op) || std::holds_alternative<object_create>(op) ||
+           std::holds_alternative<object_delete>(op);
 }
 
 } // namespace
 
 bool token_bucket::take(double per_second, core_time now)
 {
-    const std::chrono::duration<double> passed = now - m_last.value_or(now);
-    m_tokens = m_last ? std::min(per_second, m_tokens + passed.count() * per_second) : per_second;
+    if (!m_last)
+    {
+        m_tokens = per_second;
+    }
+    const auto since = m_last ? now - *m_last : core_duration{};
     m_last = now;
+    const auto seconds = std::chrono::duration<double>{since}.count();
+    m_tokens = std::min(per_second, m_tokens + per_second * seconds);
     if (m_tokens < 1)
     {
         return false;
@@ -42,7 +38,7 @@
 
 store_reply platform_store::apply(const store_op& op, core_time now)
 {
-    const bool write = std::visit([](const auto& it) { return writes<std::decay_t<decltype(it)>>; }, op);
+    const bool write = is_write(op);
     if (!admit(write, now))
     {
         ++m_stats.refused;
@@ -77,13 +73,9 @@
 
 bool platform_store::admit(bool write, core_time now)
 {
-    if (m_faults.outage)
-    {
-        return false;
-    }
     const auto& rate = write ? m_faults.writes_per_second : m_faults.reads_per_second;
     auto& bucket = write ? m_write_bucket : m_read_bucket;
-    return !rate || bucket.take(*rate, now);
+    return !m_faults.outage && (!rate || bucket.take(*rate, now));
 }
 
 store_reply platform_store::run(const table_get& op)
@@ -99,29 +91,30 @@
 store_reply platform_store::run(const table_put& op)
 {
     const auto it = m_rows.find(op.key);
-    const auto version = it == m_rows.end() ? row_version{0} : it->second.version;
-    if (version != op.expected)
+    const row_version present = it != m_rows.end() ? it->second.version : 0;
+    if (present != op.expected)
     {
-        return {.status = store_status::conflict, .version = version};
+        return {.status = store_status::conflict, .version = present};
     }
-    m_rows[op.key] = {.value = op.value, .version = version + 1};
-    return {.version = version + 1};
+    m_rows[op.key] = {.value = op.value, .version = present + 1};
+    return {.version = present + 1};
 }
 
 store_reply platform_store::run(const table_list& op)
 {
     store_reply reply;
-    for_each_with_prefix(
-        m_rows, op.prefix,
-        [&reply](const auto& it)
-        { reply.rows.push_back({.key = it.first, .value = it.second.value, .version = it.second.version}); });
+    for (auto it = m_rows.lower_bound(op.prefix); it != m_rows.end() && it->first.starts_with(op.prefix);
+         ++it)
+    {
+        reply.rows.push_back({it->first, it->second.value, it->second.version});
+    }
     return reply;
 }
 
 store_reply platform_store::run(const object_create& op)
 {
-    const bool created = m_objects.try_emplace(op.key, op.bytes).second;
-    return {.status = created ? store_status::ok : store_status::conflict};
+    const bool fresh = m_objects.emplace(op.key, op.bytes).second;
+    return {.status = fresh ? store_status::ok : store_status::conflict};
 }
 
 store_reply platform_store::run(const object_get& op)
@@ -143,8 +136,11 @@
 store_reply platform_store::run(const object_list& op)
 {
     store_reply reply;
-    for_each_with_prefix(m_objects, op.prefix,
-                         [&reply](const auto& it) { reply.rows.push_back({.key = it.first}); });
+    for (auto it = m_objects.lower_bound(op.prefix);
+         it != m_objects.end() && it->first.starts_with(op.prefix); ++it)
+    {
+        reply.rows.push_back({.key = it->first});
+    }
     return reply;
 }
 
--- a/standins/vm_list.cpp
+++ b/standins/vm_list.cpp
@@ -1,49 +1,51 @@
 #include "vm_list.hpp"
 
-#include <algorithm>
-#include <nlohmann/json.hpp>
-#include <stdexcept>
-#include <utility>
+#include "routes.hpp"
 
 namespace masticcourse::standins
 {
 
-NLOHMANN_JSON_SERIALIZE_ENUM(vm_state, {{vm_state::live, "live"}, {vm_state::leaving, "leaving"}})
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_wrong_method = 405;
+constexpr int status_not_found = 404;
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(vm_entry, name, role, address, service, failure_domain, state)
+} // namespace
 
-std::string vms_to_json(const std::vector<vm_entry>& vms)
+vm_list::vm_list(std::chrono::milliseconds lag) : m_lag(lag) {}
+
+std::string vm_list::shown()
 {
-    return nlohmann::json(vms).dump();
+    const auto until = std::chrono::steady_clock::now() - m_lag;
+    while (m_versions.size() > 1 && m_versions[1].said <= until)
+    {
+        m_versions.pop_front();
+    }
+    // The first list ever said is shown at once: a platform starts with one.
+    return m_versions.empty() ? "[]" : m_versions.front().list;
 }
 
-std::vector<vm_entry> vms_from_json(const std::string& text)
+void vm_list::handle(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
-    try
+    if (request.target != "/vms")
     {
-        return nlohmann::json::parse(text).get<std::vector<vm_entry>>();
+        exchange->respond(json_error(status_not_found, "there is only /vms"));
     }
-    catch (const nlohmann::json::exception& error)
+    else if (request.method == "GET")
     {
-        throw std::invalid_argument(error.what());
+        exchange->respond(json_response(status_ok, shown()));
     }
-}
-
-vm_list::vm_list(core_duration lag) : m_lag(lag) {}
-
-void vm_list::replace(std::vector<vm_entry> vms, core_time now)
-{
-    m_pending.push_back({now + m_lag, std::move(vms)});
-}
-
-const std::vector<vm_entry>& vm_list::shown(core_time now)
-{
-    while (!m_pending.empty() && m_pending.front().since <= now)
+    else if (request.method == "PUT")
+    {
+        m_versions.push_back({std::chrono::steady_clock::now(), request.body});
+        exchange->respond(json_response(status_ok, "{}"));
+    }
+    else
     {
-        m_shown = std::move(m_pending.front().vms);
-        m_pending.pop_front();
+        exchange->respond(json_error(status_wrong_method, "GET or PUT"));
     }
-    return m_shown;
 }
 
 } // namespace masticcourse::standins
--- a/tests/unit/test_platform_store.cpp
+++ b/tests/unit/test_platform_store.cpp
@@ -1,10 +1,11 @@
-// The store stand-in: its semantics and each of its faults, in virtual time; and the VM list's.
+// The store stand-in: its semantics and each of its faults, in virtual time; and the VM list's lag.
 #include "platform_store.hpp"
 #include "vm_list.hpp"
 
 #include <doctest/doctest.h>
 
 #include <array>
+#include <memory>
 #include <string>
 
 using namespace masticcourse;
@@ -15,6 +16,30 @@
 
 constexpr core_time start{};
 
+/// Keeps the answer.
+class answer_keeper final : public http_exchange
+{
+  public:
+    void respond(http_response response) override
+    {
+        answer = std::move(response);
+    }
+    void begin_stream(int /*status*/, std::vector<http_header> /*headers*/) override {}
+    void write(std::string /*chunk*/) override {}
+    void end_stream() override {}
+    void on_closed(std::function<void()> /*callback*/) override {}
+
+    http_response answer;
+};
+
+/// @return what the list answers
+http_response ask(vm_list& list, const http_request& request)
+{
+    const auto exchange = std::make_shared<answer_keeper>();
+    list.handle(request, exchange);
+    return exchange->answer;
+}
+
 } // namespace
 
 TEST_CASE("platform_store: a table is written under conditions")
@@ -95,20 +120,24 @@
     CHECK(put(start + std::chrono::milliseconds{600}) == store_status::conflict);
 }
 
-TEST_CASE("vm_list: changes show late, and JSON comes back")
+TEST_CASE("vm_list: the first list shows at once, later ones after the lag")
 {
-    const std::vector<vm_entry> vms{
-        {"vm-1", "entry", "127.0.0.1:1", "", "domain-a", vm_state::live},
-        {"vm-2", "target", "127.0.0.1:2", "agent-llm", "domain-b", vm_state::leaving}};
-    vm_list list(std::chrono::seconds{2});
-    list.replace(vms, start);
-    list.replace({}, start + std::chrono::seconds{1});
-    CHECK(list.shown(start + std::chrono::seconds{1}).empty());
-    CHECK(list.shown(start + std::chrono::seconds{2}) == vms);
-    CHECK(list.shown(start + std::chrono::seconds{3}).empty());
-    CHECK(vms_from_json(vms_to_json(vms)) == vms);
-    for (const auto* text : {"", "{}", R"([{"name":"vm-1"}])"})
+    struct row
+    {
+        std::chrono::milliseconds lag;
+        const char* shown;
+    };
+    const std::array table{row{std::chrono::milliseconds{0}, "second"}, row{std::chrono::hours{1}, "first"}};
+    const http_request get{.method = "GET", .target = "/vms"};
+    for (const auto& it : table)
     {
-        CHECK_THROWS_AS((void)vms_from_json(text), std::invalid_argument);
+        vm_list list(it.lag);
+        CHECK(ask(list, get).body == "[]");
+        CHECK(ask(list, {.method = "PUT", .target = "/vms", .body = "first"}).status == 200);
+        CHECK(ask(list, get).body == "first");
+        CHECK(ask(list, {.method = "PUT", .target = "/vms", .body = "second"}).status == 200);
+        CHECK(ask(list, get).body == it.shown);
+        CHECK(ask(list, {.method = "POST", .target = "/vms"}).status == 405);
+        CHECK(ask(list, {.method = "GET", .target = "/"}).status == 404);
     }
 }
--- a/tests/unit/test_store_client.cpp
+++ b/tests/unit/test_store_client.cpp
@@ -4,7 +4,7 @@
 #include "masticcourse/store/store_client.hpp"
 
 #include "net_fixture.hpp"
-#include "platform_store_http.hpp"
+#include "store_http.hpp"
 
 #include <doctest/doctest.h>
 
@@ -19,8 +19,9 @@
 
 struct store_fixture
 {
+    // The stand-in runs on one thread.
     store_fixture()
-        : store(threads.context()),
+        : threads(1), store(threads.context()),
           server(threads.context(), "127.0.0.1:0", {},
                  [this](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
                  { store.handle(request, exchange); }),
@@ -44,8 +45,23 @@
         return reply.get();
     }
 
+    /// @return the status of the answer
+    int set_faults(const std::string& faults)
+    {
+        return fetch(http, {.address = loopback(server.port()),
+                            .method = "POST",
+                            .target = "/faults",
+                            .body = faults})
+            .status;
+    }
+
+    [[nodiscard]] std::string stats()
+    {
+        return fetch(http, {.address = loopback(server.port()), .target = "/stats"}).body;
+    }
+
     io_threads threads;
-    standins::platform_store_http store;
+    standins::store_http store;
     http_server server;
     http_client http;
     store_client client;
@@ -97,34 +113,34 @@
     store_fixture it;
     SUBCASE("an outage is a refusal")
     {
-        it.store.set_faults({.outage = true});
+        it.set_faults(R"({"outage":true})");
         CHECK(it.run(table_put{"k", "a", 0}).status == store_status::unavailable);
         CHECK(it.run(table_get{"k"}).status == store_status::unavailable);
     }
     SUBCASE("a rate is a refusal")
     {
-        it.store.set_faults({.writes_per_second = 0});
+        it.set_faults(R"({"writes_per_second":0})");
         CHECK(it.run(object_create{"k", "a"}).status == store_status::unavailable);
-        it.store.set_faults({});
+        it.set_faults(R"({"writes_per_second":null})");
         CHECK(it.run(object_get{"k"}).status == store_status::not_found);
     }
     SUBCASE("a lost answer is told from a refusal, and the write is there")
     {
-        it.store.set_faults({.lose_answers = 1});
+        it.set_faults(R"({"lose_answers":1})");
         CHECK(it.run(object_create{"k", "a"}).status == store_status::lost);
         CHECK(it.run(object_get{"k"}).value == "a");
-        CHECK(it.store.stats().writes == 1);
+        CHECK(it.stats().find(R"("writes":1)") != std::string::npos);
     }
     SUBCASE("a slow answer is lost too")
     {
-        it.store.set_faults({.delay = std::chrono::minutes{10}});
+        it.set_faults(R"({"delay_ms":600000})");
         CHECK(it.run(table_put{"k", "a", 0}, std::chrono::milliseconds{30}).status == store_status::lost);
-        it.store.set_faults({});
+        it.set_faults(R"({"delay_ms":0})");
         CHECK(it.run(table_get{"k"}).value == "a");
     }
     SUBCASE("a short delay only delays")
     {
-        it.store.set_faults({.delay = std::chrono::milliseconds{1}});
+        it.set_faults(R"({"delay_ms":1})");
         CHECK(it.run(table_put{"k", "a", 0}).status == store_status::ok);
     }
     SUBCASE("nobody there: nothing was written")
@@ -141,21 +157,18 @@
 TEST_CASE("platform store over HTTP: faults and stats on command")
 {
     store_fixture it;
-    const auto address = loopback(it.server.port());
-    const auto post = [&](const std::string& body) {
-        return fetch(it.http, {.address = address, .method = "POST", .target = "/faults", .body = body})
-            .status;
-    };
-    CHECK(post(R"({"outage":true})") == 204);
+    CHECK(it.set_faults(R"({"outage":true})") == 200);
     CHECK(it.run(table_get{"k"}).status == store_status::unavailable);
-    CHECK(post(R"({"outage":false,"writes_per_second":0})") == 204);
+    CHECK(it.set_faults(R"({"outage":false,"writes_per_second":0})") == 200);
     CHECK(it.run(table_put{"k", "a", 0}).status == store_status::unavailable);
-    CHECK(post(R"({"writes_per_second":null})") == 204);
+    CHECK(it.set_faults(R"({"writes_per_second":null})") == 200);
     CHECK(it.run(table_put{"k", "a", 0}).status == store_status::ok);
-    CHECK(post("{") == 400);
-    CHECK(post("[1]") == 400);
-    const auto stats = fetch(it.http, {.address = address, .target = "/stats"}).body;
-    CHECK(stats == R"({"conflicts":0,"lost_answers":0,"reads":0,"refused":2,"writes":1})");
+    for (const auto* wrong : {"{", "[1]", R"({"outage":"yes"})", R"({"reads_per_second":"many"})"})
+    {
+        CAPTURE(wrong);
+        CHECK(it.set_faults(wrong) == 400);
+    }
+    CHECK(it.stats() == R"({"conflicts":0,"lost_answers":0,"reads":0,"refused":2,"writes":1})");
 }
 
 TEST_CASE("percent-encoding")
