--- a/tests/unit/net_fixture.hpp
+++ b/tests/unit/net_fixture.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <chrono>
--- /dev/null
+++ b/tests/unit/test_fuzz_net.cpp
@@ -0,0 +1,149 @@
+// Properties of the parsers that take bytes from outside, on random input.
+#include "masticcourse/net/frame.hpp"
+#include "masticcourse/net/percent.hpp"
+#include "masticcourse/net/sse.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace masticcourse;
+
+namespace
+{
+
+using pieces = std::vector<std::string>;
+
+std::string joined(const pieces& parts)
+{
+    std::string all;
+    std::ranges::for_each(parts, [&all](const auto& it) { all += it; });
+    return all;
+}
+
+/// What a parser made of some bytes.
+template <typename Item>
+struct parsed
+{
+    std::vector<Item> items;
+    bool ok = true;
+
+    friend bool operator==(const parsed&, const parsed&) = default;
+};
+
+parsed<sse_event> parse_events(const pieces& parts, std::size_t max_event)
+{
+    parsed<sse_event> result;
+    sse_parser parser([&result](sse_event it) { result.items.push_back(std::move(it)); }, max_event);
+    std::ranges::for_each(parts, [&](const auto& it) { result.ok = parser.feed(it); });
+    return result;
+}
+
+parsed<std::string> decode_frames(const pieces& parts, std::size_t max_frame)
+{
+    parsed<std::string> result;
+    frame_decoder decoder(max_frame);
+    const auto take = [&result](std::string it) { result.items.push_back(std::move(it)); };
+    std::ranges::for_each(parts, [&](const auto& it) { result.ok = decoder.feed(it, take); });
+    return result;
+}
+
+/// Text made of the pieces that a stream of events is made of, and of others.
+rc::Gen<std::string> sse_text()
+{
+    return rc::gen::map(
+        rc::gen::container<pieces>(rc::gen::oneOf(
+            rc::gen::element<std::string>("data: ", "data:", "id: ", "event: ", ":", "\n", "\r", "\r\n", "x"),
+            rc::gen::arbitrary<std::string>())),
+        joined);
+}
+
+std::string framed(const pieces& payloads)
+{
+    std::string bytes;
+    for (const auto& it : payloads)
+    {
+        const auto header = make_frame_header(it.size());
+        bytes.append(header.begin(), header.end()).append(it);
+    }
+    return bytes;
+}
+
+} // namespace
+
+TEST_CASE("fuzz: events don't depend on how the stream is cut")
+{
+    CHECK(rc::check(
+        []
+        {
+            const auto parts = *rc::gen::container<pieces>(sse_text());
+            constexpr std::size_t no_limit = 1'000'000;
+            RC_ASSERT(parse_events(parts, no_limit) == parse_events({joined(parts)}, no_limit));
+        }));
+}
+
+TEST_CASE("fuzz: no event is longer than the limit")
+{
+    CHECK(rc::check(
+        []
+        {
+            const auto limit = *rc::gen::inRange<std::size_t>(0, 20);
+            const auto result = parse_events(*rc::gen::container<pieces>(sse_text()), limit);
+            RC_ASSERT(
+                std::ranges::all_of(result.items, [=](const auto& it) { return it.data.size() <= limit; }));
+        }));
+}
+
+TEST_CASE("fuzz: what is formatted is parsed back")
+{
+    CHECK(rc::check(
+        [](const std::vector<int>& lines)
+        {
+            sse_event event{.id = "7", .event = "token"};
+            for (const int it : lines)
+            {
+                event.data += std::to_string(it) + '\n';
+            }
+            const auto result = parse_events({format_sse(event)}, 1'000'000);
+            RC_ASSERT(result.items == std::vector<sse_event>{event});
+        }));
+}
+
+TEST_CASE("fuzz: frames don't depend on how the stream is cut")
+{
+    CHECK(rc::check(
+        [](const pieces& payloads)
+        {
+            const auto bytes = framed(payloads);
+            const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size() + 1);
+            const parsed<std::string> expected{payloads};
+            RC_ASSERT(decode_frames({bytes.substr(0, cut), bytes.substr(cut)}, 1000) == expected);
+        }));
+}
+
+TEST_CASE("fuzz: arbitrary bytes make no frame over the limit")
+{
+    CHECK(rc::check(
+        []
+        {
+            const auto limit = *rc::gen::inRange<std::size_t>(0, 300);
+            const auto parts = *rc::gen::arbitrary<pieces>();
+            const auto result = decode_frames(parts, limit);
+            RC_ASSERT(std::ranges::all_of(result.items, [=](const auto& it) { return it.size() <= limit; }));
+            RC_ASSERT(result == decode_frames({joined(parts)}, limit));
+        }));
+}
+
+TEST_CASE("fuzz: any text survives percent-encoding, and any text may be decoded")
+{
+    CHECK(rc::check(
+        [](const std::string& text)
+        {
+            RC_ASSERT(percent_decode(percent_encode(text)) == text);
+            (void)percent_decode(text);
+            (void)query_value(text, "a");
+        }));
+}
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -106,6 +106,61 @@
     }
 };
 
+/// Answers each request but the second, at which it closes the connection after having read it.
+class forgetful_server
+{
+  public:
+    /// @param connections how many it takes before it ends
+    explicit forgetful_server(int connections)
+        : m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0}),
+          m_thread([this, connections] { serve(connections); })
+    {
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return loopback(m_acceptor.local_endpoint().port());
+    }
+
+    /// @return the number of requests read, once all connections are over
+    [[nodiscard]] int requests()
+    {
+        m_thread.join();
+        return m_requests;
+    }
+
+  private:
+    void serve(int connections)
+    {
+        for (int it = 0; it < connections; ++it)
+        {
+            auto socket = m_acceptor.accept();
+            while (answer(socket))
+            {
+            }
+        }
+    }
+
+    bool answer(boost::asio::ip::tcp::socket& socket)
+    {
+        std::string request;
+        boost::system::error_code ec;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", ec);
+        if (ec || ++m_requests == 2)
+        {
+            return false;
+        }
+        const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        boost::asio::write(socket, boost::asio::buffer(text), ec);
+        return !ec;
+    }
+
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    int m_requests = 0;
+    std::jthread m_thread;
+};
+
 } // namespace
 
 TEST_CASE("http: requests and answers")
@@ -382,3 +437,28 @@
         CHECK(reply.failure == http_failure::timeout);
     }
 }
+
+TEST_CASE("http client: only what may run twice is sent again on a fresh connection")
+{
+    struct row
+    {
+        const char* method;
+        http_failure failure;
+        int requests;
+    };
+    const std::array table{row{"POST", http_failure::broken, 2}, row{"PUT", http_failure::broken, 2},
+                           row{"GET", http_failure::none, 3}};
+    for (const auto& it : table)
+    {
+        CAPTURE(it.method);
+        forgetful_server server(it.requests - 1);
+        {
+            io_threads threads;
+            http_client client(threads.context());
+            CHECK(fetch(client, {.address = server.address()}).status == 200);
+            CHECK(fetch(client, {.address = server.address(), .method = it.method}).failure == it.failure);
+            threads.stop();
+        }
+        CHECK(server.requests() == it.requests);
+    }
+}
