--- a/standins/store_http.cpp
+++ b/standins/store_http.cpp
@@ -130,26 +130,35 @@
     return response;
 }
 
-/// Reads the members that the document has; the others stay as they are.
-bool read_faults(const std::string& body, store_faults& faults)
+/// A rate of null means no limit.
+std::optional<double> rate_in(const json& document, const char* name, std::optional<double> present)
 {
-    const auto document = json::parse(body, nullptr, false);
-    if (!document.is_object())
+    const auto it = document.find(name);
+    if (it == document.end())
     {
-        return false;
+        return present;
     }
-    faults.outage = document.value("outage", faults.outage);
-    faults.delay = std::chrono::milliseconds{document.value("delay_ms", faults.delay.count())};
-    faults.lose_answers = document.value("lose_answers", faults.lose_answers);
-    if (document.contains("writes_per_second"))
+    return it->is_null() ? std::nullopt : std::optional{it->get<double>()};
+}
+
+/// Reads the members that the document has; the others stay as they are.
+/// @return false if it is no object or a member is of the wrong type
+bool read_faults(const std::string& body, store_faults& faults)
+{
+    try
     {
-        faults.writes_per_second = document["writes_per_second"].get<double>();
+        const auto document = json::parse(body);
+        faults.outage = document.value("outage", faults.outage);
+        faults.delay = std::chrono::milliseconds{document.value("delay_ms", faults.delay.count())};
+        faults.lose_answers = document.value("lose_answers", faults.lose_answers);
+        faults.writes_per_second = rate_in(document, "writes_per_second", faults.writes_per_second);
+        faults.reads_per_second = rate_in(document, "reads_per_second", faults.reads_per_second);
+        return true;
     }
-    if (document.contains("reads_per_second"))
+    catch (const json::exception&)
     {
-        faults.reads_per_second = document["reads_per_second"].get<double>();
+        return false;
     }
-    return true;
 }
 
 } // namespace
@@ -206,7 +215,7 @@
     auto faults = m_store.faults();
     if (!read_faults(request.body, faults))
     {
-        exchange.respond(json_error(status_bad_request, "not an object"));
+        exchange.respond(json_error(status_bad_request, "not an object of faults"));
         return;
     }
     m_store.set_faults(faults);
