Target core: second runs of idempotent calls can't cross; promises hold over them

Since idempotent calls may run again once their results are gone, five tests that forbade it failed, and rightly the random interleavings found that two runs of one call could cross (late events of the first taken for the second) and that a second run could end with ran: no. Now a call keeps its name until the backend has let go of it, a second run that is cut short says that it ran, and each run's stream has a name of its own at the engine. An idempotent call whose outcome is ran: no may be tried again here; it got the same failure for ever before.

--- a/include/masticcourse/control/target_backend.hpp
+++ b/include/masticcourse/control/target_backend.hpp
@@ -51,7 +51,7 @@
     /// Calls under way go on, but nothing is told any more.
     ~target_backend();
 
-    /// Runs a call. Exactly one `engine_finished` follows.
+    /// Runs a call. Exactly one `engine_finished` follows; no other run of that call may begin before it.
     void start(engine_start order);
 
     /// Ends a call; its `engine_finished` comes as soon as the target has let go of it.
--- a/src/control/backend_call.hpp
+++ b/src/control/backend_call.hpp
@@ -5,6 +5,7 @@
 #include "masticcourse/control/target_backend.hpp"
 #include "masticcourse/net/http_client.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -35,6 +36,8 @@
     http_client& client;
     const target_backend_options& options;
     target_input_callback tell;
+    /// Differs for every call that this process starts, also for a second run of one.
+    std::uint64_t run = 0;
 };
 
 /// The call was sent and its answer was lost: nobody can tell whether one that is not idempotent ran.
--- a/src/control/target_backend.cpp
+++ b/src/control/target_backend.cpp
@@ -113,7 +113,8 @@
                                     .client = m_client,
                                     .options = m_options,
                                     .tell = [self = shared_from_this()](target_input input)
-                                    { self->tell(std::move(input)); }};
+                                    { self->tell(std::move(input)); },
+                                    .run = ++m_runs};
         return m_options.kind == call_kind::model
                    ? detail::make_model_call(std::move(tools), std::move(order))
                    : detail::make_service_call(std::move(tools), std::move(order));
@@ -153,6 +154,7 @@
     target_input_callback m_on_input;
     http_client m_client;
     std::atomic<bool> m_stopped = false;
+    std::atomic<std::uint64_t> m_runs = 0;
     std::mutex m_mutex;
     std::map<call_ref, std::shared_ptr<detail::backend_call>> m_calls;
 };
--- a/src/control/target_calls.cpp
+++ b/src/control/target_calls.cpp
@@ -98,7 +98,8 @@
     }
     for (const auto& ref : late)
     {
-        s.ending.erase(ref);
+        // Its place is given away; its name stays until the backend has let go, lest two runs cross.
+        s.ending[ref] = core_time::max();
         s.admission.finished(ref);
         const auto it = s.calls.find(ref);
         if (it != s.calls.end() && it->second.stage == call_stage::running)
--- a/src/control/target_gate.cpp
+++ b/src/control/target_gate.cpp
@@ -88,11 +88,20 @@
             .parent = order.parent};
 }
 
+/// Whether a call that its home sends again is one that could not be run, and that may be tried again.
+bool may_try_again(const target_call& call)
+{
+    const problem& error = call.outcome.error;
+    const bool did_not_run = error.failed() && error.ran == ran_state::no;
+    return call.stage == call_stage::finished && call.order.request.idempotent && did_not_run;
+}
+
 void accept(target_state& s, dispatch_call order)
 {
     const call_ref ref = order.call;
     touch_program(s, ref.program, order.shard);
     target_call call{.order = std::move(order), .arrived = s.now};
+    call.ran_before = s.settled.find(ref) == settlement::ended;
     call.bytes = bytes_of(call.order);
     if (call.order.remaining)
     {
@@ -152,7 +161,13 @@
         answer_settled(s, link, ref, *how);
         return;
     }
-    if (const auto it = s.calls.find(ref); it != s.calls.end())
+    if (s.ending.contains(ref) && !s.calls.contains(ref))
+    {
+        // Its last run has not ended at the target; two at once could cross.
+        refuse(s, link, ref, refusal_reason::overloaded, time_to_come_back(s));
+        return;
+    }
+    if (const auto it = s.calls.find(ref); it != s.calls.end() && !may_try_again(it->second))
     {
         send_again(s, link, it->second);
         return;
@@ -172,6 +187,10 @@
         refuse(s, link, ref, refusal_reason::overloaded, time_to_come_back(s));
         return;
     }
+    if (s.calls.contains(ref))
+    {
+        drop_result(s, ref);
+    }
     accept(s, std::move(message));
 }
 
--- a/src/control/target_results.cpp
+++ b/src/control/target_results.cpp
@@ -93,11 +93,14 @@
         s.queue.remove(ref);
         stop_deadline(s, it->second);
     }
-    else
-    {
-        s.counts.kept -= 1;
-    }
     s.settled.settle(ref, how, s.now);
+    drop_result(s, ref);
+}
+
+void drop_result(target_state& s, const call_ref& ref)
+{
+    const auto it = s.calls.find(ref);
+    s.counts.kept -= it->second.stage == call_stage::finished ? 1 : 0;
     s.bytes -= it->second.bytes;
     s.calls.erase(it);
 }
--- a/src/control/target_state.cpp
+++ b/src/control/target_state.cpp
@@ -55,7 +55,7 @@
 
 ran_state ran_when_cut(const target_call& call)
 {
-    if (call.stage == call_stage::queued)
+    if (call.stage == call_stage::queued && !call.ran_before)
     {
         return ran_state::no;
     }
--- a/src/control/target_state.hpp
+++ b/src/control/target_state.hpp
@@ -36,6 +36,8 @@
     std::optional<core_time> first_token;
     core_time ended{};
     std::optional<core_time> deadline;
+    /// It ran here before, and its result is gone.
+    bool ran_before = false;
     /// A cancel is under way; what the backend says first stands.
     bool cancelling = false;
     /// What has been streamed so far.
@@ -105,7 +107,7 @@
     engine_admission admission;
     /// Deadlines of queued and running calls.
     std::set<std::pair<core_time, call_ref>> deadlines;
-    /// Cancelled calls that the backend has not let go of, and how long it may take.
+    /// Cancelled calls that the backend has not let go of, and until when they keep their places.
     std::map<call_ref, core_time> ending;
     core_time next_result_check{};
     std::size_t bytes = 0;
--- a/src/control/target_systems.hpp
+++ b/src/control/target_systems.hpp
@@ -46,6 +46,8 @@
 void take_durable(target_state& s, link_id link, const outcome_durable& message);
 /// Forgets a call but for its name, so that it never runs again.
 void settle(target_state& s, const call_ref& call, settlement how);
+/// Forgets a call that does not run, and its result.
+void drop_result(target_state& s, const call_ref& call);
 /// Gives up results that no home has asked for in a long time.
 void expire_results(target_state& s);
 /// @}
