--- a/src/cli/load_run.cpp
+++ b/src/cli/load_run.cpp
@@ -26,7 +26,10 @@
 using nlohmann::json;
 using run_clock = std::chrono::steady_clock;
 
-constexpr int max_attempts = 8;
+/// How long a caller goes on asking for one answer.
+constexpr std::chrono::seconds patience{60};
+/// How long an entry that takes no connection is passed over, as a balancer would.
+constexpr std::chrono::seconds passed_over{1};
 constexpr std::chrono::milliseconds default_backoff{250};
 constexpr std::chrono::milliseconds longest_backoff{5'000};
 constexpr std::chrono::milliseconds call_wait{180'000};
@@ -84,11 +87,23 @@
     token_count known_tokens = 0;
 };
 
+/// An entry, and until when it is passed over.
+struct entry_row
+{
+    std::string address;
+    run_clock::time_point down_until{};
+};
+
 /// The run: its counts and the callers that go on side by side, all on one thread.
 class load_runner
 {
   public:
-    load_runner(const deployment_settings& settings, console& to) : m_settings(settings), m_console(to) {}
+    load_runner(const deployment_settings& settings, console& to) : m_settings(settings), m_console(to)
+    {
+        std::ranges::transform(settings.entries, std::back_inserter(m_entries),
+                               [](const entry_settings& it)
+                               { return entry_row{.address = it.http_address}; });
+    }
 
     load_report run(const std::vector<planned_program>& programs)
     {
@@ -238,28 +253,30 @@
     /// under the same key, by another entry.
     asio::awaitable<http_client_reply> send_until_settled(http_client_request request)
     {
-        http_client_reply reply;
-        for (int attempt = 0; attempt < max_attempts; ++attempt)
+        const auto give_up = run_clock::now() + patience;
+        while (true)
         {
-            request.address = m_settings.entries[m_next_entry++ % m_settings.entries.size()].http_address;
-            reply = co_await send(m_client, request);
-            if (is_success(reply))
-            {
-                break;
-            }
-            const auto wait = wait_before_repeat(reply);
-            if (!wait)
+            auto& entry = next_entry();
+            request.address = entry.address;
+            auto reply = co_await send(m_client, request);
+            const auto wait = is_success(reply) ? std::nullopt : wait_before_repeat(entry, reply);
+            if (!wait || run_clock::now() + *wait >= give_up)
             {
-                break;
+                co_return reply;
             }
             co_await pause_for(*wait);
         }
-        co_return reply;
     }
 
     /// @return how long to wait before the same request again; nothing if its answer is final
-    std::optional<std::chrono::milliseconds> wait_before_repeat(const http_client_reply& reply)
+    std::optional<std::chrono::milliseconds> wait_before_repeat(entry_row& entry,
+                                                                const http_client_reply& reply)
     {
+        if (reply.failure == http_failure::connect)
+        {
+            entry.down_until = run_clock::now() + passed_over;
+            return any_entry_up() ? std::chrono::milliseconds{0} : default_backoff;
+        }
         if (reply.failure != http_failure::none)
         {
             ++m_report.counts.repeats;
@@ -270,6 +287,27 @@
         return wait;
     }
 
+    [[nodiscard]] bool any_entry_up() const
+    {
+        const auto now = run_clock::now();
+        return std::ranges::any_of(m_entries, [&](const entry_row& it) { return it.down_until <= now; });
+    }
+
+    /// @return the next entry in turn that takes connections; the next one at all if none does
+    entry_row& next_entry()
+    {
+        const auto now = run_clock::now();
+        for (std::size_t n = 0; n < m_entries.size(); ++n)
+        {
+            auto& entry = m_entries[m_next_entry++ % m_entries.size()];
+            if (entry.down_until <= now)
+            {
+                return entry;
+            }
+        }
+        return m_entries[m_next_entry++ % m_entries.size()];
+    }
+
     asio::awaitable<void> show_progress()
     {
         const auto start = run_clock::now();
@@ -291,6 +329,7 @@
     asio::io_context m_context{1};
     http_client m_client{m_context};
     load_report m_report;
+    std::vector<entry_row> m_entries;
     std::size_t m_left = 0;
     std::size_t m_planned = 0;
     std::size_t m_next_entry = 0;
--- a/tests/unit/test_load_run.cpp
+++ b/tests/unit/test_load_run.cpp
@@ -175,3 +175,20 @@
     CHECK(entry.calls() == 2);
     CHECK(entry.open_programs() == 0);
 }
+
+TEST_CASE("an entry that takes no connection is passed over")
+{
+    scripted_entry entry{scripted_entry::first_answer::good};
+    auto settings = entry.settings();
+    {
+        // The port is free once its owner is gone.
+        const scripted_entry gone{scripted_entry::first_answer::good};
+        settings.entries.push_back(gone.settings().entries.front());
+    }
+    std::ostringstream out;
+    std::ostringstream err;
+    console to{out, err};
+    const auto report = run_load(settings, two_programs(), to);
+    CHECK(report.counts.programs_finished == 2);
+    CHECK(report.counts.repeats == 0);
+}
