--- a/include/masticcourse/policy/placement.hpp
+++ b/include/masticcourse/policy/placement.hpp
@@ -75,7 +75,7 @@
     core_duration staying_bonus = std::chrono::milliseconds{20};
     /// The weight of prefill that a cold target computes again: it delays others too, so more than its own
     /// time.
-    double recompute_weight = 2.0;
+    double recompute_weight = 20.0;
     /// Tokens per second by KV export and import; 0 where engines can't move a prefix.
     double transfer_rate = 0;
     /// The fixed cost of one move.
@@ -108,7 +108,11 @@
     placement_policy policy;
     /// Speeds of a target that has not reported any, tokens per second.
     double default_prefill_rate = 8000;
-    double default_decode_rate = 1000;
+    double default_decode_rate = 700;
+    /// Sequences of an engine's full batch, which share its decode rate.
+    double batch = 16;
+    /// How much each running sequence lengthens the steps of the others, as a part of a step.
+    double batch_slowdown = 0.02;
     /// A report older than this tells nothing about the queue.
     core_duration report_lifetime = std::chrono::seconds{5};
 };
--- a/standins/faulty_store.hpp
+++ b/standins/faulty_store.hpp
@@ -39,9 +39,18 @@
   public:
     using answer_handler = std::function<void(const store_reply&)>;
 
+    struct waiting_op
+    {
+        store_op op;
+        answer_handler handler;
+    };
+
     /// Puts an operation on its way.
     void send(store_op op, answer_handler handler);
 
+    /// Takes one of the waiting operations back, to send it again later.
+    [[nodiscard]] waiting_op take(std::size_t which);
+
     /// @return number of operations on their way, without late ones
     [[nodiscard]] std::size_t waiting() const;
 
@@ -61,12 +70,6 @@
     std::function<void(const store_op&, const store_reply&)> observer;
 
   private:
-    struct waiting_op
-    {
-        store_op op;
-        answer_handler handler;
-    };
-
     store_reply carry_out(const store_op& op, core_time now);
 
     platform_store m_store;
