Policy: the staying bonus and 'running first' in the queue are removed

Cause: their ablations show nothing beside the recompute weight and the edge's admission. Change: both removed; an equal cost now keeps a program where it is. What the bonus was meant for the weight of a lost prefix does; new programs are held at the edge.

--- a/bench/policy/policy_main.cpp
+++ b/bench/policy/policy_main.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <exception>
 #include <fstream>
@@ -47,6 +48,7 @@
 {
     command it;
     double arrivals = 0;
+    token_count cache = 0;
     po::options_description options{"policy_bench"};
     auto add = options.add_options();
     add("table", po::value(&it.table)->default_value("loads"),
@@ -57,6 +59,7 @@
     add("fault", po::value(&it.plan.fault), "part of the names of the faults to run");
     add("arrivals", po::value(&arrivals)->default_value(600), "seconds in which programs arrive");
     add("jobs", po::value(&it.plan.jobs)->default_value(1), "runs at once");
+    add("cache", po::value(&cache)->default_value(0), "tokens of memory of each engine");
     add("bounds", po::value(&it.bounds), "the file of bounds");
     add("csv", po::value(&it.csv), "also writes the table here");
     po::variables_map given;
@@ -64,6 +67,10 @@
     po::notify(given);
     it.plan.arrivals = std::chrono::duration_cast<core_duration>(std::chrono::duration<double>{arrivals});
     it.plan.systems = systems_of(it.table);
+    if (cache > 0)
+    {
+        std::ranges::for_each(it.plan.systems, [cache](auto& system) { system.cache_capacity = cache; });
+    }
     return it;
 }
 
--- a/include/masticcourse/policy/placement.hpp
+++ b/include/masticcourse/policy/placement.hpp
@@ -71,8 +71,6 @@
 /// Least sum of queue, prefill of what is not cached, and decode; see docs/design/policy.md.
 struct expected_finish
 {
-    /// What staying at the last target is worth.
-    core_duration staying_bonus = std::chrono::milliseconds{20};
     /// The weight of prefill that a cold target computes again: it delays others too, so more than its own
     /// time.
     double recompute_weight = 20.0;
--- a/include/masticcourse/policy/target_queue.hpp
+++ b/include/masticcourse/policy/target_queue.hpp
@@ -47,8 +47,6 @@
     core_duration attained_step = std::chrono::milliseconds{100};
     /// The most that attained service counts for.
     core_duration attained_limit = std::chrono::seconds{5};
-    /// How long a program that has run nothing waits behind running ones.
-    core_duration first_turn_delay = std::chrono::seconds{2};
     /// How long a workspace waits for each thousand tokens that it has had more than the least served one.
     core_duration workspace_step = std::chrono::milliseconds{200};
     core_duration workspace_limit = std::chrono::seconds{10};
--- a/src/control/entry_requests.cpp
+++ b/src/control/entry_requests.cpp
@@ -140,9 +140,9 @@
         reply(state, route, forward_misdirected, {});
         return;
     }
-    reply_problem(state, route,
-                  {problem_id::no_home, ran_state::no, "this program has no home at the moment",
-                   retry_after_takeover});
+    reply_problem(
+        state, route,
+        {problem_id::no_home, ran_state::no, "this program has no home at the moment", retry_after_takeover});
 }
 
 std::map<std::uint64_t, forwarded_row>::iterator find_forward(entry_state& state, link_id link,
--- a/src/control/target_calls.cpp
+++ b/src/control/target_calls.cpp
@@ -17,7 +17,8 @@
     target_call& call = it->second;
     const auto how = s.settled.find(waiting.call);
     const bool runs_again = call.order.request.idempotent && how == settlement::ended;
-    MASTICCOURSE_INVARIANT(!how || runs_again, "a call starts that was refused, or has ended and may not run again");
+    MASTICCOURSE_INVARIANT(!how || runs_again,
+                           "a call starts that was refused, or has ended and may not run again");
     MASTICCOURSE_INVARIANT(call.stage == call_stage::queued, "a call starts a second time");
     call.stage = call_stage::running;
     call.started = s.now;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -141,10 +141,6 @@
         const core_duration extra = to_core(seconds{again} * (m_policy.recompute_weight - 1));
         estimate result{index, base + prefill, base + prefill + std::max(extra, core_duration::zero()), {}};
         consider_move(result, again);
-        if (m_query.last == index)
-        {
-            result.cost -= m_policy.staying_bonus;
-        }
         return result;
     }
 
@@ -182,6 +178,10 @@
         {
             return a.cost < b.cost;
         }
+        if (a.target == m_query.last || b.target == m_query.last)
+        {
+            return a.target == m_query.last;
+        }
         const bool a_near = m_targets[a.target].failure_domain == m_query.own_domain;
         const bool b_near = m_targets[b.target].failure_domain == m_query.own_domain;
         return a_near && !b_near;
--- a/src/policy/target_queue.cpp
+++ b/src/policy/target_queue.cpp
@@ -33,7 +33,7 @@
 
 core_duration queue_order::longest_delay() const
 {
-    return class_step * lowest_class + attained_limit + first_turn_delay + workspace_limit;
+    return class_step * lowest_class + attained_limit + workspace_limit;
 }
 
 target_queue::target_queue(const queue_order& order) : m_order(order) {}
@@ -125,10 +125,6 @@
     core_time due = call.arrived;
     due += m_order.class_step * static_cast<int>(call.priority);
     due += scaled(m_order.attained_step, call.attained, m_order.attained_limit);
-    if (call.first_turn)
-    {
-        due += m_order.first_turn_delay;
-    }
     if (call.deadline)
     {
         due = std::min(due, *call.deadline - m_order.deadline_margin);
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -152,8 +152,8 @@
         {
             return false;
         }
-        rows.push_back({it["key"].get<std::string>(), it["value"].get<std::string>(),
-                        it["version"].get<row_version>()});
+        rows.push_back(
+            {it["key"].get<std::string>(), it["value"].get<std::string>(), it["version"].get<row_version>()});
     }
     return true;
 }
