--- a/include/masticcourse/state/budget_ledger.hpp
+++ b/include/masticcourse/state/budget_ledger.hpp
@@ -27,7 +27,7 @@
     /// A new program, or one recovered: all durable escrow counts as spent then.
     /// @param root    the program at the tree's root
     /// @param budget  its budget
-    /// @param escrow  durable escrow found at recovery (0: a new program)
+    /// @param escrow  durable escrow found at recovery (0: a new program), within the budget
     /// @param settled tokens spent by committed turns of the whole tree, at recovery
     /// @param chunk   least amount by which escrow grows
     budget_ledger(program_id root, token_count budget, token_count escrow, token_count settled,
@@ -95,6 +95,7 @@
     /// @return what the budgets of the program and of all its ancestors leave
     [[nodiscard]] token_count room(const program_id& program) const;
     [[nodiscard]] token_count free_escrow() const;
+    void check_bounds() const;
 
     program_id m_root;
     token_count m_chunk;
--- a/src/state/budget_ledger.cpp
+++ b/src/state/budget_ledger.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/state/budget_ledger.hpp"
 
+#include "masticcourse/core/invariant.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -40,6 +42,7 @@
     for_each_up(program, [&](member& it) { it.reserved += cost; });
     const reservation result{.id = m_next_reservation++, .program = program, .amount = cost};
     m_held.emplace(result.id, result);
+    check_bounds();
     return result;
 }
 
@@ -58,6 +61,7 @@
                     it.reserved -= held.amount;
                     it.spent += charged;
                 });
+    check_bounds();
     return charged;
 }
 
@@ -154,6 +158,12 @@
     return std::max<token_count>(result, 0);
 }
 
+void budget_ledger::check_bounds() const
+{
+    MASTICCOURSE_INVARIANT(free_escrow() >= 0, "a program spends more than its durable escrow");
+    MASTICCOURSE_INVARIANT(m_escrow <= budget(), "escrow above the budget");
+}
+
 token_count budget_ledger::free_escrow() const
 {
     const member& root = m_members.at(m_root);
--- a/src/state/config_tracker.cpp
+++ b/src/state/config_tracker.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/state/config_tracker.hpp"
 
+#include "masticcourse/core/invariant.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -92,6 +94,7 @@
     if (version == m_version && !document.empty() && document != m_document)
     {
         ++m_contradictions;
+        MASTICCOURSE_INVARIANT(false, "one configuration version with two documents");
     }
     if (version <= m_version)
     {
--- a/src/state/journal_writer.cpp
+++ b/src/state/journal_writer.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/state/journal_writer.hpp"
 
+#include "masticcourse/core/invariant.hpp"
+
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -170,6 +172,7 @@
 
 void journal_writer::entry_durable()
 {
+    MASTICCOURSE_INVARIANT(m_open->last > m_durable, "durable records went back");
     m_durable = m_open->last;
     m_pending_bytes -= m_open->pending_bytes;
     m_open.reset();
--- a/src/state/shard_claim.cpp
+++ b/src/state/shard_claim.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/state/shard_claim.hpp"
 
+#include "masticcourse/core/invariant.hpp"
+
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -201,8 +203,10 @@
         append(m_records, m_journals->records(it, m_shard));
         append(m_damages, m_journals->damages(it));
     }
-    // One epoch has one owner and so one journal: epochs in order, and within one the journal's own order.
-    std::ranges::stable_sort(m_records, {}, &journal_record::epoch);
+    // Each part is one owner's, parts stand in the order of ownership, and an owner that lost a shard adds
+    // nothing.
+    MASTICCOURSE_INVARIANT(std::ranges::is_sorted(m_records, {}, &journal_record::epoch),
+                           "records of a shard out of order of their epochs");
 }
 
 } // namespace masticcourse
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <iostream>
+#include <map>
 #include <numeric>
 #include <string>
 #include <string_view>
@@ -27,7 +28,8 @@
     core_duration elapsed{};
     std::uint64_t faults = 0;
     std::uint64_t acknowledged = 0;
-    std::uint64_t takeovers = 0;
+    /// What else happened in the run, by name.
+    std::map<std::string, std::uint64_t> counts;
 };
 
 struct soak_scenario
@@ -56,7 +58,12 @@
             .elapsed = world.elapsed(),
             .faults = faults_of(world),
             .acknowledged = world.oracle().acknowledged_turns(),
-            .takeovers = world.oracle().takeovers()};
+            .counts = {{"takeovers", world.oracle().takeovers()},
+                       {"sealed_homes", world.counts().sealed_homes},
+                       {"releases", world.counts().releases},
+                       {"checkpoints", world.counts().checkpoints},
+                       {"cleaned_entries", world.counts().cleaned_entries},
+                       {"accepted_patches", world.accepted_patches()}}};
 }
 
 /// All scenarios; another core joins the soak by a row here.
@@ -94,7 +101,8 @@
         totals.sum.elapsed += it.elapsed;
         totals.sum.faults += it.faults;
         totals.sum.acknowledged += it.acknowledged;
-        totals.sum.takeovers += it.takeovers;
+        std::ranges::for_each(it.counts,
+                              [&](const auto& each) { totals.sum.counts[each.first] += each.second; });
         if (!it.violations.empty())
         {
             std::cout << "FAILED scenario=" << scenario.name << " seed=" << seed
@@ -108,9 +116,13 @@
 {
     const std::chrono::duration<double, std::ratio<3600>> hours = totals.sum.elapsed;
     std::cout << "soak: first_seed=" << first_seed << " runs=" << totals.seeds << " failed=" << totals.failed
-              << " faults=" << totals.sum.faults << " takeovers=" << totals.sum.takeovers
-              << " acknowledged_turns=" << totals.sum.acknowledged << " virtual_hours=" << hours.count()
-              << '\n';
+              << " faults=" << totals.sum.faults << " acknowledged_turns=" << totals.sum.acknowledged
+              << " virtual_hours=" << hours.count();
+    for (const auto& [name, count] : totals.sum.counts)
+    {
+        std::cout << ' ' << name << '=' << count;
+    }
+    std::cout << '\n';
     return totals.failed == 0 ? 0 : 1;
 }
 
--- a/tests/support/state_world.cpp
+++ b/tests/support/state_world.cpp
@@ -247,6 +247,7 @@
 
 void state_world::watch_row(const store_op& op, const store_reply& reply)
 {
+    m_counts.cleaned_entries += std::holds_alternative<object_delete>(op) ? 1 : 0;
     const auto* const put = std::get_if<table_put>(&op);
     if (put == nullptr || !put->key.starts_with(shard_key_prefix) || reply.status != store_status::ok)
     {
@@ -256,6 +257,8 @@
     const auto [it, first] = m_rows.try_emplace(row.shard, row);
     const bool new_owner = !row.owner.empty() && row.owner != it->second.owner;
     m_oracle.check(first || row.epoch == it->second.epoch + (new_owner ? 1 : 0), "an epoch went wrong");
+    m_counts.releases += row.owner.empty() ? 1 : 0;
+    m_counts.checkpoints += !first && !new_owner && !row.owner.empty() ? 1 : 0;
     it->second = row;
 }
 
--- a/tests/support/state_world.hpp
+++ b/tests/support/state_world.hpp
@@ -42,6 +42,9 @@
     std::uint64_t outages = 0;
     /// Homes that found out that another had taken over.
     std::uint64_t sealed_homes = 0;
+    std::uint64_t releases = 0;
+    std::uint64_t checkpoints = 0;
+    std::uint64_t cleaned_entries = 0;
 };
 
 class state_world
