Soak: slow answers, callers that ask again under the same key

A slow answer is one that was true when the store gave it; the target of the soak remembers no keys, so only the home's intents keep a repeated call from running twice.

--- a/standins/faulty_store.cpp
+++ b/standins/faulty_store.cpp
@@ -53,6 +53,9 @@
     case op_fate::late:
         m_late.push_back(taken.op);
         break;
+    case op_fate::slow:
+        m_slow.push_back({.reply = carry_out(taken.op, now), .handler = taken.handler});
+        return;
     case op_fate::dropped:
         break;
     }
@@ -69,6 +72,19 @@
     }
 }
 
+bool faulty_store::deliver_slow(std::size_t which)
+{
+    if (m_slow.empty())
+    {
+        return false;
+    }
+    const auto at = m_slow.begin() + static_cast<difference>(which % m_slow.size());
+    const slow_answer taken = std::move(*at);
+    m_slow.erase(at);
+    taken.handler(taken.reply);
+    return true;
+}
+
 const std::array<std::uint64_t, fate_count>& faulty_store::fates() const
 {
     return m_fates;
--- a/standins/faulty_store.hpp
+++ b/standins/faulty_store.hpp
@@ -29,9 +29,11 @@
     dropped,
     /// No answer, and the store gets the operation at some later time.
     late,
+    /// Done, and the answer comes at some later time, when things may have changed.
+    slow,
 };
 
-inline constexpr std::size_t fate_count = 5;
+inline constexpr std::size_t fate_count = 6;
 
 /// Takes operations from any number of state machines.
 class faulty_store
@@ -61,6 +63,10 @@
     /// Lets the store get one of the late operations, if there are any.
     void deliver_late(std::size_t which, core_time now);
 
+    /// Hands over one of the slow answers, if there are any.
+    /// @return whether there was one
+    bool deliver_slow(std::size_t which);
+
     /// @return how often each fate was met
     [[nodiscard]] const std::array<std::uint64_t, fate_count>& fates() const;
 
@@ -70,11 +76,18 @@
     std::function<void(const store_op&, const store_reply&)> observer;
 
   private:
+    struct slow_answer
+    {
+        store_reply reply;
+        answer_handler handler;
+    };
+
     store_reply carry_out(const store_op& op, core_time now);
 
     platform_store m_store;
     std::vector<waiting_op> m_waiting;
     std::vector<store_op> m_late;
+    std::vector<slow_answer> m_slow;
     std::array<std::uint64_t, fate_count> m_fates{};
 };
 
--- a/tests/support/home_process.cpp
+++ b/tests/support/home_process.cpp
@@ -160,7 +160,8 @@
     const auto shard = m_shard_of.find(program);
     const bool open =
         shard != m_shard_of.end() && owns(shard->second) && !m_owned.at(shard->second).releasing;
-    if (!open || m_running.contains(program) || !ledger_of(program).affordable(program, cost))
+    if (!open || m_running.contains(program) || knows(program, key) ||
+        !ledger_of(program).affordable(program, cost))
     {
         return;
     }
@@ -170,6 +171,14 @@
     m_running.emplace(program, std::move(running));
 }
 
+bool home_process::knows(const program_id& program, const call_key& key) const
+{
+    const program_state& state = *m_table.find(program);
+    const auto key_of = [](const call_intended& it) { return it.request.key; };
+    return std::ranges::find(state.turns, key, &turn::key) != state.turns.end() ||
+           std::ranges::find(state.intents, key, key_of) != state.intents.end();
+}
+
 void home_process::advance_call(running_call& running)
 {
     if (running.held)
--- a/tests/support/home_process.hpp
+++ b/tests/support/home_process.hpp
@@ -115,6 +115,8 @@
     void adopt(const shard_claim& claim);
     void settle_intent(const call_intended& intent);
     void update_shards();
+    /// Whether the call has been answered, or may have been sent by a former home.
+    [[nodiscard]] bool knows(const program_id& program, const call_key& key) const;
     void advance_call(running_call& running);
     void send_call(const program_id& program);
     void commit_turn(const target_call& call);
--- a/tests/support/state_world.cpp
+++ b/tests/support/state_world.cpp
@@ -87,7 +87,10 @@
     default:
         if (!programs.empty())
         {
-            home.begin_turn(program, {"k" + std::to_string(++m_keys)}, random(2) == 0,
+            // Often the caller asks again for what it has no answer to, perhaps of another home.
+            auto& key = m_last_key[program];
+            key = key != 0 && random(3) == 0 ? key : ++m_keys;
+            home.begin_turn(program, {"k" + std::to_string(key)}, key % 2 == 0,
                             1 + static_cast<token_count>(random(most_cost)));
         }
         break;
@@ -119,6 +122,7 @@
     if (random(10) == 0)
     {
         m_store.deliver_late(random(thousand), m_now);
+        m_store.deliver_slow(random(thousand));
     }
 }
 
@@ -220,6 +224,7 @@
         {
             m_now += std::chrono::milliseconds{10};
             m_store.deliver_late(0, m_now);
+            m_store.deliver_slow(0);
             deliver_one();
             if (n % 10 == 0)
             {
--- a/tests/support/state_world.hpp
+++ b/tests/support/state_world.hpp
@@ -101,6 +101,8 @@
     std::uint64_t m_lives = 0;
     std::uint64_t m_programs = 0;
     std::uint64_t m_keys = 0;
+    /// The number of the key that each program's caller used last.
+    std::map<program_id, std::uint64_t> m_last_key;
     bool m_outage = false;
     bool m_settling = false;
     world_counts m_counts;
--- a/tests/unit/test_config_state.cpp
+++ b/tests/unit/test_config_state.cpp
@@ -191,6 +191,10 @@
                                         : op_fate::answered;
                                 store.deliver(static_cast<std::size_t>(n), fate, now);
                                 store.deliver_late(0, now);
+                                if (n % 5 == 0 || !disturbed)
+                                {
+                                    store.deliver_slow(static_cast<std::size_t>(n));
+                                }
                             }
                         };
                         run(500, true);
--- a/tests/unit/test_journal.cpp
+++ b/tests/unit/test_journal.cpp
@@ -86,6 +86,7 @@
             break;
         case action::deliver_late:
             store.deliver_late(operand, now);
+            store.deliver_slow(operand);
             break;
         case action::wait:
             now += std::chrono::milliseconds{operand % 400};
@@ -105,6 +106,9 @@
         {
             store.deliver(0, op_fate::answered, now);
         }
+        while (store.deliver_slow(0))
+        {
+        }
         run_to_end(machine, store, now);
     }
 };
