--- a/src/control/entry_status.cpp
+++ b/src/control/entry_status.cpp
@@ -20,12 +20,21 @@
     counts.shards_owned = static_cast<std::size_t>(std::ranges::count_if(state.shards, &shard_state::owned));
     counts.peers_live = static_cast<std::size_t>(
         std::ranges::count_if(state.peers, [](const auto& it) { return it.second.live; }));
-    counts.ready = state.shards_listed && state.config_applied > 0 && !state.stopping;
+    counts.ready = state.was_ready && !state.stopping;
     return counts;
 }
 
 } // namespace
 
+void run_readiness(entry_state& state)
+{
+    const auto homeless = [](const shard_state& it) { return it.owner.empty() || (it.owned && !it.serving); };
+    // Once ready it stays so: a shard without a home for a moment is no reason for the balancer to drop all
+    // entries.
+    state.was_ready = state.was_ready || (state.shards_listed && state.config_applied > 0 &&
+                                          std::ranges::none_of(state.shards, homeless));
+}
+
 entry_counts counts_of(const entry_state& state)
 {
     return count(state);
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -1,7 +1,8 @@
 #include "platform_store.hpp"
 
 #include <algorithm>
-#include <chrono>
+#include <utility>
+#include <variant>
 
 namespace masticcourse::standins
 {
@@ -19,10 +20,14 @@
 
 bool token_bucket::take(double per_second, core_time now)
 {
-    const std::chrono::duration<double> passed =
-        m_last ? now - *m_last : core_duration{std::chrono::seconds{1}};
+    if (!m_last)
+    {
+        m_tokens = per_second;
+    }
+    const auto since = m_last ? now - *m_last : core_duration{};
     m_last = now;
-    m_tokens = std::min(m_tokens + passed.count() * per_second, per_second);
+    const auto seconds = std::chrono::duration<double>{since}.count();
+    m_tokens = std::min(per_second, m_tokens + per_second * seconds);
     if (m_tokens < 1)
     {
         return false;
@@ -34,7 +39,7 @@
 store_reply platform_store::apply(const store_op& op, core_time now)
 {
     const bool write = is_write(op);
-    if (m_faults.outage || !admit(write, now))
+    if (!admit(write, now))
     {
         ++m_stats.refused;
         return {.status = store_status::unavailable};
@@ -69,7 +74,8 @@
 bool platform_store::admit(bool write, core_time now)
 {
     const auto& rate = write ? m_faults.writes_per_second : m_faults.reads_per_second;
-    return !rate || (write ? m_write_bucket : m_read_bucket).take(*rate, now);
+    auto& bucket = write ? m_write_bucket : m_read_bucket;
+    return !m_faults.outage && (!rate || bucket.take(*rate, now));
 }
 
 store_reply platform_store::run(const table_get& op)
@@ -100,15 +106,15 @@
     for (auto it = m_rows.lower_bound(op.prefix); it != m_rows.end() && it->first.starts_with(op.prefix);
          ++it)
     {
-        reply.rows.push_back({.key = it->first, .value = it->second.value, .version = it->second.version});
+        reply.rows.push_back({it->first, it->second.value, it->second.version});
     }
     return reply;
 }
 
 store_reply platform_store::run(const object_create& op)
 {
-    const bool created = m_objects.try_emplace(op.key, op.bytes).second;
-    return {.status = created ? store_status::ok : store_status::conflict};
+    const bool fresh = m_objects.emplace(op.key, op.bytes).second;
+    return {.status = fresh ? store_status::ok : store_status::conflict};
 }
 
 store_reply platform_store::run(const object_get& op)
