--- a/include/masticcourse/state/journal_record.hpp
+++ b/include/masticcourse/state/journal_record.hpp
@@ -6,6 +6,7 @@
 #include "masticcourse/model/call.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -88,6 +89,9 @@
 using journal_payload = std::variant<program_created, escrow_taken, call_intended, turn_committed,
                                      intent_withdrawn, program_ended, program_snapshot, ownership_probe>;
 
+/// The shard of records that are about a journal itself and belong to no program.
+inline constexpr shard_index no_shard = std::numeric_limits<shard_index>::max();
+
 /// One record, with the shard and the epoch that its writer believed in.
 struct journal_record
 {
--- a/src/control/entry_core.cpp
+++ b/src/control/entry_core.cpp
@@ -40,7 +40,7 @@
     {
         return;
     }
-    const auto ticket = state.journal->append({.payload = ownership_probe{}}, state.now);
+    const auto ticket = state.journal->append({.shard = no_shard, .payload = ownership_probe{}}, state.now);
     state.confirm = ticket;
     state.last_confirm = state.now;
     when_durable(state, ticket, probe_is_durable{ticket});
