--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -150,13 +150,6 @@
     return {id, ran_state::no, detail};
 }
 
-void request_escrow(entry_state& state, const program_id& root, budget_ledger& ledger, token_count total)
-{
-    ledger.escrow_requested(total);
-    const auto ticket = append(state, root, escrow_taken{root, total});
-    when_durable(state, ticket, escrow_is_durable{root, total});
-}
-
 void on_deadline(entry_state& state, call_row& call)
 {
     state.trace(event_id::call_deadline_passed, call.ref.program, call.ref.key);
@@ -207,6 +200,20 @@
 
 } // namespace
 
+void request_escrow(entry_state& state, const program_id& root, token_count cost)
+{
+    auto& ledger = state.ledgers.at(root);
+    const auto total = ledger.needs_escrow(cost);
+    if (!total)
+    {
+        return;
+    }
+    ledger.escrow_requested(*total);
+    const escrow_taken record{root, *total};
+    state.programs.apply(record);
+    when_durable(state, append(state, root, record), escrow_is_durable{root, *total});
+}
+
 bool reserve_budget(entry_state& state, call_row& call)
 {
     const auto root = root_of(call.ref.program);
@@ -216,10 +223,8 @@
     call.reserved = ledger.reserve(call.ref.program, cost);
     if (call.reserved)
     {
-        if (const auto total = ledger.needs_escrow(cost))
-        {
-            request_escrow(state, root, ledger, *total);
-        }
+        // The next call will cost about as much: what it needs is made durable while this one runs.
+        request_escrow(state, root, cost);
         return true;
     }
     if (!ledger.affordable(call.ref.program, cost))
@@ -239,10 +244,7 @@
         return false;
     }
     call.phase = call_phase::waiting_escrow;
-    if (const auto total = ledger.needs_escrow(cost))
-    {
-        request_escrow(state, root, ledger, *total);
-    }
+    request_escrow(state, root, cost);
     return false;
 }
 
@@ -318,7 +320,9 @@
     auto& runtime = state.runtimes[call.ref.program];
     call.turn_number = static_cast<std::uint32_t>(program.turns.size() + 1);
     fill_guard(state, program, runtime);
-    if (const auto id = runtime.guard.check(call.digest); id != problem_id::none)
+    // Only what becomes a turn counts: a refused call that comes again is no loop.
+    auto guard = runtime.guard;
+    if (const auto id = guard.check(call.digest); id != problem_id::none)
     {
         state.trace(event_id::loop_stopped, call.ref.program, call.ref.key);
         finish_without_turn(state, call.ref, loop_problem(id));
--- a/src/control/entry_dispatch.cpp
+++ b/src/control/entry_dispatch.cpp
@@ -134,12 +134,17 @@
 /// @return whether the next attempt can go on now
 bool reserve_again(entry_state& state, call_row& call, const problem& failure)
 {
-    if (failure.ran == ran_state::no || !call.reserved)
+    if (failure.ran == ran_state::no)
     {
         return true;
     }
-    state.ledgers.at(root_of(call.ref.program)).settle(*call.reserved, call.reserved->amount);
-    call.reserved.reset();
+    if (call.reserved)
+    {
+        state.ledgers.at(root_of(call.ref.program)).settle(*call.reserved, call.reserved->amount);
+        call.reserved.reset();
+    }
+    // One that was taken over has no reservation: what its former home set aside counts as spent by the first
+    // attempt.
     return reserve_budget(state, call);
 }
 
--- a/src/control/entry_outcomes.cpp
+++ b/src/control/entry_outcomes.cpp
@@ -125,6 +125,7 @@
     leave_target(state, call);
     const auto spent = charge(state, call, outcome);
     note_success(state, call, outcome);
+    state.runtimes[call.ref.program].guard.check(call.digest);
     call.outcome = outcome;
     call.phase = call_phase::committing;
     call.finished = state.now;
--- a/src/control/entry_programs.cpp
+++ b/src/control/entry_programs.cpp
@@ -97,18 +97,6 @@
         root, budget_ledger{root, program.spec.budget, program.escrow, settled, state.options.escrow_chunk});
 }
 
-/// Makes the first part of the budget usable together with the program itself.
-void first_escrow(entry_state& state, const program_id& program)
-{
-    auto& ledger = state.ledgers.at(program);
-    if (const auto total = ledger.needs_escrow(1))
-    {
-        ledger.escrow_requested(*total);
-        const auto ticket = append(state, program, escrow_taken{program, *total});
-        when_durable(state, ticket, escrow_is_durable{program, *total});
-    }
-}
-
 /// What the workspace allows, applied to what the caller asks for.
 problem apply_workspace(const entry_state& state, program_spec& spec)
 {
@@ -149,7 +137,8 @@
     install_program(state, *state.programs.find(id));
     if (record.spec.parent.empty())
     {
-        first_escrow(state, id);
+        // The first part of the budget becomes usable together with the program itself.
+        request_escrow(state, id, 1);
     }
     when_durable(state, ticket, creation_durable{id, route});
     state.trace(event_id::program_created, id, {}, {{"workspace", record.spec.workspace.value}});
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -521,6 +521,8 @@
 /// Sets the worst case of the call aside.
 /// @return whether the call can go on now; if not, it waits for escrow or has been refused
 bool reserve_budget(entry_state& state, call_row& call);
+/// Makes more of a tree's budget durable as escrow, if a call of @a cost would need it.
+void request_escrow(entry_state& state, const program_id& root, token_count cost);
 void route_call(entry_state& state, call_row& call);
 void send_dispatch(entry_state& state, call_row& call);
 void leave_target(entry_state& state, call_row& call);
