--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -78,6 +78,7 @@
 };
 
 /// Sends requests. All members may be called from any thread; callbacks run on the context's threads.
+/// The client must go before its context does: it keeps connections open.
 class http_client
 {
   public:
--- a/include/masticcourse/net/http_server.hpp
+++ b/include/masticcourse/net/http_server.hpp
@@ -72,7 +72,8 @@
 };
 
 /// Serves HTTP on one address. Requests over the limits, and malformed ones, are answered with problem
-/// documents that say `"ran":"no"`, and never reach the handler.
+/// documents that say `"ran":"no"`, and never reach the handler. The server must go before its context does;
+/// exchanges may be kept longer.
 class http_server
 {
   public:
