--- a/tests/support/state_world.cpp
+++ b/tests/support/state_world.cpp
@@ -87,7 +87,10 @@
     default:
         if (!programs.empty())
         {
-            home.begin_turn(program, {"k" + std::to_string(++m_keys)}, random(2) == 0,
+            // Often the caller asks again for what it has no answer to, perhaps of another home.
+            auto& key = m_last_key[program];
+            key = key != 0 && random(3) == 0 ? key : ++m_keys;
+            home.begin_turn(program, {"k" + std::to_string(key)}, key % 2 == 0,
                             1 + static_cast<token_count>(random(most_cost)));
         }
         break;
@@ -119,6 +122,7 @@
     if (random(10) == 0)
     {
         m_store.deliver_late(random(thousand), m_now);
+        m_store.deliver_slow(random(thousand));
     }
 }
 
@@ -220,6 +224,7 @@
         {
             m_now += std::chrono::milliseconds{10};
             m_store.deliver_late(0, m_now);
+            m_store.deliver_slow(0);
             deliver_one();
             if (n % 10 == 0)
             {
@@ -247,6 +252,7 @@
 
 void state_world::watch_row(const store_op& op, const store_reply& reply)
 {
+    m_counts.cleaned_entries += std::holds_alternative<object_delete>(op) ? 1 : 0;
     const auto* const put = std::get_if<table_put>(&op);
     if (put == nullptr || !put->key.starts_with(shard_key_prefix) || reply.status != store_status::ok)
     {
@@ -256,6 +262,8 @@
     const auto [it, first] = m_rows.try_emplace(row.shard, row);
     const bool new_owner = !row.owner.empty() && row.owner != it->second.owner;
     m_oracle.check(first || row.epoch == it->second.epoch + (new_owner ? 1 : 0), "an epoch went wrong");
+    m_counts.releases += row.owner.empty() ? 1 : 0;
+    m_counts.checkpoints += !first && !new_owner && !row.owner.empty() ? 1 : 0;
     it->second = row;
 }
 
--- a/tests/support/state_world.hpp
+++ b/tests/support/state_world.hpp
@@ -42,6 +42,9 @@
     std::uint64_t outages = 0;
     /// Homes that found out that another had taken over.
     std::uint64_t sealed_homes = 0;
+    std::uint64_t releases = 0;
+    std::uint64_t checkpoints = 0;
+    std::uint64_t cleaned_entries = 0;
 };
 
 class state_world
@@ -98,6 +101,8 @@
     std::uint64_t m_lives = 0;
     std::uint64_t m_programs = 0;
     std::uint64_t m_keys = 0;
+    /// The number of the key that each program's caller used last.
+    std::map<program_id, std::uint64_t> m_last_key;
     bool m_outage = false;
     bool m_settling = false;
     world_counts m_counts;
