--- a/src/control/target_gate.cpp
+++ b/src/control/target_gate.cpp
@@ -116,6 +116,49 @@
     s.trace(event_id::call_queued, ref);
 }
 
+/// A result that was computed from another history than the home's is of no use: turns before it were lost
+/// with the processes that had them, and the call runs again from what is left.
+void forget_other_turn(target_state& s, const dispatch_call& message)
+{
+    const auto it = s.calls.find(message.call);
+    if (it == s.calls.end() || !message.request.idempotent || it->second.stage != call_stage::finished)
+    {
+        return;
+    }
+    if (it->second.order.turn_number != message.turn_number)
+    {
+        settle(s, message.call, settlement::ended);
+    }
+}
+
+/// Answers for a call that is known here and is not to run now.
+/// @return whether it was one
+bool answer_known(target_state& s, link_id link, const dispatch_call& message)
+{
+    const call_ref& ref = message.call;
+    const auto it = s.calls.find(ref);
+    if (it != s.calls.end() && !may_try_again(it->second))
+    {
+        send_again(s, link, it->second);
+        return true;
+    }
+    const auto how = s.settled.find(ref);
+    // An idempotent call whose home no longer has its result may run again.
+    const bool runs_again = message.request.idempotent && how == settlement::ended;
+    if (how && !runs_again)
+    {
+        answer_settled(s, link, ref, *how);
+        return true;
+    }
+    if (s.ending.contains(ref))
+    {
+        // Its last run has not ended at the target; two at once could cross.
+        refuse(s, link, ref, refusal_reason::overloaded, time_to_come_back(s));
+        return true;
+    }
+    return false;
+}
+
 kept_result kept_result_of(const target_call& call)
 {
     return {.call = call.order.call,
@@ -153,23 +196,9 @@
         refuse_stale(s, link, ref);
         return;
     }
-    const auto how = s.settled.find(ref);
-    // An idempotent call whose home no longer has its result may run again.
-    const bool runs_again = message.request.idempotent && how == settlement::ended;
-    if (how && !runs_again)
-    {
-        answer_settled(s, link, ref, *how);
-        return;
-    }
-    if (s.ending.contains(ref) && !s.calls.contains(ref))
-    {
-        // Its last run has not ended at the target; two at once could cross.
-        refuse(s, link, ref, refusal_reason::overloaded, time_to_come_back(s));
-        return;
-    }
-    if (const auto it = s.calls.find(ref); it != s.calls.end() && !may_try_again(it->second))
+    forget_other_turn(s, message);
+    if (answer_known(s, link, message))
     {
-        send_again(s, link, it->second);
         return;
     }
     if (message.request.service != s.options.service)
--- a/tests/unit/test_target_core.cpp
+++ b/tests/unit/test_target_core.cpp
@@ -343,6 +343,28 @@
         CHECK(target.sent<call_finished>(1).empty());
         CHECK(target.sent<call_finished>(2).size() == 1);
     }
+    SUBCASE("a home that was replaced can't have a result forgotten (results: whose word counts)")
+    {
+        target.run("a", "answer");
+        target.connect(2, "entry-2/a");
+        target.receive(2, collect_shard{.shard = 7, .epoch = 2});
+        target.receive(1, outcome_durable{ref_of("a")});
+        CHECK(target.core().counts().kept == 1);
+        target.receive(2, outcome_durable{ref_of("a")});
+        CHECK(target.core().counts().kept == 0);
+    }
+    SUBCASE("a result of another history is not handed out, but an action's is (gate: other turn)")
+    {
+        for (auto order : {make_dispatch("a"), make_action("action")})
+        {
+            target.receive(1, order);
+            target.give(engine_finished{.call = order.call, .outcome = make_outcome("of turn 0")});
+            order.turn_number = 1;
+            target.receive(1, order);
+        }
+        CHECK(target.started() == keys{"a", "a", "action"});
+        CHECK(target.sent<call_finished>(1).size() == 3);
+    }
     SUBCASE("at the limit new calls are refused and results stay (gate: room)")
     {
         target.run("a", "1");
@@ -372,6 +394,32 @@
     }
 }
 
+TEST_CASE("target core remembers what must not run again")
+{
+    auto given = target_harness::options();
+    given.settled_limit = 2;
+    connected target{given};
+    for (const auto* key : {"a", "b", "c"})
+    {
+        target.receive(1, ask_for(key));
+    }
+    SUBCASE("for the minimum time, also over the limit (settled calls: minimum)")
+    {
+        target.pass(given.settled_time - 1s);
+        target.receive(1, make_action("a"));
+        CHECK(target.started().empty());
+        CHECK(only_refusal(target.sent<call_refused>(1)) == refusal_reason::duplicate);
+    }
+    SUBCASE("and takes nothing new until there is room to remember it (gate: settled full)")
+    {
+        target.receive(1, make_action("d"));
+        CHECK(only_refusal(target.sent<call_refused>(1)) == refusal_reason::overloaded);
+        target.pass(given.settled_time);
+        target.receive(1, make_action("d"));
+        CHECK(target.started() == keys{"d"});
+    }
+}
+
 TEST_CASE("target core leases engine memory")
 {
     connected target;
