--- a/src/control/target_gate.cpp
+++ b/src/control/target_gate.cpp
@@ -197,28 +197,8 @@
         return;
     }
     forget_other_turn(s, message);
-<<<<<<< HEAD
     if (answer_known(s, link, message))
     {
-=======
-    const auto how = s.settled.find(ref);
-    // An idempotent call whose home no longer has its result may run again.
-    const bool runs_again = message.request.idempotent && how == settlement::ended;
-    if (how && !runs_again)
-    {
-        answer_settled(s, link, ref, *how);
-        return;
-    }
-    if (s.ending.contains(ref) && !s.calls.contains(ref))
-    {
-        // Its last run has not ended at the target; two at once could cross.
-        refuse(s, link, ref, refusal_reason::overloaded, time_to_come_back(s));
-        return;
-    }
-    if (const auto it = s.calls.find(ref); it != s.calls.end() && !may_try_again(it->second))
-    {
-        send_again(s, link, it->second);
->>>>>>> main
         return;
     }
     if (message.request.service != s.options.service)
