--- a/tests/unit/test_target_core.cpp
+++ b/tests/unit/test_target_core.cpp
@@ -324,6 +324,22 @@
         CHECK(target.sent<call_answer>(2).front().knowledge == call_knowledge::finished);
         CHECK(target.sent<call_answer>(2).front().outcome == make_outcome("receipt"));
     }
+    SUBCASE("a home that comes back hears of what still runs without asking (peers: hello attaches)")
+    {
+        target.receive(1, make_action("a"));
+        target.give(peer_closed{1});
+        target.connect(2);
+        target.give(engine_finished{.call = ref_of("a"), .outcome = make_outcome("receipt")});
+        CHECK(target.sent<call_finished>(2).size() == 1);
+    }
+    SUBCASE("a result never goes to another process on a link of the same number (peers: closed detaches)")
+    {
+        target.receive(1, make_action("a"));
+        target.give(peer_closed{1});
+        target.connect(1, "entry-2/a");
+        target.give(engine_finished{.call = ref_of("a"), .outcome = make_outcome("receipt")});
+        CHECK(target.sent<call_finished>(1).empty());
+    }
     SUBCASE("a successor collects results, and streams from their beginning (gate: collect)")
     {
         target.run("a", "answer");
