--- a/tests/unit/test_docs.cpp
+++ b/tests/unit/test_docs.cpp
@@ -6,7 +6,8 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
+#include <cctype>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <string>
@@ -23,6 +24,22 @@
     return {std::istreambuf_iterator<char>{file}, {}};
 }
 
+/// Whether @a word stands in @a text, and not only as the beginning of a longer name.
+bool has_word(const std::string& text, const std::string& word)
+{
+    const auto continues = [&](std::size_t end)
+    {
+        return end < text.size() &&
+               (std::isalnum(static_cast<unsigned char>(text[end])) != 0 || text[end] == '_');
+    };
+    auto at = text.find(word);
+    while (at != std::string::npos && continues(at + word.size()))
+    {
+        at = text.find(word, at + 1);
+    }
+    return at != std::string::npos;
+}
+
 } // namespace
 
 TEST_CASE("docs/operators/settings.md is the table of keys")
@@ -41,6 +58,25 @@
     CHECK(read_page("EVENTS.md") == event_reference());
 }
 
+TEST_CASE("every event of the catalogue is recorded somewhere")
+{
+    std::string sources;
+    for (const auto& it :
+         std::filesystem::recursive_directory_iterator(std::string{MASTICCOURSE_SOURCE_DIR} + "/src"))
+    {
+        if (it.is_regular_file())
+        {
+            std::ifstream file{it.path(), std::ios::binary};
+            sources.append(std::istreambuf_iterator<char>{file}, {});
+        }
+    }
+    for (const auto& it : event_catalogue)
+    {
+        CAPTURE(it.name);
+        CHECK(has_word(sources, "event_id::" + std::string{it.name}));
+    }
+}
+
 TEST_CASE("docs/PROBLEMS.md has a row for each problem, and no others")
 {
     const auto page = read_page("PROBLEMS.md");
