--- a/src/cli/load_plan.cpp
+++ b/src/cli/load_plan.cpp
@@ -64,11 +64,29 @@
     double sub_agent_share;
 };
 
-/// Talks with foremen and claimants are long, with pauses; background work is short and dense.
-constexpr std::array mix{
-    mix_row{service_class::assistance, 0.6, 5, 12, 20, 80, 60, 1500, 0.25, 0.06},
-    mix_row{service_class::standard, 0.3, 8, 20, 30, 120, 80, 800, 0.30, 0.10},
-    mix_row{service_class::background, 0.1, 2, 5, 60, 200, 120, 100, 0.40, 0.00},
+/// The programs of one customer, one row for each class.
+struct customer_mix
+{
+    std::string_view customer;
+    std::array<mix_row, 3> rows;
+};
+
+/// Foremen's plans are short and have a line block waiting for them; photo reviews are long. Claimants'
+/// exchanges are long and remembered, with long pauses. The first row serves customers that the table doesn't
+/// know.
+constexpr std::array mixes{
+    customer_mix{"",
+                 {mix_row{service_class::assistance, 0.6, 5, 12, 20, 80, 60, 1500, 0.25, 0.06},
+                  mix_row{service_class::standard, 0.3, 8, 20, 30, 120, 80, 800, 0.30, 0.10},
+                  mix_row{service_class::background, 0.1, 2, 5, 60, 200, 120, 100, 0.40, 0.00}}},
+    customer_mix{"atlas-voie-verte",
+                 {mix_row{service_class::assistance, 0.5, 4, 9, 20, 60, 50, 700, 0.35, 0.08},
+                  mix_row{service_class::standard, 0.4, 10, 24, 60, 200, 60, 1000, 0.20, 0.10},
+                  mix_row{service_class::background, 0.1, 2, 5, 60, 200, 120, 100, 0.40, 0.00}}},
+    customer_mix{"urad",
+                 {mix_row{service_class::assistance, 0.7, 8, 20, 30, 140, 80, 2000, 0.20, 0.04},
+                  mix_row{service_class::standard, 0.2, 6, 14, 30, 120, 80, 1200, 0.25, 0.06},
+                  mix_row{service_class::background, 0.1, 2, 6, 20, 60, 40, 200, 0.60, 0.00}}},
 };
 
 constexpr double repeatable_tool_share = 0.5;
@@ -78,9 +96,10 @@
 constexpr std::array<std::string_view, 12> words{"slot",  "bank",    "photo", "culvert", "claim", "notice",
                                                  "wages", "hearing", "crew",  "fence",   "date",  "clear"};
 
-const mix_row& row_of(service_class priority)
+const customer_mix& mix_of(std::string_view customer)
 {
-    return *std::ranges::find(mix, priority, &mix_row::priority);
+    const auto* const it = std::ranges::find(mixes, customer, &customer_mix::customer);
+    return it != mixes.end() ? *it : mixes.front();
 }
 
 std::vector<service_name> services_of(const deployment_settings& settings, call_kind kind)
@@ -101,7 +120,7 @@
 {
   public:
     program_planner(const deployment_settings& settings, const load_options& options)
-        : m_settings(settings), m_options(options), m_draw(options.seed),
+        : m_settings(settings), m_options(options), m_mix(mix_of(settings.customer)), m_draw(options.seed),
           m_models(services_of(settings, call_kind::model)), m_tools(services_of(settings, call_kind::tool))
     {
     }
@@ -134,6 +153,11 @@
                 .turns = draw_turns(row, m_draw.between(row.least_turns, row.most_turns), true)};
     }
 
+    [[nodiscard]] const mix_row& row_of(service_class priority) const
+    {
+        return *std::ranges::find(m_mix.rows, priority, &mix_row::priority);
+    }
+
     std::size_t draw_workspace()
     {
         double total = 0;
@@ -217,6 +241,7 @@
 
     const deployment_settings& m_settings;
     load_options m_options;
+    const customer_mix& m_mix;
     seeded_draw m_draw;
     std::vector<service_name> m_models;
     std::vector<service_name> m_tools;
--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -28,8 +28,9 @@
     return {problem_id::unknown_program, ran_state::no, "there is no such program in this workspace"};
 }
 
-/// Whether an outcome may be told before its record is durable. The outcome of an action that can't be repeated never
-/// is: it would be lost if this process and the target process both died before the store is back.
+/// Whether an outcome may be told before its record is durable. The outcome of an action that can't be
+/// repeated never is: it would be lost if this process and the target process both died before the store is
+/// back.
 bool may_tell_pending(const entry_state& state, const call_row& call)
 {
     return call.phase == call_phase::committing && call.request.idempotent && may_reply_pending(state);
--- a/src/control/entry_core.cpp
+++ b/src/control/entry_core.cpp
@@ -59,11 +59,13 @@
 {
     if (slept(state))
     {
-        const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - *state.last_step);
+        const auto silent =
+            std::chrono::duration_cast<std::chrono::milliseconds>(state.now - *state.last_step);
         state.trace(event_id::process_paused, {}, {}, {{"ms", std::to_string(silent.count())}});
         confirm_ownership(state);
     }
-    else if (is_alone(state) && !state.confirm && state.now - state.last_confirm > state.options.peer_timeout / 2)
+    else if (is_alone(state) && !state.confirm &&
+             state.now - state.last_confirm > state.options.peer_timeout / 2)
     {
         confirm_ownership(state);
     }
--- a/src/control/entry_journal.cpp
+++ b/src/control/entry_journal.cpp
@@ -77,7 +77,8 @@
 void give_up_waiting(entry_state& state)
 {
     const problem late{problem_id::store_unavailable, ran_state::unknown,
-                       "the store has not answered yet; the same request asks again", std::chrono::seconds{2}};
+                       "the store has not answered yet; the same request asks again",
+                       std::chrono::seconds{2}};
     for (auto& row : state.awaiting)
     {
         const auto* const route = waiting_route(row.event);
--- a/src/control/entry_takeover.cpp
+++ b/src/control/entry_takeover.cpp
@@ -126,8 +126,8 @@
     }
 }
 
-/// Programs whose records have a gap are not served, and an operator is told. Records before a snapshot in the same
-/// entry may lack what the snapshot holds; only what is still missing behind the last record counts.
+/// Programs whose records have a gap are not served, and an operator is told. Records before a snapshot in
+/// the same entry may lack what the snapshot holds; only what is still missing behind the last record counts.
 void report_damages(entry_state& state, shard_index index)
 {
     for (const auto& [program, damage] : state.programs.damages())
--- a/src/control/target_gate.cpp
+++ b/src/control/target_gate.cpp
@@ -116,8 +116,8 @@
     s.trace(event_id::call_queued, ref);
 }
 
-/// A result that was computed from another history than the home's is of no use: turns before it were lost with the
-/// processes that had them, and the call runs again from what is left.
+/// A result that was computed from another history than the home's is of no use: turns before it were lost
+/// with the processes that had them, and the call runs again from what is left.
 void forget_other_turn(target_state& s, const dispatch_call& message)
 {
     const auto it = s.calls.find(message.call);
--- a/tests/system_soak/system_soak_main.cpp
+++ b/tests/system_soak/system_soak_main.cpp
@@ -61,9 +61,8 @@
     }
     constexpr double micros_per_hour = 3.6e9;
     std::cout << "seeds " << given.seeds << ", failed " << failed << ", faults " << sum.faults << ", turns "
-              << sum.turns << ", unknown " << sum.unknown_turns << ", pending turns lost "
-              << sum.pending_lost << ", refusals " << sum.refusals
-              << ", shards claimed " << sum.takeovers << ", virtual hours "
+              << sum.turns << ", unknown " << sum.unknown_turns << ", pending turns lost " << sum.pending_lost
+              << ", refusals " << sum.refusals << ", shards claimed " << sum.takeovers << ", virtual hours "
               << static_cast<double>(sum.elapsed.count()) / micros_per_hour << '\n';
     return failed;
 }
--- a/tests/unit/test_load.cpp
+++ b/tests/unit/test_load.cpp
@@ -50,6 +50,7 @@
 
 TEST_CASE("a plan has the deployment's mix")
 {
+    std::vector<std::size_t> turns_by_customer;
     for (const auto* name : {"atlas-voie-verte", "urad"})
     {
         const auto settings = deployment_of(name);
@@ -72,9 +73,12 @@
             CHECK(it.budget == settings.workspaces[it.workspace].max_budget);
         }
         CHECK(sub_agents);
+        turns_by_customer.push_back(models + tools);
         CHECK(tools > models / 5);
         CHECK(tools < models);
     }
+    // Claimants' exchanges are longer than foremen's plans.
+    CHECK(turns_by_customer.back() > turns_by_customer.front());
 }
 
 TEST_CASE("pauses scale")
