--- a/src/control/entry_requests.cpp
+++ b/src/control/entry_requests.cpp
@@ -158,8 +158,9 @@
     const auto& shard = shard_for(state, row.program);
     if (serves_here(shard))
     {
-        const auto held = std::move(row);
+        auto held = std::move(row);
         state.forwarded.erase(id);
+        held.raw.repeated = held.may_have_run;
         handle_request(state, local_caller{held.caller}, held.raw);
         return;
     }
@@ -191,12 +192,26 @@
     if (const auto* const creation = std::get_if<create_program>(&*parsed.request))
     {
         program = home_of_creation(raw.workspace, *creation);
+        if (program.empty() && std::ranges::none_of(state.shards, &shard_state::serving))
+        {
+            // No home here: a key of our own makes it a request that another entry can take.
+            auto keyed = raw;
+            keyed.key = make_incarnation({}, state.random()).value;
+            handle_request(state, route, keyed);
+            return;
+        }
     }
     if (!program.empty() && !serves_here(shard_for(state, program)))
     {
         handle_elsewhere(state, route, raw, program);
         return;
     }
+    if (!program.empty() && state.confirm)
+    {
+        auto caller = make_waiter(route, raw);
+        deliver_problem(state, caller, obstacle(state));
+        return;
+    }
     std::visit(request_visitor{state, route, raw}, *parsed.request);
 }
 
--- a/src/control/target_results.cpp
+++ b/src/control/target_results.cpp
@@ -51,6 +51,7 @@
     call.bytes = call.order.request.input.size() + call.outcome.output.size();
     s.bytes = s.bytes - before + call.bytes;
     s.counts.finished += 1;
+    s.counts.kept += 1;
     s.trace(event_id::call_ended, ref, {{"ok", call.outcome.error.failed() ? "false" : "true"}});
     s.send(s.home_of(call), finished_message(call));
     if (s.released.contains(ref.program))
@@ -93,6 +94,13 @@
         stop_deadline(s, it->second);
     }
     s.settled.settle(ref, how, s.now);
+    drop_result(s, ref);
+}
+
+void drop_result(target_state& s, const call_ref& ref)
+{
+    const auto it = s.calls.find(ref);
+    s.counts.kept -= it->second.stage == call_stage::finished ? 1 : 0;
     s.bytes -= it->second.bytes;
     s.calls.erase(it);
 }
--- a/standins/faulty_store.cpp
+++ b/standins/faulty_store.cpp
@@ -17,6 +17,14 @@
     m_waiting.push_back({std::move(op), std::move(handler)});
 }
 
+faulty_store::waiting_op faulty_store::take(std::size_t which)
+{
+    const auto at = m_waiting.begin() + static_cast<difference>(which % m_waiting.size());
+    waiting_op result = std::move(*at);
+    m_waiting.erase(at);
+    return result;
+}
+
 std::size_t faulty_store::waiting() const
 {
     return m_waiting.size();
@@ -28,9 +36,7 @@
     {
         return;
     }
-    const auto at = m_waiting.begin() + static_cast<difference>(which % m_waiting.size());
-    const waiting_op taken = std::move(*at);
-    m_waiting.erase(at);
+    const waiting_op taken = take(which);
     ++m_fates.at(static_cast<std::size_t>(fate));
     store_reply reply{.status = store_status::lost};
     switch (fate)
