--- a/tests/unit/test_retry.cpp
+++ b/tests/unit/test_retry.cpp
@@ -122,7 +122,7 @@
     CHECK(repeats.check(1) == problem_id::none);
     CHECK(repeats.check(1) == problem_id::none);
     CHECK(repeats.check(1) == problem_id::repeated_call);
-    for (const std::uint64_t other : {2, 3, 4, 5})
+    for (const std::uint64_t other : {2U, 3U, 4U, 5U})
     {
         CHECK(repeats.check(other) == problem_id::none);
     }
--- a/tests/unit/test_target_queue.cpp
+++ b/tests/unit/test_target_queue.cpp
@@ -187,7 +187,7 @@
                 auto call = call_named(std::to_string(number++), std::to_string(it % 4));
                 call.arrived = now;
                 call.priority = static_cast<service_class>(it % 3);
-                call.attained = it * 10;
+                call.attained = token_count{it} * 10;
                 call.first_turn = it % 5 == 0;
                 queue.push(call);
                 if (it % 7 < 3)
