--- a/include/masticcourse/control/entry_core.hpp
+++ b/include/masticcourse/control/entry_core.hpp
@@ -7,6 +7,7 @@
 #include "masticcourse/core/clock.hpp"
 #include "masticcourse/core/ids.hpp"
 #include "masticcourse/messages/peer_message.hpp"
+#include "masticcourse/policy/overload.hpp"
 #include "masticcourse/policy/placement.hpp"
 #include "masticcourse/store/store_op.hpp"
 
@@ -71,6 +72,7 @@
     /// How long a request waits for its program's home to be found again.
     core_duration forward_patience = std::chrono::seconds{8};
     placement_options placement;
+    overload_options overload;
     token_count escrow_chunk = 20'000;
     std::size_t max_waiting_calls = 16;
     /// Records of a shard after which its programs are written as snapshots.
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -66,6 +66,7 @@
     config_conflict = 6004,
     config_invalid = 6006,
     call_retried = 7003,
+    overload_refused = 7006,
 };
 
 enum class event_severity : std::uint8_t
@@ -214,6 +215,8 @@
               "Report it; patch to a valid version."},
     event_row{event_id::call_retried, "call_retried", event_severity::info,
               "An idempotent or provably unrun call goes to another target.", "None."},
+    event_row{event_id::overload_refused, "overload_refused", event_severity::warning,
+              "Work was refused at the edge, with a time to come back.", "Add targets if it lasts."},
 };
 
 /// @return the catalogue's row, or a null pointer for a number that it lacks
--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -328,6 +328,12 @@
         finish_without_turn(state, call.ref, loop_problem(id));
         return;
     }
+    if (const auto failure = overload_refusal(state, call); failure.failed())
+    {
+        state.trace(event_id::overload_refused, call.ref.program, call.ref.key);
+        finish_without_turn(state, call.ref, failure);
+        return;
+    }
     if (reserve_budget(state, call))
     {
         state.retries.record_request();
--- a/src/control/entry_dispatch.cpp
+++ b/src/control/entry_dispatch.cpp
@@ -31,14 +31,13 @@
 target_view view_of(const entry_state& state, const peer_row& peer, const call_row& call)
 {
     const auto& target = state.targets.at(peer.known.name);
-    return {.name = peer.known.name,
-            .failure_domain = peer.known.failure_domain,
-            .report = target.report.value_or(target_load{}),
-            .reported = target.reported,
-            .in_flight_prefill = target.in_flight_prefill,
-            .in_flight_decode = target.in_flight_decode,
-            .in_flight = target.in_flight,
-            .usable = is_usable(state, peer, call)};
+    target_view view{.name = peer.known.name,
+                     .failure_domain = peer.known.failure_domain,
+                     .report = target.report.value_or(target_load{}),
+                     .reported = target.reported,
+                     .usable = is_usable(state, peer, call)};
+    target.tracker.fill(view, state.now, state.options.placement.report_lifetime);
+    return view;
 }
 
 service_view view_service(const entry_state& state, const call_row& call)
@@ -91,15 +90,24 @@
 }
 
 /// Counts the call against its target until the target says what became of it.
-void count_in(entry_state& state, call_row& call)
+void count_in(entry_state& state, const call_row& call)
 {
     auto& target = state.targets[call.target];
-    ++target.in_flight;
-    target.in_flight_prefill += call.prefill;
-    target.in_flight_decode += call.decode;
+    target.tracker.on_sent(call.ref, call.prefill, call.request.max_tokens, state.now);
     target.breaker.on_sent(state.now);
 }
 
+/// The time that a target would need for the call by itself.
+core_duration cost_of(const entry_state& state, const call_row& call)
+{
+    const auto& speeds = state.options.placement;
+    const auto prompt = static_cast<double>(prompt_tokens(state, call));
+    const auto answer = static_cast<double>(call.request.max_tokens);
+    const std::chrono::duration<double> cost{prompt / speeds.default_prefill_rate +
+                                             answer / speeds.default_decode_rate};
+    return std::chrono::duration_cast<core_duration>(cost);
+}
+
 void intend(entry_state& state, call_row& call)
 {
     call.phase = call_phase::waiting_intent;
@@ -195,7 +203,6 @@
     call.target = view.targets[choice->target].name;
     call.target_incarnation = state.peers.at(call.target).incarnation;
     call.prefill = tokens - std::min(tokens, cached_at(view, choice->target));
-    call.decode = call.request.max_tokens;
     if (call.request.idempotent)
     {
         send_dispatch(state, call);
@@ -258,10 +265,37 @@
     {
         return;
     }
-    auto& target = state.targets[call.target];
-    target.in_flight -= std::min(target.in_flight, 1U);
-    target.in_flight_prefill -= call.prefill;
-    target.in_flight_decode -= call.decode;
+    state.targets[call.target].tracker.on_ended(call.ref);
+}
+
+problem overload_refusal(const entry_state& state, const call_row& call)
+{
+    if (call.request.kind != call_kind::model)
+    {
+        return {};
+    }
+    service_backlog backlog;
+    for (const auto& view : view_service(state, call).targets)
+    {
+        if (view.usable)
+        {
+            backlog.backlog += expected_queue(view, state.now, state.options.placement);
+            ++backlog.targets;
+        }
+    }
+    backlog.backlog /= std::max(backlog.targets, 1U);
+    const auto& program = *state.programs.find(call.ref.program);
+    const admission_query query{.estimated_cost = cost_of(state, call),
+                                .priority = program.spec.priority,
+                                .first_turn = program.turns.empty(),
+                                .remaining = call.deadline - state.now};
+    const auto wait = refuse_for(query, backlog, state.options.overload);
+    if (!wait)
+    {
+        return {};
+    }
+    return {problem_id::overloaded, ran_state::no, "the service's targets have too much work",
+            std::chrono::ceil<std::chrono::milliseconds>(*wait)};
 }
 
 void retry_or_fail(entry_state& state, call_row& call, const problem& failure)
--- a/src/control/entry_peers.cpp
+++ b/src/control/entry_peers.cpp
@@ -146,29 +146,35 @@
     peer.leaving = peer.leaving || load.leaving;
     target.report = load;
     target.reported = state.now;
-    target.in_flight_prefill = 0;
-    target.in_flight_decode = 0;
+    target.tracker.on_report(state.now);
 }
 
+/// What a target says that it holds lags: it can only lower what this home believes, or fill in what it does not know.
 void on_cache(entry_state& state, const process_name& name, const target_cache& cache)
 {
-    const auto forget = [&](const program_id& program)
+    for (const auto& held : cache.held)
     {
-        if (const auto it = state.runtimes.find(program); it != state.runtimes.end())
+        const auto it = state.runtimes.find(held.program);
+        if (it == state.runtimes.end())
         {
-            std::erase_if(it->second.prefixes,
-                          [&](const prefix_place& place) { return place.target == name; });
+            continue;
         }
-    };
-    for (const auto& held : cache.held)
+        auto& places = it->second.prefixes;
+        const auto place = std::ranges::find(places, name, &prefix_place::target);
+        if (place == places.end())
+        {
+            places.push_back({name, held.tokens});
+            continue;
+        }
+        place->tokens = std::min(place->tokens, held.tokens);
+    }
+    for (const auto& program : cache.dropped)
     {
-        forget(held.program);
-        if (const auto it = state.runtimes.find(held.program); it != state.runtimes.end())
+        if (const auto it = state.runtimes.find(program); it != state.runtimes.end())
         {
-            it->second.prefixes.push_back({name, held.tokens});
+            std::erase_if(it->second.prefixes, [&](const prefix_place& place) { return place.target == name; });
         }
     }
-    std::ranges::for_each(cache.dropped, forget);
 }
 
 /// Hands each message of a peer to its system. Those that only target processes take are ignored here.
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -5,6 +5,7 @@
 #include "masticcourse/control/api_request.hpp"
 #include "masticcourse/control/entry_core.hpp"
 #include "masticcourse/policy/circuit_breaker.hpp"
+#include "masticcourse/policy/load_tracker.hpp"
 #include "masticcourse/policy/loop_guard.hpp"
 #include "masticcourse/policy/placement.hpp"
 #include "masticcourse/policy/retry.hpp"
@@ -62,15 +63,16 @@
     bool leaving = false;
 };
 
+/// How old a target's report is when it arrives, at most in ordinary times.
+inline constexpr auto report_lag = std::chrono::milliseconds{5};
+
 /// What this home knows of one target.
 struct target_row
 {
     std::optional<target_load> report;
     core_time reported{};
-    std::uint32_t in_flight = 0;
-    /// Own work sent since the report, less own work finished since.
-    token_count in_flight_prefill = 0;
-    token_count in_flight_decode = 0;
+    /// This home's own calls there, which a lagging report may not know of.
+    load_tracker tracker{report_lag};
     circuit_breaker breaker;
 };
 /// @}
@@ -151,9 +153,8 @@
     std::uint32_t turn_number = 0;
     process_name target;
     incarnation_id target_incarnation;
-    /// What it counts for against the target's work in flight.
+    /// The part of its prompt that its target has to compute, as expected.
     token_count prefill = 0;
-    token_count decode = 0;
     core_time accepted{};
     core_time dispatched{};
     core_time deadline{};
@@ -524,6 +525,8 @@
 /// Makes more of a tree's budget durable as escrow, if a call of @a cost would need it.
 void request_escrow(entry_state& state, const program_id& root, token_count cost);
 void route_call(entry_state& state, call_row& call);
+/// @return a refusal if the call's service has more work than can be finished in time
+[[nodiscard]] problem overload_refusal(const entry_state& state, const call_row& call);
 void send_dispatch(entry_state& state, call_row& call);
 void leave_target(entry_state& state, call_row& call);
 /// Ends the call with an outcome that becomes a turn of the history.
--- a/tests/unit/test_system.cpp
+++ b/tests/unit/test_system.cpp
@@ -224,6 +224,18 @@
     f.finish_and_check();
 }
 
+TEST_CASE("shards move to an entry that came back, while their programs work and the store is slow")
+{
+    fixture f{{.store_delay = 100ms}};
+    f.start(8, busy);
+    f.world.run_for(2s);
+    f.world.kill_entry(0, false);
+    f.world.run_for(5s);
+    f.world.start_entry(0);
+    f.finish_and_check();
+    CHECK(f.world.events(event_id::shard_released) > 0);
+}
+
 TEST_CASE("two entries die at once while a third takes over, and it dies too")
 {
     fixture f;
