Placement: without reports only calls beyond a full batch count as a queue

Cause: once a report was too old, all of a home's own calls counted as waiting, running ones too; the edge then refused new programs although nothing waited. Change: the part of the own calls that finds no place in a batch counts, of prefill and decode alike; one test.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -44,6 +44,18 @@
     return target.report.decode_rate > 0 ? target.report.decode_rate : options.default_decode_rate;
 }
 
+token_count shared(token_count tokens, double part)
+{
+    return static_cast<token_count>(static_cast<double>(tokens) * part);
+}
+
+/// The part of a home's own calls at a target that finds no place in its batch.
+double waiting_share(const target_view& target, const placement_options& options)
+{
+    const auto calls = static_cast<double>(target.in_flight);
+    return calls > options.batch ? (calls - options.batch) / calls : 0;
+}
+
 token_count cached_at(const placement_query& query, std::size_t target)
 {
     const auto it = std::ranges::find(query.cached, target, &cached_on::target);
@@ -241,15 +253,14 @@
 core_duration expected_queue(const target_view& target, core_time now, const placement_options& options)
 {
     const core_duration age = now - target.reported;
-    token_count prefill = std::max<token_count>(target.in_flight_prefill, 0);
-    token_count decode = std::max<token_count>(target.in_flight_decode, 0);
-    core_duration drained{};
-    if (age <= options.report_lifetime)
-    {
-        prefill = std::max<token_count>(target.report.queued_prefill + target.in_flight_prefill, 0);
-        decode = std::max<token_count>(target.report.queued_decode + target.in_flight_decode, 0);
-        drained = age;
-    }
+    const bool fresh = age <= options.report_lifetime;
+    // Without a report only calls beyond a full batch are known to wait; the others may well be running.
+    const double waiting = fresh ? 1 : waiting_share(target, options);
+    const token_count prefill =
+        (fresh ? target.report.queued_prefill : 0) + shared(target.in_flight_prefill, waiting);
+    const token_count decode =
+        (fresh ? target.report.queued_decode : 0) + shared(target.in_flight_decode, waiting);
+    const core_duration drained = fresh ? age : core_duration::zero();
     const core_duration work =
         time_for(prefill, prefill_rate(target, options)) + time_for(decode, decode_rate(target, options));
     return std::max(work - drained, core_duration::zero());
--- a/tests/unit/test_placement.cpp
+++ b/tests/unit/test_placement.cpp
@@ -85,6 +85,17 @@
     CHECK(expected_queue(target, now, {}) == 0s);
 }
 
+TEST_CASE("without reports a home's calls wait only beyond a full batch")
+{
+    target_view target = idle_target();
+    target.reported = now - 6s;
+    target.in_flight_prefill = 32000;
+    target.in_flight = 16;
+    CHECK(expected_queue(target, now, {.batch = 16}) == 0s);
+    target.in_flight = 32;
+    CHECK(expected_queue(target, now, {.batch = 16}) == 2s);
+}
+
 TEST_CASE("the own failure domain decides between equals")
 {
     const std::vector<target_view> targets{idle_target("a"), idle_target("b"), idle_target("c")};
