Retention: dropping paused prefixes ahead of need is thrown out

Cause: with 200,000 tokens of cache per engine, the ablation showed the rule to lose against the engine's own eviction. Ruled out that the marks alone are to blame: 0.99 / 0.97 instead of 0.95 / 0.85 loses less, and still loses. Conclusion: an order that frees a whole history is too coarse.

--- a/bench/policy/system_options.cpp
+++ b/bench/policy/system_options.cpp
@@ -64,7 +64,6 @@
     options.placement.policy = expected_finish{};
     options.admission = engine_limits{};
     options.overload = overload_options{};
-    options.retention = retention_options{};
     return options;
 }
 
@@ -90,7 +89,7 @@
         without("workspace fairness", [](auto& it) { it.order.workspace_step = {}; }),
         without("engine admission", [](auto& it) { it.admission.reset(); }),
         without("edge admission", [](auto& it) { it.overload.reset(); }),
-        without("retention", [](auto& it) { it.retention.reset(); }),
+        with("retention", [](auto& it) { it.retention = retention_options{}; }),
         without("breaker", [](auto& it) { it.breaker = false; }),
         without("retry budget", [](auto& it) { it.retry_budget = false; }),
         with("prefix moves", [](auto& it) { finish_policy(it).transfer_rate = 50'000; }),
