--- a/src/control/entry_core.cpp
+++ b/src/control/entry_core.cpp
@@ -40,7 +40,7 @@
     {
         return;
     }
-    const auto ticket = state.journal->append({.payload = ownership_probe{}}, state.now);
+    const auto ticket = state.journal->append({.shard = no_shard, .payload = ownership_probe{}}, state.now);
     state.confirm = ticket;
     state.last_confirm = state.now;
     when_durable(state, ticket, probe_is_durable{ticket});
@@ -59,11 +59,13 @@
 {
     if (slept(state))
     {
-        const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - *state.last_step);
+        const auto silent =
+            std::chrono::duration_cast<std::chrono::milliseconds>(state.now - *state.last_step);
         state.trace(event_id::process_paused, {}, {}, {{"ms", std::to_string(silent.count())}});
         confirm_ownership(state);
     }
-    else if (is_alone(state) && !state.confirm && state.now - state.last_confirm > state.options.peer_timeout / 2)
+    else if (is_alone(state) && !state.confirm &&
+             state.now - state.last_confirm > state.options.peer_timeout / 2)
     {
         confirm_ownership(state);
     }
