Tests for a lost dispatch, for 'not run' after a lost home, and for the gate of a leaving target

The mutations of these three mechanisms survived the tests that were meant to guard them: agents that ask again hid a call that waited for its deadline, and homes heard of a leaving target before they could try it.

--- a/tests/unit/test_system.cpp
+++ b/tests/unit/test_system.cpp
@@ -477,15 +477,48 @@
     f.finish_and_check();
 }
 
+TEST_CASE("a call that went into a silent connection is sent again when a new one stands, not at its deadline")
+{
+    fixture f;
+    const auto program = f.create(0);
+    for (const auto* target : {"model-0", "model-1"})
+    {
+        for (const auto* entry : {"entry-0", "entry-1", "entry-2"})
+        {
+            f.world.silence({entry}, {target});
+        }
+    }
+    CHECK(f.ask(0, call_of(program, "k", false), 6s).status == 200);
+}
+
+TEST_CASE("a request that an earlier home may have run is never answered with 'not run'")
+{
+    fixture f;
+    const auto program = f.create(0);
+    std::optional<caller_answer> answer;
+    f.world.request(1, call_of(program, "k", false), [&](const caller_answer& it) { answer = it; });
+    REQUIRE(f.world.run_until([&] { return f.world.runs_of({program, {"k"}}) == 1; }, 1s));
+    f.world.kill_target(0, true);
+    f.world.kill_target(1, true);
+    f.world.kill_entry(0, true);
+    REQUIRE(f.world.run_until([&] { return answer.has_value(); }, 30s));
+    CHECK(answer->status >= 500);
+    CHECK(ran_in(*answer) == "unknown");
+}
+
 TEST_CASE("leaving")
 {
     fixture f;
     SUBCASE("a target that leaves gets no new work, and what it has is finished")
     {
-        f.start(10, busy);
+        f.start(60, busy);
         f.world.run_for(1s);
         f.world.stop_target(0);
-        f.world.run_for(100ms);
+        f.world.run_for(1ms);
+        const auto accepted = f.world.target_state(0).accepted;
+        f.world.run_for(50ms);
+        CHECK(f.world.target_state(0).accepted == accepted);
+        CHECK(f.world.target_state(0).refused > 0);
         const auto before = f.world.record(0).runs.size();
         f.finish_and_check();
         CHECK(f.world.record(0).runs.size() == before);
