--- a/src/control/api_documents.cpp
+++ b/src/control/api_documents.cpp
@@ -1,5 +1,7 @@
 #include "api_documents.hpp"
 
+#include "masticcourse/model/names.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace masticcourse::detail
@@ -16,20 +18,6 @@
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::string_view name_of(service_class priority)
-{
-    switch (priority)
-    {
-    case service_class::assistance:
-        return "assistance";
-    case service_class::standard:
-        return "standard";
-    case service_class::background:
-        return "background";
-    }
-    return "standard";
-}
-
 json problem_json(const problem& failure)
 {
     json document{{"type", "urn:masticcourse:problem:" + std::to_string(static_cast<int>(failure.id))},
@@ -67,7 +55,7 @@
     document["turn"] = it.number;
     document["key"] = it.key.value;
     document["service"] = it.service.value;
-    document["kind"] = it.kind == call_kind::model ? "model" : "tool";
+    document["kind"] = to_string(it.kind);
     document["input"] = it.input;
     return document;
 }
@@ -76,7 +64,7 @@
 {
     json document{{"program", program.program.value},
                   {"workspace", program.spec.workspace.value},
-                  {"class", name_of(program.spec.priority)},
+                  {"class", to_string(program.spec.priority)},
                   {"budget", program.spec.budget},
                   {"spent", program.spent},
                   {"turns", program.turns.size()},
