--- a/tests/unit/test_system.cpp
+++ b/tests/unit/test_system.cpp
@@ -211,6 +211,21 @@
     CHECK(f.world.events(event_id::journal_sealed) + f.world.events(event_id::shard_lost) > 0);
 }
 
+TEST_CASE("a home that wakes answers nothing from its old state")
+{
+    fixture f;
+    const auto program = f.create(0);
+    REQUIRE(f.ask(0, call_of(program, "k0", false)).status == 200);
+    f.world.freeze_entry(0, 9s);
+    REQUIRE(f.world.run_until([&] { return f.ask(1, call_of(program, "k1", false)).status == 200; }, 8s));
+    const auto answer = f.ask(0, history_of(program));
+    const bool whole = answer.status == 200 && json::parse(answer.body).at("history").size() == 2;
+    const bool refused = answer.status >= 500;
+    CHECK((whole || refused));
+    f.world.run_for(5s);
+    CHECK(json::parse(f.ask(0, history_of(program)).body).at("history").size() == 2);
+}
+
 TEST_CASE("a home is cut off from the other entries, and both sides reach the store")
 {
     fixture f;
