--- a/tests/unit/test_target_core.cpp
+++ b/tests/unit/test_target_core.cpp
@@ -380,6 +380,7 @@
         }
         CHECK(target.started() == keys{"a", "a", "action"});
         CHECK(target.sent<call_finished>(1).size() == 3);
+        CHECK(target.sent<call_finished>(1).back().outcome == make_outcome("of turn 0"));
     }
     SUBCASE("at the limit new calls are refused and results stay (gate: room)")
     {
