--- a/tests/process/agent.cpp
+++ b/tests/process/agent.cpp
@@ -65,6 +65,10 @@
     {
         const auto reply =
             d.ask(with_token({.address = d.entry(entry), .target = "/v1/programs"}, operator_token));
+        if (reply.status != 200)
+        {
+            return false;
+        }
         const auto programs = body_of(reply).at("programs");
         return std::ranges::any_of(programs, [&](const json& it) { return it.at("program") == program; });
     };
