--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <exception>
 #include <filesystem>
 #include <fstream>
@@ -18,8 +19,6 @@
 #include <utility>
 #include <vector>
 
-#include <stdlib.h>
-
 namespace masticcourse::tests
 {
 
@@ -281,10 +280,9 @@
 }
 
 void deployment::start(const std::string& name, const std::string& program,
-                       std::vector<std::string> arguments)
+                       const std::vector<std::string>& arguments)
 {
-    m_processes[name] =
-        std::make_unique<child_process>(m_folder + "/" + name + ".log", program, std::move(arguments));
+    m_processes[name] = std::make_unique<child_process>(m_folder + "/" + name + ".log", program, arguments);
 }
 
 void deployment::start_daemon(const std::string& name)
--- a/tests/process/deployment.hpp
+++ b/tests/process/deployment.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace masticcourse::tests
 {
@@ -55,7 +56,8 @@
     [[nodiscard]] const std::string& store() const;
     /// @}
 
-    /// @return the process of that name: entry-0, model-0, tool-0, engine-0, service, store, vms
+    /// @return the process of that name: entry-N, model-N, tool-0, backend-model-N, backend-tool-0, store,
+    /// vms
     [[nodiscard]] child_process& process(const std::string& name);
 
     /// Starts an entry or target again under its name.
@@ -81,7 +83,8 @@
     class client;
 
     void write_settings();
-    void start(const std::string& name, const std::string& program, std::vector<std::string> arguments);
+    void start(const std::string& name, const std::string& program,
+               const std::vector<std::string>& arguments);
     void start_daemon(const std::string& name);
     void publish_vms();
     void wait_ready();
--- a/tests/process/test_faults.cpp
+++ b/tests/process/test_faults.cpp
@@ -38,6 +38,9 @@
     ask_until_ok(d, call_request_of(d, 0, program, {.key = "k1"}));
     const auto home = home_of(d, program);
     set_faults(d, d.store(), R"({"outage": true})");
+    const auto turn = d.ask(call_request_of(d, home, program, {.key = "k2"}));
+    REQUIRE_MESSAGE(turn.status == 200, turn.body);
+    REQUIRE(body_of(turn).at("durability") == "pending");
     REQUIRE(wait_until(
         [&]
         {
@@ -45,10 +48,6 @@
             return status.is_object() && !status.at("store_reachable").get<bool>();
         }));
 
-    const auto turn = d.ask(call_request_of(d, home, program, {.key = "k2"}));
-    REQUIRE_MESSAGE(turn.status == 200, turn.body);
-    REQUIRE(body_of(turn).at("durability") == "pending");
-
     const auto refused = d.ask(call_request_of(d, home, program, {.key = "k3", .tool = true}));
     REQUIRE_MESSAGE(refused.status == 503, refused.body);
     REQUIRE(body_of(refused).at("ran") == "no");
