Measure slopes of memory, messages, processor time and store operations on the real cores

bench/capacity runs system_world at four sizes each and fits a line; the world counts what passes in it.

--- /dev/null
+++ b/bench/capacity/changes.cpp
@@ -0,0 +1,146 @@
+#include "experiments.hpp"
+#include "measured_world.hpp"
+#include "program_load.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <stdexcept>
+
+namespace masticcourse::capacity
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+double milliseconds(core_duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+/// One of two homes dies silently; counts until the other has all shards and a little longer.
+void count_takeover(series& into, double size, std::size_t programs, std::size_t turns)
+{
+    auto options = daemon_options();
+    options.entries = 2;
+    tests::system_world world(options);
+    settle(world);
+    program_load load(world);
+    load.create(programs);
+    load.run_turns(turns, 20ms);
+    world.run_for(2s);
+    const auto shards = world.options().shards;
+    const auto before = world.traffic();
+    const auto start = world.now();
+    world.kill_entry(0, true);
+    if (!world.run_until([&] { return world.entry_state(1).shards_owned == shards; }, 120s))
+    {
+        throw std::runtime_error{"the shards were not taken over"};
+    }
+    const auto took = world.now() - start;
+    const auto passed = since(world, before);
+    into.add("takeover, store reads", "count", size, static_cast<double>(store_reads(passed)));
+    into.add("takeover, store writes", "count", size, static_cast<double>(store_writes(passed)));
+    into.add("takeover, bytes read", "bytes", size, static_cast<double>(passed.store_read_bytes));
+    into.add("takeover, virtual time", "ms", size, milliseconds(took));
+}
+
+series takeover_by_programs()
+{
+    series found("programs of 4 turns on two entries");
+    for (const std::size_t size : {16U, 32U, 64U, 128U})
+    {
+        count_takeover(found, static_cast<double>(size), size, 4);
+    }
+    return found;
+}
+
+series takeover_by_turns()
+{
+    series found("turns of 8 programs on two entries");
+    for (const std::size_t size : {10U, 20U, 40U, 80U})
+    {
+        count_takeover(found, static_cast<double>(size), 8, size);
+    }
+    return found;
+}
+
+/// Patches the configuration at entry 0 and asks every entry until each has it.
+void count_change(series& into, std::size_t entries)
+{
+    auto options = daemon_options();
+    options.entries = entries;
+    tests::system_world world(options);
+    settle(world);
+    std::optional<config_version> version;
+    const auto ask = [&](std::size_t entry, tests::answer_handler handler)
+    { world.request(entry, {.method = "GET", .path = "/v1/config"}, std::move(handler)); };
+    ask(0, [&](const tests::caller_answer& it) { version = it.etag; });
+    world.run_until([&] { return version.has_value(); }, 1s);
+    const auto before = world.traffic();
+    const auto start = world.now();
+    std::vector<bool> have(entries, false);
+    std::optional<config_version> made;
+    world.request(0,
+                  {.method = "PATCH",
+                   .path = "/v1/config",
+                   .body = R"({"limits":{"turn_limit":99}})",
+                   .if_match = version},
+                  [&](const tests::caller_answer& it) { made = it.etag; });
+    const bool all = world.run_until(
+        [&]
+        {
+            for (std::size_t n = 0; n < entries; ++n)
+            {
+                ask(n, [&, n](const tests::caller_answer& it)
+                    { have[n] = have[n] || (made && it.etag && *it.etag >= *made); });
+            }
+            return made && std::ranges::count(have, true) == static_cast<std::ptrdiff_t>(entries);
+        },
+        30s);
+    if (!all)
+    {
+        throw std::runtime_error{"the configuration did not come into force"};
+    }
+    const auto took = world.now() - start;
+    // The answers under way still name local variables.
+    world.run_for(1s);
+    const auto passed = since(world, before);
+    const auto size = static_cast<double>(entries);
+    const auto count_of = [&](std::size_t kind, const std::map<std::size_t, std::uint64_t>& counts)
+    {
+        const auto it = counts.find(kind);
+        return it != counts.end() ? static_cast<double>(it->second) : 0.0;
+    };
+    const auto reply = peer_message{config_reply{}}.index();
+    into.add("configuration change, in force at all entries", "ms", size, milliseconds(took));
+    into.add("configuration change, replies", "count", size, count_of(reply, passed.messages));
+    into.add("configuration change, bytes of replies", "bytes", size, count_of(reply, passed.bytes));
+    into.add("configuration change, store reads", "count", size, static_cast<double>(store_reads(passed)));
+    into.add("configuration change, store writes", "count", size, static_cast<double>(store_writes(passed)));
+}
+
+series change_by_entries()
+{
+    series found("entries");
+    for (const std::size_t size : {2U, 4U, 8U, 16U})
+    {
+        count_change(found, size);
+    }
+    return found;
+}
+
+} // namespace
+
+std::vector<measurement> measure_changes()
+{
+    std::vector<measurement> all;
+    for (const auto& it : {takeover_by_programs(), takeover_by_turns(), change_by_entries()})
+    {
+        all.insert(all.end(), it.all().begin(), it.all().end());
+    }
+    return all;
+}
+
+} // namespace masticcourse::capacity
--- /dev/null
+++ b/bench/capacity/memory.cpp
@@ -0,0 +1,117 @@
+#include "experiments.hpp"
+#include "heap_count.hpp"
+#include "measured_world.hpp"
+#include "program_load.hpp"
+
+namespace masticcourse::capacity
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+void weigh(series& into, tests::system_world& world, double size)
+{
+    into.add("entry memory", "bytes", size, static_cast<double>(world.weigh_entry(0, heap_bytes)));
+    into.add("target memory", "bytes", size, static_cast<double>(world.weigh_target(0, heap_bytes)));
+}
+
+series by_programs()
+{
+    series found("idle programs");
+    for (const std::size_t size : {50U, 100U, 200U, 400U})
+    {
+        tests::system_world world(daemon_options());
+        settle(world);
+        program_load load(world);
+        load.create(size);
+        world.run_for(5s);
+        weigh(found, world, static_cast<double>(size));
+    }
+    return found;
+}
+
+series by_turns()
+{
+    constexpr std::size_t programs = 4;
+    series found("turns of history (400-byte input, 64 tokens answered)");
+    for (const std::size_t size : {10U, 20U, 40U, 80U})
+    {
+        tests::system_world world(daemon_options());
+        settle(world);
+        program_load load(world);
+        load.create(programs);
+        load.run_turns(size - 1, 1ms);
+        const auto before = world.traffic();
+        load.run_turns(1, 1ms);
+        world.run_for(5s);
+        const auto passed = since(world, before);
+        const std::size_t dispatch_kind = peer_message{dispatch_call{}}.index();
+        const auto dispatched = passed.bytes.find(dispatch_kind);
+        found.add("bytes of one dispatch", "bytes", static_cast<double>(size),
+                  dispatched == passed.bytes.end() ? 0.0
+                                                   : static_cast<double>(dispatched->second) / programs);
+        found.add("entry memory of a program", "bytes", static_cast<double>(size),
+                  static_cast<double>(world.weigh_entry(0, heap_bytes)) / programs);
+        found.add("target memory of a program", "bytes", static_cast<double>(size),
+                  static_cast<double>(world.weigh_target(0, heap_bytes)) / programs);
+    }
+    return found;
+}
+
+series by_shards()
+{
+    series found("shards");
+    for (const shard_index size : {16U, 64U, 128U, 256U})
+    {
+        auto options = daemon_options();
+        options.shards = size;
+        tests::system_world world(options);
+        settle(world);
+        weigh(found, world, static_cast<double>(size));
+    }
+    return found;
+}
+
+series by_targets()
+{
+    series found("targets");
+    for (const std::size_t size : {4U, 8U, 16U, 32U})
+    {
+        auto options = daemon_options();
+        options.models = size;
+        tests::system_world world(options);
+        settle(world);
+        weigh(found, world, static_cast<double>(size));
+    }
+    return found;
+}
+
+series by_entries()
+{
+    series found("entries (links)");
+    for (const std::size_t size : {2U, 4U, 8U, 16U})
+    {
+        auto options = daemon_options();
+        options.entries = size;
+        tests::system_world world(options);
+        settle(world);
+        weigh(found, world, static_cast<double>(size));
+    }
+    return found;
+}
+
+} // namespace
+
+std::vector<measurement> measure_memory()
+{
+    std::vector<measurement> all;
+    for (const auto& it : {by_programs(), by_turns(), by_shards(), by_targets(), by_entries()})
+    {
+        all.insert(all.end(), it.all().begin(), it.all().end());
+    }
+    return all;
+}
+
+} // namespace masticcourse::capacity
--- a/tests/support/system_world.cpp
+++ b/tests/support/system_world.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <ctime>
 
 namespace masticcourse::tests
 {
@@ -32,6 +33,38 @@
     return a < b ? std::pair{a, b} : std::pair{b, a};
 }
 
+std::chrono::nanoseconds processor_time()
+{
+    std::timespec at{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &at);
+    return std::chrono::seconds{at.tv_sec} + std::chrono::nanoseconds{at.tv_nsec};
+}
+
+/// Adds the processor time of its life to a sum, if it is wanted.
+class step_timer
+{
+  public:
+    step_timer(bool wanted, std::chrono::nanoseconds& sum) : m_sum(wanted ? &sum : nullptr)
+    {
+        m_start = wanted ? processor_time() : std::chrono::nanoseconds{};
+    }
+    ~step_timer()
+    {
+        if (m_sum != nullptr)
+        {
+            *m_sum += processor_time() - m_start;
+        }
+    }
+    step_timer(const step_timer&) = delete;
+    step_timer(step_timer&&) = delete;
+    step_timer& operator=(const step_timer&) = delete;
+    step_timer& operator=(step_timer&&) = delete;
+
+  private:
+    std::chrono::nanoseconds* m_sum;
+    std::chrono::nanoseconds m_start{};
+};
+
 } // namespace
 
 /// One process: its core while it lives, and for a target what is beside it.
@@ -143,9 +176,9 @@
                           .shards = m_options.shards,
                           .processes = all_processes(),
                           .initial_config = first_config()};
-    options.checkpoint_records = 40;
-    options.escrow_chunk = 2000;
-    options.program_lease = std::chrono::seconds{4};
+    options.checkpoint_records = m_options.checkpoint_records;
+    options.escrow_chunk = m_options.escrow_chunk;
+    options.program_lease = m_options.program_lease;
     return options;
 }
 
@@ -261,7 +294,12 @@
     if (at.is_entry)
     {
         const auto inputs = std::exchange(at.entry_inbox, {});
-        const auto outputs = at.entry->step(inputs, m_now);
+        const auto outputs = [&]
+        {
+            const step_timer timer(m_options.measure_cpu, m_traffic.entry_cpu);
+            return at.entry->step(inputs, m_now);
+        }();
+        ++m_traffic.entry_steps;
         at.wakeup = std::max(at.entry->next_wakeup(), m_now + core_duration{1});
         for (const auto& it : outputs)
         {
@@ -273,7 +311,12 @@
         return;
     }
     const auto inputs = std::exchange(at.target_inbox, {});
-    const auto outputs = at.target->step(inputs, m_now);
+    const auto outputs = [&]
+    {
+        const step_timer timer(m_options.measure_cpu, m_traffic.target_cpu);
+        return at.target->step(inputs, m_now);
+    }();
+    ++m_traffic.target_steps;
     at.wakeup = std::max(at.target->next_wakeup(), m_now + core_duration{1});
     for (const auto& it : outputs)
     {
@@ -521,7 +564,12 @@
         line->silent = true;
         return;
     }
-    auto decoded = decode_message(encode(order.message));
+    const auto encoded = encode(order.message);
+    ++m_traffic.messages[order.message.index()];
+    m_traffic.bytes[order.message.index()] += encoded.size();
+    m_traffic.of_process[at.name] += encoded.size();
+    m_traffic.of_process[to.name] += encoded.size();
+    auto decoded = decode_message(encoded);
     const auto at_time = std::max(line->last_delivery[1 - end], m_now + network_delay());
     line->last_delivery[1 - end] = at_time;
     deliver(to, line->lives[1 - end], peer_received{line->ids[1 - end], std::move(*decoded)},
@@ -581,7 +629,15 @@
     after(there,
           [this, &at, life, order]
           {
+              ++m_traffic.store_ops[order.operation.index()];
+              if (const auto* const created = std::get_if<object_create>(&order.operation))
+              {
+                  m_traffic.store_bytes += created->bytes.size();
+              }
               const auto reply = m_store.apply(order.operation, m_now);
+              m_traffic.store_read_bytes += reply.value.size();
+              std::ranges::for_each(reply.rows, [&](const table_row& it)
+                                    { m_traffic.store_read_bytes += it.value.size(); });
               deliver(at, life, store_done{order.id, reply}, m_options.store_delay / 2 + network_delay());
           });
 }
@@ -896,6 +952,25 @@
 
 // What happened
 
+const system_traffic& system_world::traffic() const
+{
+    return m_traffic;
+}
+
+std::int64_t system_world::weigh_entry(std::size_t entry, const std::function<std::int64_t()>& heap)
+{
+    const auto before = heap();
+    m_nodes[entry]->entry.reset();
+    return before - heap();
+}
+
+std::int64_t system_world::weigh_target(std::size_t target, const std::function<std::int64_t()>& heap)
+{
+    const auto before = heap();
+    target_node(target).target.reset();
+    return before - heap();
+}
+
 const target_record& system_world::record(std::size_t target) const
 {
     return target_node(target).record;
--- a/tests/support/system_world.hpp
+++ b/tests/support/system_world.hpp
@@ -9,6 +9,7 @@
 #include "masticcourse/control/target_core.hpp"
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,8 +36,32 @@
     core_duration store_delay = std::chrono::milliseconds{3};
     core_duration model_time = std::chrono::milliseconds{60};
     core_duration tool_time = std::chrono::milliseconds{40};
+    core_duration program_lease = std::chrono::seconds{4};
+    std::size_t checkpoint_records = 40;
+    token_count escrow_chunk = 2000;
     /// Keep all events, not only the latest.
     bool keep_trace = false;
+    /// Take the processor time of each step. It changes no verdict.
+    bool measure_cpu = false;
+};
+
+/// What went over the connections, to the store and through the cores so far.
+struct system_traffic
+{
+    /// Messages and their encoded bytes, by their place in `peer_message`.
+    std::map<std::size_t, std::uint64_t> messages;
+    std::map<std::size_t, std::uint64_t> bytes;
+    /// Encoded bytes sent and received by each process.
+    std::map<process_name, std::uint64_t> of_process;
+    /// Store operations and the bytes that they write, by their place in `store_op`.
+    std::map<std::size_t, std::uint64_t> store_ops;
+    std::uint64_t store_bytes = 0;
+    std::uint64_t store_read_bytes = 0;
+    /// Steps of the cores, and the processor time in them if `measure_cpu` is set.
+    std::uint64_t entry_steps = 0;
+    std::uint64_t target_steps = 0;
+    std::chrono::nanoseconds entry_cpu{};
+    std::chrono::nanoseconds target_cpu{};
 };
 
 /// The answer to one request of a caller.
@@ -133,6 +158,11 @@
     [[nodiscard]] std::size_t shards_owned() const;
     [[nodiscard]] std::uint64_t events(event_id id) const;
     [[nodiscard]] const system_options& options() const;
+    [[nodiscard]] const system_traffic& traffic() const;
+    /// Destroys a core, and only it, and asks for the heap's size before and after.
+    /// @return the bytes that the core held
+    std::int64_t weigh_entry(std::size_t entry, const std::function<std::int64_t()>& heap);
+    std::int64_t weigh_target(std::size_t target, const std::function<std::int64_t()>& heap);
     [[nodiscard]] std::uint64_t random(std::uint64_t below);
     /// @return the latest events, for a failing test's report
     [[nodiscard]] std::string trace() const;
@@ -217,6 +247,7 @@
     std::map<std::uint64_t, caller> m_callers;
     std::uint64_t m_next_caller = 1;
     std::map<event_id, std::uint64_t> m_events;
+    system_traffic m_traffic;
     std::vector<std::string> m_trace;
 };
 
