--- a/bench/capacity/calls.cpp
+++ b/bench/capacity/calls.cpp
@@ -2,6 +2,11 @@
 #include "measured_world.hpp"
 #include "program_load.hpp"
 
+#include "masticcourse/state/journal_record.hpp"
+
+#include <ctime>
+#include <string>
+
 namespace masticcourse::capacity
 {
 
@@ -79,12 +84,60 @@
     return found;
 }
 
+/// One shard that writes its programs as snapshots after every 40 records.
+series with_checkpoints()
+{
+    constexpr std::size_t records = 40;
+    series found("turns of each of 4 programs, a checkpoint after every 40 records of their shard");
+    for (const std::size_t size : {10U, 20U, 40U, 80U})
+    {
+        auto options = daemon_options();
+        options.shards = 1;
+        options.checkpoint_records = records;
+        tests::system_world world(options);
+        count_calls(found, world, static_cast<double>(size), 4, size);
+    }
+    return found;
+}
+
+/// Journal entries of so many records, encoded and decoded.
+series journal_records()
+{
+    constexpr std::size_t text_bytes = 1000;
+    constexpr int times = 200;
+    series found("records of one journal entry (1,000-byte output each)");
+    for (const std::size_t size : {16U, 64U, 256U, 1024U})
+    {
+        journal_entry entry{.journal = {"home"}, .writer = {"home"}, .index = 1};
+        for (std::size_t n = 0; n < size; ++n)
+        {
+            entry.records.push_back(
+                {.epoch = 1,
+                 .payload = turn_committed{
+                     .program = {"program-" + std::to_string(n)},
+                     .finished = {.number = 1, .outcome = {.output = std::string(text_bytes, 'x')}}}});
+        }
+        std::size_t bytes = 0;
+        const auto start = std::clock();
+        for (int n = 0; n < times; ++n)
+        {
+            bytes = encode(entry).size();
+        }
+        const auto took = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC / times;
+        constexpr double nanoseconds = 1e9;
+        found.add("journal entry, bytes", "bytes", static_cast<double>(size), static_cast<double>(bytes));
+        found.add("journal entry, processor time to encode", "ns", static_cast<double>(size),
+                  took * nanoseconds);
+    }
+    return found;
+}
+
 } // namespace
 
 std::vector<measurement> measure_calls()
 {
     std::vector<measurement> all;
-    for (const auto& it : {by_callers(), by_entries(), by_turns()})
+    for (const auto& it : {by_callers(), by_entries(), by_turns(), with_checkpoints(), journal_records()})
     {
         all.insert(all.end(), it.all().begin(), it.all().end());
     }
--- a/bench/capacity/changes.cpp
+++ b/bench/capacity/changes.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <optional>
 #include <stdexcept>
+#include <string>
 
 namespace masticcourse::capacity
 {
@@ -67,7 +68,7 @@
 }
 
 /// Patches the configuration at entry 0 and asks every entry until each has it.
-void count_change(series& into, std::size_t entries)
+void count_change(series& into, double size, std::size_t entries, const std::string& patch)
 {
     auto options = daemon_options();
     options.entries = entries;
@@ -82,11 +83,7 @@
     const auto start = world.now();
     std::vector<bool> have(entries, false);
     std::optional<config_version> made;
-    world.request(0,
-                  {.method = "PATCH",
-                   .path = "/v1/config",
-                   .body = R"({"limits":{"turn_limit":99}})",
-                   .if_match = version},
+    world.request(0, {.method = "PATCH", .path = "/v1/config", .body = patch, .if_match = version},
                   [&](const tests::caller_answer& it) { made = it.etag; });
     const bool all = world.run_until(
         [&]
@@ -107,7 +104,6 @@
     // The answers under way still name local variables.
     world.run_for(1s);
     const auto passed = since(world, before);
-    const auto size = static_cast<double>(entries);
     const auto count_of = [&](std::size_t kind, const std::map<std::size_t, std::uint64_t>& counts)
     {
         const auto it = counts.find(kind);
@@ -126,7 +122,24 @@
     series found("entries");
     for (const std::size_t size : {2U, 4U, 8U, 16U})
     {
-        count_change(found, size);
+        count_change(found, static_cast<double>(size), size, R"({"limits":{"turn_limit":99}})");
+    }
+    return found;
+}
+
+series change_by_workspaces()
+{
+    constexpr std::size_t entries = 4;
+    series found("workspaces in the configuration, 4 entries");
+    for (const std::size_t size : {50U, 100U, 200U, 400U})
+    {
+        std::string patch;
+        for (std::size_t n = 0; n < size; ++n)
+        {
+            patch += (n == 0 ? "" : ",") + std::string{"\"workspace-"} + std::to_string(n) +
+                     "\":{\"max_budget\":1000000}";
+        }
+        count_change(found, static_cast<double>(size), entries, "{\"workspaces\":{" + patch + "}}");
     }
     return found;
 }
@@ -136,7 +149,8 @@
 std::vector<measurement> measure_changes()
 {
     std::vector<measurement> all;
-    for (const auto& it : {takeover_by_programs(), takeover_by_turns(), change_by_entries()})
+    for (const auto& it :
+         {takeover_by_programs(), takeover_by_turns(), change_by_entries(), change_by_workspaces()})
     {
         all.insert(all.end(), it.all().begin(), it.all().end());
     }
--- a/bench/capacity/program_load.cpp
+++ b/bench/capacity/program_load.cpp
@@ -17,14 +17,16 @@
 
 constexpr token_count budget = 900'000;
 constexpr token_count answer_tokens = 64;
-constexpr std::size_t input_bytes = 400;
 constexpr core_duration retry_after = 100ms;
 constexpr core_duration longest = 200s;
 const workspace_id workspace{"w1"};
 
 } // namespace
 
-program_load::program_load(tests::system_world& world) : m_world(world) {}
+program_load::program_load(tests::system_world& world, std::size_t input_bytes)
+    : m_world(world), m_input_bytes(input_bytes)
+{
+}
 
 std::size_t program_load::refusals() const
 {
@@ -90,7 +92,7 @@
 {
     const auto& program = m_rows[number];
     auto input = "turn " + std::to_string(program.turns) + " ";
-    input.resize(input_bytes, 'x');
+    input.resize(m_input_bytes, 'x');
     const json body{{"service", "model"},
                     {"input", input},
                     {"idempotent", true},
--- a/bench/capacity/program_load.hpp
+++ b/bench/capacity/program_load.hpp
@@ -15,7 +15,8 @@
 class program_load
 {
   public:
-    explicit program_load(tests::system_world& world);
+    /// @param input_bytes the length of each call's input
+    explicit program_load(tests::system_world& world, std::size_t input_bytes = 400);
 
     /// Creates programs at one entry and waits until all stand.
     /// @exception std::runtime_error if that takes too long
@@ -41,6 +42,7 @@
     [[nodiscard]] bool all_done() const;
 
     tests::system_world& m_world;
+    std::size_t m_input_bytes;
     std::vector<row> m_rows;
     std::size_t m_refusals = 0;
 };
