--- a/bench/capacity/changes.cpp
+++ b/bench/capacity/changes.cpp
@@ -144,13 +144,78 @@
     return found;
 }
 
+/// The store is away for so many seconds while 8 programs take a turn every 2 s.
+series store_outage()
+{
+    constexpr std::size_t programs = 8;
+    constexpr std::size_t turns = 95;
+    series found("seconds that the store is away, 8 programs with a turn every 2 s");
+    for (const int size : {15, 30, 45, 90, 150})
+    {
+        tests::system_world world(daemon_options());
+        settle(world);
+        program_load load(world);
+        load.create(programs);
+        load.start_turns(turns, 100ms, 2s);
+        world.run_for(5s);
+        const auto taken = load.turns_taken();
+        const auto refused = load.refusals();
+        world.store().set_faults({.outage = true});
+        world.run_for(std::chrono::seconds{size});
+        world.store().set_faults({});
+        found.add("store away, turns taken", "count", size, static_cast<double>(load.turns_taken() - taken));
+        found.add("store away, calls refused", "count", size, static_cast<double>(load.refusals() - refused));
+        const auto back = world.now();
+        const auto resumed = load.turns_taken();
+        if (!world.run_until([&] { return load.turns_taken() >= resumed + programs; }, 60s))
+        {
+            throw std::runtime_error{"the turns did not go on"};
+        }
+        found.add("store back, until a turn of each program", "ms", size, milliseconds(world.now() - back));
+    }
+    return found;
+}
+
+/// One of two entries drains, is replaced, and takes its shards back.
+series replacement()
+{
+    series found("shards, 2 entries");
+    for (const shard_index size : {16U, 64U, 128U, 256U})
+    {
+        auto options = daemon_options();
+        options.entries = 2;
+        options.shards = size;
+        tests::system_world world(options);
+        settle(world);
+        const auto before = world.traffic();
+        const auto start = world.now();
+        world.stop_entry(0);
+        if (!world.run_until([&] { return world.entry_state(1).shards_owned == size; }, 120s))
+        {
+            throw std::runtime_error{"the shards were not handed over"};
+        }
+        const auto took = world.now() - start;
+        world.start_entry(0);
+        world.run_for(30s);
+        const auto passed = since(world, before);
+        found.add("replacement of an entry, handed over", "ms", size, milliseconds(took));
+        found.add("replacement of an entry, store reads", "count", size,
+                  static_cast<double>(store_reads(passed)));
+        found.add("replacement of an entry, store writes", "count", size,
+                  static_cast<double>(store_writes(passed)));
+        found.add("replacement of an entry, shards taken back", "count", size,
+                  static_cast<double>(world.entry_state(0).shards_owned));
+    }
+    return found;
+}
+
 } // namespace
 
 std::vector<measurement> measure_changes()
 {
     std::vector<measurement> all;
-    for (const auto& it :
-         {takeover_by_programs(), takeover_by_turns(), change_by_entries(), change_by_workspaces()})
+    for (const auto& it : {takeover_by_programs(), takeover_by_turns(), change_by_entries(),
+                           change_by_workspaces(), store_outage(), replacement()})
     {
         all.insert(all.end(), it.all().begin(), it.all().end());
     }
--- a/bench/capacity/program_load.cpp
+++ b/bench/capacity/program_load.cpp
@@ -70,19 +70,32 @@
                     });
 }
 
-void program_load::run_turns(std::size_t turns, core_duration pace)
+void program_load::start_turns(std::size_t turns, core_duration pace, core_duration pause)
 {
+    m_pause = pause;
     for (std::size_t n = 0; n < m_rows.size(); ++n)
     {
         m_rows[n].wanted += turns;
         m_world.after(pace * static_cast<int>(n), [this, n] { send_turn(n); });
     }
+}
+
+void program_load::run_turns(std::size_t turns, core_duration pace)
+{
+    start_turns(turns, pace, core_duration{});
     if (!m_world.run_until([&] { return all_done(); }, longest))
     {
         throw std::runtime_error{"the turns were not taken"};
     }
 }
 
+std::size_t program_load::turns_taken() const
+{
+    std::size_t sum = 0;
+    std::ranges::for_each(m_rows, [&](const row& it) { sum += it.turns; });
+    return sum;
+}
+
 bool program_load::all_done() const
 {
     return std::ranges::all_of(m_rows, [](const row& it) { return it.turns == it.wanted; });
@@ -117,7 +130,7 @@
                         ++it.turns;
                         if (it.turns < it.wanted)
                         {
-                            send_turn(number);
+                            m_world.after(m_pause, [this, number] { send_turn(number); });
                         }
                     });
 }
--- a/bench/capacity/program_load.hpp
+++ b/bench/capacity/program_load.hpp
@@ -27,7 +27,11 @@
     /// @exception std::runtime_error if that takes too long
     void run_turns(std::size_t turns, core_duration pace);
 
+    /// Begins what `run_turns` does, with a pause after each turn, and does not wait.
+    void start_turns(std::size_t turns, core_duration pace, core_duration pause);
+
     [[nodiscard]] std::size_t refusals() const;
+    [[nodiscard]] std::size_t turns_taken() const;
 
   private:
     struct row
@@ -44,6 +48,7 @@
     tests::system_world& m_world;
     std::size_t m_input_bytes;
     std::vector<row> m_rows;
+    core_duration m_pause{};
     std::size_t m_refusals = 0;
 };
 
--- a/bench/capacity/slope.cpp
+++ b/bench/capacity/slope.cpp
@@ -38,14 +38,13 @@
     return std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size());
 }
 
-void write_row(std::ostream& out, const measurement& it, const std::string& between, const std::string& edge)
+void write_row(std::ostream& out, const measurement& it, const std::string& between, const std::string& begin,
+               const std::string& end)
 {
     const auto line = fit(it);
-    const auto lead = edge.empty() ? "" : edge + " ";
-    const auto tail = edge.empty() ? "" : " " + edge;
-    out << lead << it.what << between << it.per << between << it.unit << between << list_of(it.sizes)
+    out << begin << it.what << between << it.per << between << it.unit << between << list_of(it.sizes)
         << between << list_of(it.values) << between << text_of(line.base) << between << text_of(line.slope)
-        << between << text_of(line.residual) << between << (line.linear ? "yes" : "no") << tail << '\n';
+        << between << text_of(line.residual) << between << (line.linear ? "yes" : "no") << end << '\n';
 }
 
 } // namespace
@@ -88,8 +87,8 @@
     table << "what,against,unit,sizes,values,base,slope,residual,linear\n";
     for (const auto& it : all)
     {
-        write_row(page, it, " | ", "|");
-        write_row(table, it, ",", "");
+        write_row(page, it, " | ", "| ", " |");
+        write_row(table, it, R"(",")", R"(")", R"(")");
     }
 }
 
--- a/bench/capacity/slope.hpp
+++ b/bench/capacity/slope.hpp
@@ -25,7 +25,8 @@
     double slope = 0;
     /// Root mean square of the residuals over the span of the values.
     double residual = 0;
-    /// The residual is below a twentieth of the span, or the values hardly change at all.
+    /// The residual is at most a twentieth of the span. Values that hardly change are noise, and so not
+    /// linear.
     bool linear = false;
 };
 
