--- a/bench/capacity/changes.cpp
+++ b/bench/capacity/changes.cpp
@@ -209,13 +209,39 @@
     return found;
 }
 
+/// One entry dies silently: how much the others ask each other about it.
+series silent_death()
+{
+    series found("entries, one dies silently");
+    const auto ask_kind = peer_message{liveness_ask{}}.index();
+    const auto answer_kind = peer_message{liveness_answer{}}.index();
+    for (const std::size_t size : {3U, 4U, 8U, 16U})
+    {
+        auto options = daemon_options();
+        options.entries = size;
+        tests::system_world world(options);
+        settle(world);
+        const auto before = world.traffic();
+        world.kill_entry(0, true);
+        world.run_for(20s);
+        auto passed = since(world, before);
+        found.add("silent death, asks and answers about it", "count", static_cast<double>(size),
+                  static_cast<double>(passed.messages[ask_kind] + passed.messages[answer_kind]));
+        found.add("silent death, store reads", "count", static_cast<double>(size),
+                  static_cast<double>(store_reads(passed)));
+        found.add("silent death, bytes read from the store", "bytes", static_cast<double>(size),
+                  static_cast<double>(passed.store_read_bytes));
+    }
+    return found;
+}
+
 } // namespace
 
 std::vector<measurement> measure_changes()
 {
     std::vector<measurement> all;
     for (const auto& it : {takeover_by_programs(), takeover_by_turns(), change_by_entries(),
-                           change_by_workspaces(), store_outage(), replacement()})
+                           change_by_workspaces(), store_outage(), replacement(), silent_death()})
     {
         all.insert(all.end(), it.all().begin(), it.all().end());
     }
