--- a/bench/capacity/changes.cpp
+++ b/bench/capacity/changes.cpp
@@ -145,14 +145,17 @@
 }
 
 /// The store is away for so many seconds while 8 programs take a turn every 2 s.
-series store_outage()
+series store_outage(token_count escrow_chunk)
 {
     constexpr std::size_t programs = 8;
     constexpr std::size_t turns = 95;
-    series found("seconds that the store is away, 8 programs with a turn every 2 s");
+    series found("seconds that the store is away, 8 programs with a turn every 2 s, escrow of " +
+                 std::to_string(escrow_chunk) + " tokens");
     for (const int size : {15, 30, 45, 90, 150})
     {
-        tests::system_world world(daemon_options());
+        auto options = daemon_options();
+        options.escrow_chunk = escrow_chunk;
+        tests::system_world world(options);
         settle(world);
         program_load load(world);
         load.create(programs);
@@ -235,13 +238,46 @@
     return found;
 }
 
+/// Half of the entries lose the other half for 20 s, with the targets and the store in reach of both.
+series parted_entries()
+{
+    series found("entries, halves parted for 20 s");
+    const auto ask_kind = peer_message{liveness_ask{}}.index();
+    const auto answer_kind = peer_message{liveness_answer{}}.index();
+    for (const std::size_t size : {2U, 4U, 8U, 16U})
+    {
+        auto options = daemon_options();
+        options.entries = size;
+        tests::system_world world(options);
+        settle(world);
+        const auto before = world.traffic();
+        for (std::size_t a = 0; a < size / 2; ++a)
+        {
+            for (auto b = size / 2; b < size; ++b)
+            {
+                world.cut(world.entry_name(a), world.entry_name(b));
+            }
+        }
+        world.run_for(20s);
+        auto passed = since(world, before);
+        found.add("parted, asks and answers", "count", static_cast<double>(size),
+                  static_cast<double>(passed.messages[ask_kind] + passed.messages[answer_kind]));
+        found.add("parted, store reads", "count", static_cast<double>(size),
+                  static_cast<double>(store_reads(passed)));
+        found.add("parted, store writes", "count", static_cast<double>(size),
+                  static_cast<double>(store_writes(passed)));
+    }
+    return found;
+}
+
 } // namespace
 
 std::vector<measurement> measure_changes()
 {
     std::vector<measurement> all;
     for (const auto& it : {takeover_by_programs(), takeover_by_turns(), change_by_entries(),
-                           change_by_workspaces(), store_outage(), replacement(), silent_death()})
+                           change_by_workspaces(), store_outage(entry_options{}.escrow_chunk),
+                           store_outage(200'000), replacement(), silent_death(), parted_entries()})
     {
         all.insert(all.end(), it.all().begin(), it.all().end());
     }
