--- a/tests/process/test_faults.cpp
+++ b/tests/process/test_faults.cpp
@@ -80,7 +80,7 @@
     // The new process is there: it runs another program's action.
     const auto other = create_program_at(d, 0);
     ask_until_ok(d, call_request_of(d, 0, other, {.key = "k1", .tool = true}));
-    for (const std::size_t entry : {0, 1})
+    for (const std::size_t entry : {std::size_t{0}, std::size_t{1}})
     {
         const auto again = d.ask(call_request_of(d, entry, program, call));
         REQUIRE_MESSAGE(again.status == 502, again.body);
