--- a/bench/capacity/changes.cpp
+++ b/bench/capacity/changes.cpp
@@ -3,9 +3,11 @@
 #include "program_load.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace masticcourse::capacity
 {
@@ -212,45 +214,46 @@
     return found;
 }
 
-/// One entry dies silently: how much the others ask each other about it.
-series silent_death()
+/// Does something to worlds of several numbers of entries and counts what 20 s of it bring.
+series after_fault(const std::string& name, const std::vector<std::size_t>& sizes,
+                   const std::function<void(tests::system_world&)>& fault)
 {
-    series found("entries, one dies silently");
+    series found("entries, " + name);
     const auto ask_kind = peer_message{liveness_ask{}}.index();
     const auto answer_kind = peer_message{liveness_answer{}}.index();
-    for (const std::size_t size : {3U, 4U, 8U, 16U})
+    for (const std::size_t entries : sizes)
     {
         auto options = daemon_options();
-        options.entries = size;
+        options.entries = entries;
         tests::system_world world(options);
         settle(world);
         const auto before = world.traffic();
-        world.kill_entry(0, true);
+        fault(world);
         world.run_for(20s);
         auto passed = since(world, before);
-        found.add("silent death, asks and answers about it", "count", static_cast<double>(size),
+        const auto size = static_cast<double>(entries);
+        found.add(name + ", asks and answers", "count", size,
                   static_cast<double>(passed.messages[ask_kind] + passed.messages[answer_kind]));
-        found.add("silent death, store reads", "count", static_cast<double>(size),
-                  static_cast<double>(store_reads(passed)));
-        found.add("silent death, bytes read from the store", "bytes", static_cast<double>(size),
+        found.add(name + ", store reads", "count", size, static_cast<double>(store_reads(passed)));
+        found.add(name + ", store writes", "count", size, static_cast<double>(store_writes(passed)));
+        found.add(name + ", bytes read from the store", "bytes", size,
                   static_cast<double>(passed.store_read_bytes));
     }
     return found;
 }
 
-/// Half of the entries lose the other half for 20 s, with the targets and the store in reach of both.
+series silent_death()
+{
+    return after_fault("one dies silently", {3U, 4U, 8U, 16U},
+                       [](tests::system_world& world) { world.kill_entry(0, true); });
+}
+
+/// The targets and the store stay in reach of both halves.
 series parted_entries()
 {
-    series found("entries, halves parted for 20 s");
-    const auto ask_kind = peer_message{liveness_ask{}}.index();
-    const auto answer_kind = peer_message{liveness_answer{}}.index();
-    for (const std::size_t size : {2U, 4U, 8U, 16U})
+    const auto part = [](tests::system_world& world)
     {
-        auto options = daemon_options();
-        options.entries = size;
-        tests::system_world world(options);
-        settle(world);
-        const auto before = world.traffic();
+        const auto size = world.options().entries;
         for (std::size_t a = 0; a < size / 2; ++a)
         {
             for (auto b = size / 2; b < size; ++b)
@@ -258,16 +261,8 @@
                 world.cut(world.entry_name(a), world.entry_name(b));
             }
         }
-        world.run_for(20s);
-        auto passed = since(world, before);
-        found.add("parted, asks and answers", "count", static_cast<double>(size),
-                  static_cast<double>(passed.messages[ask_kind] + passed.messages[answer_kind]));
-        found.add("parted, store reads", "count", static_cast<double>(size),
-                  static_cast<double>(store_reads(passed)));
-        found.add("parted, store writes", "count", static_cast<double>(size),
-                  static_cast<double>(store_writes(passed)));
-    }
-    return found;
+    };
+    return after_fault("halves parted", {2U, 4U, 8U, 16U}, part);
 }
 
 } // namespace
