Silent owners are asked about at a few processes, target processes among them; a stalled store refuses early

One change for parted entries. Ruled out: a longer delay (it only slows the exchange). Change: before a silent owner is replaced, three live entries and three live target processes are asked, not all entries; one that still hears the owner puts the takeover off. Price: programs of an entry that only target processes hear answer only through that entry until the cut ends.

--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -173,6 +173,13 @@
         {problem_id::deadline_passed, ran_state::no, "the deadline passed before the call ran"});
 }
 
+/// Whether a call waits for a record that the store does not take: it has not been sent, and is refused.
+bool waits_for_store(const entry_state& state, const call_row& call)
+{
+    const bool waits = call.phase == call_phase::waiting_intent || call.phase == call_phase::waiting_escrow;
+    return waits && journal_is_stalled(state);
+}
+
 /// An idempotent call whose target process can't be reached for long goes elsewhere.
 bool waits_in_vain(const entry_state& state, const call_row& call)
 {
@@ -372,6 +379,7 @@
     std::vector<call_ref> late;
     std::vector<call_ref> committing;
     std::vector<call_ref> stranded;
+    std::vector<call_ref> stalled;
     for (const auto& [ref, call] : state.calls)
     {
         if (call.phase == call_phase::committing)
@@ -382,6 +390,10 @@
         {
             late.push_back(ref);
         }
+        else if (waits_for_store(state, call))
+        {
+            stalled.push_back(ref);
+        }
         else if (waits_in_vain(state, call))
         {
             stranded.push_back(ref);
@@ -394,6 +406,10 @@
             on_deadline(state, it->second);
         }
     }
+    const problem away{problem_id::store_unavailable, ran_state::no,
+                       "what must be durable before the call can be sent can't be made so now",
+                       std::chrono::seconds{2}};
+    std::ranges::for_each(stalled, [&](const call_ref& ref) { finish_without_turn(state, ref, away); });
     for (const auto& ref : stranded)
     {
         if (const auto it = state.calls.find(ref); it != state.calls.end())
--- a/src/control/entry_dispatch.cpp
+++ b/src/control/entry_dispatch.cpp
@@ -116,17 +116,6 @@
     when_durable(state, append(state, call.ref.program, intent), intent_is_durable{call.ref});
 }
 
-void withdraw(entry_state& state, const call_row& call)
-{
-    if (call.request.idempotent)
-    {
-        return;
-    }
-    const intent_withdrawn record{call.ref.program, call.ref.key};
-    state.programs.apply(record);
-    append(state, call.ref.program, record);
-}
-
 problem no_target(const call_row& call)
 {
     return {problem_id::no_target, ran_state::no,
@@ -174,6 +163,17 @@
 
 } // namespace
 
+void withdraw(entry_state& state, const call_row& call)
+{
+    if (call.request.idempotent)
+    {
+        return;
+    }
+    const intent_withdrawn record{call.ref.program, call.ref.key};
+    state.programs.apply(record);
+    append(state, call.ref.program, record);
+}
+
 token_count prompt_tokens(const entry_state& state, const call_row& call)
 {
     if (call.request.kind == call_kind::tool)
--- a/src/control/entry_outcomes.cpp
+++ b/src/control/entry_outcomes.cpp
@@ -163,6 +163,10 @@
     auto call = std::move(it->second);
     leave_target(state, call);
     state.calls.erase(it);
+    if (call.phase == call_phase::waiting_intent)
+    {
+        withdraw(state, call);
+    }
     if (call.reserved)
     {
         auto& ledger = state.ledgers.at(root_of(ref.program));
--- a/src/control/entry_shards.cpp
+++ b/src/control/entry_shards.cpp
@@ -18,6 +18,7 @@
 constexpr auto claim_retry = std::chrono::milliseconds{500};
 constexpr auto rebalance_gap = std::chrono::milliseconds{100};
 constexpr std::size_t most_claims = 16;
+constexpr std::size_t asked_at_once = 3;
 constexpr std::size_t cleaned_at_once = 64;
 
 std::uint64_t score(const process_name& name, shard_index shard)
@@ -68,6 +69,25 @@
     state.shards[index].claim = std::make_unique<shard_claim>(index, std::move(who), *state.recovery);
 }
 
+/// Asks a few live processes of one role, from a random one on, if they hear from an owner. Target processes are asked
+/// too: they still hear an entry that is cut off from the other entries, and such a one is not to be replaced.
+void ask_about_owner(entry_state& state, process_role role, const incarnation_id& owner)
+{
+    std::vector<link_id> live;
+    for (const auto& [name, peer] : state.peers)
+    {
+        if (peer.live && peer.known.role == role)
+        {
+            live.push_back(*peer.link);
+        }
+    }
+    const auto count = std::min(asked_at_once, live.size());
+    for (std::size_t n = 0, first = live.empty() ? 0 : state.random() % live.size(); n < count; ++n)
+    {
+        send(state, live[(first + n) % live.size()], liveness_ask{owner});
+    }
+}
+
 /// Notes which owners of shards are missed, and asks the other entries about them before it counts.
 void watch_owners(entry_state& state)
 {
@@ -88,13 +108,8 @@
             continue;
         }
         missed.asked = true;
-        for (const auto& [name, peer] : state.peers)
-        {
-            if (peer.live && peer.known.role == process_role::entry)
-            {
-                send(state, *peer.link, liveness_ask{owner});
-            }
-        }
+        ask_about_owner(state, process_role::entry, owner);
+        ask_about_owner(state, process_role::target, owner);
     }
 }
 
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -531,6 +531,8 @@
 [[nodiscard]] problem overload_refusal(const entry_state& state, const call_row& call);
 void send_dispatch(entry_state& state, call_row& call);
 void leave_target(entry_state& state, call_row& call);
+/// An intended call is known not to have run under its intent.
+void withdraw(entry_state& state, const call_row& call);
 /// Ends the call with an outcome that becomes a turn of the history.
 void finish_with_turn(entry_state& state, call_row& call, call_outcome outcome);
 /// Ends the call with a failure that is no turn: it did not run, or may be run again.
--- a/tests/unit/test_system.cpp
+++ b/tests/unit/test_system.cpp
@@ -297,6 +297,20 @@
         CHECK(answer.retry_after.has_value());
         CHECK(f.world.runs_of({program, {"k1"}}) == 0);
     }
+    SUBCASE("an action that meets the outage first is refused soon, not at its deadline, and runs once afterwards")
+    {
+        const auto program = f.create(0);
+        f.world.run_for(2s);
+        f.set_outage(true);
+        const auto answer = f.ask(0, call_of(program, "k1", true), 1s);
+        CHECK(answer.status == 503);
+        CHECK(ran_in(answer) == "no");
+        f.set_outage(false);
+        f.world.run_for(5s);
+        CHECK(f.world.runs_of({program, {"k1"}}) == 0);
+        CHECK(f.ask(0, call_of(program, "k1", true)).status == 200);
+        CHECK(f.world.runs_of({program, {"k1"}}) == 1);
+    }
     SUBCASE("programs that work through an outage lose nothing")
     {
         f.start(10, busy);
