--- a/src/control/entry_core.cpp
+++ b/src/control/entry_core.cpp
@@ -26,6 +26,8 @@
 namespace
 {
 
+constexpr auto scan_period = std::chrono::milliseconds{10};
+
 /// A step that comes this much later than the one before means that the process slept, so that its shards may
 /// have been taken.
 bool slept(const entry_state& state)
@@ -121,7 +123,9 @@
     }
 };
 
-void run_systems(entry_state& state)
+/// The systems that walk whole tables. Heartbeats of a thousand peers must not make them run each time: they
+/// have a period of their own, but for answers of the store, which claims and recoveries wait for.
+void run_scans(entry_state& state)
 {
     run_membership(state);
     run_store(state);
@@ -130,11 +134,29 @@
     run_calls(state);
     run_forwards(state);
     run_leases(state);
-    run_journal(state);
     run_readiness(state);
     run_stop(state);
 }
 
+bool is_urgent(const entry_input& input)
+{
+    return std::holds_alternative<store_done>(input) || std::holds_alternative<stop_requested>(input);
+}
+
+void run_systems(entry_state& state, std::span<const entry_input> inputs)
+{
+    run_journal(state);
+    state.inputs_since_scan = state.inputs_since_scan || !inputs.empty();
+    if (state.now < state.next_scan && std::ranges::none_of(inputs, is_urgent))
+    {
+        return;
+    }
+    state.next_scan = state.now + scan_period;
+    state.inputs_since_scan = false;
+    run_scans(state);
+    run_journal(state);
+}
+
 } // namespace
 
 } // namespace detail
@@ -159,15 +181,17 @@
     {
         std::visit(detail::input_visitor{state}, input);
     }
-    detail::run_systems(state);
+    detail::run_systems(state, inputs);
     return std::exchange(state.out, {});
 }
 
 core_time entry_core::next_wakeup() const
 {
-    // The systems keep to periods of tens of milliseconds; only the journal's group commit is finer.
-    constexpr auto tick = std::chrono::milliseconds{50};
-    return std::min(m_state->now + tick, m_state->journal->next_wakeup());
+    // Without inputs the systems keep to periods of tens of milliseconds; only the journal's group commit is
+    // finer.
+    constexpr auto idle_period = std::chrono::milliseconds{50};
+    const auto scan = m_state->inputs_since_scan ? m_state->next_scan : m_state->now + idle_period;
+    return std::min(scan, m_state->journal->next_wakeup());
 }
 
 entry_counts entry_core::counts() const
--- a/src/control/entry_shards.cpp
+++ b/src/control/entry_shards.cpp
@@ -69,8 +69,9 @@
     state.shards[index].claim = std::make_unique<shard_claim>(index, std::move(who), *state.recovery);
 }
 
-/// Asks a few live processes of one role, from a random one on, if they hear from an owner. Target processes are asked
-/// too: they still hear an entry that is cut off from the other entries, and such a one is not to be replaced.
+/// Asks a few live processes of one role, from a random one on, if they hear from an owner. Target processes
+/// are asked too: they still hear an entry that is cut off from the other entries, and such a one is not to
+/// be replaced.
 void ask_about_owner(entry_state& state, process_role role, const incarnation_id& owner)
 {
     std::vector<link_id> live;
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -342,6 +342,8 @@
     entry_options options;
     core_time now{};
     std::optional<core_time> last_step;
+    core_time next_scan{};
+    bool inputs_since_scan = false;
     std::vector<entry_output> out;
     random_source random;
     entry_counts counts;
--- a/tests/unit/test_system.cpp
+++ b/tests/unit/test_system.cpp
@@ -297,7 +297,8 @@
         CHECK(answer.retry_after.has_value());
         CHECK(f.world.runs_of({program, {"k1"}}) == 0);
     }
-    SUBCASE("an action that meets the outage first is refused soon, not at its deadline, and runs once afterwards")
+    SUBCASE("an action that meets the outage first is refused soon, not at its deadline, and runs once "
+            "afterwards")
     {
         const auto program = f.create(0);
         f.world.run_for(2s);
