--- a/src/control/api_request.cpp
+++ b/src/control/api_request.cpp
@@ -56,6 +56,11 @@
     {
         return {.error = *failure};
     }
+    const auto& named = std::get<program_spec>(read).workspace;
+    if (!named.empty() && named != in.raw.workspace)
+    {
+        return refuse(problem_id::invalid_field, "workspace: the token is another workspace's");
+    }
     if (in.raw.key.size() > longest_key)
     {
         return refuse(problem_id::invalid_field, "Idempotency-Key: too long");
--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -1,5 +1,5 @@
 // Calls from their acceptance to the point where they can be sent: order, loops, budget, deadlines.
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/control/entry_config.cpp
+++ b/src/control/entry_config.cpp
@@ -1,7 +1,7 @@
 // The configuration: followed by the versions that peers name, changed by operators' patches against a
 // version.
 #include "api_documents.hpp"
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include "masticcourse/settings/config_document.hpp"
 
--- a/src/control/entry_core.cpp
+++ b/src/control/entry_core.cpp
@@ -1,6 +1,6 @@
 #include "masticcourse/control/entry_core.hpp"
 
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <algorithm>
 #include <chrono>
--- a/src/control/entry_dispatch.cpp
+++ b/src/control/entry_dispatch.cpp
@@ -1,5 +1,5 @@
 // Where a call goes, and what happens to it on the way there.
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/control/entry_journal.cpp
+++ b/src/control/entry_journal.cpp
@@ -1,5 +1,5 @@
 // The journal: records go in, and what waits for them goes on once they are durable.
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <algorithm>
 
--- a/src/control/entry_outcomes.cpp
+++ b/src/control/entry_outcomes.cpp
@@ -1,5 +1,5 @@
 // What comes of a call: tokens, outcomes, late and crossed answers, and the turn that it becomes.
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include "masticcourse/core/invariant.hpp"
 
--- a/src/control/entry_peers.cpp
+++ b/src/control/entry_peers.cpp
@@ -1,5 +1,5 @@
 // Connections, heartbeats and membership: a process is live while heartbeats of its present incarnation come.
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/control/entry_programs.cpp
+++ b/src/control/entry_programs.cpp
@@ -1,6 +1,6 @@
 // Programs: creation, history, end, and the leases on what engines hold for them.
 #include "api_documents.hpp"
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include "masticcourse/core/invariant.hpp"
 
--- a/src/control/entry_replies.cpp
+++ b/src/control/entry_replies.cpp
@@ -1,7 +1,7 @@
 // Answers to callers, here or at the entry that forwarded their request, whole or as a stream that can be
 // resumed.
 #include "api_documents.hpp"
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <xxhash.h>
 
--- a/src/control/entry_requests.cpp
+++ b/src/control/entry_requests.cpp
@@ -1,6 +1,6 @@
 // Requests: those of programs at home here are handled, others go to the program's home and their answers
 // come back.
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/control/entry_shards.cpp
+++ b/src/control/entry_shards.cpp
@@ -1,5 +1,5 @@
 // Ownership of shards: which process should own which, claims, hand-overs and checkpoints.
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <xxhash.h>
 
--- a/src/control/entry_status.cpp
+++ b/src/control/entry_status.cpp
@@ -1,6 +1,6 @@
 // The state of the process itself: status for operators, and the graceful stop.
 #include "api_documents.hpp"
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <algorithm>
 
--- a/src/control/entry_store.cpp
+++ b/src/control/entry_store.cpp
@@ -1,5 +1,5 @@
 // Operations on the platform's store: sent directly, or through a peer when only this process can't reach it.
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <algorithm>
 
--- a/src/control/entry_takeover.cpp
+++ b/src/control/entry_takeover.cpp
@@ -1,5 +1,5 @@
 // What a new home does with a shard's records, and what an old one does that has lost it.
-#include "entry_state.hpp"
+#include "entry_systems.hpp"
 
 #include <algorithm>
 
--- a/tests/unit/test_system.cpp
+++ b/tests/unit/test_system.cpp
@@ -154,6 +154,15 @@
         CHECK(other.status == 422);
         CHECK(ran_in(other) == "no");
     }
+    SUBCASE("a program for another workspace than the token's is refused")
+    {
+        const auto answer = f.ask(0, {.method = "POST",
+                                      .path = "/v1/programs",
+                                      .body = R"({"budget":100,"workspace":"w2"})",
+                                      .workspace = {"w1"}});
+        CHECK(answer.status == 422);
+        CHECK(ran_in(answer) == "no");
+    }
     SUBCASE("a foreign program is as unknown as one that does not exist")
     {
         const auto program = f.create(0);
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -7,10 +7,11 @@
 tools/build.sh | tail -1
 
 demo() {
-    local settings=$1 token=$2 operator=$3 model=$4 tool=$5 opening=$6 action=$7
+    local settings=$1 token=$2 model=$3 tool=$4 opening=$5 action=$6
     local run entries first second program
     run=$(mktemp -d)
-    trap 'tools/stop_deployment.sh "$run"' RETURN
+    # shellcheck disable=SC2064 # the folder is this call's, whenever the trap runs
+    trap "tools/stop_deployment.sh '$run'" EXIT
     tools/start_deployment.sh "$settings" "$run"
     mapfile -t entries < <(tools/read_plan.py "$settings" | awk '$1 == "entry" {print $3}')
     first=${entries[0]} second=${entries[1]}
@@ -42,11 +43,12 @@
     echo
     "${BUILD_DIR:-build}/masticcourse" timeline --settings "$settings" --out "$run/timeline" >/dev/null
     echo "time line (Chrome trace and listing): $run/timeline*, logs: $run/*.log"
-    : "$operator"
+    tools/stop_deployment.sh "$run"
+    trap - EXIT
 }
 
-demo deploy/atlas-voie-verte.toml demo-atlas-voie-verte-planning demo-atlas-voie-verte-operator agent-llm field-app \
+demo deploy/atlas-voie-verte.toml demo-atlas-voie-verte-planning agent-llm field-app \
     "Plan the clearance of km 12 to 15 before the possession window" "work order: fell two pines at km 13"
-demo deploy/urad.toml demo-urad-claimants demo-urad-operator navrhy-model podatelna \
+demo deploy/urad.toml demo-urad-claimants navrhy-model podatelna \
     "Draft a claim for unpaid notice" "file the claim"
 echo "demo finished"
--- a/tools/start_deployment.sh
+++ b/tools/start_deployment.sh
@@ -43,3 +43,7 @@
     ready+=("http://$http/readyz")
 done < <(awk '$1 == "entry"' <<<"$plan")
 tools/wait_for.sh "${ready[@]}"
+# A process that could not bind its address has ended by now, and another one answers in its place.
+while read -r pid name; do
+    kill -0 "$pid" 2>/dev/null || { echo "$name ended: $(tail -1 "$run/$name.log")" >&2; exit 1; }
+done <"$run/pids"
