--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -184,9 +184,12 @@
 bool waits_in_vain(const entry_state& state, const call_row& call)
 {
     const auto it = state.peers.find(call.target);
-    const bool gone = it == state.peers.end() || !it->second.live;
-    return call.phase == call_phase::dispatched && call.request.idempotent && gone &&
-           state.now - std::max(it->second.last_heard, call.dispatched) > state.options.target_patience;
+    if (call.phase != call_phase::dispatched || !call.request.idempotent || it == state.peers.end())
+    {
+        return false;
+    }
+    const auto& peer = it->second;
+    return !peer.live && state.now - std::max(peer.last_heard, call.dispatched) > state.options.target_patience;
 }
 
 /// A finished turn's reply waits for its record; when that takes long and nobody reaches the store, it says
--- a/src/control/entry_dispatch.cpp
+++ b/src/control/entry_dispatch.cpp
@@ -187,13 +187,15 @@
 {
     const auto view = view_service(state, call);
     const auto tokens = prompt_tokens(state, call);
-    const placement_query query{.program = call.ref.program,
-                                .prompt_tokens = tokens,
-                                .expected_completion = call.request.max_tokens,
-                                .cached = view.cached,
-                                .own_domain = state.options.failure_domain,
-                                .last = view.last,
-                                .sequence = state.placements++};
+    const placement_query query{
+        .program = call.ref.program,
+        .prompt_tokens = tokens,
+        // Answers are mostly shorter than they may be; half is what the policy was measured with.
+        .expected_completion = call.request.max_tokens / 2,
+        .cached = view.cached,
+        .own_domain = state.options.failure_domain,
+        .last = view.last,
+        .sequence = state.placements++};
     const auto choice = choose_target(query, view.targets, state.now, state.options.placement);
     if (!choice)
     {
