--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -189,7 +189,8 @@
         return false;
     }
     const auto& peer = it->second;
-    return !peer.live && state.now - std::max(peer.last_heard, call.dispatched) > state.options.target_patience;
+    return !peer.live &&
+           state.now - std::max(peer.last_heard, call.dispatched) > state.options.target_patience;
 }
 
 /// A finished turn's reply waits for its record; when that takes long and nobody reaches the store, it says
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -11,7 +11,7 @@
     files=("$@")
 fi
 mkdir -p .cache/lint
-headers=$(find include standins tests bench -name '*.hpp' -print0 | sort -z | xargs -0 cat .clang-tidy | sha256sum)
+headers=$(find include src standins tests bench -name '*.hpp' -print0 | sort -z | xargs -0 cat .clang-tidy | sha256sum)
 export headers
 check() {
     local stamp
