--- a/src/control/entry_calls.cpp
+++ b/src/control/entry_calls.cpp
@@ -23,11 +23,6 @@
     return {problem_id::key_reused, ran_state::no, "this key named a call with another body"};
 }
 
-problem unknown_program_problem()
-{
-    return {problem_id::unknown_program, ran_state::no, "there is no such program in this workspace"};
-}
-
 /// Whether an outcome may be told before its record is durable. The outcome of an action that can't be
 /// repeated never is: it would be lost if this process and the target process both died before the store is
 /// back.
--- a/src/control/entry_core.cpp
+++ b/src/control/entry_core.cpp
@@ -16,6 +16,11 @@
     : options(std::move(given)), random(options.seed), shards(options.shards),
       config(config_tracker_options{}, options.seed),
       view(parse_config(options.initial_config).value_or(config_view{}))
+{
+    begin_life();
+}
+
+void entry_state::begin_life()
 {
     recovery = std::make_unique<recovered_journals>(options.incarnation, retry_options{});
     journal = std::make_unique<journal_writer>(
--- a/src/control/entry_programs.cpp
+++ b/src/control/entry_programs.cpp
@@ -57,11 +57,6 @@
     return {prefix + std::to_string(++state.runtimes[request.spec.parent].children)};
 }
 
-problem unknown_program_problem()
-{
-    return {problem_id::unknown_program, ran_state::no, "there is no such program in this workspace"};
-}
-
 /// What stands against a sub-agent of this parent.
 problem parent_refusal(const entry_state& state, const workspace_id& workspace, const program_id& parent)
 {
@@ -204,6 +199,11 @@
 
 } // namespace
 
+problem unknown_program_problem()
+{
+    return {problem_id::unknown_program, ran_state::no, "there is no such program in this workspace"};
+}
+
 program_id home_of_creation(const workspace_id& workspace, const create_program& request)
 {
     if (!request.spec.parent.empty())
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -339,6 +339,9 @@
 {
     explicit entry_state(entry_options given);
 
+    /// Makes the journal, and what reads others' journals, of the present incarnation.
+    void begin_life();
+
     entry_options options;
     core_time now{};
     std::optional<core_time> last_step;
--- a/src/control/entry_systems.hpp
+++ b/src/control/entry_systems.hpp
@@ -110,6 +110,8 @@
 /// @return the program if it exists and belongs to the workspace
 [[nodiscard]] const program_state* find_program(const entry_state& state, const workspace_id& workspace,
                                                 const program_id& program);
+/// What a caller is told of a program that does not exist, or is another workspace's.
+[[nodiscard]] problem unknown_program_problem();
 void install_program(entry_state& state, const program_state& program);
 void forget_program(entry_state& state, const program_id& program);
 /// @}
--- a/src/control/entry_takeover.cpp
+++ b/src/control/entry_takeover.cpp
@@ -293,10 +293,7 @@
     fail_awaiting(state);
     std::erase_if(state.store_ops, [](const auto& it) { return is_own_machine(it.second); });
     state.options.incarnation = make_incarnation(state.options.name, state.random());
-    state.recovery = std::make_unique<recovered_journals>(state.options.incarnation, retry_options{});
-    state.journal = std::make_unique<journal_writer>(
-        state.options.incarnation, journal_options{.min_gap = state.options.journal_gap,
-                                                   .max_entry_bytes = state.options.max_entry_bytes});
+    state.begin_life();
     state.cleaner.reset();
     state.confirm.reset();
     state.shards_listed = false;
