Demo: what it prints stays whole when it goes to a file

Cause: the first reply went through tee to /dev/stderr, which opens a redirected file anew and cuts off what stood in it: the first deployment's part was missing.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -8,7 +8,7 @@
 
 demo() {
     local settings=$1 token=$2 model=$3 tool=$4 opening=$5 action=$6
-    local run entries first second program
+    local run entries first second reply program
     run=$(mktemp -d)
     # shellcheck disable=SC2064 # the folder is this call's, whenever the trap runs
     trap "tools/stop_deployment.sh '$run'" EXIT
@@ -17,9 +17,9 @@
     first=${entries[0]} second=${entries[1]}
     local auth=(-H "Authorization: Bearer $token")
     echo "== $settings: a program at $first"
-    program=$(curl -sS "${auth[@]}" -d '{"budget": 20000}' "http://$first/v1/programs" | tee /dev/stderr |
-        python3 -c 'import json, sys; print(json.load(sys.stdin)["program"])')
-    echo
+    reply=$(curl -sS "${auth[@]}" -d '{"budget": 20000}' "http://$first/v1/programs")
+    echo "$reply"
+    program=$(python3 -c 'import json, sys; print(json.load(sys.stdin)["program"])' <<<"$reply")
     echo "== a model call, streamed"
     curl -sS "${auth[@]}" -H 'Idempotency-Key: turn-1' -H 'Accept: text/event-stream' \
         -d "{\"service\": \"$model\", \"input\": \"$opening\", \"max_tokens\": 12, \"after\": 0}" \
