--- /dev/null
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -0,0 +1,94 @@
+/// @file
+/// Group commit to the store's partitions: one transaction under way for each partition, what comes meanwhile
+/// goes with the next one.
+///
+/// Load pattern: hundreds of small writes a second from many gateways against a store that limits calls, not
+/// bytes. With one transaction of 8 ms at a time a partition takes 125 calls a second from one gateway
+/// however many turns end; a batch holds up to 90 changes.
+#pragma once
+
+#include "masticcourse/gateway/row_store.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+/// What is applied together: at most one condition, and what to write if it holds. A change without condition
+/// must be one that may be written twice.
+struct row_change
+{
+    std::optional<row_condition> condition;
+    std::vector<row_put> puts;
+    /// Given up if it is not known to be done by then.
+    time_point expires;
+};
+
+struct change_result
+{
+    /// `done`, `conflict`, or `unknown` if it was given up.
+    store_outcome outcome = store_outcome::unknown;
+    row_version version = 0;
+    /// After a conflict: the row of the condition, unless it does not exist.
+    std::optional<stored_row> current;
+};
+
+using change_callback = std::function<void(const change_result&)>;
+/// Calls back after a delay.
+using delay_function = std::function<void(milliseconds, std::function<void()>)>;
+using clock_function = std::function<time_point()>;
+
+class commit_queue
+{
+  public:
+    commit_queue(row_store& store, delay_function delay, clock_function clock);
+
+    /// Queues a change; its callback is called once.
+    void submit(const std::string& partition, row_change change, change_callback on_result);
+
+    /// @return changes whose result is not known yet
+    [[nodiscard]] std::size_t pending() const
+    {
+        return m_pending;
+    }
+
+  private:
+    struct item
+    {
+        row_change change;
+        change_callback on_result;
+    };
+    using item_list = std::deque<item>;
+    struct partition_queue
+    {
+        item_list waiting;
+        bool busy = false;
+        /// Failures in a row, for the pause before the next try.
+        std::uint32_t failures = 0;
+    };
+
+    void pump(const std::string& partition);
+    [[nodiscard]] item_list take_batch(partition_queue& queue) const;
+    void give_up_expired(partition_queue& queue);
+    void finish(const std::string& partition, item_list batch, const transaction_reply& reply);
+    void settle_conflicts(item_list& batch, const transaction_reply& reply);
+    void put_back(partition_queue& queue, item_list batch);
+    void retry_later(const std::string& partition, partition_queue& queue);
+    void resolve(item& it, const change_result& result);
+
+    row_store& m_store;
+    delay_function m_delay;
+    clock_function m_clock;
+    std::unordered_map<std::string, partition_queue> m_queues;
+    std::size_t m_pending = 0;
+    std::minstd_rand m_random{std::random_device{}()};
+};
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -0,0 +1,80 @@
+/// @file
+/// The gateway: serves callers on one address, tells its readiness on another, and keeps up with the
+/// operator's configuration and the registry of targets. All of it runs on the one thread that runs its
+/// context.
+#pragma once
+
+#include "masticcourse/gateway/gateway_request.hpp"
+#include "masticcourse/gateway/request_course.hpp"
+#include "masticcourse/gateway/table_follower.hpp"
+#include "masticcourse/net/http_server.hpp"
+#include "masticcourse/telemetry/metrics.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace boost::asio
+{
+class io_context;
+} // namespace boost::asio
+
+namespace masticcourse::gateway
+{
+
+struct gateway_options
+{
+    /// Where callers connect, "ip:port".
+    std::string frontend;
+    /// Where the balancer asks whether this process takes callers.
+    std::string readiness;
+    /// The balancer's question.
+    std::string readiness_path;
+    /// Where counters and histograms are read; empty serves none.
+    std::string metrics;
+    failure_domain_name own_domain;
+    /// Memory for turns.
+    std::size_t cache_bytes = 0;
+    /// The most that one row of the store holds.
+    std::size_t row_bytes = 0;
+    /// From the order to stop until the process is killed.
+    milliseconds stop_grace{};
+    /// While the store has not been steady for so long, an entry that vanishes may have lapsed.
+    milliseconds steady_after{3'000};
+};
+
+/// How the operator's and the targets' rows are read.
+struct table_decoders
+{
+    std::string config_table;
+    std::string target_table;
+    /// @return nothing if the row is not the configuration, or is malformed (it says so in the log)
+    std::function<std::optional<gateway_config>(const stored_row&)> decode_config;
+    std::function<std::optional<target_record>(const stored_row&)> decode_target;
+};
+
+class gateway
+{
+  public:
+    gateway(boost::asio::io_context& context, gateway_options options, const gateway_protocol& protocol,
+            row_store& store, table_decoders decoders);
+    ~gateway();
+    gateway(const gateway&) = delete;
+    gateway(gateway&&) = delete;
+    gateway& operator=(const gateway&) = delete;
+    gateway& operator=(gateway&&) = delete;
+
+    void start();
+
+    /// Stops gracefully: turns the balancer away, answers what still comes, then calls @a on_stopped.
+    void stop(std::function<void()> on_stopped);
+
+    [[nodiscard]] metrics_registry& metrics();
+
+  private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -0,0 +1,134 @@
+/// @file
+/// What a program's turns have spent and may still spend, over all gateways: one row a program, changed only
+/// under the version that was read. Any gateway may write it; none owns a program.
+#pragma once
+
+#include "masticcourse/core/ids.hpp"
+#include "masticcourse/gateway/commit_queue.hpp"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+/// The caller's id of one attempt at a request.
+using request_id = strong_string<struct gateway_request_id_tag>;
+
+/// The most that a turn under way may still hand out.
+struct token_reservation
+{
+    request_id request;
+    token_count tokens = 0;
+};
+
+/// The row of one program.
+struct spending_row
+{
+    /// Of the turns whose end is known.
+    token_count spent = 0;
+    std::vector<token_reservation> reserved;
+
+    [[nodiscard]] token_count committed() const;
+    [[nodiscard]] bool has(const request_id& request) const;
+    /// Replaces a reservation, if it is there, by what the turn handed out.
+    void settle(const request_id& request, token_count handed_out);
+};
+
+[[nodiscard]] std::string encode(const spending_row& row);
+/// @return nothing if @a text is no such row
+[[nodiscard]] std::optional<spending_row> decode_spending(const std::string& text);
+
+enum class reservation_outcome : std::uint8_t
+{
+    /// The reservation is durable.
+    granted,
+    /// The budget does not hold one more turn.
+    over_budget,
+    /// The store did not answer in time; whether it is reserved is not known.
+    unavailable,
+};
+
+using reservation_callback = std::function<void(reservation_outcome)>;
+
+/// A turn's claim on its program's budget.
+struct reservation_request
+{
+    program_id program;
+    request_id request;
+    /// The most tokens that the turn generates.
+    token_count tokens = 0;
+    token_count budget = 0;
+    /// The turn begins a line of its program, so the program is likely new.
+    bool first = false;
+    time_point expires;
+};
+
+/// The programs whose turns pass through this process. Reservations of one program are made one transaction
+/// after the other; each carries along what has ended since.
+class program_spending
+{
+  public:
+    program_spending(row_store& store, commit_queue& commits, delay_function delay, clock_function clock);
+
+    /// Whether a turn may be sent to a target while its reservation is still being written: the budget as
+    /// known here holds it with room to spare, so a refusal is not to be expected.
+    [[nodiscard]] bool ample(const reservation_request& request) const;
+
+    /// Reserves; calls back once. Refusals rest on a reading of the row made after this call.
+    void reserve(reservation_request request, reservation_callback on_result);
+
+    /// A turn with a reservation, granted or not, has handed out @a tokens and hands out no more. A
+    /// reservation that has not been answered is withdrawn; it is not called back.
+    void settle(const program_id& id, const request_id& request, token_count tokens);
+
+    /// Forgets programs that had no turn here for a while; their rows are read anew if they come back.
+    void forget_idle(time_point now);
+
+  private:
+    struct claim
+    {
+        reservation_request request;
+        reservation_callback on_result;
+        /// Whether the row has been read since the claim was made.
+        bool fresh = false;
+    };
+    struct settlement
+    {
+        request_id request;
+        token_count tokens = 0;
+    };
+    struct program_entry
+    {
+        /// The row as last read or written; nothing if it is not known.
+        std::optional<spending_row> row;
+        row_version version = 0;
+        std::vector<claim> claims;
+        std::vector<settlement> settlements;
+        /// A read or a write is under way.
+        bool busy = false;
+        bool flush_planned = false;
+        time_point used;
+    };
+
+    void step(const program_id& id);
+    void read(const program_id& id);
+    void write(const program_id& id, program_entry& entry);
+    void refuse_expired(program_entry& entry);
+    /// Adds what fits to @a next.
+    static void admit(program_entry& entry, spending_row& next, std::vector<claim>& admitted);
+    void on_written(const program_id& id, const spending_row& next, std::vector<claim> admitted,
+                    const std::vector<settlement>& settled, const change_result& result);
+    static void adopt(program_entry& entry, const std::optional<stored_row>& row);
+    void plan_flush(const program_id& id, program_entry& entry);
+
+    row_store& m_store;
+    commit_queue& m_commits;
+    delay_function m_delay;
+    clock_function m_clock;
+    std::unordered_map<program_id, program_entry> m_programs;
+};
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/include/masticcourse/gateway/request_course.hpp
@@ -0,0 +1,58 @@
+/// @file
+/// One request on its way through the gateway: from the caller to a target and back.
+///
+/// - A request that may have run is sent again only if its route says that it may run twice.
+/// - A turn of a program is preceded by a reservation of its budget; no token is handed out before that is
+/// durable.
+/// - The end of a turn is handed out when the turn is durable.
+#pragma once
+
+#include "masticcourse/gateway/gateway_request.hpp"
+#include "masticcourse/gateway/route_table.hpp"
+#include "masticcourse/gateway/turn_store.hpp"
+#include "masticcourse/net/http_server.hpp"
+#include "masticcourse/telemetry/metrics.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace masticcourse::gateway
+{
+
+/// What a request on its way uses. All of it outlives every request.
+struct course_services
+{
+    http_client& client;
+    const gateway_protocol& protocol;
+    target_table& targets;
+    program_spending& spending;
+    turn_store& turns;
+    const row_store& store;
+    metrics_registry& metrics;
+    delay_function delay;
+    clock_function clock;
+    failure_domain_name own_domain;
+};
+
+/// How a request ended, for counters and logs.
+enum class course_end : std::uint8_t
+{
+    answered,
+    refused,
+    /// The answer was begun and could not be finished.
+    broken_off,
+    /// The caller left.
+    cancelled,
+};
+
+[[nodiscard]] std::string_view to_string(course_end end);
+
+/// Starts a request; it lives until it is answered or its caller is gone.
+/// @param config  in force when the request came; kept until its end
+/// @param on_end  called once
+void start_course(course_services& services, config_ptr config, gateway_request request,
+                  std::shared_ptr<http_exchange> exchange, std::function<void(course_end)> on_end);
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/include/masticcourse/gateway/store_path.hpp
@@ -0,0 +1,101 @@
+/// @file
+/// Which way a call to the store takes: directly, or through another gateway that reaches it while this one
+/// does not. Pure decisions; the adapter sends.
+///
+/// Load pattern: the store turns a third of the gateways away for seconds (503, 429, resets, or silence)
+/// while it serves the others. Calls through a peer cost a millisecond more; without them those gateways
+/// refuse all turns.
+#pragma once
+
+#include "masticcourse/gateway/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+/// How a call over one hop ended.
+enum class hop_result : std::uint8_t
+{
+    /// The store answered, whatever it said.
+    answered,
+    /// Turned away at once: nothing was done.
+    turned_away,
+    /// Over the store's rate: nothing was done.
+    rate_limited,
+    /// No whole answer: a write may have been done.
+    silent,
+};
+
+class store_path
+{
+  public:
+    /// @name The direct way
+    /// @{
+
+    /// @return whether calls go directly at present
+    [[nodiscard]] bool direct() const
+    {
+        return !m_cut_off;
+    }
+
+    /// @return how long a direct call may take: several times what calls took of late
+    [[nodiscard]] milliseconds call_limit() const
+    {
+        return m_call_limit;
+    }
+
+    /// Takes note of a direct call or probe.
+    /// @param probe whether it was sent to find out, so that its silence decides
+    void on_direct(hop_result result, milliseconds took, time_point now, bool probe);
+
+    /// @return whether a probe is due now; it counts as sent then
+    [[nodiscard]] bool take_probe(time_point now);
+    /// @}
+
+    /// @name Peers
+    /// @{
+
+    /// The addresses of the other gateways.
+    void set_peers(std::vector<std::string> peers);
+
+    /// @return peers to try, in order
+    [[nodiscard]] std::vector<std::string> choose_peers(time_point now);
+
+    void on_peer(const std::string& peer, bool answered, time_point now);
+
+    /// No peer that was tried reaches the store.
+    void on_no_way(time_point now);
+    /// @}
+
+    /// @return whether calls are answered at present, on one way or the other
+    [[nodiscard]] bool reachable() const
+    {
+        return direct() || !m_no_way;
+    }
+
+    /// @return how long no direct call has failed
+    [[nodiscard]] duration steady_for(time_point now) const;
+
+  private:
+    void fail(time_point now);
+
+    bool m_cut_off = false;
+    bool m_no_way = false;
+    bool m_probe_wanted = false;
+    std::uint32_t m_rate_limited = 0;
+    milliseconds m_call_limit{400};
+    double m_usual_ms = 20;
+    time_point m_last_probe{};
+    std::optional<time_point> m_last_failure;
+    std::vector<std::string> m_peers;
+    std::unordered_map<std::string, time_point> m_avoided;
+    std::minstd_rand m_random{std::random_device{}()};
+};
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/include/masticcourse/gateway/target_choice.hpp
@@ -0,0 +1,33 @@
+/// @file
+/// Where a request goes: pure decisions over the target table.
+#pragma once
+
+#include "masticcourse/gateway/target_table.hpp"
+
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+/// What is to be placed.
+struct choice_query
+{
+    /// What is best kept together, such as a program whose prompt a target has cached; empty if nothing is.
+    std::string_view affinity;
+    failure_domain_name own_domain;
+    /// Targets that this request was sent to already.
+    std::span<const target_id> tried;
+    /// Differs from one request to the next; breaks ties.
+    std::uint64_t sequence = 0;
+};
+
+/// Chooses a target: with an affinity by rendezvous hashing, left only for one that is clearly less busy;
+/// otherwise the least busy one, of the own failure domain on a tie. Targets that are avoided come last.
+/// @param candidates in order of their ids
+/// @return null if none is left
+[[nodiscard]] const target* choose_target(std::span<const target* const> candidates,
+                                          const choice_query& query, time_point now);
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/include/masticcourse/gateway/target_table.hpp
@@ -0,0 +1,128 @@
+/// @file
+/// The targets as this process knows them: who is there, how busy, how sound. Fed by the registry of targets,
+/// by the load that answers tell, and by this process's own requests.
+#pragma once
+
+#include "masticcourse/core/ids.hpp"
+#include "masticcourse/gateway/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+/// One life of a target.
+using target_id = strong_string<struct gateway_target_id_tag>;
+
+/// A target as it registered itself.
+struct target_record
+{
+    target_id id;
+    service_name service;
+    /// "ip:port"
+    std::string address;
+    failure_domain_name domain;
+    /// Requests that it runs at once.
+    std::uint32_t slots = 1;
+    /// It takes no new requests.
+    bool draining = false;
+    /// How much longer it is slow after its start.
+    milliseconds warming{0};
+
+    friend bool operator==(const target_record&, const target_record&) = default;
+};
+
+/// The load that a target stated in an answer.
+struct target_load_report
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/// How a request ended, as far as it tells how sound its target is.
+enum class target_verdict : std::uint8_t
+{
+    /// It answered as it should.
+    sound,
+    /// It refused without running the request.
+    refused,
+    /// No connection could be opened.
+    unreachable,
+    /// The answer was missing, broken off or no answer.
+    broken,
+    /// The request ended for reasons of ours or the caller's.
+    none,
+};
+
+/// One row of the table.
+struct target
+{
+    target_record record;
+    /// Own requests under way.
+    std::uint32_t in_flight = 0;
+    /// Requests of others, as of the last report.
+    std::uint32_t foreign_load = 0;
+    time_point reported{};
+    /// Failures since the last sound answer.
+    std::uint32_t failures = 0;
+    /// Avoided until then.
+    time_point avoided_until{};
+    /// Its entry vanished while the registry was not to be trusted; it counts as gone then.
+    std::optional<time_point> gone_at;
+
+    /// Requests that it runs or has waiting, as estimated.
+    [[nodiscard]] double load(time_point now) const;
+    /// `load` in batches: 1 is a full one.
+    [[nodiscard]] double fill(time_point now) const;
+};
+
+class target_table
+{
+  public:
+    /// @name What the registry says
+    /// @{
+
+    /// Adds or changes an entry.
+    /// @return whether anything but its load changed
+    bool put(const target_record& record);
+
+    /// An entry vanished: at once, or after @a grace where it may have lapsed while its target lives.
+    /// @return whether it was known
+    bool remove(const target_id& id, time_point now, milliseconds grace);
+
+    /// The whole registry as of one moment.
+    void replace(const std::vector<target_record>& records, time_point now, milliseconds grace);
+
+    /// Entries that lapsed are given @a grace from @a now on: the registry has just come back.
+    void extend_grace(time_point now, milliseconds grace);
+
+    /// Forgets targets whose time has passed.
+    /// @return those forgotten
+    std::vector<target_id> expire(time_point now);
+    /// @}
+
+    /// @name Requests of this process
+    /// @{
+    void begin(const target_id& id);
+    void end(const target_id& id, target_verdict verdict, time_point now);
+    void report(const target_id& id, const target_load_report& load, time_point now);
+    /// @}
+
+    /// @return the targets of @a service that take new requests, sound or not, in order of their ids
+    [[nodiscard]] std::vector<const target*> candidates(const service_name& service) const;
+    [[nodiscard]] const target* find(const target_id& id) const;
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_targets.size();
+    }
+
+  private:
+    std::unordered_map<target_id, target> m_targets;
+};
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/include/masticcourse/gateway/time.hpp
@@ -0,0 +1,24 @@
+/// @file
+/// The gateway's clock: monotonic, read once per event and handed on, so that tests set it.
+#pragma once
+
+#include "masticcourse/core/clock.hpp"
+
+#include <chrono>
+
+namespace masticcourse::gateway
+{
+
+using time_point = core_time;
+using duration = core_duration;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// @return the monotonic time of this process
+[[nodiscard]] inline time_point monotonic_now()
+{
+    const auto elapsed = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point{std::chrono::duration_cast<duration>(elapsed)};
+}
+
+} // namespace masticcourse::gateway
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -22,6 +22,11 @@
 namespace masticcourse
 {
 
+struct http_client_reply;
+
+using http_head_filter = std::function<bool(const http_client_reply&)>;
+using http_head_callback = std::function<void(const http_client_reply&)>;
+
 struct http_client_request
 {
     /// "ip:port"
@@ -33,6 +38,14 @@
     std::vector<http_header> headers;
     /// For the whole request; of a stream: the longest silence.
     std::chrono::milliseconds timeout{10'000};
+    /// For opening a connection; zero leaves it to `timeout`.
+    std::chrono::milliseconds connect_timeout{0};
+    /// Whether it does no harm if the request runs twice; if unset, GET and HEAD count as harmless.
+    std::optional<bool> idempotent;
+    /// Answers for which this is false belong to other requests: they are read and dropped. Empty takes all.
+    http_head_filter is_own_answer;
+    /// Called once with the head of the answer, before its first piece.
+    http_head_callback on_head;
 };
 
 /// Why there is no whole answer.
--- a/include/masticcourse/net/http_message.hpp
+++ b/include/masticcourse/net/http_message.hpp
@@ -41,6 +41,7 @@
 struct http_response
 {
     int status = 200;
+    /// Left empty, it is whatever `headers` say.
     std::string content_type = "application/json";
     std::string body;
     std::vector<http_header> headers;
--- a/include/masticcourse/net/http_server.hpp
+++ b/include/masticcourse/net/http_server.hpp
@@ -57,7 +57,9 @@
 {
     std::size_t max_body = std::size_t{8} * 1024 * 1024;
     std::size_t max_header = std::size_t{16} * 1024;
-    /// From a request's first byte to its last.
+    /// From a request's first byte to the end of its header.
+    std::chrono::milliseconds header_timeout{30'000};
+    /// For the body after it.
     std::chrono::milliseconds read_timeout{30'000};
     /// Between two requests of one connection.
     std::chrono::milliseconds idle_timeout{60'000};
@@ -90,6 +92,12 @@
 
     [[nodiscard]] std::uint16_t port() const;
 
+    /// Replaces the limits; requests under way keep those that they began with.
+    void set_limits(const http_limits& limits);
+
+    /// From now on every answer says that its connection closes after it. New connections are still taken.
+    void announce_close();
+
     /// Takes no new connections; requests under way are finished, then their connections close.
     void stop_accepting();
 
--- /dev/null
+++ b/src/gateway/commit_queue.cpp
@@ -0,0 +1,204 @@
+#include "masticcourse/gateway/commit_queue.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+/// Rows and conditions of one transaction; the store takes 100 entries.
+constexpr std::size_t most_entries = 90;
+/// Bytes of one transaction; the store takes 1 MB, and base64 makes four bytes of three.
+constexpr std::size_t most_bytes = 600'000;
+/// The pause after a failure, doubled with each further one up to the longest: short enough that a turn ends
+/// within a few tens of milliseconds of the store's return, long enough that all gateways together stay far
+/// below the store's rate while it refuses.
+constexpr milliseconds first_pause{25};
+constexpr milliseconds longest_pause{200};
+
+std::size_t entries_of(const row_change& change)
+{
+    return change.puts.size() + (change.condition ? 1 : 0);
+}
+
+std::size_t bytes_of(const row_change& change)
+{
+    std::size_t n = 0;
+    std::ranges::for_each(change.puts, [&n](const auto& it) { n += it.value.size(); });
+    return n;
+}
+
+std::optional<stored_row> find_row(const std::vector<stored_row>& rows, const row_name& name)
+{
+    const auto it = std::ranges::find(rows, name, &stored_row::name);
+    return it != rows.end() ? std::optional{*it} : std::nullopt;
+}
+
+row_transaction to_transaction(const std::string& partition, const row_change& first)
+{
+    row_transaction transaction{.partition = partition, .puts = first.puts};
+    if (first.condition)
+    {
+        transaction.conditions.push_back(*first.condition);
+    }
+    return transaction;
+}
+
+void append(row_transaction& transaction, const row_change& change)
+{
+    if (change.condition)
+    {
+        transaction.conditions.push_back(*change.condition);
+    }
+    std::ranges::copy(change.puts, std::back_inserter(transaction.puts));
+}
+
+} // namespace
+
+commit_queue::commit_queue(row_store& store, delay_function delay, clock_function clock)
+    : m_store(store), m_delay(std::move(delay)), m_clock(std::move(clock))
+{
+}
+
+void commit_queue::submit(const std::string& partition, row_change change, change_callback on_result)
+{
+    ++m_pending;
+    m_queues[partition].waiting.push_back({std::move(change), std::move(on_result)});
+    pump(partition);
+}
+
+void commit_queue::pump(const std::string& partition)
+{
+    auto& queue = m_queues[partition];
+    if (queue.busy)
+    {
+        return;
+    }
+    give_up_expired(queue);
+    if (queue.waiting.empty())
+    {
+        return;
+    }
+    queue.busy = true;
+    auto batch = std::make_shared<item_list>(take_batch(queue));
+    auto transaction = to_transaction(partition, batch->front().change);
+    std::for_each(std::next(batch->begin()), batch->end(),
+                  [&transaction](const item& it) { append(transaction, it.change); });
+    m_store.transact(transaction, [this, partition, batch](const transaction_reply& reply)
+                     { finish(partition, std::move(*batch), reply); });
+}
+
+commit_queue::item_list commit_queue::take_batch(partition_queue& queue) const
+{
+    item_list batch;
+    std::size_t entries = 0;
+    std::size_t bytes = 0;
+    while (!queue.waiting.empty())
+    {
+        const auto& change = queue.waiting.front().change;
+        entries += entries_of(change);
+        bytes += bytes_of(change);
+        if (!batch.empty() && (entries > most_entries || bytes > most_bytes))
+        {
+            break;
+        }
+        batch.push_back(std::move(queue.waiting.front()));
+        queue.waiting.pop_front();
+    }
+    return batch;
+}
+
+void commit_queue::give_up_expired(partition_queue& queue)
+{
+    const auto now = m_clock();
+    const auto expired = std::ranges::stable_partition(queue.waiting, [now](const item& it)
+                                                       { return it.change.expires > now; });
+    item_list given_up{std::make_move_iterator(expired.begin()), std::make_move_iterator(expired.end())};
+    queue.waiting.erase(expired.begin(), expired.end());
+    std::ranges::for_each(given_up, [this](item& it) { resolve(it, {}); });
+}
+
+void commit_queue::finish(const std::string& partition, item_list batch, const transaction_reply& reply)
+{
+    auto& queue = m_queues[partition];
+    if (reply.outcome == store_outcome::done)
+    {
+        queue.failures = 0;
+        queue.busy = false;
+        std::ranges::for_each(batch, [&](item& it)
+                              { resolve(it, {.outcome = store_outcome::done, .version = reply.version}); });
+        pump(partition);
+        return;
+    }
+    const auto size = batch.size();
+    if (reply.outcome == store_outcome::conflict)
+    {
+        settle_conflicts(batch, reply);
+    }
+    const bool progress = batch.size() < size;
+    put_back(queue, std::move(batch));
+    if (progress)
+    {
+        queue.busy = false;
+        pump(partition);
+    }
+    else
+    {
+        retry_later(partition, queue);
+    }
+}
+
+void commit_queue::settle_conflicts(item_list& batch, const transaction_reply& reply)
+{
+    const auto holds = [&reply](const item& it)
+    {
+        if (!it.change.condition)
+        {
+            return true;
+        }
+        const auto row = find_row(reply.current, it.change.condition->name);
+        return (row ? row->version : 0) == it.change.condition->version;
+    };
+    const auto failed = std::ranges::stable_partition(batch, holds);
+    item_list conflicts{std::make_move_iterator(failed.begin()), std::make_move_iterator(failed.end())};
+    batch.erase(failed.begin(), failed.end());
+    for (auto& it : conflicts)
+    {
+        resolve(it, {.outcome = store_outcome::conflict,
+                     .current = find_row(reply.current, it.change.condition->name)});
+    }
+}
+
+void commit_queue::put_back(partition_queue& queue, item_list batch)
+{
+    queue.waiting.insert(queue.waiting.begin(), std::make_move_iterator(batch.begin()),
+                         std::make_move_iterator(batch.end()));
+}
+
+void commit_queue::retry_later(const std::string& partition, partition_queue& queue)
+{
+    constexpr std::uint32_t longest_shift = 3;
+    const auto bound = std::min(first_pause * (1 << std::min(queue.failures, longest_shift)), longest_pause);
+    ++queue.failures;
+    // Half of the pause is random, so that gateways refused together do not come back together.
+    std::uniform_int_distribution<milliseconds::rep> part(bound.count() / 2, bound.count());
+    m_delay(milliseconds{part(m_random)},
+            [this, partition]
+            {
+                m_queues[partition].busy = false;
+                pump(partition);
+            });
+}
+
+void commit_queue::resolve(item& it, const change_result& result)
+{
+    --m_pending;
+    const auto on_result = std::exchange(it.on_result, nullptr);
+    on_result(result);
+}
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/course.hpp
@@ -0,0 +1,129 @@
+/// @file
+/// The state of one request on its way.
+#pragma once
+
+#include "masticcourse/gateway/request_course.hpp"
+#include "masticcourse/net/sse.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticcourse::gateway::detail
+{
+
+/// Where the budget of a turn stands.
+enum class reservation_state : std::uint8_t
+{
+    /// The request is no turn.
+    not_needed,
+    pending,
+    granted,
+};
+
+class course : public std::enable_shared_from_this<course>
+{
+  public:
+    course(course_services& services, config_ptr config, gateway_request request,
+           std::shared_ptr<http_exchange> exchange, std::function<void(course_end)> on_end);
+
+    void start();
+
+  private:
+    /// @name Before a target is chosen
+    /// @{
+    void set_deadline();
+    void start_turn();
+    void load_chain();
+    void on_chain(turn_chain chain);
+    void on_reservation(reservation_outcome outcome);
+    /// @}
+
+    /// @name Sending
+    /// @{
+    void dispatch();
+    [[nodiscard]] const target* next_target();
+    void send_to(const target_record& target);
+    [[nodiscard]] std::string affinity() const;
+    void refuse_without_target();
+    /// @}
+
+    /// @name The target's answer
+    /// @{
+    void on_head(const http_client_reply& reply);
+    void on_piece(std::string_view piece);
+    void on_reply(http_client_reply reply);
+    void on_no_connection();
+    void on_not_run();
+    void on_lost_answer(std::string_view why);
+    void on_whole_answer(http_client_reply reply);
+    void on_whole_stream();
+    void end_attempt(target_verdict verdict);
+    [[nodiscard]] bool streams() const;
+    [[nodiscard]] bool may_try_again() const;
+    /// @}
+
+    /// @name Towards the caller
+    /// @{
+    void hand_out();
+    void finish_turn();
+    void refuse(refusal_reason reason, ran_state ran, std::string detail,
+                std::optional<milliseconds> retry_after = std::nullopt);
+    void break_off(std::string detail);
+    void on_caller_gone();
+    void on_deadline();
+    void finish(course_end end, std::string_view detail);
+    void log_end(course_end end, std::string_view detail) const;
+    /// @}
+
+    [[nodiscard]] milliseconds time_left() const;
+    [[nodiscard]] bool is_turn() const;
+
+    course_services& m_services;
+    config_ptr m_config;
+    gateway_request m_request;
+    std::shared_ptr<http_exchange> m_exchange;
+    std::function<void(course_end)> m_on_end;
+    const route* m_route = nullptr;
+    time_point m_started;
+    time_point m_deadline;
+    bool m_finished = false;
+
+    /// @name Of a turn
+    /// @{
+    reservation_state m_reservation = reservation_state::not_needed;
+    bool m_chain_ready = false;
+    /// The reservation must be durable before a target may see the turn.
+    bool m_reserve_first = false;
+    turn_chain m_chain;
+    std::string m_output;
+    std::uint64_t m_events = 0;
+    bool m_kept = false;
+    /// @}
+
+    /// @name Of the attempts
+    /// @{
+    std::vector<target_id> m_tried;
+    std::uint32_t m_attempts = 0;
+    /// An attempt that may have run the request has been made.
+    bool m_may_have_run = false;
+    /// All targets that answered said that they were full.
+    bool m_found_full = false;
+    std::optional<target_record> m_target;
+    std::shared_ptr<http_stream> m_upstream;
+    /// Numbers the attempts, so that what comes of an older one is dropped.
+    std::uint64_t m_attempt = 0;
+    std::optional<target_answer> m_answer;
+    /// @}
+
+    /// @name Of a stream
+    /// @{
+    std::optional<sse_parser> m_parser;
+    std::string m_held;
+    bool m_head_sent = false;
+    bool m_stream_whole = false;
+    /// @}
+};
+
+} // namespace masticcourse::gateway::detail
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,323 @@
+#include "masticcourse/gateway/gateway.hpp"
+
+#include "masticcourse/telemetry/log.hpp"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+/// How long an entry that vanished while the store was not steady may take to come back.
+constexpr milliseconds lapse_grace{2'000};
+/// How often tables are looked through for what has passed.
+constexpr milliseconds sweep_period{100};
+/// How long the balancer may take to turn callers away: two questions a second apart, and the way.
+constexpr milliseconds turn_away_time{2'500};
+/// Kept free before the process would be killed.
+constexpr milliseconds kill_margin{500};
+/// When callers may come back to a process that has read no configuration yet.
+constexpr milliseconds after_no_configuration{300};
+
+} // namespace
+
+struct gateway::state
+{
+    state(boost::asio::io_context& context_, gateway_options options_, const gateway_protocol& protocol_,
+          row_store& store_, table_decoders decoders_);
+
+    void start();
+    void stop(std::function<void()> on_stopped_);
+    void serve(http_request request, std::shared_ptr<http_exchange> exchange);
+    void take_config(const stored_row& row);
+    void take_target(const stored_row& row);
+    void take_targets(const std::vector<stored_row>& rows);
+    [[nodiscard]] milliseconds grace() const;
+    [[nodiscard]] bool ready() const;
+    void sweep();
+    void sweep_often();
+    void check_stopped();
+    [[nodiscard]] delay_function delays();
+
+    /// Timers that outlive this state find it gone.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    boost::asio::io_context& context;
+    gateway_options options;
+    const gateway_protocol& protocol;
+    row_store& store;
+    table_decoders decoders;
+    metrics_registry registry;
+    config_holder config;
+    target_table targets;
+    http_client client;
+    commit_queue commits;
+    program_spending spending;
+    turn_store turns;
+    course_services services;
+    table_follower config_rows;
+    table_follower target_rows;
+    std::unique_ptr<http_server> frontend;
+    std::unique_ptr<http_server> readiness;
+    std::unique_ptr<http_server> metrics_server;
+    std::function<void()> on_stopped;
+    std::optional<time_point> stopping_since;
+    bool was_ready = false;
+    bool gone = false;
+};
+
+gateway::state::state(boost::asio::io_context& context_, gateway_options options_,
+                      const gateway_protocol& protocol_, row_store& store_, table_decoders decoders_)
+    : context(context_), options(std::move(options_)), protocol(protocol_), store(store_),
+      decoders(std::move(decoders_)), client(context), commits(store, delays(), monotonic_now),
+      spending(store, commits, delays(), monotonic_now),
+      turns(store, commits, options.cache_bytes, options.row_bytes),
+      services{.client = client,
+               .protocol = protocol,
+               .targets = targets,
+               .spending = spending,
+               .turns = turns,
+               .store = store,
+               .metrics = registry,
+               .delay = delays(),
+               .clock = monotonic_now,
+               .own_domain = options.own_domain},
+      config_rows(store, decoders.config_table, delays(),
+                  {.on_snapshot = [this](const auto& rows)
+                   { std::ranges::for_each(rows, [this](const auto& it) { take_config(it); }); },
+                   .on_change = [this](const auto& row) { take_config(row); }}),
+      target_rows(store, decoders.target_table, delays(),
+                  {.on_snapshot = [this](const auto& rows) { take_targets(rows); },
+                   .on_change = [this](const auto& row) { take_target(row); },
+                   .on_return = [this] { targets.extend_grace(monotonic_now(), lapse_grace); }})
+{
+}
+
+delay_function gateway::state::delays()
+{
+    return [this](milliseconds after, std::function<void()> action)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(context, after);
+        timer->async_wait(
+            [timer, action = std::move(action), weak = std::weak_ptr{alive}](boost::system::error_code ec)
+            {
+                if (!ec && !weak.expired())
+                {
+                    action();
+                }
+            });
+    };
+}
+
+void gateway::state::start()
+{
+    frontend =
+        std::make_unique<http_server>(context, options.frontend, http_limits{},
+                                      [this](http_request request, std::shared_ptr<http_exchange> exchange)
+                                      { serve(std::move(request), std::move(exchange)); });
+    readiness = std::make_unique<http_server>(
+        context, options.readiness, http_limits{},
+        [this](const http_request& request, const auto& exchange)
+        {
+            constexpr int ok = 200;
+            constexpr int unavailable = 503;
+            const bool asked = request.target == options.readiness_path;
+            exchange->respond({.status = asked && ready() ? ok : unavailable, .body = "{}"});
+        });
+    if (!options.metrics.empty())
+    {
+        metrics_server = std::make_unique<http_server>(
+            context, options.metrics, http_limits{},
+            [this](const http_request&, const auto& exchange)
+            { exchange->respond({.content_type = "text/plain; version=0.0.4", .body = registry.render()}); });
+    }
+    config_rows.start();
+    target_rows.start();
+    sweep_often();
+}
+
+void gateway::state::sweep_often()
+{
+    sweep();
+    services.delay(sweep_period, [this] { sweep_often(); });
+}
+
+bool gateway::state::ready() const
+{
+    return config.current() && target_rows.loaded() && !stopping_since;
+}
+
+void gateway::state::serve(http_request request, std::shared_ptr<http_exchange> exchange)
+{
+    auto decoded = protocol.decode(std::move(request));
+    if (const auto* const fault = std::get_if<refusal>(&decoded))
+    {
+        log_event(event_id::request_refused,
+                  {{"reason", std::string{to_string(fault->reason)}}, {"detail", fault->detail}});
+        exchange->respond(protocol.encode(*fault));
+        return;
+    }
+    auto& asked = std::get<gateway_request>(decoded);
+    if (!config.current() || !target_rows.loaded())
+    {
+        log_event(event_id::request_refused, {{"request", asked.id.value}, {"reason", "no_configuration"}});
+        exchange->respond(protocol.encode(refusal{.reason = refusal_reason::no_configuration,
+                                                  .detail = "no configuration has been read yet",
+                                                  .retry_after = after_no_configuration}));
+        return;
+    }
+    const auto started = monotonic_now();
+    start_course(
+        services, config.current(), std::move(asked), std::move(exchange),
+        [this, started](course_end end)
+        {
+            const std::vector<metric_label> labels{{"end", std::string{to_string(end)}}};
+            registry.get_counter("masticcourse_requests_total", "Requests by their end.", labels).add();
+            registry.get_histogram("masticcourse_request_seconds", "From a request to its end.", labels)
+                .record(monotonic_now() - started);
+        });
+}
+
+milliseconds gateway::state::grace() const
+{
+    return store.steady_for() < options.steady_after ? lapse_grace : milliseconds{0};
+}
+
+void gateway::state::take_config(const stored_row& row)
+{
+    if (row.removed)
+    {
+        return;
+    }
+    auto decoded = decoders.decode_config(row);
+    if (!decoded || !config.adopt(std::move(*decoded)))
+    {
+        return;
+    }
+    const auto& limits = config.current()->limits;
+    frontend->set_limits({.max_body = limits.max_body,
+                          .max_header = limits.max_header,
+                          .header_timeout = limits.header_timeout,
+                          .idle_timeout = limits.idle_timeout});
+    log_event(event_id::config_applied, {{"version", std::to_string(config.current()->version)},
+                                         {"row_version", std::to_string(row.version)},
+                                         {"routes", std::to_string(config.current()->routes.size())}});
+}
+
+void gateway::state::take_target(const stored_row& row)
+{
+    const auto now = monotonic_now();
+    if (row.removed)
+    {
+        if (targets.remove({row.name.key}, now, grace()))
+        {
+            log_event(event_id::target_lost,
+                      {{"target", row.name.key}, {"grace_ms", std::to_string(grace().count())}});
+        }
+        sweep();
+        return;
+    }
+    const auto record = decoders.decode_target(row);
+    if (record && targets.put(*record))
+    {
+        log_event(event_id::target_available, {{"target", record->id.value},
+                                               {"service", record->service.value},
+                                               {"address", record->address},
+                                               {"draining", record->draining ? "yes" : "no"},
+                                               {"row_version", std::to_string(row.version)}});
+    }
+}
+
+void gateway::state::take_targets(const std::vector<stored_row>& rows)
+{
+    std::vector<target_record> records;
+    for (const auto& it : rows)
+    {
+        if (auto record = decoders.decode_target(it))
+        {
+            records.push_back(std::move(*record));
+        }
+    }
+    targets.replace(records, monotonic_now(), grace());
+    log_event(event_id::registry_read, {{"targets", std::to_string(records.size())}});
+}
+
+void gateway::state::sweep()
+{
+    const auto now = monotonic_now();
+    targets.expire(now);
+    spending.forget_idle(now);
+    if (ready() != was_ready)
+    {
+        was_ready = ready();
+        log_event(was_ready ? event_id::process_ready : event_id::process_draining, {});
+    }
+}
+
+void gateway::state::stop(std::function<void()> on_stopped_)
+{
+    if (stopping_since)
+    {
+        return;
+    }
+    on_stopped = std::move(on_stopped_);
+    stopping_since = monotonic_now();
+    sweep();
+    frontend->announce_close();
+    check_stopped();
+}
+
+void gateway::state::check_stopped()
+{
+    const auto waited = monotonic_now() - *stopping_since;
+    const bool turned_away = waited >= turn_away_time;
+    const bool last_moment = waited >= options.stop_grace - kill_margin;
+    if (turned_away && !gone)
+    {
+        gone = true;
+        frontend->stop_accepting();
+    }
+    const bool idle = frontend->open_exchanges() == 0 && commits.pending() == 0;
+    // Idle connections get the server's grace after `stop_accepting` for requests on their way.
+    const bool settled = waited >= turn_away_time + http_limits{}.stop_grace + sweep_period;
+    if ((settled && idle) || last_moment)
+    {
+        if (!idle)
+        {
+            log_event(event_id::drain_timed_out, {{"requests", std::to_string(frontend->open_exchanges())},
+                                                  {"commits", std::to_string(commits.pending())}});
+        }
+        on_stopped();
+        return;
+    }
+    services.delay(sweep_period, [this] { check_stopped(); });
+}
+
+gateway::gateway(boost::asio::io_context& context, gateway_options options, const gateway_protocol& protocol,
+                 row_store& store, table_decoders decoders)
+    : m_state(std::make_unique<state>(context, std::move(options), protocol, store, std::move(decoders)))
+{
+}
+
+gateway::~gateway() = default;
+
+void gateway::start()
+{
+    m_state->start();
+}
+
+void gateway::stop(std::function<void()> on_stopped)
+{
+    m_state->stop(std::move(on_stopped));
+}
+
+metrics_registry& gateway::metrics()
+{
+    return m_state->registry;
+}
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/request_course.cpp
@@ -0,0 +1,62 @@
+#include "masticcourse/gateway/request_course.hpp"
+
+#include "course.hpp"
+
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+std::string_view to_string(course_end end)
+{
+    switch (end)
+    {
+    case course_end::answered:
+        return "answered";
+    case course_end::refused:
+        return "refused";
+    case course_end::broken_off:
+        return "broken_off";
+    case course_end::cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+std::string_view to_string(refusal_reason reason)
+{
+    switch (reason)
+    {
+    case refusal_reason::malformed:
+        return "malformed";
+    case refusal_reason::no_configuration:
+        return "no_configuration";
+    case refusal_reason::no_route:
+        return "no_route";
+    case refusal_reason::no_such_turn:
+        return "no_such_turn";
+    case refusal_reason::over_budget:
+        return "over_budget";
+    case refusal_reason::store_away:
+        return "store_away";
+    case refusal_reason::no_target:
+        return "no_target";
+    case refusal_reason::targets_full:
+        return "targets_full";
+    case refusal_reason::target_failed:
+        return "target_failed";
+    case refusal_reason::deadline_passed:
+        break;
+    }
+    return "deadline_passed";
+}
+
+void start_course(course_services& services, config_ptr config, gateway_request request,
+                  std::shared_ptr<http_exchange> exchange, std::function<void(course_end)> on_end)
+{
+    std::make_shared<detail::course>(services, std::move(config), std::move(request), std::move(exchange),
+                                     std::move(on_end))
+        ->start();
+}
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/store_path.cpp
@@ -0,0 +1,126 @@
+#include "masticcourse/gateway/store_path.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+/// Bounds on how long a call may take. The store answers within 4 to 30 ms on a calm day, and up to sixty
+/// times as slowly on a bad one.
+constexpr milliseconds least_limit{300};
+constexpr milliseconds most_limit{2'500};
+/// How many times as long as usual a call may take.
+constexpr double limit_factor = 8;
+/// The share of the newest call in what is usual.
+constexpr double newest_share = 0.1;
+/// Refusals for the rate in a row that are taken for being turned away: at ten gateways' even share of a busy
+/// store, five in a row without one success are rare.
+constexpr std::uint32_t rate_limited_limit = 5;
+/// Between two probes: the direct way is taken again that much after it is back, at most.
+constexpr milliseconds probe_period{250};
+/// How many peers one call tries.
+constexpr std::size_t most_peers = 2;
+/// How long a peer that did not answer is left out.
+constexpr milliseconds peer_pause{1'500};
+
+} // namespace
+
+void store_path::on_direct(hop_result result, milliseconds took, time_point now, bool probe)
+{
+    m_rate_limited = result == hop_result::rate_limited ? m_rate_limited + 1 : 0;
+    switch (result)
+    {
+    case hop_result::answered:
+    {
+        m_cut_off = false;
+        m_no_way = false;
+        m_usual_ms += newest_share * (static_cast<double>(took.count()) - m_usual_ms);
+        const milliseconds limit{static_cast<milliseconds::rep>(m_usual_ms * limit_factor)};
+        m_call_limit = std::clamp(limit, least_limit, most_limit);
+        return;
+    }
+    case hop_result::turned_away:
+        fail(now);
+        return;
+    case hop_result::rate_limited:
+        if (m_rate_limited >= rate_limited_limit)
+        {
+            fail(now);
+        }
+        return;
+    case hop_result::silent:
+        m_last_failure = now;
+        // A slow store is not an absent one: the next call may take longer.
+        m_call_limit = std::min(m_call_limit * 2, most_limit);
+        m_probe_wanted = true;
+        if (probe)
+        {
+            fail(now);
+        }
+        return;
+    }
+}
+
+void store_path::fail(time_point now)
+{
+    m_cut_off = true;
+    m_last_failure = now;
+}
+
+bool store_path::take_probe(time_point now)
+{
+    const bool due = (m_cut_off || m_probe_wanted) && now >= m_last_probe + probe_period;
+    if (due)
+    {
+        m_last_probe = now;
+        m_probe_wanted = false;
+    }
+    return due;
+}
+
+void store_path::set_peers(std::vector<std::string> peers)
+{
+    m_peers = std::move(peers);
+}
+
+std::vector<std::string> store_path::choose_peers(time_point now)
+{
+    std::erase_if(m_avoided, [now](const auto& it) { return it.second <= now; });
+    std::vector<std::string> chosen;
+    std::ranges::copy_if(m_peers, std::back_inserter(chosen),
+                         [this](const std::string& it) { return !m_avoided.contains(it); });
+    std::ranges::shuffle(chosen, m_random);
+    chosen.resize(std::min(chosen.size(), most_peers));
+    return chosen;
+}
+
+void store_path::on_peer(const std::string& peer, bool answered, time_point now)
+{
+    if (answered)
+    {
+        m_no_way = false;
+        m_avoided.erase(peer);
+    }
+    else
+    {
+        m_avoided[peer] = now + peer_pause;
+    }
+}
+
+void store_path::on_no_way(time_point now)
+{
+    m_no_way = true;
+    m_last_failure = now;
+}
+
+duration store_path::steady_for(time_point now) const
+{
+    return m_last_failure ? now - *m_last_failure : now.time_since_epoch();
+}
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/table_follower.cpp
@@ -0,0 +1,87 @@
+#include "masticcourse/gateway/table_follower.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+/// How long one call waits for changes. Bounds how long a connection that went silent hides them, against two
+/// calls a second for each gateway.
+constexpr milliseconds feed_wait{1'000};
+/// The pause after a call that failed: a change is known that much later after the store's return, at most.
+constexpr milliseconds retry_pause{100};
+
+} // namespace
+
+table_follower::table_follower(row_store& store, std::string table, delay_function delay,
+                               follower_callbacks callbacks)
+    : m_store(store), m_table(std::move(table)), m_delay(std::move(delay)), m_callbacks(std::move(callbacks))
+{
+}
+
+void table_follower::start()
+{
+    read();
+}
+
+void table_follower::read()
+{
+    m_store.query({.table = m_table},
+                  [this](const query_reply& reply)
+                  {
+                      if (!reply.answered)
+                      {
+                          try_again(&table_follower::read);
+                          return;
+                      }
+                      answered();
+                      m_loaded = true;
+                      m_version = reply.version;
+                      m_callbacks.on_snapshot(reply.rows);
+                      follow();
+                  });
+}
+
+void table_follower::follow()
+{
+    m_store.follow(m_table, m_version, feed_wait, [this](const feed_reply& reply) { on_feed(reply); });
+}
+
+void table_follower::on_feed(const feed_reply& reply)
+{
+    switch (reply.outcome)
+    {
+    case feed_outcome::failed:
+        try_again(&table_follower::follow);
+        return;
+    case feed_outcome::history_gone:
+        read();
+        return;
+    case feed_outcome::changed:
+        break;
+    }
+    answered();
+    m_version = std::max(m_version, reply.version);
+    std::ranges::for_each(reply.rows, [this](const stored_row& it) { m_callbacks.on_change(it); });
+    follow();
+}
+
+void table_follower::answered()
+{
+    if (std::exchange(m_failing, false) && m_callbacks.on_return)
+    {
+        m_callbacks.on_return();
+    }
+}
+
+void table_follower::try_again(void (table_follower::*step)())
+{
+    m_failing = true;
+    m_delay(retry_pause, [this, step] { (this->*step)(); });
+}
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/target_table.cpp
@@ -0,0 +1,169 @@
+#include "masticcourse/gateway/target_table.hpp"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+/// How long a stated load counts: reports of a busy target come several times in this time.
+constexpr milliseconds report_lifetime{1'000};
+/// First pause after a failure to connect; doubled with each further one. A killed process is back within
+/// seconds, and each trial costs one request a connection attempt.
+constexpr milliseconds first_pause{250};
+constexpr milliseconds longest_pause{2'000};
+/// Broken answers in a row before a target is avoided: a few in a hundred are broken on a bad day, three in a
+/// row are not chance.
+constexpr std::uint32_t broken_limit = 3;
+
+milliseconds pause_after(std::uint32_t failures)
+{
+    constexpr std::uint32_t longest_shift = 3;
+    const auto shift = std::min(failures - 1, longest_shift);
+    return std::min(first_pause * (1 << shift), longest_pause);
+}
+
+} // namespace
+
+double target::load(time_point now) const
+{
+    const auto age = std::chrono::duration<double>(now - reported);
+    const double weight = std::max(0.0, 1.0 - age / std::chrono::duration<double>(report_lifetime));
+    return in_flight + foreign_load * weight;
+}
+
+double target::fill(time_point now) const
+{
+    return load(now) / std::max(1U, record.slots);
+}
+
+bool target_table::put(const target_record& record)
+{
+    auto& row = m_targets[record.id];
+    const bool changed = row.record != record;
+    row.record = record;
+    row.gone_at.reset();
+    return changed;
+}
+
+bool target_table::remove(const target_id& id, time_point now, milliseconds grace)
+{
+    const auto it = m_targets.find(id);
+    if (it == m_targets.end())
+    {
+        return false;
+    }
+    if (!it->second.gone_at)
+    {
+        it->second.gone_at = now + grace;
+    }
+    return true;
+}
+
+void target_table::replace(const std::vector<target_record>& records, time_point now, milliseconds grace)
+{
+    std::unordered_set<target_id> present;
+    for (const auto& it : records)
+    {
+        present.insert(it.id);
+        put(it);
+    }
+    for (auto& [id, row] : m_targets)
+    {
+        if (!present.contains(id))
+        {
+            remove(id, now, grace);
+        }
+    }
+}
+
+void target_table::extend_grace(time_point now, milliseconds grace)
+{
+    for (auto& [id, row] : m_targets)
+    {
+        if (row.gone_at)
+        {
+            row.gone_at = std::max(*row.gone_at, now + grace);
+        }
+    }
+}
+
+std::vector<target_id> target_table::expire(time_point now)
+{
+    std::vector<target_id> gone;
+    for (const auto& [id, row] : m_targets)
+    {
+        if (row.gone_at && *row.gone_at <= now)
+        {
+            gone.push_back(id);
+        }
+    }
+    std::ranges::for_each(gone, [this](const auto& id) { m_targets.erase(id); });
+    return gone;
+}
+
+void target_table::begin(const target_id& id)
+{
+    if (const auto it = m_targets.find(id); it != m_targets.end())
+    {
+        ++it->second.in_flight;
+    }
+}
+
+void target_table::end(const target_id& id, target_verdict verdict, time_point now)
+{
+    const auto it = m_targets.find(id);
+    if (it == m_targets.end())
+    {
+        return;
+    }
+    auto& row = it->second;
+    row.in_flight -= row.in_flight > 0 ? 1 : 0;
+    if (verdict == target_verdict::sound || verdict == target_verdict::refused)
+    {
+        row.failures = 0;
+        row.avoided_until = {};
+    }
+    else if (verdict != target_verdict::none)
+    {
+        ++row.failures;
+        const bool avoid = verdict == target_verdict::unreachable || row.failures >= broken_limit;
+        row.avoided_until = avoid ? now + pause_after(row.failures) : row.avoided_until;
+    }
+}
+
+void target_table::report(const target_id& id, const target_load_report& load, time_point now)
+{
+    if (const auto it = m_targets.find(id); it != m_targets.end())
+    {
+        auto& row = it->second;
+        const auto total = load.running + load.waiting;
+        row.foreign_load = total - std::min(total, row.in_flight);
+        row.reported = now;
+    }
+}
+
+std::vector<const target*> target_table::candidates(const service_name& service) const
+{
+    std::vector<const target*> found;
+    for (const auto& [id, row] : m_targets)
+    {
+        if (row.record.service == service && !row.record.draining)
+        {
+            found.push_back(&row);
+        }
+    }
+    std::ranges::sort(found, {}, [](const target* it) -> const auto& { return it->record.id; });
+    return found;
+}
+
+const target* target_table::find(const target_id& id) const
+{
+    const auto it = m_targets.find(id);
+    return it != m_targets.end() ? &it->second : nullptr;
+}
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/turn_store.cpp
@@ -0,0 +1,254 @@
+#include "masticcourse/gateway/turn_store.hpp"
+
+#include "masticcourse/gateway/partition.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <numeric>
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+const std::string turn_table = "turns";
+/// Stands between a turn's id and the number of a further piece; ids hold no such character.
+constexpr char piece_separator = '~';
+/// Behind a turn's id: the end of the range that holds all its pieces.
+constexpr std::string_view after_pieces = "~~";
+
+std::string piece_key(const request_id& id, std::size_t piece)
+{
+    return piece == 0 ? id.value : id.value + piece_separator + std::to_string(piece);
+}
+
+std::vector<std::string> pieces_of(const request_id& id, const std::vector<stored_row>& rows)
+{
+    std::vector<std::string> pieces;
+    const auto next_piece = [&]
+    {
+        return std::ranges::find(rows, piece_key(id, pieces.size()),
+                                 [](const stored_row& it) { return it.name.key; });
+    };
+    for (auto it = next_piece(); it != rows.end(); it = next_piece())
+    {
+        pieces.push_back(it->value);
+    }
+    return pieces;
+}
+
+} // namespace
+
+std::vector<std::string> encode_turn(const turn_record& turn, std::size_t row_bytes)
+{
+    nlohmann::json ancestors = nlohmann::json::array();
+    std::ranges::for_each(turn.ancestors, [&](const auto& it) { ancestors.push_back(it.value); });
+    const nlohmann::json document{
+        {"ancestors", std::move(ancestors)},
+        {"input", nlohmann::json::binary({turn.input.begin(), turn.input.end()})},
+        {"output", nlohmann::json::binary({turn.output.begin(), turn.output.end()})}};
+    std::string bytes;
+    nlohmann::json::to_cbor(document, bytes);
+    std::vector<std::string> pieces;
+    for (std::size_t at = 0; at < bytes.size(); at += row_bytes)
+    {
+        pieces.push_back(bytes.substr(at, row_bytes));
+    }
+    return pieces;
+}
+
+std::optional<turn_record> decode_turn(const std::vector<std::string>& pieces)
+{
+    const auto bytes = std::accumulate(pieces.begin(), pieces.end(), std::string{});
+    const auto document = nlohmann::json::from_cbor(bytes, true, false);
+    const auto is_binary = [&](const char* name)
+    { return document.contains(name) && document[name].is_binary(); };
+    if (!document.is_object() || !document.contains("ancestors") || !document["ancestors"].is_array() ||
+        !is_binary("input") || !is_binary("output"))
+    {
+        return std::nullopt;
+    }
+    turn_record turn;
+    for (const auto& it : document["ancestors"])
+    {
+        if (!it.is_string())
+        {
+            return std::nullopt;
+        }
+        turn.ancestors.push_back({it.get<std::string>()});
+    }
+    const auto text = [&](const char* name)
+    {
+        const auto& binary = document[name].get_binary();
+        return std::string(binary.begin(), binary.end());
+    };
+    turn.input = text("input");
+    turn.output = text("output");
+    return turn;
+}
+
+std::size_t turn_cache::size_of(const entry& it)
+{
+    /// List node, index node and control block, about.
+    constexpr std::size_t overhead = 256;
+    const auto ids = it.turn->ancestors.size() * sizeof(request_id);
+    return overhead + ids + it.turn->input.size() + it.turn->output.size();
+}
+
+void turn_cache::put(const request_id& id, turn_ptr turn)
+{
+    if (m_index.contains(id))
+    {
+        return;
+    }
+    m_entries.push_front({id, std::move(turn)});
+    m_index[id] = m_entries.begin();
+    m_bytes += size_of(m_entries.front());
+    while (m_bytes > m_capacity && m_entries.size() > 1)
+    {
+        m_bytes -= size_of(m_entries.back());
+        m_index.erase(m_entries.back().id);
+        m_entries.pop_back();
+    }
+}
+
+turn_ptr turn_cache::get(const request_id& id)
+{
+    const auto it = m_index.find(id);
+    if (it == m_index.end())
+    {
+        return nullptr;
+    }
+    m_entries.splice(m_entries.begin(), m_entries, it->second);
+    return it->second->turn;
+}
+
+/// A chain being put together.
+struct turn_store::chain_load
+{
+    std::vector<request_id> ids;
+    std::vector<turn_ptr> turns;
+    std::size_t missing = 0;
+    chain_outcome outcome = chain_outcome::found;
+    chain_callback on_chain;
+};
+
+turn_store::turn_store(row_store& store, commit_queue& commits, std::size_t cache_bytes,
+                       std::size_t row_bytes)
+    : m_store(store), m_commits(commits), m_row_bytes(row_bytes), m_cache(cache_bytes)
+{
+}
+
+void turn_store::load_chain(const request_id& last, chain_callback on_chain)
+{
+    auto load = std::make_shared<chain_load>();
+    load->on_chain = std::move(on_chain);
+    fetch(last,
+          [this, load, last](chain_outcome outcome, const turn_ptr& turn)
+          {
+              if (outcome != chain_outcome::found)
+              {
+                  load->on_chain({.outcome = outcome});
+                  return;
+              }
+              load->ids = turn->ancestors;
+              load->ids.push_back(last);
+              load_ancestors(load, turn);
+          });
+}
+
+void turn_store::load_ancestors(const std::shared_ptr<chain_load>& load, const turn_ptr& last)
+{
+    load->turns.resize(load->ids.size());
+    load->turns.back() = last;
+    // One more than is missing, so that answers from the cache don't end the load before all are asked for.
+    load->missing = load->ids.size();
+    for (std::size_t i = 0; i + 1 < load->ids.size(); ++i)
+    {
+        fetch(load->ids[i],
+              [load, i](chain_outcome outcome, const turn_ptr& turn)
+              {
+                  load->turns[i] = turn;
+                  load->outcome = outcome == chain_outcome::found ? load->outcome : outcome;
+                  finish(load);
+              });
+    }
+    finish(load);
+}
+
+void turn_store::finish(const std::shared_ptr<chain_load>& load)
+{
+    if (--load->missing > 0)
+    {
+        return;
+    }
+    turn_chain chain{.outcome = load->outcome};
+    if (chain.outcome == chain_outcome::found)
+    {
+        chain.turns = std::move(load->ids);
+        std::ranges::for_each(load->turns,
+                              [&](const turn_ptr& it) { chain.prompt += it->input + it->output; });
+    }
+    load->on_chain(std::move(chain));
+}
+
+void turn_store::fetch(const request_id& id, std::function<void(chain_outcome, turn_ptr)> on_turn)
+{
+    if (auto turn = m_cache.get(id))
+    {
+        on_turn(chain_outcome::found, std::move(turn));
+        return;
+    }
+    const row_query query{.table = turn_table,
+                          .partition = partition_of(id.value),
+                          .from = id.value,
+                          .to = id.value + std::string{after_pieces}};
+    m_store.query(query,
+                  [this, id, on_turn = std::move(on_turn)](const query_reply& reply)
+                  {
+                      if (!reply.answered)
+                      {
+                          on_turn(chain_outcome::unavailable, nullptr);
+                          return;
+                      }
+                      const auto pieces = pieces_of(id, reply.rows);
+                      auto turn = decode_turn(pieces);
+                      if (!turn)
+                      {
+                          // A record that is there and can't be read is not a turn that never was.
+                          on_turn(pieces.empty() ? chain_outcome::missing : chain_outcome::unavailable,
+                                  nullptr);
+                          return;
+                      }
+                      auto kept = std::make_shared<const turn_record>(std::move(*turn));
+                      m_cache.put(id, kept);
+                      on_turn(chain_outcome::found, std::move(kept));
+                  });
+}
+
+void turn_store::keep(const request_id& id, turn_record turn, time_point expires, kept_callback on_kept)
+{
+    row_change change{.expires = expires};
+    const auto pieces = encode_turn(turn, m_row_bytes);
+    for (std::size_t i = 0; i < pieces.size(); ++i)
+    {
+        change.puts.push_back({{turn_table, piece_key(id, i)}, pieces[i]});
+    }
+    auto kept = std::make_shared<const turn_record>(std::move(turn));
+    m_commits.submit(partition_of(id.value), std::move(change),
+                     [this, id, kept, on_kept = std::move(on_kept)](const change_result& result)
+                     {
+                         const bool durable = result.outcome == store_outcome::done;
+                         if (durable)
+                         {
+                             m_cache.put(id, kept);
+                         }
+                         on_kept(durable);
+                     });
+}
+
+} // namespace masticcourse::gateway
--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -31,7 +31,7 @@
     http::response<Body> message;
     message.version(version);
     message.result(static_cast<unsigned>(status));
-    std::ranges::for_each(headers, [&message](const http_header& it) { message.set(it.name, it.value); });
+    std::ranges::for_each(headers, [&message](const http_header& it) { message.insert(it.name, it.value); });
     message.keep_alive(keep_alive);
     return message;
 }
@@ -66,7 +66,10 @@
     auto message = make_head<http::string_body>(response.status, response.headers, version, keep_alive);
     if (allows_body(response.status))
     {
-        message.set(http::field::content_type, response.content_type);
+        if (!response.content_type.empty())
+        {
+            message.set(http::field::content_type, response.content_type);
+        }
         message.body() = std::move(response.body);
     }
     message.prepare_payload();
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -16,8 +16,9 @@
 using boost::system::error_code;
 
 constexpr std::size_t max_idle_per_address = 64;
-/// Shorter than servers usually keep theirs, so that a request rarely meets a closing connection.
-constexpr std::chrono::seconds max_idle_time{15};
+/// Of a connection whose server states no limit: shorter than servers usually keep theirs, so that a request
+/// rarely meets a closing connection.
+constexpr std::chrono::milliseconds default_idle_limit{15'000};
 
 } // namespace
 
@@ -64,9 +65,10 @@
 
 std::shared_ptr<http_connection> connection_pool::take(const std::string& address)
 {
-    const auto oldest = std::chrono::steady_clock::now() - max_idle_time;
+    const auto now = std::chrono::steady_clock::now();
+    const auto stale = [now](const http_connection& it) { return it.idle_since + it.idle_limit < now; };
     auto connection = pop(address);
-    while (connection && (connection->idle_since < oldest || !connection->quiet()))
+    while (connection && (stale(*connection) || !connection->quiet()))
     {
         connection = pop(address);
     }
@@ -77,6 +79,10 @@
 {
     connection->idle_since = std::chrono::steady_clock::now();
     connection->reused = true;
+    if (connection->idle_limit.count() == 0)
+    {
+        connection->idle_limit = default_idle_limit;
+    }
     const std::scoped_lock lock(m_mutex);
     auto& idle = m_idle[address];
     if (idle.size() >= max_idle_per_address)
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -35,6 +35,8 @@
     deadline timer;
     /// Whether an earlier request was answered on it.
     bool reused = false;
+    /// How long it may wait for its next request, as the server said.
+    std::chrono::milliseconds idle_limit{0};
     std::chrono::steady_clock::time_point idle_since;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -31,11 +31,22 @@
 
     void stop()
     {
+        m_state->closing = true;
         m_state->stopping = true;
         m_acceptor->finish([state = m_state]
                            { for_each_session(*state, [](detail::http_session& it) { it.stop(); }); });
     }
 
+    void set_limits(const http_limits& limits)
+    {
+        m_state->limits = limits;
+    }
+
+    void announce_close()
+    {
+        m_state->closing = true;
+    }
+
     void abort()
     {
         m_state->stopping = true;
@@ -109,6 +120,16 @@
     return m_listener->port();
 }
 
+void http_server::set_limits(const http_limits& limits)
+{
+    m_listener->set_limits(limits);
+}
+
+void http_server::announce_close()
+{
+    m_listener->announce_close();
+}
+
 void http_server::stop_accepting()
 {
     m_listener->stop();
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -33,6 +33,14 @@
 /// How long a caller may take to close after the last answer.
 constexpr std::chrono::milliseconds linger_time{1'000};
 
+/// @return whether two readers could disagree where the body ends: only `chunked` alone is understood here,
+/// and what others take for a body would be read as the next request
+bool ambiguous_length(const http::request<http::string_body>& message)
+{
+    const auto encoding = message[http::field::transfer_encoding];
+    return !encoding.empty() && !boost::beast::iequals(encoding, "chunked");
+}
+
 /// Counts a request as under way while it exists.
 class open_exchange_count
 {
@@ -231,16 +239,21 @@
     parser.header_limit(static_cast<std::uint32_t>(m_server->limits.max_header));
     parser.body_limit(m_server->limits.max_body);
     // Shutting down one direction leaves the other for saying that the request came too late.
-    m_deadline.set(m_server->limits.read_timeout,
-                   [weak = weak_from_this()]
-                   {
-                       if (const auto self = weak.lock())
-                       {
-                           error_code ignored;
-                           self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_receive, ignored);
-                       }
-                   });
+    const auto stop_reading = [weak = weak_from_this()]
+    {
+        if (const auto self = weak.lock())
+        {
+            error_code ignored;
+            self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_receive, ignored);
+        }
+    };
+    m_deadline.set(m_server->limits.header_timeout, stop_reading);
     auto [ec, n] = co_await http::async_read_header(m_socket, m_buffer, parser, use_tuple);
+    if (!ec && ambiguous_length(parser.get()))
+    {
+        ec = http::error::bad_transfer_encoding;
+    }
+    m_deadline.set(m_server->limits.read_timeout, stop_reading);
     if (!ec && !parser.is_done() && boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
     {
         static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -322,7 +335,7 @@
 
 asio::awaitable<bool> http_session::write_response(http_response response)
 {
-    m_request.keep_alive = m_request.keep_alive && !m_server->stopping;
+    m_request.keep_alive = m_request.keep_alive && !m_server->closing;
     auto message = to_message(std::move(response), m_request.version, m_request.keep_alive);
     http::response_serializer<http::string_body> serializer(message);
     close_on(m_server->limits.write_timeout);
@@ -346,7 +359,7 @@
 
 asio::awaitable<bool> http_session::write_head(stream_head head)
 {
-    m_request.keep_alive = m_request.keep_alive && chunked() && !m_server->stopping;
+    m_request.keep_alive = m_request.keep_alive && chunked() && !m_server->closing;
     auto message = to_stream_head(head.status, head.headers, m_request.version, m_request.keep_alive);
     http::response_serializer<http::empty_body> serializer(message);
     close_on(m_server->limits.write_timeout);
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -35,6 +35,9 @@
     http_limits limits;
     http_handler handler;
     std::atomic<std::size_t> open_exchanges = 0;
+    /// Connections close after the answer under way.
+    std::atomic<bool> closing = false;
+    /// No new connections are taken, and idle ones close soon.
     std::atomic<bool> stopping = false;
 
     std::mutex mutex;
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -7,11 +7,14 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
+#include <netinet/tcp.h>
 #include <utility>
 
 namespace masticcourse::detail
@@ -27,6 +30,45 @@
 constexpr unsigned http_1_1 = 11;
 constexpr int success_class = 2;
 constexpr std::uint32_t max_reply_header = 64 * 1024;
+/// How many answers to other requests are skipped on one connection before it counts as broken.
+constexpr int max_foreign_answers = 4;
+/// Sent bytes that stay unacknowledged for so long end the connection: the other end or the path is gone.
+/// Several retransmissions on links of milliseconds, and well under a caller's usual patience of seconds.
+constexpr std::chrono::milliseconds unacknowledged_limit{1'500};
+
+/// The socket option that bounds how long sent bytes may stay unacknowledged, in Asio's form.
+class user_timeout
+{
+  public:
+    explicit user_timeout(std::chrono::milliseconds limit) : m_value(static_cast<int>(limit.count())) {}
+
+    template <typename Protocol>
+    [[nodiscard]] int level(const Protocol& /*protocol*/) const
+    {
+        return IPPROTO_TCP;
+    }
+
+    template <typename Protocol>
+    [[nodiscard]] int name(const Protocol& /*protocol*/) const
+    {
+        return TCP_USER_TIMEOUT;
+    }
+
+    template <typename Protocol>
+    [[nodiscard]] const int* data(const Protocol& /*protocol*/) const
+    {
+        return &m_value;
+    }
+
+    template <typename Protocol>
+    [[nodiscard]] std::size_t size(const Protocol& /*protocol*/) const
+    {
+        return sizeof m_value;
+    }
+
+  private:
+    int m_value;
+};
 
 http::request<http::string_body> to_message(http_client_request& request)
 {
@@ -35,13 +77,41 @@
     message.method_string(request.method);
     message.target(request.target);
     message.set(http::field::host, request.address);
-    std::ranges::for_each(request.headers,
-                          [&message](const http_header& it) { message.set(it.name, it.value); });
+    const auto add = [&message](const http_header& it)
+    {
+        if (boost::beast::iequals(it.name, "host"))
+        {
+            message.set(http::field::host, it.value);
+        }
+        else
+        {
+            // A header that stands twice is sent twice.
+            message.insert(it.name, it.value);
+        }
+    };
+    std::ranges::for_each(request.headers, add);
     message.body() = request.body;
     message.prepare_payload();
     return message;
 }
 
+/// @param stated the value of a `Keep-Alive` header
+/// @return how long the connection may be idle: less than stated, as a request must still reach the server
+std::chrono::milliseconds idle_limit_of(std::string_view stated)
+{
+    // Four fifths of a timeout of whole seconds leave at least 200 ms for the way.
+    constexpr int kept_of_second = 800;
+    constexpr std::string_view name = "timeout=";
+    const auto at = stated.find(name);
+    int seconds = 0;
+    if (at != std::string_view::npos)
+    {
+        const auto digits = stated.substr(at + name.size());
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    }
+    return std::chrono::milliseconds{kept_of_second} * seconds;
+}
+
 } // namespace
 
 http_transfer::http_transfer(asio::io_context& context, std::shared_ptr<connection_pool> pool,
@@ -126,7 +196,8 @@
         fail(http_failure::connect);
         co_return false;
     }
-    set_timer(connection);
+    const auto own_bound = m_request.connect_timeout;
+    set_timer(connection, own_bound.count() > 0 ? std::min(own_bound, time_left()) : time_left());
     const auto [ec] = co_await connection->socket.async_connect(*endpoint, use_tuple);
     connection->timer.clear();
     if (ec || !connection->socket.is_open())
@@ -136,6 +207,7 @@
     }
     error_code ignored;
     connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    connection->socket.set_option(user_timeout(unacknowledged_limit), ignored);
     co_return true;
 }
 
@@ -147,10 +219,31 @@
     {
         co_return false;
     }
+    bool whole = co_await read_answer(connection);
+    for (int n = 0; whole && m_foreign && n < max_foreign_answers; ++n)
+    {
+        m_reply = {};
+        whole = m_keep_alive && co_await read_answer(connection);
+    }
+    m_keep_alive = m_keep_alive && sent;
+    co_return whole && !m_foreign;
+}
+
+asio::awaitable<bool> http_transfer::read_answer(connection_ptr connection)
+{
     reply_parser parser;
     parser.header_limit(max_reply_header);
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     parser.skip(m_request.method == "HEAD");
+    if (!co_await read_head(connection, parser))
+    {
+        co_return false;
+    }
+    co_return co_await read_body(connection, parser);
+}
+
+asio::awaitable<bool> http_transfer::read_head(connection_ptr connection, reply_parser& parser)
+{
     const auto [ec, n] =
         co_await http::async_read_header(connection->socket, connection->buffer, parser, use_tuple);
     m_answer_begun = n > 0 || connection->buffer.size() > 0;
@@ -160,8 +253,17 @@
     }
     m_reply.status = static_cast<int>(parser.get().result_int());
     m_reply.headers = to_headers(parser.get());
-    m_keep_alive = sent && parser.get().keep_alive() && !parser.need_eof();
-    co_return co_await read_body(connection, parser);
+    m_keep_alive = parser.get().keep_alive() && !parser.need_eof();
+    if (const auto stated = find_header(m_reply.headers, "Keep-Alive"))
+    {
+        connection->idle_limit = idle_limit_of(*stated);
+    }
+    m_foreign = m_request.is_own_answer && !m_request.is_own_answer(m_reply);
+    if (!m_foreign && m_request.on_head)
+    {
+        m_request.on_head(m_reply);
+    }
+    co_return true;
 }
 
 asio::awaitable<bool> http_transfer::write_request(connection_ptr connection)
@@ -204,7 +306,7 @@
 
 bool http_transfer::streamed() const
 {
-    return m_on_chunk && m_reply.status / 100 == success_class;
+    return m_on_chunk && !m_foreign && m_reply.status / 100 == success_class;
 }
 
 void http_transfer::take_piece(std::string_view piece)
@@ -225,14 +327,23 @@
 
 bool http_transfer::may_retry(const http_connection& connection) const
 {
-    const bool harmless = m_bytes_written == 0 || m_request.method == "GET" || m_request.method == "HEAD";
+    const bool harmless_method = m_request.method == "GET" || m_request.method == "HEAD";
+    const bool harmless = m_bytes_written == 0 || m_request.idempotent.value_or(harmless_method);
     return connection.reused && !m_answer_begun && harmless && !m_cancelled && !connection.timer.expired();
 }
 
+std::chrono::milliseconds http_transfer::time_left() const
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(m_deadline - std::chrono::steady_clock::now());
+}
+
 void http_transfer::set_timer(const connection_ptr& connection) const
 {
-    const auto left = m_deadline - std::chrono::steady_clock::now();
-    const auto bound = streamed() ? m_request.timeout : std::chrono::ceil<std::chrono::milliseconds>(left);
+    set_timer(connection, streamed() ? m_request.timeout : time_left());
+}
+
+void http_transfer::set_timer(const connection_ptr& connection, std::chrono::milliseconds bound) const
+{
     connection->timer.set(bound,
                           [weak = std::weak_ptr{connection}]
                           {
@@ -265,6 +376,8 @@
     }
     const auto on_reply = std::exchange(m_on_reply, nullptr);
     m_on_chunk = nullptr;
+    m_request.on_head = nullptr;
+    m_request.is_own_answer = nullptr;
     on_reply(std::move(m_reply));
 }
 
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -40,11 +40,15 @@
     boost::asio::awaitable<bool> connect(connection_ptr connection);
     boost::asio::awaitable<bool> exchange(connection_ptr connection);
     boost::asio::awaitable<bool> write_request(connection_ptr connection);
+    boost::asio::awaitable<bool> read_answer(connection_ptr connection);
+    boost::asio::awaitable<bool> read_head(connection_ptr connection, reply_parser& parser);
     boost::asio::awaitable<bool> read_body(connection_ptr connection, reply_parser& parser);
+    [[nodiscard]] std::chrono::milliseconds time_left() const;
     void take_piece(std::string_view piece);
 
     [[nodiscard]] bool may_retry(const http_connection& connection) const;
     [[nodiscard]] bool streamed() const;
+    void set_timer(const connection_ptr& connection, std::chrono::milliseconds bound) const;
     void set_timer(const connection_ptr& connection) const;
     void fail(http_failure failure);
     void finish(const connection_ptr& connection);
@@ -60,6 +64,8 @@
     std::size_t m_bytes_written = 0;
     bool m_answer_begun = false;
     bool m_keep_alive = false;
+    /// The answer being read belongs to another request.
+    bool m_foreign = false;
 
     std::mutex m_mutex;
     /// Under @a m_mutex: the connection to close on cancelling. Its coroutine owns it, so that a handle kept
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -4,7 +4,14 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstddef>
+#include <fcntl.h>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unistd.h>
+#include <utility>
 
 namespace masticcourse
 {
@@ -64,8 +71,100 @@
     return severities.at(static_cast<std::size_t>(severity));
 }
 
+/// Bytes that wait for the reader of the log, at most: some seconds of the busiest gateway.
+constexpr std::size_t buffer_limit = std::size_t{1} << 20U;
+/// Lines of one kind in one second: several times what one gateway answers on a busy day.
+constexpr std::uint32_t lines_per_second = 500;
+
+/// Collects lines until they are written; takes what glog formats.
+class buffered_sink final : public google::LogSink
+{
+  public:
+    void send(google::LogSeverity severity, const char* /*path*/, const char* file, int line,
+              const google::LogMessageTime& time, const char* message, std::size_t size) override
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_text.size() + size > buffer_limit)
+        {
+            ++m_dropped;
+            return;
+        }
+        m_text += ToString(severity, file, line, time, message, size) + "\n";
+    }
+
+    /// @return whether a line of this kind may be written now
+    bool admit(event_id id)
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto now = std::chrono::steady_clock::now();
+        if (now - m_second_began >= std::chrono::seconds{1})
+        {
+            m_second_began = now;
+            m_lines.clear();
+        }
+        const bool allowed = ++m_lines[id] <= lines_per_second;
+        m_dropped += allowed ? 0 : 1;
+        return allowed;
+    }
+
+    void flush()
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_text.empty())
+        {
+            return;
+        }
+        // What is not taken stays, whatever the reason: a full pipe empties again, and for a closed one the
+        // buffer's bound holds.
+        const auto n = ::write(STDOUT_FILENO, m_text.data(), m_text.size());
+        m_text.erase(0, n > 0 ? static_cast<std::size_t>(n) : 0);
+    }
+
+    /// @return lines left out since the last call
+    std::uint64_t take_dropped()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return std::exchange(m_dropped, 0);
+    }
+
+  private:
+    std::mutex m_mutex;
+    std::string m_text;
+    std::chrono::steady_clock::time_point m_second_began;
+    std::map<event_id, std::uint32_t> m_lines;
+    std::uint64_t m_dropped = 0;
+};
+
+/// Where lines go; null for glog's own way.
+std::unique_ptr<buffered_sink>& sink()
+{
+    static std::unique_ptr<buffered_sink> instance;
+    return instance;
+}
+
 } // namespace
 
+void start_buffered_log(const std::string& process)
+{
+    start_log(process);
+    const auto flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    sink() = std::make_unique<buffered_sink>();
+}
+
+void flush_log()
+{
+    if (!sink())
+    {
+        return;
+    }
+    if (const auto n = sink()->take_dropped(); n > 0)
+    {
+        log_event(event_id::log_lines_dropped, {{"lines", std::to_string(n)}});
+    }
+    sink()->flush();
+}
+
 void start_log(const std::string& process)
 {
     // glog keeps the pointer.
@@ -79,7 +178,15 @@
 {
     const event_row* const row = find_event(id);
     const auto severity = row != nullptr ? row->severity : event_severity::error;
-    google::LogMessage{__FILE__, __LINE__, glog_severity(severity)}.stream() << format_event(id, fields);
+    if (!sink())
+    {
+        google::LogMessage{__FILE__, __LINE__, glog_severity(severity)}.stream() << format_event(id, fields);
+    }
+    else if (sink()->admit(id))
+    {
+        google::LogMessage{__FILE__, __LINE__, glog_severity(severity), sink().get(), false}.stream()
+            << format_event(id, fields);
+    }
 }
 
 std::string format_event(event_id id, const std::vector<event_field>& fields)
--- a/tools/format.sh
+++ b/tools/format.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 mode=(-i)
 [[ ${1:-} == --check ]] && mode=(--dry-run --Werror)
-find include src apps standins tests bench \( -name '*.cpp' -o -name '*.hpp' \) -print0 |
+find include src apps platform standins tests bench \( -name '*.cpp' -o -name '*.hpp' \) -print0 |
     xargs -0 -r clang-format-16 "${mode[@]}"
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -6,12 +6,12 @@
 build=${BUILD_DIR:-build}
 export build
 if (($# == 0)); then
-    mapfile -t files < <(find src apps standins tests bench -name '*.cpp' ! -path 'src/rpc/*' | sort)
+    mapfile -t files < <(find src apps platform standins tests bench -name '*.cpp' ! -path 'src/rpc/*' | sort)
 else
     files=("$@")
 fi
 mkdir -p .cache/lint
-headers=$(find include src standins tests bench -name '*.hpp' -print0 | sort -z | xargs -0 cat .clang-tidy | sha256sum)
+headers=$(find include src platform standins tests bench -name '*.hpp' -print0 | sort -z | xargs -0 cat .clang-tidy | sha256sum)
 export headers
 check() {
     local stamp
