--- a/include/masticcourse/gateway/request_course.hpp
+++ b/include/masticcourse/gateway/request_course.hpp
@@ -11,7 +11,6 @@
 #include "masticcourse/gateway/route_table.hpp"
 #include "masticcourse/gateway/turn_store.hpp"
 #include "masticcourse/net/http_server.hpp"
-#include "masticcourse/telemetry/metrics.hpp"
 
 #include <functional>
 #include <memory>
@@ -21,16 +20,19 @@
 namespace masticcourse::gateway
 {
 
+/// Sends a request to a target and hands its answer on piece by piece; see http_client::open_stream().
+using open_function = std::function<std::shared_ptr<http_stream>(http_client_request, http_chunk_callback,
+                                                                 http_reply_callback)>;
+
 /// What a request on its way uses. All of it outlives every request.
 struct course_services
 {
-    http_client& client;
+    open_function open;
     const gateway_protocol& protocol;
     target_table& targets;
     program_spending& spending;
     turn_store& turns;
     const row_store& store;
-    metrics_registry& metrics;
     delay_function delay;
     clock_function clock;
     failure_domain_name own_domain;
--- a/src/gateway/course.cpp
+++ b/src/gateway/course.cpp
@@ -298,10 +298,9 @@
         on_piece = [for_this_attempt](std::string_view piece)
         { for_this_attempt([&](course& it) { it.on_piece(piece); }); };
     }
-    m_upstream = m_services.client.open_stream(
-        std::move(request), std::move(on_piece),
-        [for_this_attempt](http_client_reply reply)
-        { for_this_attempt([&](course& it) { it.on_reply(std::move(reply)); }); });
+    m_upstream = m_services.open(std::move(request), std::move(on_piece),
+                                 [for_this_attempt](http_client_reply reply)
+                                 { for_this_attempt([&](course& it) { it.on_reply(std::move(reply)); }); });
 }
 
 void course::on_head(const http_client_reply& reply)
--- /dev/null
+++ b/tests/support/course_world.hpp
@@ -0,0 +1,99 @@
+/// @file
+/// One gateway's requests in virtual time: targets and callers are played by the test.
+#pragma once
+
+#include "support/memory_rows.hpp"
+#include "support/virtual_time.hpp"
+
+#include "masticcourse/gateway/request_course.hpp"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticcourse::testing
+{
+
+/// What a caller has been given.
+struct caller_view
+{
+    std::optional<http_response> response;
+    std::optional<int> stream_status;
+    std::string text;
+    bool ended = false;
+    /// The exchange was dropped: the connection closes.
+    bool closed = false;
+    std::function<void()> on_closed;
+};
+
+/// One request as a target received it.
+struct sent_request
+{
+    http_client_request request;
+    http_chunk_callback on_chunk;
+    http_reply_callback on_reply;
+    bool cancelled = false;
+
+    /// @name The target's answer
+    /// @{
+    void begin(int status, bool marked = true) const;
+    void event(const std::string& data) const;
+    void end(int status, bool marked = true, const std::string& body = "");
+    void refuse();
+    void fail(http_failure failure);
+    /// @}
+};
+
+using sent_ptr = std::shared_ptr<sent_request>;
+
+/// A protocol as plain as can be: the headers are called as what they mean.
+class plain_protocol final : public gateway::gateway_protocol
+{
+  public:
+    [[nodiscard]] std::variant<gateway::gateway_request, gateway::refusal>
+    decode(http_request request) const override;
+    [[nodiscard]] http_client_request encode(const gateway::gateway_request& request, std::string body,
+                                             const gateway::target_record& target,
+                                             gateway::milliseconds time_left) const override;
+    [[nodiscard]] gateway::target_answer decode(const http_client_reply& reply) const override;
+    [[nodiscard]] bool answers(const http_client_reply& reply, const gateway::request_id& id) const override;
+    [[nodiscard]] http_response encode(const gateway::refusal& refusal) const override;
+};
+
+class course_world
+{
+  public:
+    course_world();
+
+    /// A request on one of the routes: "lookup" (idempotent), "order" (not), "stream", "turn".
+    [[nodiscard]] gateway::gateway_request make(const std::string& route, const std::string& id) const;
+    /// A turn of the program "p".
+    [[nodiscard]] gateway::gateway_request make_turn(const std::string& id, const std::string& previous = "",
+                                                     token_count budget = 1'000) const;
+
+    std::shared_ptr<caller_view> send(gateway::gateway_request request);
+
+    /// @return the request that was sent last
+    [[nodiscard]] sent_ptr last() const;
+
+    /// Plays a turn from its start to its end.
+    std::shared_ptr<caller_view> play_turn(const std::string& id, const std::string& previous,
+                                           const std::vector<std::string>& events);
+
+    virtual_time time;
+    row_table rows;
+    memory_store store{rows, time.delays()};
+    gateway::commit_queue commits{store, time.delays(), time.clock()};
+    gateway::program_spending spending{store, commits, time.delays(), time.clock()};
+    gateway::turn_store turns{store, commits, 1'000'000, 10'000};
+    gateway::target_table targets;
+    plain_protocol protocol;
+    std::vector<sent_ptr> sent;
+    std::vector<gateway::course_end> ends;
+    gateway::config_ptr config;
+    gateway::course_services services;
+};
+
+} // namespace masticcourse::testing
--- /dev/null
+++ b/tests/support/memory_rows.cpp
@@ -0,0 +1,137 @@
+#include "support/memory_rows.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace masticcourse::testing
+{
+
+using gateway::store_outcome;
+
+gateway::transaction_reply row_table::apply(const gateway::row_transaction& transaction)
+{
+    ++m_transactions;
+    gateway::transaction_reply reply{.outcome = store_outcome::done};
+    for (const auto& it : transaction.conditions)
+    {
+        const auto row = m_rows.find({transaction.partition, it.name});
+        const auto version = row != m_rows.end() ? row->second.version : 0;
+        reply.outcome = version == it.version ? reply.outcome : store_outcome::conflict;
+        if (row != m_rows.end())
+        {
+            reply.current.push_back(row->second);
+        }
+    }
+    if (reply.outcome != store_outcome::done)
+    {
+        return reply;
+    }
+    reply.current.clear();
+    reply.version = ++m_version;
+    for (const auto& it : transaction.puts)
+    {
+        const gateway::stored_row row{.name = it.name, .value = it.value, .version = m_version};
+        m_rows[{transaction.partition, it.name}] = row;
+        m_log.push_back(row);
+    }
+    return reply;
+}
+
+gateway::query_reply row_table::read(const gateway::row_query& query) const
+{
+    gateway::query_reply reply{.answered = true, .version = m_version};
+    for (const auto& [at, row] : m_rows)
+    {
+        const bool inside = at.partition == query.partition && at.name.table == query.table &&
+                            at.name.key >= query.from && (query.to.empty() || at.name.key < query.to);
+        if (inside)
+        {
+            reply.rows.push_back(row);
+        }
+    }
+    return reply;
+}
+
+std::vector<gateway::stored_row> row_table::changes(const std::string& table,
+                                                    gateway::row_version version) const
+{
+    std::vector<gateway::stored_row> found;
+    std::ranges::copy_if(m_log, std::back_inserter(found),
+                         [&](const auto& it) { return it.name.table == table && it.version > version; });
+    return found;
+}
+
+void row_table::remove(const std::string& table, const std::string& key)
+{
+    m_rows.erase({"", {table, key}});
+    m_log.push_back({.name = {table, key}, .version = ++m_version, .removed = true});
+}
+
+memory_store::memory_store(row_table& rows, gateway::delay_function delay)
+    : m_rows(rows), m_delay(std::move(delay))
+{
+}
+
+void memory_store::transact(const gateway::row_transaction& transaction,
+                            gateway::transaction_callback on_reply)
+{
+    switch (mode)
+    {
+    case store_mode::good:
+        // Applied half way, as a real store would.
+        m_delay(latency / 2,
+                [this, transaction, on_reply]
+                {
+                    const auto reply = m_rows.apply(transaction);
+                    m_delay(latency / 2, [reply, on_reply] { on_reply(reply); });
+                });
+        return;
+    case store_mode::refusing:
+        m_delay(latency, [on_reply] { on_reply({.outcome = store_outcome::refused}); });
+        return;
+    case store_mode::answers_lost:
+        std::ignore = m_rows.apply(transaction);
+        [[fallthrough]];
+    case store_mode::silent:
+        m_delay(patience, [on_reply] { on_reply({.outcome = store_outcome::unknown}); });
+        return;
+    }
+}
+
+void memory_store::query(const gateway::row_query& query, gateway::query_callback on_reply)
+{
+    ++queries;
+    const bool answered = mode == store_mode::good || mode == store_mode::answers_lost;
+    m_delay(latency, [this, answered, query, on_reply]
+            { on_reply(answered ? m_rows.read(query) : gateway::query_reply{.answered = false}); });
+}
+
+void memory_store::follow(const std::string& table, gateway::row_version version, gateway::milliseconds wait,
+                          gateway::feed_callback on_reply)
+{
+    m_delay(wait / 100,
+            [this, table, version, on_reply]
+            {
+                if (mode != store_mode::good)
+                {
+                    on_reply({.outcome = gateway::feed_outcome::failed});
+                    return;
+                }
+                on_reply({.outcome = gateway::feed_outcome::changed,
+                          .rows = m_rows.changes(table, version),
+                          .version = m_rows.version()});
+            });
+}
+
+bool memory_store::reachable() const
+{
+    return says_reachable;
+}
+
+gateway::duration memory_store::steady_for() const
+{
+    return steady;
+}
+
+} // namespace masticcourse::testing
--- /dev/null
+++ b/tests/support/memory_rows.hpp
@@ -0,0 +1,88 @@
+/// @file
+/// The platform's table service in memory: versions, conditions, a feed, and faults on command.
+#pragma once
+
+#include "masticcourse/gateway/commit_queue.hpp"
+#include "masticcourse/gateway/row_store.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace masticcourse::testing
+{
+
+/// How calls end.
+enum class store_mode
+{
+    good,
+    /// Refused: nothing is done.
+    refusing,
+    /// No answer, and nothing is done.
+    silent,
+    /// Done, but the answer is lost.
+    answers_lost,
+};
+
+/// The rows themselves; several gateways may use one.
+class row_table
+{
+  public:
+    [[nodiscard]] gateway::transaction_reply apply(const gateway::row_transaction& transaction);
+    [[nodiscard]] gateway::query_reply read(const gateway::row_query& query) const;
+    /// Changes of @a table after @a version, in their order.
+    [[nodiscard]] std::vector<gateway::stored_row> changes(const std::string& table,
+                                                           gateway::row_version version) const;
+    void remove(const std::string& table, const std::string& key);
+    [[nodiscard]] gateway::row_version version() const
+    {
+        return m_version;
+    }
+    [[nodiscard]] std::size_t transactions() const
+    {
+        return m_transactions;
+    }
+
+  private:
+    struct place
+    {
+        std::string partition;
+        gateway::row_name name;
+        friend auto operator<=>(const place&, const place&) = default;
+    };
+
+    std::map<place, gateway::stored_row> m_rows;
+    std::vector<gateway::stored_row> m_log;
+    gateway::row_version m_version = 0;
+    std::size_t m_transactions = 0;
+};
+
+/// One gateway's way to the rows, in virtual time.
+class memory_store final : public gateway::row_store
+{
+  public:
+    memory_store(row_table& rows, gateway::delay_function delay);
+
+    void transact(const gateway::row_transaction& transaction,
+                  gateway::transaction_callback on_reply) override;
+    void query(const gateway::row_query& query, gateway::query_callback on_reply) override;
+    void follow(const std::string& table, gateway::row_version version, gateway::milliseconds wait,
+                gateway::feed_callback on_reply) override;
+    [[nodiscard]] bool reachable() const override;
+    [[nodiscard]] gateway::duration steady_for() const override;
+
+    store_mode mode = store_mode::good;
+    /// From a call to its answer.
+    gateway::milliseconds latency{10};
+    /// How long a silent call takes to fail.
+    gateway::milliseconds patience{100};
+    bool says_reachable = true;
+    gateway::duration steady = gateway::seconds{100};
+    std::size_t queries = 0;
+
+  private:
+    row_table& m_rows;
+    gateway::delay_function m_delay;
+};
+
+} // namespace masticcourse::testing
--- /dev/null
+++ b/tests/unit/test_gateway_commits.cpp
@@ -0,0 +1,123 @@
+// Group commit: batches, conflicts of one change among many, refusals, lost answers, time that is over.
+#include "masticcourse/gateway/commit_queue.hpp"
+
+#include "support/memory_rows.hpp"
+#include "support/virtual_time.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include <string>
+#include <vector>
+
+using namespace masticcourse;
+using namespace masticcourse::gateway;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct commit_world
+{
+    virtual_time time;
+    row_table rows;
+    memory_store store{rows, time.delays()};
+    commit_queue commits{store, time.delays(), time.clock()};
+    std::vector<change_result> results;
+
+    void put(const std::string& key, std::optional<row_version> expected = std::nullopt,
+             milliseconds life = 10s)
+    {
+        row_change change{.puts = {{{"t", key}, "value of " + key}}, .expires = time.now() + life};
+        if (expected)
+        {
+            change.condition = row_condition{{"t", key}, *expected};
+        }
+        commits.submit("p", std::move(change), [this](const change_result& it) { results.push_back(it); });
+    }
+
+    [[nodiscard]] std::size_t count(store_outcome outcome) const
+    {
+        return static_cast<std::size_t>(std::ranges::count(results, outcome, &change_result::outcome));
+    }
+};
+
+} // namespace
+
+TEST_CASE("what comes while a transaction is under way goes with the next one")
+{
+    commit_world world;
+    for (int n = 0; n < 50; ++n)
+    {
+        world.put(std::to_string(n));
+    }
+    world.time.run(100ms);
+    CHECK(world.count(store_outcome::done) == 50);
+    CHECK(world.rows.transactions() == 2);
+    CHECK(world.commits.pending() == 0);
+}
+
+TEST_CASE("a batch never holds more than the store takes")
+{
+    commit_world world;
+    for (int n = 0; n < 400; ++n)
+    {
+        world.put(std::to_string(n), 0);
+    }
+    world.time.run(1s);
+    CHECK(world.count(store_outcome::done) == 400);
+    // 90 entries a transaction, two a change: 45 of them.
+    CHECK(world.rows.transactions() >= 9);
+}
+
+TEST_CASE("a condition that fails is told to its own change; the others of the batch are written")
+{
+    commit_world world;
+    world.put("held");
+    world.time.run(100ms);
+    world.put("first");
+    world.put("held", 0);
+    world.put("free", 0);
+    world.time.run(100ms);
+    CHECK(world.count(store_outcome::done) == 3);
+    CHECK(world.count(store_outcome::conflict) == 1);
+    const auto conflict = std::ranges::find(world.results, store_outcome::conflict, &change_result::outcome);
+    REQUIRE(conflict->current);
+    CHECK(conflict->current->value == "value of held");
+}
+
+TEST_CASE("while the store refuses, changes wait and few calls are made; they are written on its return")
+{
+    commit_world world;
+    world.store.mode = store_mode::refusing;
+    world.put("a");
+    world.time.run(5s);
+    CHECK(world.results.empty());
+    world.store.mode = store_mode::good;
+    world.time.run(250ms);
+    CHECK(world.count(store_outcome::done) == 1);
+}
+
+TEST_CASE("a change whose time is over is given up as unknown, once")
+{
+    commit_world world;
+    world.store.mode = store_mode::silent;
+    world.put("a", std::nullopt, 300ms);
+    world.time.run(2s);
+    CHECK(world.count(store_outcome::unknown) == 1);
+    CHECK(world.commits.pending() == 0);
+}
+
+TEST_CASE("a lost answer to a conditional change shows as a conflict with its own value")
+{
+    commit_world world;
+    world.store.mode = store_mode::answers_lost;
+    world.put("a", 0);
+    world.time.run(50ms);
+    world.store.mode = store_mode::good;
+    world.time.run(500ms);
+    REQUIRE(world.count(store_outcome::conflict) == 1);
+    CHECK(world.results.front().current->value == "value of a");
+}
--- /dev/null
+++ b/tests/unit/test_gateway_course.cpp
@@ -0,0 +1,291 @@
+// One request on its way: what is sent again and what never, what is held until it is durable, and when
+// callers hear of it.
+#include "support/course_world.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <string>
+
+using namespace masticcourse;
+using namespace masticcourse::gateway;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string body_of(const caller_view& view)
+{
+    return view.response ? view.response->body : "(no answer)";
+}
+
+constexpr int status_unavailable = 503;
+constexpr int status_bad_gateway = 502;
+
+} // namespace
+
+TEST_CASE("what happens to a request whose answer is lost follows from its kind alone")
+{
+    struct row
+    {
+        const char* route;
+        http_failure failure;
+        std::size_t sent;
+        int status;
+    };
+    constexpr std::array table{
+        row{"lookup", http_failure::broken, 2, status_bad_gateway},
+        row{"lookup", http_failure::timeout, 2, status_bad_gateway},
+        row{"order", http_failure::broken, 1, status_bad_gateway},
+        row{"order", http_failure::timeout, 1, status_bad_gateway},
+        row{"stream", http_failure::broken, 1, status_bad_gateway},
+        // Nothing was sent: each target is tried, and the caller is told that the request has not run.
+        row{"lookup", http_failure::connect, 3, status_unavailable},
+        row{"order", http_failure::connect, 3, status_unavailable},
+        row{"stream", http_failure::connect, 3, status_unavailable},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.route);
+        CAPTURE(to_string(it.failure));
+        course_world world;
+        const auto view = world.send(world.make(it.route, "r"));
+        for (std::size_t n = 0; n < world.sent.size(); ++n)
+        {
+            world.sent[n]->fail(it.failure);
+        }
+        CHECK(world.sent.size() == it.sent);
+        REQUIRE(view->response);
+        CHECK(view->response->status == it.status);
+        std::set<std::string> targets;
+        std::ranges::for_each(world.sent, [&](const auto& one) { targets.insert(one->request.address); });
+        CHECK(targets.size() == it.sent);
+        for (const auto* id : {"t0", "t1", "t2"})
+        {
+            CHECK(world.targets.find({id})->in_flight == 0);
+        }
+    }
+}
+
+TEST_CASE(
+    "a target that states that it did not run the request is left for another, up to the route's attempts")
+{
+    for (const auto* route : {"lookup", "order", "stream"})
+    {
+        CAPTURE(route);
+        course_world world;
+        const auto view = world.send(world.make(route, "r"));
+        world.last()->refuse();
+        CHECK(world.sent.size() == 2);
+        world.last()->refuse();
+        CHECK(world.sent.size() == 2);
+        REQUIRE(view->response);
+        CHECK(view->response->status == status_unavailable);
+        CHECK(view->response->body == "targets_full");
+        CHECK(find_header(view->response->headers, "retry-after"));
+    }
+}
+
+TEST_CASE("a refusal without the target's statement, and a success without its mark, are lost answers")
+{
+    struct row
+    {
+        int status;
+        bool marked;
+    };
+    constexpr std::array table{row{503, true}, row{429, true}, row{408, true}, row{200, false}};
+    for (const auto& it : table)
+    {
+        CAPTURE(it.status);
+        course_world world;
+        const auto view = world.send(world.make("order", "r"));
+        world.last()->end(it.status, it.marked, "x");
+        CHECK(world.sent.size() == 1);
+        REQUIRE(view->response);
+        CHECK(view->response->status == status_bad_gateway);
+    }
+}
+
+TEST_CASE("a target's own failure reaches the caller as it is, if the request may not run again")
+{
+    course_world world;
+    const auto view = world.send(world.make("order", "r"));
+    world.last()->end(500, true, "its own words");
+    REQUIRE(view->response);
+    CHECK(view->response->status == 500);
+    CHECK(view->response->body == "its own words");
+}
+
+TEST_CASE("events are handed on as they come; a stream that breaks off is never told as whole")
+{
+    course_world world;
+    const auto view = world.send(world.make("stream", "r"));
+    world.last()->begin(200);
+    world.last()->event("one");
+    CHECK(view->text == "data: one\n\n");
+    SUBCASE("whole")
+    {
+        world.last()->end(200);
+        CHECK(view->ended);
+    }
+    SUBCASE("broken")
+    {
+        world.last()->fail(http_failure::broken);
+        CHECK(view->closed);
+        CHECK_FALSE(view->ended);
+    }
+    SUBCASE("the deadline")
+    {
+        world.time.run(3s);
+        CHECK(view->closed);
+        CHECK_FALSE(view->ended);
+        CHECK(world.last()->cancelled);
+    }
+}
+
+TEST_CASE("at the deadline a request is answered at once, and its target is told to stop")
+{
+    course_world world;
+    const auto view = world.send(world.make("order", "r"));
+    world.time.run(1'999ms);
+    CHECK_FALSE(view->response);
+    world.time.run(1ms);
+    REQUIRE(view->response);
+    CHECK(view->response->status == status_bad_gateway);
+    CHECK(world.last()->cancelled);
+}
+
+TEST_CASE("a caller who leaves stops the target's work")
+{
+    course_world world;
+    const auto view = world.send(world.make("stream", "r"));
+    REQUIRE(view->on_closed);
+    view->on_closed();
+    CHECK(world.last()->cancelled);
+    CHECK(world.ends == std::vector{course_end::cancelled});
+    CHECK(world.targets.find({world.last()->request.address})->in_flight == 0);
+}
+
+TEST_CASE("targets are told how long they may take: what the caller waits, less what has passed")
+{
+    course_world world;
+    std::ignore = world.send(world.make("lookup", "r"));
+    CHECK(find_header(world.last()->request.headers, "left") == "2000");
+    world.time.run(500ms);
+    world.last()->fail(http_failure::broken);
+    CHECK(find_header(world.last()->request.headers, "left") == "1500");
+}
+
+TEST_CASE("a turn reads what was said before it, and is followed by turns through any gateway")
+{
+    course_world world;
+    std::ignore = world.play_turn("a", "", {"one", "two"});
+    std::ignore = world.play_turn("b", "a", {"three"});
+    std::ignore = world.send(world.make_turn("c", "b"));
+    world.time.run(100ms);
+    CHECK(world.last()->request.body == "body of a;one\ntwo\nbody of b;three\nbody of c;");
+}
+
+TEST_CASE("no token is handed out before its reservation is durable")
+{
+    course_world world;
+    world.store.mode = store_mode::silent;
+    const auto view = world.send(world.make_turn("a"));
+    world.last()->begin(200);
+    world.last()->event("one");
+    world.time.run(200ms);
+    CHECK(view->text.empty());
+    world.store.mode = store_mode::good;
+    world.time.run(500ms);
+    CHECK(view->text == "data: one\n\n");
+}
+
+TEST_CASE("the end of a turn is handed out when the turn is durable, and not otherwise")
+{
+    course_world world;
+    const auto view = world.send(world.make_turn("a"));
+    world.time.run(100ms);
+    world.last()->begin(200);
+    world.last()->event("one");
+    world.store.mode = store_mode::silent;
+    world.last()->end(200);
+    world.time.run(500ms);
+    CHECK(view->text == "data: one\n\n");
+    CHECK_FALSE(view->ended);
+    SUBCASE("the store returns in time")
+    {
+        world.store.mode = store_mode::good;
+        world.time.run(500ms);
+        CHECK(view->ended);
+    }
+    SUBCASE("the store stays away: the answer is broken off")
+    {
+        world.time.run(3s);
+        CHECK(view->closed);
+        CHECK_FALSE(view->ended);
+    }
+}
+
+TEST_CASE("near the limit a turn is sent to no target before it is reserved, and refused without having run")
+{
+    course_world world;
+    std::ignore = world.play_turn("a", "", {"1", "2", "3", "4", "5"});
+    std::ignore = world.play_turn("b", "a", {"1", "2", "3", "4", "5"});
+    const auto sent = world.sent.size();
+    // 100 of 150 tokens are spent; the turn may take 100.
+    const auto view = world.send(world.make_turn("c", "b", 150));
+    CHECK(world.sent.size() == sent);
+    world.time.run(200ms);
+    CHECK(world.sent.size() == sent);
+    CHECK(body_of(*view) == "over_budget");
+}
+
+TEST_CASE("a turn after one that does not exist is refused; after one that can't be read, told to come back")
+{
+    course_world world;
+    const auto missing = world.send(world.make_turn("a", "none"));
+    world.time.run(200ms);
+    CHECK(body_of(*missing) == "no_such_turn");
+    world.store.mode = store_mode::refusing;
+    const auto unreadable = world.send(world.make_turn("b", "none"));
+    world.time.run(200ms);
+    CHECK(body_of(*unreadable) == "store_away");
+    CHECK(find_header(unreadable->response->headers, "retry-after"));
+    CHECK(world.sent.empty());
+}
+
+TEST_CASE("while the store is known to be away, turns are refused at once and tools go on")
+{
+    course_world world;
+    world.store.says_reachable = false;
+    world.store.mode = store_mode::refusing;
+    const auto turn = world.send(world.make_turn("a"));
+    CHECK(body_of(*turn) == "store_away");
+    const auto tool = world.send(world.make("order", "b"));
+    world.last()->end(200, true, "done");
+    CHECK(body_of(*tool) == "done");
+}
+
+TEST_CASE("a turn that its caller left is charged what was handed out, and leaves no reservation")
+{
+    course_world world;
+    const auto view = world.send(world.make_turn("a", "", 420));
+    world.time.run(100ms);
+    world.last()->begin(200);
+    world.last()->event("1");
+    view->on_closed();
+    world.time.run(1s);
+    // 420 less two events of ten tokens (the second may have been cut off) hold four turns of 100.
+    for (const auto* id : {"b", "c", "d", "e"})
+    {
+        std::ignore = world.send(world.make_turn(id, "", 420));
+        world.time.run(200ms);
+    }
+    CHECK(world.sent.size() == 5);
+    const auto over = world.send(world.make_turn("f", "", 420));
+    world.time.run(200ms);
+    CHECK(body_of(*over) == "over_budget");
+}
--- /dev/null
+++ b/tests/unit/test_gateway_spending.cpp
@@ -0,0 +1,234 @@
+// Budgets over several gateways that share nothing but the store.
+#include "masticcourse/gateway/program_spending.hpp"
+
+#include "support/memory_rows.hpp"
+#include "support/virtual_time.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace masticcourse;
+using namespace masticcourse::gateway;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct spender
+{
+    spender(row_table& rows, virtual_time& time)
+        : store(rows, time.delays()), commits(store, time.delays(), time.clock()),
+          spending(store, commits, time.delays(), time.clock())
+    {
+    }
+
+    memory_store store;
+    commit_queue commits;
+    program_spending spending;
+};
+
+struct spending_world
+{
+    virtual_time time;
+    row_table rows;
+    std::vector<std::unique_ptr<spender>> gateways;
+    std::map<std::string, reservation_outcome> outcomes;
+
+    explicit spending_world(std::size_t count)
+    {
+        for (std::size_t n = 0; n < count; ++n)
+        {
+            gateways.push_back(std::make_unique<spender>(rows, time));
+        }
+    }
+
+    void reserve(std::size_t at, const std::string& request, token_count tokens, token_count budget,
+                 bool first = false, milliseconds life = 3s)
+    {
+        gateways[at]->spending.reserve({.program = {"p"},
+                                        .request = {request},
+                                        .tokens = tokens,
+                                        .budget = budget,
+                                        .first = first,
+                                        .expires = time.now() + life},
+                                       [this, request](reservation_outcome it) { outcomes[request] = it; });
+    }
+
+    [[nodiscard]] bool has(const std::string& request, reservation_outcome outcome) const
+    {
+        const auto it = outcomes.find(request);
+        return it != outcomes.end() && it->second == outcome;
+    }
+};
+
+} // namespace
+
+TEST_CASE("rows are read as they were written, and what is none is refused")
+{
+    const spending_row row{.spent = 12, .reserved = {{{"a"}, 3}, {{"b"}, 4}}};
+    const auto read = decode_spending(encode(row));
+    REQUIRE(read);
+    CHECK(read->committed() == 19);
+    CHECK(read->has({"b"}));
+    for (const auto* text :
+         {"", "{}", "[1]", R"({"spent":"x","reserved":{}})", R"({"spent":1,"reserved":{"a":"b"}})"})
+    {
+        CHECK_FALSE(decode_spending(text));
+    }
+}
+
+TEST_CASE("a turn is refused only when the budget does not hold it")
+{
+    spending_world world{1};
+    world.reserve(0, "a", 60, 100, true);
+    world.time.run(100ms);
+    CHECK(world.has("a", reservation_outcome::granted));
+    world.reserve(0, "b", 60, 100);
+    world.time.run(100ms);
+    CHECK(world.has("b", reservation_outcome::over_budget));
+    world.gateways[0]->spending.settle({"p"}, {"a"}, 10);
+    world.reserve(0, "c", 60, 100);
+    world.time.run(100ms);
+    CHECK(world.has("c", reservation_outcome::granted));
+}
+
+TEST_CASE("a refusal rests on the row as it is, not as it was once known")
+{
+    spending_world world{2};
+    world.reserve(0, "a", 60, 100, true);
+    world.time.run(100ms);
+    world.reserve(1, "b", 60, 100);
+    world.time.run(100ms);
+    CHECK(world.has("b", reservation_outcome::over_budget));
+    // The first gateway settles; the second still remembers the full reservation.
+    world.gateways[0]->spending.settle({"p"}, {"a"}, 5);
+    world.time.run(1s);
+    world.reserve(1, "c", 60, 100);
+    world.time.run(100ms);
+    CHECK(world.has("c", reservation_outcome::granted));
+}
+
+TEST_CASE("a turn's end is settled soon, also if no further turn follows")
+{
+    spending_world world{2};
+    world.reserve(0, "a", 60, 100, true);
+    world.time.run(100ms);
+    world.gateways[0]->spending.settle({"p"}, {"a"}, 5);
+    // Within the second in which the platform counts it in full anyway.
+    world.time.run(900ms);
+    world.reserve(1, "b", 90, 100);
+    world.time.run(100ms);
+    CHECK(world.has("b", reservation_outcome::granted));
+}
+
+TEST_CASE("a reservation whose answer was lost is granted once, and counted once")
+{
+    spending_world world{1};
+    world.gateways[0]->store.mode = store_mode::answers_lost;
+    world.reserve(0, "a", 60, 100, true);
+    world.time.run(50ms);
+    world.gateways[0]->store.mode = store_mode::good;
+    world.time.run(1s);
+    CHECK(world.has("a", reservation_outcome::granted));
+    world.reserve(0, "b", 40, 100);
+    world.time.run(100ms);
+    CHECK(world.has("b", reservation_outcome::granted));
+}
+
+TEST_CASE("while the store is away nothing is granted, and claims end with their time")
+{
+    spending_world world{1};
+    world.gateways[0]->store.mode = store_mode::silent;
+    world.reserve(0, "a", 10, 100, true, 500ms);
+    world.time.run(400ms);
+    CHECK(world.outcomes.empty());
+    world.time.run(600ms);
+    CHECK(world.has("a", reservation_outcome::unavailable));
+}
+
+TEST_CASE("a claim given up before it was written leaves nothing behind")
+{
+    spending_world world{1};
+    world.reserve(0, "a", 60, 100, true);
+    world.reserve(0, "b", 40, 100);
+    world.gateways[0]->spending.settle({"p"}, {"b"}, 0);
+    world.time.run(1s);
+    CHECK(world.outcomes.count("b") == 0);
+    world.reserve(0, "c", 40, 100);
+    world.time.run(100ms);
+    CHECK(world.has("c", reservation_outcome::granted));
+}
+
+TEST_CASE("a row that can't be read grants nothing")
+{
+    spending_world world{1};
+    world.reserve(0, "a", 1, 100, true);
+    world.time.run(100ms);
+    std::ignore = world.rows.apply({.partition = "p0", .puts = {{{"spending", "p"}, "?"}}});
+    for (int n = 0; n < 16; ++n)
+    {
+        std::ignore =
+            world.rows.apply({.partition = "p" + std::to_string(n), .puts = {{{"spending", "p"}, "?"}}});
+    }
+    world.reserve(0, "b", 1, 100);
+    world.time.run(200ms);
+    CHECK(world.has("b", reservation_outcome::over_budget));
+}
+
+// Load pattern: a runaway program starts a dozen sub-agents at once over several gateways while the store
+// loses answers, refuses and falls silent, and gateways die with turns under way. What was granted and not
+// settled must never add up to more than the budget.
+TEST_CASE("over all gateways, with every fault, no more is granted than the budget holds")
+{
+    constexpr token_count budget = 900;
+    constexpr token_count most = 280;
+    for (unsigned seed = 0; seed < 60; ++seed)
+    {
+        CAPTURE(seed);
+        std::mt19937 random{seed};
+        const auto draw = [&random](unsigned n) { return static_cast<unsigned>(random() % n); };
+        spending_world world{3};
+        std::map<std::string, token_count> counted;
+        int next = 0;
+        for (int step = 0; step < 120; ++step)
+        {
+            const auto at = draw(3);
+            constexpr std::array modes{store_mode::good, store_mode::good, store_mode::refusing,
+                                       store_mode::silent, store_mode::answers_lost};
+            world.gateways[at]->store.mode = modes.at(draw(modes.size()));
+            if (draw(40) == 0)
+            {
+                // The process is lost with all that it knew; what it had under way stays behind in the clock.
+                static std::vector<std::unique_ptr<spender>> graveyard;
+                graveyard.push_back(
+                    std::exchange(world.gateways[at], std::make_unique<spender>(world.rows, world.time)));
+            }
+            const auto name = std::to_string(next++);
+            counted[name] = 0;
+            world.reserve(at, name, most, budget, draw(4) == 0);
+            world.time.run(milliseconds{draw(150)});
+            for (auto& [request, tokens] : counted)
+            {
+                if (tokens == 0 && world.has(request, reservation_outcome::granted))
+                {
+                    tokens = most;
+                }
+            }
+            if (draw(2) == 0 && world.has(name, reservation_outcome::granted))
+            {
+                counted[name] = draw(most) + 1;
+                world.gateways[at]->spending.settle({"p"}, {name}, counted[name]);
+            }
+            token_count sum = 0;
+            std::ranges::for_each(counted, [&sum](const auto& it) { sum += it.second; });
+            CHECK(sum <= budget);
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/test_gateway_turns.cpp
@@ -0,0 +1,124 @@
+// Turns in the store: found by their id alone, put together in order, never confused with what is not there.
+#include "masticcourse/gateway/turn_store.hpp"
+
+#include "support/memory_rows.hpp"
+#include "support/virtual_time.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <optional>
+#include <string>
+
+using namespace masticcourse;
+using namespace masticcourse::gateway;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t roomy = 1'000'000;
+constexpr std::size_t row_bytes = 200;
+
+struct turn_world
+{
+    virtual_time time;
+    row_table rows;
+    memory_store store{rows, time.delays()};
+    commit_queue commits{store, time.delays(), time.clock()};
+    turn_store writer{store, commits, roomy, row_bytes};
+    turn_store reader{store, commits, roomy, row_bytes};
+
+    bool keep(const std::string& id, std::vector<request_id> ancestors, const std::string& input,
+              const std::string& output)
+    {
+        bool kept = false;
+        writer.keep({id}, {std::move(ancestors), input, output}, time.now() + 1s,
+                    [&kept](bool it) { kept = it; });
+        time.run(2s);
+        return kept;
+    }
+
+    turn_chain load(turn_store& from, const std::string& id)
+    {
+        std::optional<turn_chain> loaded;
+        from.load_chain({id}, [&loaded](turn_chain it) { loaded = std::move(it); });
+        time.run(1s);
+        REQUIRE(loaded);
+        return *loaded;
+    }
+};
+
+} // namespace
+
+TEST_CASE("any gateway puts a chain together from the last turn's id, byte for byte")
+{
+    turn_world world;
+    const std::string odd{"line\r\n\0\xff\x80 ", 11};
+    REQUIRE(world.keep("a", {}, "in a;", "out a\n"));
+    REQUIRE(world.keep("b", {{"a"}}, odd, std::string(1'000, 'x') + "\n"));
+    REQUIRE(world.keep("c", {{"a"}, {"b"}}, "in c;", ""));
+    const auto expected = "in a;out a\n" + odd + std::string(1'000, 'x') + "\nin c;";
+    for (auto* const from : {&world.writer, &world.reader})
+    {
+        const auto chain = world.load(*from, "c");
+        CHECK(chain.outcome == chain_outcome::found);
+        CHECK(chain.prompt == expected);
+        CHECK(chain.turns == std::vector<request_id>{{"a"}, {"b"}, {"c"}});
+    }
+    // Three rows in two rounds; the second time none.
+    CHECK(world.store.queries == 3);
+    std::ignore = world.load(world.reader, "c");
+    CHECK(world.store.queries == 3);
+}
+
+TEST_CASE("a turn that is not there is missing; one that can't be asked for is not")
+{
+    turn_world world;
+    REQUIRE(world.keep("ab", {}, "in", "out\n"));
+    // A longer id, and a shorter one, are other turns.
+    CHECK(world.load(world.reader, "a").outcome == chain_outcome::missing);
+    CHECK(world.load(world.reader, "abc").outcome == chain_outcome::missing);
+    world.store.mode = store_mode::refusing;
+    CHECK(world.load(world.reader, "ab").outcome == chain_outcome::unavailable);
+    world.store.mode = store_mode::good;
+    CHECK(world.load(world.reader, "ab").outcome == chain_outcome::found);
+}
+
+TEST_CASE("a turn counts as kept only when the store has said so")
+{
+    turn_world world;
+    world.store.mode = store_mode::silent;
+    CHECK_FALSE(world.keep("a", {}, "in", "out\n"));
+    world.store.mode = store_mode::good;
+    CHECK(world.load(world.writer, "a").outcome == chain_outcome::missing);
+}
+
+TEST_CASE("records are read as they were written; damaged ones are none")
+{
+    const turn_record turn{{{"x"}, {"y"}}, "input", std::string(900, 'o')};
+    const auto pieces = encode_turn(turn, row_bytes);
+    CHECK(pieces.size() > 1);
+    CHECK(decode_turn(pieces) == turn);
+    CHECK_FALSE(decode_turn({pieces.front()}));
+    CHECK_FALSE(decode_turn({}));
+    CHECK_FALSE(decode_turn({"\xa0"}));
+}
+
+TEST_CASE("memory for turns has a bound; the least recently used go first")
+{
+    turn_cache cache{3'000};
+    const auto make = [] {
+        return std::make_shared<const turn_record>(turn_record{{}, std::string(500, 'i'), ""});
+    };
+    cache.put({"a"}, make());
+    cache.put({"b"}, make());
+    CHECK(cache.get({"a"}) != nullptr);
+    cache.put({"c"}, make());
+    cache.put({"d"}, make());
+    CHECK(cache.bytes() <= 3'100);
+    CHECK(cache.get({"a"}) != nullptr);
+    cache.put({"e"}, make());
+    CHECK(cache.get({"b"}) == nullptr);
+}
