A call to the store whose answer does not come is made once more, on a new connection

Ruled out: the store's rate (no 429), the targets (their runs ended in time), the relay (turned away two gateways only). A claim that stands in the row already is granted without a write.

--- a/include/masticcourse/gateway/store_path.hpp
+++ b/include/masticcourse/gateway/store_path.hpp
@@ -50,6 +50,10 @@
         return m_call_limit;
     }
 
+    /// @return how long to wait for an answer before the same call is made once more on a new connection:
+    /// answers get lost, and connections fall silent. Calls may be made twice: their conditions hold once.
+    [[nodiscard]] milliseconds repeat_after() const;
+
     /// Takes note of a direct call or probe.
     /// @param probe whether it was sent to find out, so that its silence decides
     void on_direct(hop_result result, milliseconds took, time_point now, bool probe);
--- a/src/gateway/course.cpp
+++ b/src/gateway/course.cpp
@@ -573,6 +573,9 @@
                {"target", m_tried.empty() ? "-" : m_tried.back().value},
                {"attempts", std::to_string(m_tried.size())},
                {"events", std::to_string(m_events)},
+               {"budget", program && program->budget ? std::to_string(*program->budget) : "-"},
+               {"most", program ? std::to_string(program->most_tokens) : "-"},
+               {"previous", program && program->previous ? program->previous->value : "-"},
                {"ms", std::to_string(elapsed.count())}});
 }
 
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -262,6 +262,14 @@
         }
         return;
     }
+    if (settled.empty() && next.reserved.size() == entry.row->reserved.size())
+    {
+        // All of it stands in the row already: the answers to earlier writes were lost.
+        entry.busy = false;
+        std::ranges::for_each(admitted, [](const claim& it) { it.on_result(reservation_outcome::granted); });
+        step(id);
+        return;
+    }
     const auto latest = [](time_point t, const claim& it) { return std::max(t, it.request.expires); };
     const auto expires =
         std::accumulate(admitted.begin(), admitted.end(),
--- a/src/gateway/store_path.cpp
+++ b/src/gateway/store_path.cpp
@@ -16,6 +16,11 @@
 constexpr milliseconds most_limit{2'500};
 /// How many times as long as usual a call may take.
 constexpr double limit_factor = 8;
+/// How many times as long as usual an answer may take before the call is repeated. With a third of the
+/// answers lost, a turn needs two writes: at 60 ms each repetition costs little of a turn's time, and a store
+/// that is merely slow gets at most one call more, as what is usual follows it.
+constexpr double repeat_factor = 3;
+constexpr milliseconds least_repeat{60};
 /// The share of the newest call in what is usual.
 constexpr double newest_share = 0.1;
 /// Refusals for the rate in a row that are taken for being turned away: at ten gateways' even share of a busy
@@ -72,6 +77,11 @@
     m_last_failure = now;
 }
 
+milliseconds store_path::repeat_after() const
+{
+    return std::max(least_repeat, milliseconds{static_cast<milliseconds::rep>(m_usual_ms * repeat_factor)});
+}
+
 bool store_path::take_probe(time_point now)
 {
     const bool due = (m_cut_off || m_probe_wanted) && now >= m_last_probe + probe_period;
