--- a/include/masticcourse/net/http_server.hpp
+++ b/include/masticcourse/net/http_server.hpp
@@ -57,10 +57,10 @@
 {
     std::size_t max_body = std::size_t{8} * 1024 * 1024;
     std::size_t max_header = std::size_t{16} * 1024;
-    /// From a request's first byte to the end of its header.
-    std::chrono::milliseconds header_timeout{30'000};
-    /// For the body after it.
+    /// From a request's first byte to its last; if `header_timeout` is set, for its body only.
     std::chrono::milliseconds read_timeout{30'000};
+    /// From a request's first byte to the end of its header; zero leaves it to `read_timeout`.
+    std::chrono::milliseconds header_timeout{0};
     /// Between two requests of one connection.
     std::chrono::milliseconds idle_timeout{60'000};
     /// For a caller to take the bytes of one write.
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -247,13 +247,18 @@
             self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_receive, ignored);
         }
     };
-    m_deadline.set(m_server->limits.header_timeout, stop_reading);
+    const auto limits = m_server->limits;
+    const bool header_apart = limits.header_timeout.count() > 0;
+    m_deadline.set(header_apart ? limits.header_timeout : limits.read_timeout, stop_reading);
     auto [ec, n] = co_await http::async_read_header(m_socket, m_buffer, parser, use_tuple);
     if (!ec && ambiguous_length(parser.get()))
     {
         ec = http::error::bad_transfer_encoding;
     }
-    m_deadline.set(m_server->limits.read_timeout, stop_reading);
+    if (!ec && header_apart)
+    {
+        m_deadline.set(limits.read_timeout, stop_reading);
+    }
     if (!ec && !parser.is_done() && boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
     {
         static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
--- /dev/null
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -0,0 +1,271 @@
+// Whole gateways on loopback against a stand-in of the platform: the main job, faults of the store, the way
+// through a peer, graceful stop.
+#include "request_codec.hpp"
+#include "row_codec.hpp"
+#include "row_store_client.hpp"
+
+#include "masticcourse/gateway/gateway.hpp"
+
+#include "net_fixture.hpp"
+#include "platform_target.hpp"
+#include "table_service.hpp"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace masticcourse;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+using standins::table_fault;
+
+namespace
+{
+
+/// A port that was free a moment ago.
+std::string free_address(boost::asio::io_context& context)
+{
+    const boost::asio::ip::tcp::endpoint any{boost::asio::ip::address_v4::loopback(), 0};
+    const boost::asio::ip::tcp::acceptor acceptor{context, any};
+    return loopback(acceptor.local_endpoint().port());
+}
+
+/// One gateway process's parts, on a thread of their own.
+struct gateway_process
+{
+    gateway_process(const std::string& store_address, const std::string& node)
+        : callers(free_address(threads.context())), readiness(free_address(threads.context())),
+          store(threads.context(), {store_address, free_address(threads.context()), node}, delays(), metrics),
+          gateway(threads.context(),
+                  {.frontend = callers,
+                   .readiness = readiness,
+                   .readiness_path = "/readyz",
+                   .own_domain = {"here"},
+                   .cache_bytes = 1'000'000,
+                   .row_bytes = 10'000,
+                   .stop_grace = 8s},
+                  protocol, store, platform::make_table_decoders())
+    {
+        boost::asio::post(threads.context(),
+                          [this]
+                          {
+                              store.start();
+                              gateway.start();
+                              started = true;
+                          });
+    }
+    gateway_process(const gateway_process&) = delete;
+    gateway_process(gateway_process&&) = delete;
+    gateway_process& operator=(const gateway_process&) = delete;
+    gateway_process& operator=(gateway_process&&) = delete;
+    ~gateway_process()
+    {
+        threads.stop();
+    }
+
+    gateway::delay_function delays()
+    {
+        return [this](gateway::milliseconds after, std::function<void()> action)
+        {
+            auto timer = std::make_shared<boost::asio::steady_timer>(threads.context(), after);
+            timer->async_wait(
+                [timer, action = std::move(action)](boost::system::error_code ec)
+                {
+                    if (!ec)
+                    {
+                        action();
+                    }
+                });
+        };
+    }
+
+    io_threads threads{1};
+    std::atomic<bool> started = false;
+    std::string callers;
+    std::string readiness;
+    metrics_registry metrics;
+    platform::platform_protocol protocol;
+    platform::row_store_client store;
+    gateway::gateway gateway;
+};
+
+constexpr const char* config = R"({"version":7,"routes":[
+  {"name":"turns","host":"h","prefix":"/turn/","type":"streaming","timeoutMs":5000,"service":"llm","maxAttempts":2,
+   "retentionEnabled":true,"retentionS":60.0},
+  {"name":"tool","host":"h","prefix":"/tool/","type":"non_idempotent","service":"app","timeoutMs":5000}],
+  "services":[{"name":"llm","engine":{"tokensPerEvent":10}},{"name":"app"}]})";
+
+/// The platform: its store, an engine, a plain service. The store is one for all, or each gateway has its own
+/// way.
+struct platform_world
+{
+    platform_world()
+    {
+        store.put("op", "config", config);
+        store.put("servers", "i-engine", engine.registry_entry("llm", "ready"));
+        store.put("servers", "i-app", app.registry_entry("app", "ready"));
+    }
+    platform_world(const platform_world&) = delete;
+    platform_world(platform_world&&) = delete;
+    platform_world& operator=(const platform_world&) = delete;
+    platform_world& operator=(platform_world&&) = delete;
+    ~platform_world()
+    {
+        threads.stop();
+    }
+
+    http_client_reply send(const gateway_process& to, const std::string& path, const std::string& id,
+                           const std::string& previous = "")
+    {
+        http_client_request request{.address = to.callers,
+                                    .method = "POST",
+                                    .target = path,
+                                    .body = "input of " + id + ";",
+                                    .headers = {{"Host", "h"},
+                                                {"Masticcourse-Request-Id", id},
+                                                {"Masticcourse-Program-Id", "p"},
+                                                {"Masticcourse-Token-Budget", "1000"},
+                                                {"Masticcourse-Token-Usage", "10,100"}}};
+        if (!previous.empty())
+        {
+            request.headers.push_back({"Masticcourse-Previous-Turn", previous});
+        }
+        return fetch(client, std::move(request));
+    }
+
+    bool ready(const gateway_process& it)
+    {
+        return fetch(client, {.address = it.readiness, .target = "/readyz"}).status == 200;
+    }
+
+    void wait_ready(const gateway_process& it)
+    {
+        REQUIRE(eventually([&] { return ready(it); }));
+    }
+
+    io_threads threads{1};
+    standins::table_service store{threads.context(), "127.0.0.1:0"};
+    standins::platform_target engine{threads.context(), "127.0.0.1:0", "i-engine", true};
+    standins::platform_target app{threads.context(), "127.0.0.1:0", "i-app", false};
+    http_client client{threads.context()};
+};
+
+} // namespace
+
+TEST_CASE("a turn, a tool call, and the next turn through another gateway")
+{
+    platform_world world;
+    gateway_process first{loopback(world.store.port()), "first"};
+    gateway_process second{loopback(world.store.port()), "second"};
+    world.wait_ready(first);
+    world.wait_ready(second);
+
+    const auto turn = world.send(first, "/turn/1", "a1");
+    CHECK(turn.status == 200);
+    CHECK(turn.header("Masticcourse-Response-Signature") == "by-i-engine");
+    CHECK(turn.body == "id: 1\ndata: a1-1\n\nid: 2\ndata: a1-2\n\nid: 3\ndata: a1-3\n\n");
+    CHECK(world.send(first, "/tool/1", "b1").body == "answer to b1");
+    CHECK(world.send(second, "/turn/1", "a2", "a1").status == 200);
+    REQUIRE(world.engine.requests().size() == 2);
+    CHECK(world.engine.requests()[1].body == "input of a1;a1-1\na1-2\na1-3\ninput of a2;");
+    CHECK(world.app.requests().size() == 1);
+
+    CHECK(world.send(second, "/turn/1", "a3", "none").status == 404);
+    CHECK(world.send(second, "/elsewhere/1", "a4").status == 404);
+    CHECK(world.engine.requests().size() == 2);
+}
+
+TEST_CASE("before the first configuration nothing is refused as unknown")
+{
+    io_threads threads{1};
+    standins::table_service empty{threads.context(), "127.0.0.1:0"};
+    gateway_process gateway{loopback(empty.port()), "only"};
+    REQUIRE(eventually([&] { return gateway.started.load(); }));
+    platform_world world;
+    CHECK_FALSE(world.ready(gateway));
+    const auto refused = world.send(gateway, "/turn/1", "a1");
+    CHECK(refused.status == 503);
+    CHECK(refused.header("Retry-After"));
+    empty.put("op", "config", config);
+    world.wait_ready(gateway);
+    CHECK(world.send(gateway, "/elsewhere/1", "a2").status == 404);
+    threads.stop();
+}
+
+TEST_CASE("a new configuration and a leaving target are known from the feed, also after the store forgot its "
+          "history")
+{
+    platform_world world;
+    gateway_process gateway{loopback(world.store.port()), "only"};
+    world.wait_ready(gateway);
+    CHECK(world.send(gateway, "/tool/1", "b1").status == 200);
+    world.store.forget_history();
+    world.store.put("servers", "i-app", world.app.registry_entry("app", "draining"));
+    REQUIRE(eventually([&] { return world.send(gateway, "/tool/1", "b2").status == 503; }));
+    std::string later = config;
+    later.replace(later.find("\"version\":7"), 11, "\"version\":8");
+    later.replace(later.find("/tool/"), 6, "/other/");
+    world.store.put("op", "config", later);
+    REQUIRE(eventually([&] { return world.send(gateway, "/tool/1", "b3").status == 404; }));
+    // The same again, and an older one, change nothing.
+    world.store.put("op", "config", config);
+    CHECK(world.send(gateway, "/tool/1", "b4").status == 404);
+}
+
+TEST_CASE("answers of the store that are lost cost time and nothing else")
+{
+    platform_world world;
+    gateway_process gateway{loopback(world.store.port()), "only"};
+    world.wait_ready(gateway);
+    world.store.set_fault(table_fault::lose_answers);
+    boost::asio::steady_timer back{world.threads.context(), 300ms};
+    back.async_wait([&](auto) { world.store.set_fault(table_fault::none); });
+    const auto turn = world.send(gateway, "/turn/1", "a1");
+    CHECK(turn.status == 200);
+    CHECK(turn.body.size() == std::string("id: 1\ndata: a1-1\n\n").size() * 3);
+    CHECK(world.send(gateway, "/turn/1", "a2", "a1").status == 200);
+}
+
+TEST_CASE("a gateway that the store turns away serves through a peer; without one it refuses turns and "
+          "serves tools")
+{
+    platform_world world;
+    // A second way to the same rows would need a proxy: the first gateway's own way is closed by its address.
+    gateway_process near{loopback(world.store.port()), "near"};
+    gateway_process cut_off{loopback(world.store.port()), "cut-off"};
+    world.wait_ready(near);
+    world.wait_ready(cut_off);
+    // Both have read each other's address once the list has been read anew.
+    std::this_thread::sleep_for(3'200ms);
+    boost::asio::post(cut_off.threads.context(), [&] { cut_off.store.set_address("127.0.0.1:1"); });
+    CHECK(eventually(
+        [&]
+        { return world.send(cut_off, "/turn/1", "a" + std::to_string(world.store.calls())).status == 200; }));
+    world.store.set_fault(table_fault::refuse);
+    REQUIRE(eventually([&] { return world.send(cut_off, "/turn/1", "c1").status == 503; }));
+    CHECK(world.send(cut_off, "/tool/1", "b1").status == 200);
+    world.store.set_fault(table_fault::none);
+    CHECK(eventually(
+        [&]
+        { return world.send(cut_off, "/turn/1", "d" + std::to_string(world.store.calls())).status == 200; }));
+}
+
+TEST_CASE("a stopping gateway is not ready, answers what still comes, says that it closes, and ends")
+{
+    platform_world world;
+    gateway_process gateway{loopback(world.store.port()), "only"};
+    world.wait_ready(gateway);
+    std::atomic<bool> stopped = false;
+    boost::asio::post(gateway.threads.context(), [&] { gateway.gateway.stop([&] { stopped = true; }); });
+    REQUIRE(eventually([&] { return !world.ready(gateway); }));
+    const auto late = world.send(gateway, "/turn/1", "a1");
+    CHECK(late.status == 200);
+    CHECK(late.header("Connection") == "close");
+    CHECK(eventually([&] { return stopped.load(); }));
+}
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -462,3 +462,56 @@
         CHECK(server.requests() == it.requests);
     }
 }
+
+TEST_CASE("a body whose length two readers could take differently is refused, and nothing behind it is read")
+{
+    http_fixture fixture;
+    for (const auto* encoding : {"identity", "gzip", "chunked, identity", "xchunked", "gzip, chunked"})
+    {
+        CAPTURE(encoding);
+        raw_socket raw{fixture.server.port()};
+        raw.write(std::string{"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "} + encoding +
+                  "\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto text = raw.read_all();
+        CHECK(text.starts_with("HTTP/1.1 400"));
+        CHECK(text.find("smuggled") == std::string::npos);
+    }
+}
+
+TEST_CASE("answers that belong to other requests are dropped")
+{
+    io_threads threads;
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor{context, {boost::asio::ip::address_v4::loopback(), 0}};
+    std::jthread server{[&]
+                        {
+                            auto socket = acceptor.accept();
+                            std::string request;
+                            boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+                            const std::string answers =
+                                "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
+                                "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\nown";
+                            boost::asio::write(socket, boost::asio::buffer(answers));
+                        }};
+    http_client client{threads.context()};
+    const auto reply = fetch(
+        client, {.address = loopback(acceptor.local_endpoint().port()),
+                 .is_own_answer = [](const http_client_reply& it) { return it.header("Id") == "own"; }});
+    CHECK(reply.failure == http_failure::none);
+    CHECK(reply.body == "own");
+    threads.stop();
+}
+
+TEST_CASE("a server that announces its end takes new connections and closes each after its answer")
+{
+    http_fixture fixture;
+    fixture.server.announce_close();
+    for (int n = 0; n < 2; ++n)
+    {
+        raw_socket raw{fixture.server.port()};
+        raw.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto text = raw.read_all();
+        CHECK(text.starts_with("HTTP/1.1 200"));
+        CHECK(text.find("Connection: close") != std::string::npos);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_platform_codec.cpp
@@ -0,0 +1,334 @@
+// What the adapter makes of the platform's requests, answers, rows and settings.
+#include "base64.hpp"
+#include "gateway_settings.hpp"
+#include "request_codec.hpp"
+#include "row_codec.hpp"
+#include "store_codec.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+using namespace masticcourse;
+using namespace masticcourse::platform;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+http_request make_request(std::vector<http_header> headers)
+{
+    headers.push_back({"Host", "a.example"});
+    headers.push_back({"Masticcourse-Request-Id", "9c41d07be2a35f68"});
+    return {.method = "POST", .target = "/x/1", .body = "body", .headers = std::move(headers)};
+}
+
+gateway::gateway_request decode(std::vector<http_header> headers)
+{
+    auto decoded = platform_protocol{}.decode(make_request(std::move(headers)));
+    REQUIRE(std::holds_alternative<gateway::gateway_request>(decoded));
+    return std::get<gateway::gateway_request>(std::move(decoded));
+}
+
+http_client_request forwarded(const std::vector<http_header>& headers)
+{
+    const gateway::target_record target{.id = {"i-1"}, .address = "10.0.0.1:80"};
+    return platform_protocol{}.encode(decode(headers), "whole body", target, 1'250ms);
+}
+
+gateway::stored_row make_row(const std::string& key, const std::string& value)
+{
+    return {.name = {"t", key}, .value = value, .version = 7};
+}
+
+const std::string good_config = R"({"version":7,"unknown":1,"routes":[
+  {"name":"turns","host":"h","prefix":"/a/","type":"streaming","timeoutMs":3000,"targetLatencyMs":250,"priority":1,
+   "backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2,"retentionEnabled":true,
+   "retentionS":60.0,"sticky":true},
+  {"name":"tool","host":"h","prefix":"/b/","type":"non_idempotent","service":"s2","timeoutMs":1500.0}],
+  "services":[{"name":"s1","healthPath":"/healthz","maxConnections":130,"engine":{"tokensPerEvent":14}},
+  {"name":"s2"}],"limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400}})";
+
+const std::string good_settings = R"(node = "n"
+failure_domain = "d"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+metrics = "127.0.0.1:4"
+[store]
+address = "127.0.0.1:5"
+row_bytes = 65536
+[limits]
+memory_mb = 130
+stop_grace_s = 8.5
+steady_after_ms = 3000
+)";
+
+} // namespace
+
+TEST_CASE("what only the system may set is not taken from callers, however it is spelled")
+{
+    for (const auto* name : {"Masticcourse-Hold", "masticcourse-pin-ms", "Masticcourse-Kv-Backup", "KV-FROM",
+                             "Kv-Fetch", "Masticcourse-Expect-Instance"})
+    {
+        CAPTURE(name);
+        const auto sent = forwarded({{name, "forged"}});
+        CHECK(std::ranges::none_of(sent.headers, [](const auto& it) { return it.value == "forged"; }));
+    }
+}
+
+TEST_CASE("headers of one connection stay behind, the others go on as they came, twice if they came twice")
+{
+    const auto sent = forwarded({{"Connection", "keep-alive, X-Hop , masticcourse-request-id"},
+                                 {"X-Hop", "1"},
+                                 {"Keep-Alive", "timeout=5"},
+                                 {"Transfer-Encoding", "chunked"},
+                                 {"Content-Length", "4"},
+                                 {"X-Twice", "a"},
+                                 {"X-Twice", "b"},
+                                 {"Masticcourse-Session-Id", "s"}});
+    for (const auto* name : {"Connection", "X-Hop", "Keep-Alive", "Transfer-Encoding", "Content-Length"})
+    {
+        CAPTURE(name);
+        CHECK_FALSE(find_header(sent.headers, name));
+    }
+    CHECK(std::ranges::count(sent.headers, std::string{"X-Twice"}, &http_header::name) == 2);
+    CHECK(find_header(sent.headers, "Masticcourse-Session-Id") == "s");
+    CHECK(find_header(sent.headers, "Masticcourse-Request-Id") == "9c41d07be2a35f68");
+    CHECK(find_header(sent.headers, "Host") == "a.example");
+}
+
+TEST_CASE("a target is told who is meant and how long it may take, once each")
+{
+    const auto sent = forwarded({{"Masticcourse-Deadline-Ms", "3000"}});
+    CHECK(find_header(sent.headers, "Masticcourse-Expect-Instance") == "i-1");
+    CHECK(find_header(sent.headers, "Masticcourse-Deadline-Ms") == "1250");
+    CHECK(std::ranges::count(sent.headers, std::string{"Masticcourse-Deadline-Ms"}, &http_header::name) == 1);
+    CHECK(sent.body == "whole body");
+}
+
+TEST_CASE("what a request says of its program is read, and bad ids are refused")
+{
+    const auto turn = decode({{"Masticcourse-Program-Id", "3fa81c"},
+                              {"Masticcourse-Token-Budget", "2240"},
+                              {"Masticcourse-Token-Usage", "1840,280"},
+                              {"Masticcourse-Previous-Turn", "40c8"},
+                              {"Masticcourse-Affinity-Key", "17"},
+                              {"Masticcourse-Deadline-Ms", "3000"}});
+    REQUIRE(turn.program);
+    CHECK(turn.program->program.value == "3fa81c");
+    CHECK(turn.program->budget == 2240);
+    CHECK(turn.program->most_tokens == 280);
+    CHECK(turn.program->previous->value == "40c8");
+    CHECK(turn.object == "17");
+    CHECK(turn.patience == gateway::milliseconds{3'000});
+    CHECK_FALSE(decode({{"Masticcourse-Program-Id", "3fa81c"}}).program->budget);
+
+    for (const auto* id : {"", "a b", "a~1", "../x", "\x01"})
+    {
+        CAPTURE(id);
+        auto request = make_request({});
+        request.headers.back().value = id;
+        CHECK(std::holds_alternative<gateway::refusal>(platform_protocol{}.decode(std::move(request))));
+        auto other = make_request({{"Masticcourse-Program-Id", "p"}, {"Masticcourse-Previous-Turn", id}});
+        CHECK(std::holds_alternative<gateway::refusal>(platform_protocol{}.decode(std::move(other))));
+    }
+}
+
+TEST_CASE("what a target's answer says")
+{
+    struct row
+    {
+        int status;
+        std::vector<http_header> headers;
+        bool not_run;
+        bool authentic;
+    };
+    const std::array table{
+        row{200, {{"Masticcourse-Response-Signature", "s"}}, false, true},
+        row{200, {}, false, false},
+        row{200, {{"Masticcourse-Response-Signature", "s"}, {"Content-Encoding", "gzip"}}, false, false},
+        row{503, {{"Masticcourse-Not-Executed", "1"}}, true, false},
+        row{503, {}, false, false},
+        row{421, {}, true, false},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.status);
+        const auto answer = platform_protocol{}.decode({.status = it.status, .headers = it.headers});
+        CHECK(answer.not_run == it.not_run);
+        CHECK(answer.authentic == it.authentic);
+    }
+    const auto loaded =
+        platform_protocol{}.decode(http_client_reply{.headers = {{"Masticcourse-Instance-Load", "3,1,8"}}});
+    REQUIRE(loaded.load);
+    CHECK(loaded.load->running == 3);
+    CHECK(loaded.load->waiting == 1);
+    CHECK(loaded.load->slots == 8);
+    CHECK_FALSE(platform_protocol{}
+                    .decode(http_client_reply{.headers = {{"Masticcourse-Instance-Load", "3,x"}}})
+                    .load);
+}
+
+TEST_CASE("an answer belongs to the request whose id it bears")
+{
+    const platform_protocol protocol;
+    const auto with_id = [](const std::string& id) {
+        return http_client_reply{.status = 200, .headers = {{"Masticcourse-Request-Id", id}}};
+    };
+    CHECK(protocol.answers(with_id("a"), {"a"}));
+    CHECK_FALSE(protocol.answers(with_id("b"), {"a"}));
+    CHECK_FALSE(protocol.answers({.status = 200}, {"a"}));
+    CHECK(protocol.answers({.status = 503, .headers = {{"Masticcourse-Not-Executed", "1"}}}, {"a"}));
+}
+
+TEST_CASE("a status that promises \"not run\" is given only where that is true")
+{
+    using gateway::refusal_reason;
+    constexpr std::array reasons{refusal_reason::no_configuration, refusal_reason::store_away,
+                                 refusal_reason::no_target,        refusal_reason::targets_full,
+                                 refusal_reason::target_failed,    refusal_reason::deadline_passed};
+    for (const auto reason : reasons)
+    {
+        CAPTURE(gateway::to_string(reason));
+        const auto response = platform_protocol{}.encode(
+            gateway::refusal{.reason = reason, .ran = ran_state::unknown, .retry_after = 400ms});
+        CHECK(response.status >= 502);
+        CHECK(response.status != 503);
+        CHECK_FALSE(find_header(response.headers, "Retry-After"));
+    }
+    const auto away = platform_protocol{}.encode(
+        gateway::refusal{.reason = refusal_reason::store_away, .retry_after = 1'050ms});
+    CHECK(away.status == 503);
+    CHECK(find_header(away.headers, "Retry-After") == "1.050");
+    CHECK(platform_protocol{}.encode(gateway::refusal{.reason = refusal_reason::over_budget}).status == 402);
+    CHECK(platform_protocol{}.encode(gateway::refusal{.reason = refusal_reason::no_route}).status == 404);
+}
+
+TEST_CASE("the operator's configuration is read into routes and services; unknown fields don't matter")
+{
+    const auto config = decode_config(make_row("config", good_config));
+    REQUIRE(config);
+    CHECK(config->version == 7);
+    REQUIRE(config->routes.size() == 2);
+    const auto& turns = config->routes[0];
+    CHECK(turns.kind == gateway::request_kind::stream);
+    CHECK(turns.keeps_turns());
+    CHECK(turns.services.size() == 2);
+    CHECK(turns.services[0].weight == 90);
+    CHECK(turns.max_attempts == 2);
+    const auto& tool = config->routes[1];
+    CHECK(tool.kind == gateway::request_kind::non_idempotent);
+    CHECK_FALSE(tool.keeps_turns());
+    CHECK(tool.services[0].service.value == "s2");
+    CHECK(tool.timeout == 1'500ms);
+    CHECK(tool.max_attempts == 1);
+    CHECK(config->find_service({"s1"})->engine->tokens_per_event == 14);
+    CHECK(config->limits.max_body == 200);
+    CHECK(config->limits.idle_timeout == 400ms);
+}
+
+TEST_CASE("a configuration or an entry that can't be read is refused")
+{
+    CHECK_FALSE(decode_config(make_row("other", good_config)));
+    for (const auto* text :
+         {"", "{}", "[]", R"({"version":"x","routes":[],"services":[]})",
+          R"({"version":1,"routes":[{"host":"h","prefix":"/","type":"odd","service":"s"}],"services":[]})",
+          R"({"version":1,"routes":[{"host":"h","prefix":"/","type":"streaming"}],"services":[]})"})
+    {
+        CAPTURE(text);
+        CHECK_FALSE(decode_config(make_row("config", text)));
+    }
+    CHECK_FALSE(decode_target(make_row("i-1", "{}")));
+    const auto target = decode_target(
+        make_row("i-1", R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":8,"state":"draining"})"));
+    REQUIRE(target);
+    CHECK(target->id.value == "i-1");
+    CHECK(target->draining);
+    CHECK(target->slots == 8);
+}
+
+TEST_CASE("base64 there and back, and nothing that is none")
+{
+    CHECK(to_base64("node-1") == "bm9kZS0x");
+    CHECK(rc::check([](const std::string& bytes) { return from_base64(to_base64(bytes)) == bytes; }));
+    for (const auto* text : {"a", "ab=c", "a===", "!!!!", "abc"})
+    {
+        CAPTURE(text);
+        CHECK_FALSE(from_base64(text));
+    }
+    CHECK(from_base64("") == "");
+}
+
+TEST_CASE("calls of the store are spelled as it wants them, and its answers are understood")
+{
+    const auto call = encode(gateway::row_transaction{
+        .partition = "p7", .conditions = {{{"my", "owner"}, 0}}, .puts = {{{"my", "owner"}, "node-1"}}});
+    CHECK(call.target == "/rows-tx");
+    CHECK(call.body ==
+          R"({"precondition":[{"key":"owner","part":"p7","table":"my","ver":0}],)"
+          R"("puts":[{"key":"owner","part":"p7","table":"my","value":"bm9kZS0x"}],"remove":[]})");
+    const auto query = encode(gateway::row_query{.table = "my", .partition = "p7", .from = "o", .to = "p q"});
+    CHECK(query.target == "/rows-get?table=my&part=p7&from=o&to=p%20q&limit=500");
+    CHECK(encode_follow("op", 530, 20'000ms).target == "/rows-feed?table=op&after=530&waitMs=20000");
+
+    const auto page = decode_page(
+        R"({"rows":[{"table":"my","part":"p7","key":"o","value":"bm9kZS0x","ver":412},{"key":"x","ver":9,"deleted":true}],)"
+        R"("hasMore":true,"ver":530,"nowMs":1})");
+    REQUIRE(page);
+    CHECK(page->version == 530);
+    CHECK(page->more);
+    CHECK(page->rows[0].value == "node-1");
+    CHECK(page->rows[1].removed);
+    for (const auto* text : {"", "{}", R"({"ver":1})", R"({"ver":1,"rows":[{"ver":2}]})"})
+    {
+        CHECK_FALSE(decode_page(text));
+    }
+
+    using gateway::store_outcome;
+    CHECK(decode_transaction({200, R"({"ver":412})"}).version == 412);
+    const auto conflict =
+        decode_transaction({412, R"({"rows":[{"table":"my","key":"o","value":"","ver":3}]})"});
+    CHECK(conflict.outcome == store_outcome::conflict);
+    CHECK(conflict.current.at(0).version == 3);
+    CHECK(decode_transaction({200, "cut off"}).outcome == store_outcome::unknown);
+    CHECK(decode_transaction({403, "{}"}).outcome == store_outcome::refused);
+}
+
+TEST_CASE("settings are read, and what is wrong with them is named")
+{
+    const auto good = parse_gateway_settings(good_settings);
+    REQUIRE(std::holds_alternative<gateway_settings>(good));
+    CHECK(std::get<gateway_settings>(good).stop_grace == 8'500ms);
+    CHECK(std::get<gateway_settings>(good).store == "127.0.0.1:5");
+
+    struct row
+    {
+        std::string from;
+        std::string to;
+        std::string key;
+    };
+    const std::array table{
+        row{"node = \"n\"", "node = \"\"", "node"},
+        row{"127.0.0.1:1\"", "127.0.0.1\"", "listen.callers"},
+        row{"row_bytes = 65536", "", "store.row_bytes"},
+        row{"memory_mb = 130", "memory_mb = \"130\"", "limits.memory_mb"},
+        row{"stop_grace_s = 8.5", "stop_grace_s = -1", "limits.stop_grace_s"},
+        row{"[limits]", "[limits", "(file)"},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.key);
+        auto text = good_settings;
+        text.replace(text.find(it.from), it.from.size(), it.to);
+        const auto bad = parse_gateway_settings(text);
+        REQUIRE(std::holds_alternative<settings_error>(bad));
+        CHECK(std::get<settings_error>(bad).key == it.key);
+        CHECK_FALSE(std::get<settings_error>(bad).why.empty());
+    }
+    CHECK(std::holds_alternative<settings_error>(read_gateway_settings("/nowhere/settings.toml")));
+}
