While the store is away, turns that surely have the budget run and wait for it

Cause: in an outage of all the store, 7 s long, every turn was refused at once; a program ends with its third failed turn, so refusals were used up within 3.5 s and nearly all programs under way died. Ruled out: the targets (idle meanwhile); a shorter time to come back (used up sooner). Change: a turn whose predecessor is remembered and whose budget is ample runs; its events and its end wait for the store. The rest is refused at once, to come back after 1 s. What is left is lost in outages longer than three waits of 2 s, the callers' patience with a silent stream.

--- a/src/gateway/course.cpp
+++ b/src/gateway/course.cpp
@@ -21,7 +21,7 @@
 /// A target that crashed is replaced in the registry within seconds.
 constexpr milliseconds after_no_target{400};
 /// The store's outages last seconds: as late as callers honour.
-constexpr milliseconds after_store_away{800};
+constexpr milliseconds after_store_away{1'000};
 
 constexpr int status_misdirected = 421;
 
@@ -114,14 +114,17 @@
                                           .budget = *claim.budget,
                                           .first = !claim.previous.has_value(),
                                           .expires = m_deadline};
-    if (!m_services.store.reachable())
+    m_reserve_first = !m_services.spending.ample(reservation);
+    if (m_reserve_first && !m_services.store.reachable())
     {
-        refuse(refusal_reason::store_away, ran_state::no, "the store that keeps turns is away",
+        refuse(refusal_reason::store_away, ran_state::no, "the store that keeps budgets is away",
                after_store_away);
         return;
     }
+    // While the store is away, a turn that surely has the budget runs all the same: its events and its end
+    // wait for the store's return. A program ends with its third failed turn; refused ones are used up
+    // within 3.5 s, ones that wait last out outages of 6 s, and go on the moment the store is back.
     m_reservation = reservation_state::pending;
-    m_reserve_first = !m_services.spending.ample(reservation);
     m_services.spending.reserve(reservation, [self = shared_from_this()](reservation_outcome outcome)
                                 { self->on_reservation(outcome); });
     if (!m_finished)
