One gateway collects a partition's commits

Ruled out: the engines (half empty), processor time (0.012 of a core), the network. Change: gateways send changes to the one that weighted rendezvous hashing names for the partition; it writes them together. No lease: two that write one partition cost a conflict, and a sender whose collector is silent for 400 ms writes by itself. A batch holds no two changes of one row: both conditions would hold, and the later change would undo the earlier. The test of two transactions for fifty changes counts three now: a second one is under way while the store works on the first.

--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// Group commit to the store's partitions: one transaction under way for each partition, what comes meanwhile
-/// goes with the next one.
+/// Group commit to the store's partitions: few transactions under way for each partition, what comes
+/// meanwhile goes with the next one.
 ///
 /// Load pattern: hundreds of small writes a second from many gateways against a store that limits calls, not
 /// bytes. With one transaction of 8 ms at a time a partition takes 125 calls a second from one gateway
@@ -45,16 +45,33 @@
 using delay_function = std::function<void(milliseconds, std::function<void()>)>;
 using clock_function = std::function<time_point()>;
 
-class commit_queue
+/// Where changes go to be written.
+class commit_sink
 {
   public:
-    commit_queue(row_store& store, delay_function delay, clock_function clock);
+    commit_sink() = default;
+    commit_sink(const commit_sink&) = delete;
+    commit_sink(commit_sink&&) = delete;
+    commit_sink& operator=(const commit_sink&) = delete;
+    commit_sink& operator=(commit_sink&&) = delete;
+    virtual ~commit_sink() = default;
 
     /// Queues a change; its callback is called once.
-    void submit(const std::string& partition, row_change change, change_callback on_result);
+    virtual void submit(const std::string& partition, row_change change, change_callback on_result) = 0;
 
     /// @return changes whose result is not known yet
-    [[nodiscard]] std::size_t pending() const
+    [[nodiscard]] virtual std::size_t pending() const = 0;
+};
+
+/// Writes by itself.
+class commit_queue final : public commit_sink
+{
+  public:
+    commit_queue(row_store& store, delay_function delay, clock_function clock);
+
+    void submit(const std::string& partition, row_change change, change_callback on_result) override;
+
+    [[nodiscard]] std::size_t pending() const override
     {
         return m_pending;
     }
@@ -69,7 +86,8 @@
     struct partition_queue
     {
         item_list waiting;
-        bool busy = false;
+        /// Transactions under way, and pauses after a failure.
+        int busy = 0;
         /// Failures in a row, for the pause before the next try.
         std::uint32_t failures = 0;
     };
--- /dev/null
+++ b/include/masticcourse/gateway/commit_router.hpp
@@ -0,0 +1,85 @@
+/// @file
+/// Sends commits to the gateway that collects their partition's, so that the store sees one writer a
+/// partition instead of one a gateway.
+///
+/// Load pattern: forty gateways that end 450 turns a second. Each by itself, hardly two changes ever share a
+/// transaction, and a thousand transactions a second fill the store's partitions and its rate: a quiet day
+/// served half of its programs. Through collectors the same changes take a few hundred.
+#pragma once
+
+#include "masticcourse/gateway/commit_queue.hpp"
+#include "masticcourse/gateway/peer_directory.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+/// A change and where it goes.
+struct routed_change
+{
+    std::string partition;
+    row_change change;
+};
+
+/// @name On the wire between gateways
+/// @{
+
+/// @param now what the changes' expiry is told relative to
+[[nodiscard]] std::string encode_changes(const std::vector<routed_change>& changes, time_point now);
+/// @return nothing if @a bytes are no such message
+[[nodiscard]] std::optional<std::vector<routed_change>> decode_changes(const std::string& bytes,
+                                                                       time_point now);
+[[nodiscard]] std::string encode_results(const std::vector<change_result>& results);
+[[nodiscard]] std::optional<std::vector<change_result>> decode_results(const std::string& bytes);
+/// @}
+
+/// Takes the answer of a collector, or nothing if there is none.
+using collector_callback = std::function<void(std::optional<std::string>)>;
+/// Sends encoded changes to a collector.
+using collector_call = std::function<void(const std::string& address, std::string bytes, collector_callback)>;
+
+class commit_router final : public commit_sink
+{
+  public:
+    /// @param own writes what this gateway collects, and what a collector does not answer for
+    commit_router(commit_sink& own, peer_directory& peers, collector_call call, clock_function clock);
+
+    void submit(const std::string& partition, row_change change, change_callback on_result) override;
+    [[nodiscard]] std::size_t pending() const override;
+
+    /// Writes what another gateway sent.
+    /// @param on_done takes the encoded results; nothing if the message can't be read or is empty
+    void collect(const std::string& bytes, std::function<void(std::optional<std::string>)> on_done);
+
+  private:
+    struct item
+    {
+        routed_change change;
+        change_callback on_result;
+    };
+    using item_list = std::vector<item>;
+    struct outbox
+    {
+        item_list waiting;
+        int under_way = 0;
+    };
+
+    void send(const std::string& collector);
+    /// Finds another way for what waits for a collector that does not answer.
+    void reroute(const std::string& collector);
+    void on_answer(const std::string& collector, item_list sent, const std::optional<std::string>& answer);
+
+    commit_sink& m_own;
+    peer_directory& m_peers;
+    collector_call m_call;
+    clock_function m_clock;
+    std::unordered_map<std::string, outbox> m_outboxes;
+    std::size_t m_forwarded = 0;
+};
+
+} // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "masticcourse/gateway/gateway_request.hpp"
+#include "masticcourse/gateway/peer_directory.hpp"
 #include "masticcourse/gateway/request_course.hpp"
 #include "masticcourse/gateway/table_follower.hpp"
 #include "masticcourse/net/http_server.hpp"
@@ -58,7 +59,7 @@
 {
   public:
     gateway(boost::asio::io_context& context, gateway_options options, const gateway_protocol& protocol,
-            row_store& store, table_decoders decoders);
+            row_store& store, peer_directory& peers, table_decoders decoders);
     ~gateway();
     gateway(const gateway&) = delete;
     gateway(gateway&&) = delete;
@@ -72,6 +73,11 @@
 
     [[nodiscard]] metrics_registry& metrics();
 
+    /// Where peers send the commits that this gateway collects.
+    static constexpr const char* commit_path = "/commits";
+    /// Serves a peer's request to that path.
+    void serve_commits(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+
   private:
     struct state;
     std::unique_ptr<state> m_state;
--- /dev/null
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// The other gateways: who is there, who answers, and who collects the commits of a partition.
+#pragma once
+
+#include "masticcourse/gateway/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+struct peer
+{
+    /// "ip:port"
+    std::string address;
+    /// Its processor time, in cores: how much it may be given to do for others.
+    double cores = 1;
+};
+
+class peer_directory
+{
+  public:
+    explicit peer_directory(peer self) : m_self(std::move(self)) {}
+
+    /// Replaces the list; the own entry may be in it.
+    void set(std::vector<peer> peers);
+
+    /// @return other gateways that answered when last asked, in random order, at most @a most
+    [[nodiscard]] std::vector<std::string> choose(std::size_t most, time_point now);
+
+    /// Every gateway that knows the same peers names the same one, by weighted rendezvous hashing. They need
+    /// not agree: two that write one partition cost a conflict, not more.
+    /// @return the gateway that collects the commits of @a partition, or nothing if it is this one
+    [[nodiscard]] std::optional<std::string> collector_of(std::string_view partition, time_point now);
+
+    void answered(const std::string& address);
+    /// It is left out for a while, longer with each failure in a row.
+    void failed(const std::string& address, time_point now);
+
+  private:
+    struct avoidance
+    {
+        std::uint32_t failures = 0;
+        time_point until;
+    };
+
+    [[nodiscard]] bool avoided(const std::string& address, time_point now) const;
+
+    peer m_self;
+    std::vector<peer> m_others;
+    std::unordered_map<std::string, avoidance> m_avoided;
+    std::minstd_rand m_random{std::random_device{}()};
+};
+
+} // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -71,7 +71,7 @@
 class program_spending
 {
   public:
-    program_spending(row_store& store, commit_queue& commits, delay_function delay, clock_function clock);
+    program_spending(row_store& store, commit_sink& commits, delay_function delay, clock_function clock);
 
     /// Whether a turn may be sent to a target while its reservation is still being written: the budget as
     /// known here holds it with room to spare, so a refusal is not to be expected.
@@ -125,7 +125,7 @@
     void plan_flush(const program_id& id, program_entry& entry);
 
     row_store& m_store;
-    commit_queue& m_commits;
+    commit_sink& m_commits;
     delay_function m_delay;
     clock_function m_clock;
     std::unordered_map<program_id, program_entry> m_programs;
--- a/include/masticcourse/gateway/store_path.hpp
+++ b/include/masticcourse/gateway/store_path.hpp
@@ -11,10 +11,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <random>
-#include <string>
-#include <unordered_map>
-#include <vector>
 
 namespace masticcourse::gateway
 {
@@ -62,20 +58,14 @@
     [[nodiscard]] bool take_probe(time_point now);
     /// @}
 
-    /// @name Peers
-    /// @{
-
-    /// The addresses of the other gateways.
-    void set_peers(std::vector<std::string> peers);
-
-    /// @return peers to try, in order
-    [[nodiscard]] std::vector<std::string> choose_peers(time_point now);
-
-    void on_peer(const std::string& peer, bool answered, time_point now);
-
     /// No peer that was tried reaches the store.
     void on_no_way(time_point now);
-    /// @}
+
+    /// A peer passed a call on, and the store answered.
+    void on_way_through_peer()
+    {
+        m_no_way = false;
+    }
 
     /// @return whether calls are answered at present, on one way or the other
     [[nodiscard]] bool reachable() const
@@ -97,9 +87,6 @@
     double m_usual_ms = 20;
     time_point m_last_probe{};
     std::optional<time_point> m_last_failure;
-    std::vector<std::string> m_peers;
-    std::unordered_map<std::string, time_point> m_avoided;
-    std::minstd_rand m_random{std::random_device{}()};
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/turn_store.hpp
+++ b/include/masticcourse/gateway/turn_store.hpp
@@ -97,7 +97,7 @@
 {
   public:
     /// @param row_bytes the most that one row of the store holds
-    turn_store(row_store& store, commit_queue& commits, std::size_t cache_bytes, std::size_t row_bytes);
+    turn_store(row_store& store, commit_sink& commits, std::size_t cache_bytes, std::size_t row_bytes);
 
     /// Puts together the chain that ends with @a last. Calls back once, at once if all of it is remembered.
     void load_chain(const request_id& last, chain_callback on_chain);
@@ -113,7 +113,7 @@
     static void finish(const std::shared_ptr<chain_load>& load);
 
     row_store& m_store;
-    commit_queue& m_commits;
+    commit_sink& m_commits;
     std::size_t m_row_bytes;
     turn_cache m_cache;
 };
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -41,6 +41,7 @@
     request_answered = 2301,
     request_failed = 2302,
     request_refused = 2303,
+    attempt_failed = 2304,
     shard_claimed = 3001,
     shard_released = 3002,
     shard_lost = 3003,
@@ -168,6 +169,10 @@
               "Follow docs/OPERATIONS.md from the request's id."},
     event_row{event_id::request_refused, "request_refused", event_severity::info,
               "The gateway refused a request before it chose a route.", "See the reason."},
+    event_row{
+        event_id::attempt_failed, "attempt_failed", event_severity::info,
+        "One target did not serve a request; whether another one is tried shows in the next line of its id.",
+        "See the target's other lines if they pile up."},
     event_row{event_id::shard_claimed, "shard_claimed", event_severity::info,
               "This process took a shard; its epoch rose.", "None."},
     event_row{event_id::shard_released, "shard_released", event_severity::info,
--- /dev/null
+++ b/src/gateway/commit_codec.cpp
@@ -0,0 +1,146 @@
+// How changes and their results travel between gateways: CBOR, arrays in a fixed order.
+#include "masticcourse/gateway/commit_router.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+json to_json(const std::string& bytes)
+{
+    return json::binary({bytes.begin(), bytes.end()});
+}
+
+std::string to_text(const json& it)
+{
+    const auto& bytes = it.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+json to_json(const row_name& name)
+{
+    return json::array({name.table, name.key});
+}
+
+row_name to_name(const json& it)
+{
+    return {it.at(0).get<std::string>(), it.at(1).get<std::string>()};
+}
+
+json to_json(const routed_change& it, time_point now)
+{
+    json puts = json::array();
+    std::ranges::for_each(it.change.puts,
+                          [&](const row_put& put) {
+                              puts.push_back(json::array({to_json(put.name), to_json(put.value)}));
+                          });
+    const auto& condition = it.change.condition;
+    const auto life = std::chrono::floor<milliseconds>(it.change.expires - now).count();
+    return json::array({it.partition,
+                        condition ? json::array({to_json(condition->name), condition->version}) : json{},
+                        std::move(puts), life});
+}
+
+routed_change to_change(const json& it, time_point now)
+{
+    routed_change routed{.partition = it.at(0).get<std::string>()};
+    if (!it.at(1).is_null())
+    {
+        routed.change.condition = row_condition{to_name(it.at(1).at(0)), it.at(1).at(1).get<row_version>()};
+    }
+    for (const auto& put : it.at(2))
+    {
+        routed.change.puts.push_back({to_name(put.at(0)), to_text(put.at(1))});
+    }
+    routed.change.expires = now + milliseconds{it.at(3).get<milliseconds::rep>()};
+    return routed;
+}
+
+json to_json(const change_result& it)
+{
+    json row;
+    if (it.current)
+    {
+        row = json::array({to_json(it.current->name), to_json(it.current->value), it.current->version});
+    }
+    return json::array({static_cast<int>(it.outcome), it.version, std::move(row)});
+}
+
+change_result to_result(const json& it)
+{
+    const auto outcome = it.at(0).get<int>();
+    if (outcome < 0 || outcome > static_cast<int>(store_outcome::unknown))
+    {
+        throw std::out_of_range("outcome");
+    }
+    change_result result{.outcome = static_cast<store_outcome>(outcome),
+                         .version = it.at(1).get<row_version>()};
+    if (const auto& row = it.at(2); !row.is_null())
+    {
+        result.current = stored_row{
+            .name = to_name(row.at(0)), .value = to_text(row.at(1)), .version = row.at(2).get<row_version>()};
+    }
+    return result;
+}
+
+std::string to_bytes(const json& document)
+{
+    std::string bytes;
+    json::to_cbor(document, bytes);
+    return bytes;
+}
+
+/// Reads an array of what @a read makes of one element; nothing if any of it is not as it should be.
+template <typename Read>
+auto read_array(const std::string& bytes, Read read) -> std::optional<std::vector<decltype(read(json{}))>>
+{
+    try
+    {
+        std::vector<decltype(read(json{}))> found;
+        for (const auto& it : json::from_cbor(bytes))
+        {
+            found.push_back(read(it));
+        }
+        return found;
+    }
+    catch (const std::exception&)
+    {
+        // The sender is told that nothing was read, and writes by itself.
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encode_changes(const std::vector<routed_change>& changes, time_point now)
+{
+    json document = json::array();
+    std::ranges::for_each(changes, [&](const auto& it) { document.push_back(to_json(it, now)); });
+    return to_bytes(document);
+}
+
+std::optional<std::vector<routed_change>> decode_changes(const std::string& bytes, time_point now)
+{
+    return read_array(bytes, [now](const json& it) { return to_change(it, now); });
+}
+
+std::string encode_results(const std::vector<change_result>& results)
+{
+    json document = json::array();
+    std::ranges::for_each(results, [&](const auto& it) { document.push_back(to_json(it)); });
+    return to_bytes(document);
+}
+
+std::optional<std::vector<change_result>> decode_results(const std::string& bytes)
+{
+    return read_array(bytes, [](const json& it) { return to_result(it); });
+}
+
+} // namespace masticcourse::gateway
--- a/src/gateway/commit_queue.cpp
+++ b/src/gateway/commit_queue.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+/// Transactions of one partition under way: the second is on its way while the store works on the first.
+constexpr int most_under_way = 2;
 /// Rows and conditions of one transaction; the store takes 100 entries.
 constexpr std::size_t most_entries = 90;
 /// Bytes of one transaction; the store takes 1 MB, and base64 makes four bytes of three.
@@ -32,12 +34,30 @@
     return n;
 }
 
+bool writes(const row_change& change, const row_name& name)
+{
+    return std::ranges::find(change.puts, name, &row_put::name) != change.puts.end();
+}
+
 std::optional<stored_row> find_row(const std::vector<stored_row>& rows, const row_name& name)
 {
     const auto it = std::ranges::find(rows, name, &stored_row::name);
     return it != rows.end() ? std::optional{*it} : std::nullopt;
 }
 
+/// @return whether @a change writes a row that one of the batch writes. In one transaction both conditions on
+/// that row would hold, and the later change would undo the earlier one.
+template <typename Batch>
+bool shares_row(const Batch& batch, const row_change& change)
+{
+    return std::ranges::any_of(batch,
+                               [&change](const auto& it)
+                               {
+                                   return std::ranges::any_of(change.puts, [&it](const row_put& put)
+                                                              { return writes(it.change, put.name); });
+                               });
+}
+
 row_transaction to_transaction(const std::string& partition, const row_change& first)
 {
     row_transaction transaction{.partition = partition, .puts = first.puts};
@@ -74,7 +94,7 @@
 void commit_queue::pump(const std::string& partition)
 {
     auto& queue = m_queues[partition];
-    if (queue.busy)
+    if (queue.busy >= most_under_way)
     {
         return;
     }
@@ -83,7 +103,7 @@
     {
         return;
     }
-    queue.busy = true;
+    ++queue.busy;
     auto batch = std::make_shared<item_list>(take_batch(queue));
     auto transaction = to_transaction(partition, batch->front().change);
     std::for_each(std::next(batch->begin()), batch->end(),
@@ -102,7 +122,8 @@
         const auto& change = queue.waiting.front().change;
         entries += entries_of(change);
         bytes += bytes_of(change);
-        if (!batch.empty() && (entries > most_entries || bytes > most_bytes))
+        const bool full = entries > most_entries || bytes > most_bytes;
+        if (!batch.empty() && (full || shares_row(batch, change)))
         {
             break;
         }
@@ -128,7 +149,7 @@
     if (reply.outcome == store_outcome::done)
     {
         queue.failures = 0;
-        queue.busy = false;
+        --queue.busy;
         std::ranges::for_each(batch, [&](item& it)
                               { resolve(it, {.outcome = store_outcome::done, .version = reply.version}); });
         pump(partition);
@@ -143,7 +164,7 @@
     put_back(queue, std::move(batch));
     if (progress)
     {
-        queue.busy = false;
+        --queue.busy;
         pump(partition);
     }
     else
@@ -189,7 +210,7 @@
     m_delay(milliseconds{part(m_random)},
             [this, partition]
             {
-                m_queues[partition].busy = false;
+                --m_queues[partition].busy;
                 pump(partition);
             });
 }
--- a/src/gateway/course.cpp
+++ b/src/gateway/course.cpp
@@ -387,12 +387,14 @@
 {
     // Nothing was sent: this target does not count as an attempt.
     --m_attempts;
+    log_retry("no connection");
     end_attempt(target_verdict::unreachable);
     dispatch();
 }
 
 void course::on_not_run()
 {
+    log_retry("the target did not run it");
     end_attempt(target_verdict::refused);
     m_found_full = true;
     if (may_try_again())
@@ -407,6 +409,7 @@
 
 void course::on_lost_answer(std::string_view why)
 {
+    log_retry(why);
     end_attempt(target_verdict::broken);
     m_may_have_run = true;
     if (m_head_sent)
@@ -562,6 +565,20 @@
     on_end(end);
 }
 
+void course::log_retry(std::string_view why) const
+{
+    const auto now = m_services.clock();
+    const auto* const row = m_services.targets.find(m_target->id);
+    log_event(event_id::attempt_failed,
+              {{"request", m_request.id.value},
+               {"target", m_target->id.value},
+               {"why", std::string{why}},
+               {"attempt", std::to_string(m_attempts)},
+               {"of", std::to_string(m_route->max_attempts)},
+               {"target_load", row != nullptr ? std::to_string(row->load(now)) : "gone"},
+               {"left_ms", std::to_string(time_left().count())}});
+}
+
 void course::log_end(course_end end, std::string_view detail) const
 {
     const auto elapsed = std::chrono::floor<milliseconds>(m_services.clock() - m_started);
--- a/src/gateway/course.hpp
+++ b/src/gateway/course.hpp
@@ -75,6 +75,7 @@
     void on_deadline();
     void finish(course_end end, std::string_view detail);
     void log_end(course_end end, std::string_view detail) const;
+    void log_retry(std::string_view why) const;
     /// @}
 
     [[nodiscard]] milliseconds time_left() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "masticcourse/gateway/gateway.hpp"
 
+#include "masticcourse/gateway/commit_router.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
@@ -21,6 +22,10 @@
 constexpr milliseconds turn_away_time{2'500};
 /// Kept free before the process would be killed.
 constexpr milliseconds kill_margin{500};
+/// How long a collector may take before its sender writes by itself: a transaction with one lost answer takes
+/// 100 ms.
+constexpr milliseconds collector_limit{400};
+constexpr milliseconds collector_connect_limit{100};
 /// When callers may come back to a process that has read no configuration yet.
 constexpr milliseconds after_no_configuration{300};
 
@@ -29,7 +34,7 @@
 struct gateway::state
 {
     state(boost::asio::io_context& context_, gateway_options options_, const gateway_protocol& protocol_,
-          row_store& store_, table_decoders decoders_);
+          row_store& store_, peer_directory& peers_, table_decoders decoders_);
 
     void start();
     void stop(std::function<void()> on_stopped_);
@@ -43,6 +48,7 @@
     void sweep_often();
     void check_stopped();
     [[nodiscard]] delay_function delays();
+    void call_collector(const std::string& address, std::string bytes, collector_callback on_answer);
 
     /// Timers that outlive this state find it gone.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -50,12 +56,14 @@
     gateway_options options;
     const gateway_protocol& protocol;
     row_store& store;
+    peer_directory& peers;
     table_decoders decoders;
     metrics_registry registry;
     config_holder config;
     target_table targets;
     http_client client;
-    commit_queue commits;
+    commit_queue own_commits;
+    commit_router commits;
     program_spending spending;
     turn_store turns;
     course_services services;
@@ -71,9 +79,15 @@
 };
 
 gateway::state::state(boost::asio::io_context& context_, gateway_options options_,
-                      const gateway_protocol& protocol_, row_store& store_, table_decoders decoders_)
-    : context(context_), options(std::move(options_)), protocol(protocol_), store(store_),
-      decoders(std::move(decoders_)), client(context), commits(store, delays(), monotonic_now),
+                      const gateway_protocol& protocol_, row_store& store_, peer_directory& peers_,
+                      table_decoders decoders_)
+    : context(context_), options(std::move(options_)), protocol(protocol_), store(store_), peers(peers_),
+      decoders(std::move(decoders_)), client(context), own_commits(store, delays(), monotonic_now),
+      commits(
+          own_commits, peers,
+          [this](const auto& address, auto bytes, auto on_answer)
+          { call_collector(address, std::move(bytes), std::move(on_answer)); },
+          monotonic_now),
       spending(store, commits, delays(), monotonic_now),
       turns(store, commits, options.cache_bytes, options.row_bytes),
       services{.open = [this](auto request, auto on_chunk, auto on_reply)
@@ -113,6 +127,25 @@
     };
 }
 
+void gateway::state::call_collector(const std::string& address, std::string bytes,
+                                    collector_callback on_answer)
+{
+    http_client_request request{.address = address,
+                                .method = "POST",
+                                .target = commit_path,
+                                .body = std::move(bytes),
+                                .headers = {{"Content-Type", "application/cbor"}},
+                                .timeout = collector_limit,
+                                .connect_timeout = collector_connect_limit};
+    client.send(std::move(request),
+                [on_answer = std::move(on_answer)](http_client_reply reply)
+                {
+                    constexpr int ok = 200;
+                    const bool whole = reply.failure == http_failure::none && reply.status == ok;
+                    on_answer(whole ? std::optional{std::move(reply.body)} : std::nullopt);
+                });
+}
+
 void gateway::state::start()
 {
     frontend =
@@ -298,8 +331,9 @@
 }
 
 gateway::gateway(boost::asio::io_context& context, gateway_options options, const gateway_protocol& protocol,
-                 row_store& store, table_decoders decoders)
-    : m_state(std::make_unique<state>(context, std::move(options), protocol, store, std::move(decoders)))
+                 row_store& store, peer_directory& peers, table_decoders decoders)
+    : m_state(
+          std::make_unique<state>(context, std::move(options), protocol, store, peers, std::move(decoders)))
 {
 }
 
@@ -315,6 +349,19 @@
     m_state->stop(std::move(on_stopped));
 }
 
+void gateway::serve_commits(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+{
+    m_state->commits.collect(request.body,
+                             [exchange](std::optional<std::string> results)
+                             {
+                                 constexpr int ok = 200;
+                                 constexpr int bad_request = 400;
+                                 exchange->respond({.status = results ? ok : bad_request,
+                                                    .content_type = "application/cbor",
+                                                    .body = std::move(results).value_or("")});
+                             });
+}
+
 metrics_registry& gateway::metrics()
 {
     return m_state->registry;
--- /dev/null
+++ b/src/gateway/peer_directory.cpp
@@ -0,0 +1,89 @@
+#include "masticcourse/gateway/peer_directory.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <xxhash.h>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+/// How long a gateway that did not answer is left out; doubled with each failure in a row. A frozen one is
+/// back within seconds; one that is gone for good costs one late commit in six seconds.
+constexpr milliseconds first_pause{1'500};
+constexpr milliseconds longest_pause{6'000};
+
+/// Weighted rendezvous hashing: each peer is chosen in proportion to its weight, and only the partitions of a
+/// peer that leaves move (Schindelhauer and Schomaker, 2005).
+double score(const peer& it, std::string_view partition)
+{
+    const auto seed = XXH3_64bits(partition.data(), partition.size());
+    const auto hash = XXH3_64bits_withSeed(it.address.data(), it.address.size(), seed);
+    const double unit = (static_cast<double>(hash) + 1) /
+                        (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
+    return -it.cores / std::log(unit);
+}
+
+} // namespace
+
+void peer_directory::set(std::vector<peer> peers)
+{
+    std::erase_if(peers, [this](const peer& it) { return it.address == m_self.address; });
+    m_others = std::move(peers);
+}
+
+bool peer_directory::avoided(const std::string& address, time_point now) const
+{
+    const auto it = m_avoided.find(address);
+    return it != m_avoided.end() && it->second.until > now;
+}
+
+std::vector<std::string> peer_directory::choose(std::size_t most, time_point now)
+{
+    std::vector<std::string> chosen;
+    for (const auto& it : m_others)
+    {
+        if (!avoided(it.address, now))
+        {
+            chosen.push_back(it.address);
+        }
+    }
+    std::ranges::shuffle(chosen, m_random);
+    chosen.resize(std::min(chosen.size(), most));
+    return chosen;
+}
+
+std::optional<std::string> peer_directory::collector_of(std::string_view partition, time_point now)
+{
+    const peer* best = &m_self;
+    double best_score = score(m_self, partition);
+    for (const auto& it : m_others)
+    {
+        const double its_score = score(it, partition);
+        if (its_score > best_score && !avoided(it.address, now))
+        {
+            best = &it;
+            best_score = its_score;
+        }
+    }
+    return best != &m_self ? std::optional{best->address} : std::nullopt;
+}
+
+void peer_directory::answered(const std::string& address)
+{
+    m_avoided.erase(address);
+}
+
+void peer_directory::failed(const std::string& address, time_point now)
+{
+    auto& it = m_avoided[address];
+    constexpr std::uint32_t longest_shift = 2;
+    const auto pause = std::min(first_pause * (1 << std::min(it.failures, longest_shift)), longest_pause);
+    ++it.failures;
+    it.until = now + pause;
+}
+
+} // namespace masticcourse::gateway
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -81,7 +81,7 @@
     return row;
 }
 
-program_spending::program_spending(row_store& store, commit_queue& commits, delay_function delay,
+program_spending::program_spending(row_store& store, commit_sink& commits, delay_function delay,
                                    clock_function clock)
     : m_store(store), m_commits(commits), m_delay(std::move(delay)), m_clock(std::move(clock))
 {
--- a/src/gateway/store_path.cpp
+++ b/src/gateway/store_path.cpp
@@ -1,8 +1,6 @@
 #include "masticcourse/gateway/store_path.hpp"
 
 #include <algorithm>
-#include <iterator>
-#include <utility>
 
 namespace masticcourse::gateway
 {
@@ -28,10 +26,6 @@
 constexpr std::uint32_t rate_limited_limit = 5;
 /// Between two probes: the direct way is taken again that much after it is back, at most.
 constexpr milliseconds probe_period{250};
-/// How many peers one call tries.
-constexpr std::size_t most_peers = 2;
-/// How long a peer that did not answer is left out.
-constexpr milliseconds peer_pause{1'500};
 
 } // namespace
 
@@ -93,35 +87,6 @@
     return due;
 }
 
-void store_path::set_peers(std::vector<std::string> peers)
-{
-    m_peers = std::move(peers);
-}
-
-std::vector<std::string> store_path::choose_peers(time_point now)
-{
-    std::erase_if(m_avoided, [now](const auto& it) { return it.second <= now; });
-    std::vector<std::string> chosen;
-    std::ranges::copy_if(m_peers, std::back_inserter(chosen),
-                         [this](const std::string& it) { return !m_avoided.contains(it); });
-    std::ranges::shuffle(chosen, m_random);
-    chosen.resize(std::min(chosen.size(), most_peers));
-    return chosen;
-}
-
-void store_path::on_peer(const std::string& peer, bool answered, time_point now)
-{
-    if (answered)
-    {
-        m_no_way = false;
-        m_avoided.erase(peer);
-    }
-    else
-    {
-        m_avoided[peer] = now + peer_pause;
-    }
-}
-
 void store_path::on_no_way(time_point now)
 {
     m_no_way = true;
--- a/src/gateway/turn_store.cpp
+++ b/src/gateway/turn_store.cpp
@@ -137,8 +137,7 @@
     chain_callback on_chain;
 };
 
-turn_store::turn_store(row_store& store, commit_queue& commits, std::size_t cache_bytes,
-                       std::size_t row_bytes)
+turn_store::turn_store(row_store& store, commit_sink& commits, std::size_t cache_bytes, std::size_t row_bytes)
     : m_store(store), m_commits(commits), m_row_bytes(row_bytes), m_cache(cache_bytes)
 {
 }
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
+#include <cstdio>
 #include <fcntl.h>
 #include <map>
 #include <memory>
@@ -80,7 +81,7 @@
 class buffered_sink final : public google::LogSink
 {
   public:
-    void send(google::LogSeverity severity, const char* /*path*/, const char* file, int line,
+    void send(google::LogSeverity severity, const char* /*path*/, const char* /*file*/, int /*line*/,
               const google::LogMessageTime& time, const char* message, std::size_t size) override
     {
         const std::scoped_lock lock(m_mutex);
@@ -89,7 +90,9 @@
             ++m_dropped;
             return;
         }
-        m_text += ToString(severity, file, line, time, message, size) + "\n";
+        m_text += google::GetLogSeverityName(severity)[0];
+        append_time(time);
+        m_text.append(message, size).append("\n");
     }
 
     /// @return whether a line of this kind may be written now
@@ -128,6 +131,18 @@
     }
 
   private:
+    /// Wall time, sortable as text: where in the code a line was written follows from its event's number.
+    void append_time(const google::LogMessageTime& time)
+    {
+        constexpr int first_year = 1900;
+        constexpr std::size_t most = 40;
+        std::array<char, most> text{};
+        const auto n = std::snprintf(text.data(), text.size(), "%04d-%02d-%02dT%02d:%02d:%02d.%06d ",
+                                     time.year() + first_year, time.month() + 1, time.day(), time.hour(),
+                                     time.min(), time.sec(), time.usec());
+        m_text.append(text.data(), static_cast<std::size_t>(n));
+    }
+
     std::mutex m_mutex;
     std::string m_text;
     std::chrono::steady_clock::time_point m_second_began;
--- a/tests/unit/test_gateway_commits.cpp
+++ b/tests/unit/test_gateway_commits.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-TEST_CASE("what comes while a transaction is under way goes with the next one")
+TEST_CASE("what comes while two transactions are under way goes with the next one")
 {
     commit_world world;
     for (int n = 0; n < 50; ++n)
@@ -55,7 +55,7 @@
     }
     world.time.run(100ms);
     CHECK(world.count(store_outcome::done) == 50);
-    CHECK(world.rows.transactions() == 2);
+    CHECK(world.rows.transactions() == 3);
     CHECK(world.commits.pending() == 0);
 }
 
@@ -121,3 +121,20 @@
     REQUIRE(world.count(store_outcome::conflict) == 1);
     CHECK(world.results.front().current->value == "value of a");
 }
+
+TEST_CASE("of changes of one row under the same condition only one holds, also when they wait together")
+{
+    commit_world world;
+    world.put("first");
+    world.put("second");
+    // Both wait behind the transactions under way, and would share the next one.
+    for (int n = 0; n < 3; ++n)
+    {
+        world.put("row", 0);
+    }
+    world.put("row");
+    world.put("other", 0);
+    world.time.run(1s);
+    CHECK(world.count(store_outcome::conflict) == 2);
+    CHECK(world.count(store_outcome::done) == 5);
+}
--- a/tests/unit/test_gateway_loopback.cpp
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -41,7 +41,9 @@
 {
     gateway_process(const std::string& store_address, const std::string& node)
         : callers(free_address(threads.context())), readiness(free_address(threads.context())),
-          store(threads.context(), {store_address, free_address(threads.context()), node}, delays(), metrics),
+          peer_address(free_address(threads.context())), peers({peer_address, 1}),
+          store(threads.context(), {.address = store_address, .node = node, .self = {peer_address, 1}}, peers,
+                delays(), metrics),
           gateway(threads.context(),
                   {.frontend = callers,
                    .readiness = readiness,
@@ -50,11 +52,14 @@
                    .cache_bytes = 1'000'000,
                    .row_bytes = 10'000,
                    .stop_grace = 8s},
-                  protocol, store, platform::make_table_decoders())
+                  protocol, store, peers, platform::make_table_decoders())
     {
         boost::asio::post(threads.context(),
                           [this]
                           {
+                              store.serve(gateway::gateway::commit_path,
+                                          [this](const auto& request, const auto& exchange)
+                                          { gateway.serve_commits(request, exchange); });
                               store.start();
                               gateway.start();
                               started = true;
@@ -89,7 +94,9 @@
     std::atomic<bool> started = false;
     std::string callers;
     std::string readiness;
+    std::string peer_address;
     metrics_registry metrics;
+    gateway::peer_directory peers;
     platform::platform_protocol protocol;
     platform::row_store_client store;
     gateway::gateway gateway;
@@ -121,7 +128,7 @@
     }
 
     http_client_reply send(const gateway_process& to, const std::string& path, const std::string& id,
-                           const std::string& previous = "")
+                           const std::string& previous = "", const std::string& budget = "1000")
     {
         http_client_request request{.address = to.callers,
                                     .method = "POST",
@@ -130,7 +137,7 @@
                                     .headers = {{"Host", "h"},
                                                 {"Masticcourse-Request-Id", id},
                                                 {"Masticcourse-Program-Id", "p"},
-                                                {"Masticcourse-Token-Budget", "1000"},
+                                                {"Masticcourse-Token-Budget", budget},
                                                 {"Masticcourse-Token-Usage", "10,100"}}};
         if (!previous.empty())
         {
@@ -248,7 +255,7 @@
         [&]
         { return world.send(cut_off, "/turn/1", "a" + std::to_string(world.store.calls())).status == 200; }));
     world.store.set_fault(table_fault::refuse);
-    REQUIRE(eventually([&] { return world.send(cut_off, "/turn/1", "c1").status == 503; }));
+    REQUIRE(eventually([&] { return world.send(cut_off, "/turn/1", "c1", "", "150").status == 503; }));
     CHECK(world.send(cut_off, "/tool/1", "b1").status == 200);
     world.store.set_fault(table_fault::none);
     CHECK(eventually(
--- /dev/null
+++ b/tests/unit/test_gateway_peers.cpp
@@ -0,0 +1,230 @@
+// Which gateways answer, who collects a partition's commits, and what happens when a collector does not.
+#include "masticcourse/gateway/commit_router.hpp"
+#include "masticcourse/gateway/peer_directory.hpp"
+
+#include "support/memory_rows.hpp"
+#include "support/virtual_time.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace masticcourse;
+using namespace masticcourse::gateway;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{1'000s};
+
+std::vector<peer> make_peers(int count)
+{
+    std::vector<peer> peers;
+    for (int n = 0; n < count; ++n)
+    {
+        peers.push_back({"10.0.0." + std::to_string(n) + ":1", 1});
+    }
+    return peers;
+}
+
+/// Gateways that reach each other directly, each with its way to the same rows.
+struct router_world
+{
+    struct member
+    {
+        member(router_world& world, const peer& self)
+            : peers(self), store(world.rows, world.time.delays()),
+              own(store, world.time.delays(), world.time.clock()),
+              router(
+                  own, peers,
+                  [&world](const std::string& to, std::string bytes, collector_callback on_answer)
+                  { world.call(to, std::move(bytes), std::move(on_answer)); },
+                  world.time.clock())
+        {
+        }
+        peer_directory peers;
+        memory_store store;
+        commit_queue own;
+        commit_router router;
+    };
+
+    explicit router_world(int count)
+    {
+        for (const auto& it : make_peers(count))
+        {
+            members[it.address] = std::make_unique<member>(*this, it);
+            members[it.address]->peers.set(make_peers(count));
+        }
+    }
+
+    void call(const std::string& to, std::string bytes, collector_callback on_answer)
+    {
+        ++messages;
+        if (dead == to)
+        {
+            time.delays()(400ms, [on_answer] { on_answer(std::nullopt); });
+            return;
+        }
+        time.delays()(1ms,
+                      [this, to, bytes = std::move(bytes), on_answer] {
+                          members[to]->router.collect(bytes, [on_answer](auto answer)
+                                                      { on_answer(std::move(answer)); });
+                      });
+    }
+
+    void put(member& by, const std::string& key, std::optional<row_version> expected = std::nullopt)
+    {
+        row_change change{.puts = {{{"t", key}, "value of " + key}}, .expires = time.now() + 3s};
+        if (expected)
+        {
+            change.condition = row_condition{{"t", key}, *expected};
+        }
+        by.router.submit("p", std::move(change), [this](const change_result& it) { results.push_back(it); });
+    }
+
+    [[nodiscard]] auto done() const
+    {
+        return std::ranges::count(results, store_outcome::done, &change_result::outcome);
+    }
+
+    virtual_time time;
+    row_table rows;
+    std::map<std::string, std::unique_ptr<member>> members;
+    std::vector<change_result> results;
+    std::string dead;
+    int messages = 0;
+};
+
+} // namespace
+
+TEST_CASE("all gateways name the same collector, and partitions are shared by weight")
+{
+    auto peers = make_peers(10);
+    peers[0].cores = 8;
+    std::map<std::string, int> shares;
+    for (int n = 0; n < 1'000; ++n)
+    {
+        const auto partition = "p" + std::to_string(n);
+        std::string named;
+        for (const auto& self : peers)
+        {
+            peer_directory directory{self};
+            directory.set(peers);
+            const auto collector = directory.collector_of(partition, start).value_or(self.address);
+            CHECK((named.empty() || named == collector));
+            named = collector;
+        }
+        ++shares[named];
+    }
+    CHECK(shares[peers[0].address] > 350);
+    CHECK(shares[peers[0].address] < 600);
+    CHECK(shares.size() == 10);
+}
+
+TEST_CASE("a gateway that does not answer is left out, longer each time, until it answers")
+{
+    const auto peers = make_peers(2);
+    peer_directory directory{peers[0]};
+    directory.set(peers);
+    const auto& other = peers[1].address;
+    CHECK(directory.choose(5, start) == std::vector{other});
+    directory.failed(other, start);
+    CHECK(directory.choose(5, start).empty());
+    CHECK(directory.choose(5, start + 1'500ms).size() == 1);
+    directory.failed(other, start + 2s);
+    CHECK(directory.choose(5, start + 4s).empty());
+    directory.answered(other);
+    CHECK(directory.choose(5, start + 4s).size() == 1);
+    for (int n = 0; n < 10; ++n)
+    {
+        CHECK(directory.collector_of(std::to_string(n), start + 4s).value_or(other) == other);
+    }
+}
+
+TEST_CASE("through a collector, many gateways' changes share few transactions")
+{
+    router_world world{40};
+    for (int round = 0; round < 10; ++round)
+    {
+        for (auto& [address, member] : world.members)
+        {
+            world.put(*member, address + "/" + std::to_string(round));
+        }
+        world.time.run(20ms);
+    }
+    world.time.run(200ms);
+    CHECK(world.done() == 400);
+    CHECK(world.rows.transactions() < 60);
+}
+
+TEST_CASE("what a dead collector does not answer is written by its senders, and others collect from then on")
+{
+    router_world world{5};
+    auto& first = *world.members.begin()->second;
+    world.dead = first.peers.collector_of("p", world.time.now()).value_or("");
+    for (auto& [address, member] : world.members)
+    {
+        world.put(*member, address, 0);
+    }
+    world.time.run(1s);
+    const auto alive = world.dead.empty() ? 5 : 5;
+    CHECK(world.done() == alive);
+    const auto messages = world.messages;
+    for (auto& [address, member] : world.members)
+    {
+        world.put(*member, address + "/again", 0);
+    }
+    world.time.run(100ms);
+    CHECK(world.done() == 2 * alive);
+    CHECK(world.messages > messages);
+}
+
+TEST_CASE("a condition that fails at the collector is told to the change's own sender")
+{
+    router_world world{3};
+    auto& one = *world.members.begin()->second;
+    auto& two = *world.members.rbegin()->second;
+    world.put(one, "same", 0);
+    world.put(two, "same", 0);
+    world.put(two, "other", 0);
+    world.time.run(300ms);
+    CHECK(world.done() == 2);
+    const auto conflict = std::ranges::find(world.results, store_outcome::conflict, &change_result::outcome);
+    REQUIRE(conflict != world.results.end());
+    CHECK(conflict->current->value == "value of same");
+}
+
+TEST_CASE("messages are read as they were written; damaged ones are none")
+{
+    const std::vector<routed_change> changes{
+        {"p1", {.puts = {{{"t", "a"}, std::string("\0\xff", 2)}}, .expires = start + 2s}},
+        {"p2", {.condition = row_condition{{"t", "b"}, 7}, .puts = {}, .expires = start + 1s}}};
+    const auto bytes = encode_changes(changes, start);
+    const auto read = decode_changes(bytes, start + 1h);
+    REQUIRE(read);
+    REQUIRE(read->size() == 2);
+    CHECK(read->at(0).change.puts.at(0).value == std::string("\0\xff", 2));
+    CHECK_FALSE(read->at(0).change.condition);
+    CHECK(read->at(1).change.condition->version == 7);
+    CHECK(read->at(1).change.expires == start + 1h + 1s);
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+    {
+        CHECK_FALSE(decode_changes(bytes.substr(0, n), start));
+    }
+    CHECK_FALSE(decode_changes(std::string("\x81\x01"), start));
+
+    const std::vector<change_result> results{
+        {.outcome = store_outcome::conflict, .current = stored_row{{"t", "a"}, "v", 9}},
+        {.outcome = store_outcome::done, .version = 12}};
+    const auto got = decode_results(encode_results(results));
+    REQUIRE(got);
+    CHECK(got->at(0).current->version == 9);
+    CHECK(got->at(1).version == 12);
+    CHECK_FALSE(decode_results(std::string("\x81\x83\x09\x00\xf6")));
+}
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -1,4 +1,5 @@
 // Budgets over several gateways that share nothing but the store.
+#include "masticcourse/gateway/commit_router.hpp"
 #include "masticcourse/gateway/program_spending.hpp"
 
 #include "support/memory_rows.hpp"
@@ -21,16 +22,21 @@
 namespace
 {
 
+/// Sends a message to the gateway of that address.
+using member_call = std::function<void(const std::string&, const std::string&, const collector_callback&)>;
+
 struct spender
 {
-    spender(row_table& rows, virtual_time& time)
-        : store(rows, time.delays()), commits(store, time.delays(), time.clock()),
-          spending(store, commits, time.delays(), time.clock())
+    spender(row_table& rows, virtual_time& time, const std::string& address, const member_call& call)
+        : store(rows, time.delays()), peers({address, 1}), own(store, time.delays(), time.clock()),
+          commits(own, peers, call, time.clock()), spending(store, commits, time.delays(), time.clock())
     {
     }
 
     memory_store store;
-    commit_queue commits;
+    peer_directory peers;
+    commit_queue own;
+    commit_router commits;
     program_spending spending;
 };
 
@@ -40,13 +46,33 @@
     row_table rows;
     std::vector<std::unique_ptr<spender>> gateways;
     std::map<std::string, reservation_outcome> outcomes;
+    bool collects = false;
 
-    explicit spending_world(std::size_t count)
+    /// @param collecting whether commits go through collectors
+    explicit spending_world(std::size_t count, bool collecting = false) : collects(collecting)
     {
         for (std::size_t n = 0; n < count; ++n)
         {
-            gateways.push_back(std::make_unique<spender>(rows, time));
+            gateways.push_back(make(n, count));
+        }
+    }
+
+    std::unique_ptr<spender> make(std::size_t n, std::size_t count)
+    {
+        const auto call =
+            [this](const std::string& to, const std::string& bytes, const collector_callback& on_answer)
+        {
+            time.delays()(1ms, [this, to, bytes, on_answer]
+                          { gateways[std::stoul(to)]->commits.collect(bytes, on_answer); });
+        };
+        auto made = std::make_unique<spender>(rows, time, std::to_string(n), call);
+        std::vector<peer> peers;
+        for (std::size_t other = 0; collects && other < count; ++other)
+        {
+            peers.push_back({std::to_string(other), 1});
         }
+        made->peers.set(std::move(peers));
+        return made;
     }
 
     void reserve(std::size_t at, const std::string& request, token_count tokens, token_count budget,
@@ -189,12 +215,12 @@
 {
     constexpr token_count budget = 900;
     constexpr token_count most = 280;
-    for (unsigned seed = 0; seed < 60; ++seed)
+    for (unsigned seed = 0; seed < 120; ++seed)
     {
         CAPTURE(seed);
         std::mt19937 random{seed};
         const auto draw = [&random](unsigned n) { return static_cast<unsigned>(random() % n); };
-        spending_world world{3};
+        spending_world world{3, seed % 2 == 1};
         std::map<std::string, token_count> counted;
         int next = 0;
         for (int step = 0; step < 120; ++step)
@@ -207,8 +233,7 @@
             {
                 // The process is lost with all that it knew; what it had under way stays behind in the clock.
                 static std::vector<std::unique_ptr<spender>> graveyard;
-                graveyard.push_back(
-                    std::exchange(world.gateways[at], std::make_unique<spender>(world.rows, world.time)));
+                graveyard.push_back(std::exchange(world.gateways[at], world.make(at, 3)));
             }
             const auto name = std::to_string(next++);
             counted[name] = 0;
--- a/tests/unit/test_gateway_store_path.cpp
+++ b/tests/unit/test_gateway_store_path.cpp
@@ -18,12 +18,10 @@
 TEST_CASE("a gateway that is turned away goes through peers, and directly again after one good answer")
 {
     store_path path;
-    path.set_peers({"a", "b", "c"});
     CHECK(path.direct());
     path.on_direct(hop_result::turned_away, 1ms, start, false);
     CHECK_FALSE(path.direct());
     CHECK(path.reachable());
-    CHECK(path.choose_peers(start).size() == 2);
     path.on_direct(hop_result::answered, 5ms, start + 1s, true);
     CHECK(path.direct());
 }
@@ -75,17 +73,11 @@
 TEST_CASE("the store is away only when no peer reaches it either")
 {
     store_path path;
-    path.set_peers({"a", "b"});
     path.on_direct(hop_result::turned_away, 1ms, start, false);
-    path.on_peer("a", false, start);
-    CHECK(path.choose_peers(start) == std::vector<std::string>{"b"});
-    path.on_peer("b", false, start);
-    CHECK(path.choose_peers(start).empty());
+    CHECK(path.reachable());
     path.on_no_way(start);
     CHECK_FALSE(path.reachable());
-    // Peers are asked again after a while, and one that reaches the store is enough.
-    CHECK(path.choose_peers(start + 2s).size() == 2);
-    path.on_peer("b", true, start + 2s);
+    path.on_way_through_peer();
     CHECK(path.reachable());
 }
 
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -64,6 +64,7 @@
 row_bytes = 65536
 [limits]
 memory_mb = 130
+cores = 0.5
 stop_grace_s = 8.5
 steady_after_ms = 3000
 )";
