--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -59,7 +59,7 @@
 {
   public:
     gateway(boost::asio::io_context& context, gateway_options options, const gateway_protocol& protocol,
-            row_store& store, peer_directory& peers, table_decoders decoders);
+            row_store& store, peer_directory& peers, table_decoders decoders, metrics_registry& metrics);
     ~gateway();
     gateway(const gateway&) = delete;
     gateway(gateway&&) = delete;
@@ -71,8 +71,6 @@
     /// Stops gracefully: turns the balancer away, answers what still comes, then calls @a on_stopped.
     void stop(std::function<void()> on_stopped);
 
-    [[nodiscard]] metrics_registry& metrics();
-
     /// Where peers send the commits that this gateway collects.
     static constexpr const char* commit_path = "/commits";
     /// Serves a peer's request to that path.
--- /dev/null
+++ b/include/masticcourse/gateway/peer_list.hpp
@@ -0,0 +1,50 @@
+/// @file
+/// The list of gateways in the store: each keeps up its own entry and reads the others'.
+#pragma once
+
+#include "masticcourse/gateway/commit_queue.hpp"
+#include "masticcourse/gateway/peer_directory.hpp"
+#include "masticcourse/gateway/row_store.hpp"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+class peer_list
+{
+  public:
+    /// @param node names the own entry
+    peer_list(row_store& store, peer_directory& peers, std::string node, peer self, delay_function delay,
+              clock_function clock);
+
+    void start();
+
+    /// Takes the own entry off the list.
+    void leave();
+
+  private:
+    /// When an entry was last seen to change.
+    struct last_change
+    {
+        row_version version = 0;
+        time_point at;
+    };
+
+    void announce();
+    void read_peers();
+    void take_peers(const std::vector<stored_row>& rows);
+
+    row_store& m_store;
+    peer_directory& m_peers;
+    std::string m_node;
+    peer m_self;
+    delay_function m_delay;
+    clock_function m_clock;
+    std::unordered_map<std::string, last_change> m_changes;
+    bool m_leaving = false;
+};
+
+} // namespace masticcourse::gateway
--- a/src/gateway/course.hpp
+++ b/src/gateway/course.hpp
@@ -70,7 +70,7 @@
     void finish_turn();
     void refuse(refusal_reason reason, ran_state ran, std::string detail,
                 std::optional<milliseconds> retry_after = std::nullopt);
-    void break_off(std::string detail);
+    void break_off(std::string_view detail);
     void on_caller_gone();
     void on_deadline();
     void finish(course_end end, std::string_view detail);
--- /dev/null
+++ b/src/gateway/course_answer.cpp
@@ -0,0 +1,182 @@
+// What the caller is given, and how a request ends.
+#include "course.hpp"
+
+#include "masticcourse/telemetry/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticcourse::gateway::detail
+{
+
+namespace
+{
+
+bool failed_at_target(int status)
+{
+    constexpr int server_error_class = 5;
+    return status / 100 == server_error_class;
+}
+
+} // namespace
+
+void course::on_whole_answer(http_client_reply reply)
+{
+    const bool again = m_route->kind == request_kind::idempotent && failed_at_target(m_answer->status);
+    end_attempt(again ? target_verdict::broken : target_verdict::sound);
+    if (again && may_try_again())
+    {
+        dispatch();
+        return;
+    }
+    m_exchange->respond({.status = m_answer->status,
+                         .content_type = {},
+                         .body = std::move(reply.body),
+                         .headers = std::move(m_answer->headers)});
+    finish(course_end::answered, "whole answer");
+}
+
+void course::on_whole_stream()
+{
+    m_stream_whole = true;
+    end_attempt(target_verdict::sound);
+    if (!is_turn())
+    {
+        hand_out();
+        m_exchange->end_stream();
+        finish(course_end::answered, "whole stream");
+        return;
+    }
+    turn_record turn{.ancestors = std::move(m_chain.turns), .input = m_request.body, .output = m_output};
+    m_services.turns.keep(m_request.id, std::move(turn), m_deadline,
+                          [self = shared_from_this()](bool kept)
+                          {
+                              self->m_kept = kept;
+                              if (kept)
+                              {
+                                  self->finish_turn();
+                              }
+                          });
+}
+
+void course::hand_out()
+{
+    if (m_reservation == reservation_state::pending || !m_answer)
+    {
+        return;
+    }
+    if (!m_held.empty() || m_stream_whole)
+    {
+        if (!std::exchange(m_head_sent, true))
+        {
+            m_exchange->begin_stream(m_answer->status, m_answer->headers);
+        }
+        m_exchange->write(std::exchange(m_held, {}));
+    }
+    finish_turn();
+}
+
+void course::finish_turn()
+{
+    if (m_finished || !m_kept || m_reservation != reservation_state::granted)
+    {
+        return;
+    }
+    if (!std::exchange(m_head_sent, true))
+    {
+        m_exchange->begin_stream(m_answer->status, m_answer->headers);
+    }
+    m_exchange->end_stream();
+    finish(course_end::answered, "turn kept");
+}
+
+void course::refuse(refusal_reason reason, ran_state ran, std::string detail,
+                    std::optional<milliseconds> retry_after)
+{
+    if (m_finished)
+    {
+        return;
+    }
+    const auto text = std::string{to_string(reason)} + ": " + detail;
+    m_exchange->respond(m_services.protocol.encode(
+        refusal{.reason = reason, .ran = ran, .detail = std::move(detail), .retry_after = retry_after}));
+    finish(course_end::refused, text);
+}
+
+void course::break_off(std::string_view detail)
+{
+    // Dropping the exchange closes the connection: the caller sees that the answer is not whole.
+    finish(course_end::broken_off, detail);
+}
+
+void course::on_caller_gone()
+{
+    if (!m_finished)
+    {
+        finish(course_end::cancelled, "the caller left");
+    }
+}
+
+void course::on_deadline()
+{
+    if (m_finished)
+    {
+        return;
+    }
+    const bool sent = m_may_have_run || m_target || m_stream_whole;
+    if (m_head_sent)
+    {
+        break_off("the deadline passed in the middle of the answer");
+    }
+    else
+    {
+        refuse(refusal_reason::deadline_passed, sent ? ran_state::unknown : ran_state::no,
+               "the deadline passed");
+    }
+}
+
+void course::finish(course_end end, std::string_view detail)
+{
+    m_finished = true;
+    log_end(end, detail);
+    end_attempt(target_verdict::none);
+    if (m_reservation != reservation_state::not_needed)
+    {
+        const auto* const service =
+            m_config->find_service(choose_service(*m_route, m_request.program->program.value));
+        const token_count per_event =
+            service != nullptr && service->engine ? service->engine->tokens_per_event : 1;
+        // An event that was cut off in the middle counts too.
+        const auto open = m_stream_whole ? 0 : 1;
+        const auto events = m_head_sent ? static_cast<token_count>(m_events) + open : 0;
+        m_services.spending.settle(m_request.program->program, m_request.id, events * per_event);
+    }
+    m_exchange.reset();
+    m_chain = {};
+    m_held.clear();
+    m_request.body.clear();
+    const auto on_end = std::exchange(m_on_end, nullptr);
+    on_end(end);
+}
+
+void course::log_end(course_end end, std::string_view detail) const
+{
+    const auto elapsed = std::chrono::floor<milliseconds>(m_services.clock() - m_started);
+    const auto& program = m_request.program;
+    log_event(end == course_end::answered ? event_id::request_answered : event_id::request_failed,
+              {{"request", m_request.id.value},
+               {"program", program ? program->program.value : "-"},
+               {"route", m_route != nullptr ? m_route->name : "-"},
+               {"config", std::to_string(m_config->version)},
+               {"end", std::string{to_string(end)}},
+               {"why", std::string{detail}},
+               {"target", m_tried.empty() ? "-" : m_tried.back().value},
+               {"attempts", std::to_string(m_tried.size())},
+               {"events", std::to_string(m_events)},
+               {"budget", program && program->budget ? std::to_string(*program->budget) : "-"},
+               {"most", program ? std::to_string(program->most_tokens) : "-"},
+               {"previous", program && program->previous ? program->previous->value : "-"},
+               {"ms", std::to_string(elapsed.count())}});
+}
+
+} // namespace masticcourse::gateway::detail
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,11 +33,11 @@
 
 struct gateway::state
 {
-    state(boost::asio::io_context& context_, gateway_options options_, const gateway_protocol& protocol_,
-          row_store& store_, peer_directory& peers_, table_decoders decoders_);
+    state(boost::asio::io_context& io, gateway_options given, const gateway_protocol& wire, row_store& rows,
+          peer_directory& others, table_decoders readers, metrics_registry& counters);
 
     void start();
-    void stop(std::function<void()> on_stopped_);
+    void stop(std::function<void()> on_done);
     void serve(http_request request, std::shared_ptr<http_exchange> exchange);
     void take_config(const stored_row& row);
     void take_target(const stored_row& row);
@@ -58,7 +58,7 @@
     row_store& store;
     peer_directory& peers;
     table_decoders decoders;
-    metrics_registry registry;
+    metrics_registry& registry;
     config_holder config;
     target_table targets;
     http_client client;
@@ -78,11 +78,12 @@
     bool gone = false;
 };
 
-gateway::state::state(boost::asio::io_context& context_, gateway_options options_,
-                      const gateway_protocol& protocol_, row_store& store_, peer_directory& peers_,
-                      table_decoders decoders_)
-    : context(context_), options(std::move(options_)), protocol(protocol_), store(store_), peers(peers_),
-      decoders(std::move(decoders_)), client(context), own_commits(store, delays(), monotonic_now),
+gateway::state::state(boost::asio::io_context& io, gateway_options given, const gateway_protocol& wire,
+                      row_store& table_store, peer_directory& others, table_decoders readers,
+                      metrics_registry& counters)
+    : context(io), options(std::move(given)), protocol(wire), store(table_store), peers(others),
+      decoders(std::move(readers)), registry(counters), client(context),
+      own_commits(store, delays(), monotonic_now),
       commits(
           own_commits, peers,
           [this](const auto& address, auto bytes, auto on_answer)
@@ -291,13 +292,13 @@
     }
 }
 
-void gateway::state::stop(std::function<void()> on_stopped_)
+void gateway::state::stop(std::function<void()> on_done)
 {
     if (stopping_since)
     {
         return;
     }
-    on_stopped = std::move(on_stopped_);
+    on_stopped = std::move(on_done);
     stopping_since = monotonic_now();
     sweep();
     frontend->announce_close();
@@ -331,9 +332,9 @@
 }
 
 gateway::gateway(boost::asio::io_context& context, gateway_options options, const gateway_protocol& protocol,
-                 row_store& store, peer_directory& peers, table_decoders decoders)
-    : m_state(
-          std::make_unique<state>(context, std::move(options), protocol, store, peers, std::move(decoders)))
+                 row_store& store, peer_directory& peers, table_decoders decoders, metrics_registry& metrics)
+    : m_state(std::make_unique<state>(context, std::move(options), protocol, store, peers,
+                                      std::move(decoders), metrics))
 {
 }
 
@@ -362,9 +363,4 @@
                              });
 }
 
-metrics_registry& gateway::metrics()
-{
-    return m_state->registry;
-}
-
 } // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/peer_list.cpp
@@ -0,0 +1,95 @@
+#include "masticcourse/gateway/peer_list.hpp"
+
+#include <sstream>
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+/// Peers find each other in this table: node name to "ip:port".
+const std::string peer_table = "gateways";
+/// How often the list of peers is read: a new one is known that much later, for a third of a call a second.
+constexpr milliseconds peer_period{3'000};
+/// How often the own entry is written anew, and how long one that is not counts: a gateway that is gone is
+/// off the list after two writes that did not come. Tens of gateways make a few writes a second of it.
+constexpr milliseconds announce_period{10'000};
+constexpr milliseconds peer_life{25'000};
+} // namespace
+
+peer_list::peer_list(row_store& store, peer_directory& peers, std::string node, peer self,
+                     delay_function delay, clock_function clock)
+    : m_store(store), m_peers(peers), m_node(std::move(node)), m_self(std::move(self)),
+      m_delay(std::move(delay)), m_clock(std::move(clock))
+{
+}
+
+void peer_list::start()
+{
+    announce();
+    read_peers();
+}
+
+void peer_list::leave()
+{
+    m_leaving = true;
+    announce();
+}
+
+void peer_list::announce()
+{
+    std::ostringstream entry;
+    if (!m_leaving)
+    {
+        entry << m_self.address << ' ' << m_self.cores;
+    }
+    const row_transaction transaction{.puts = {{{peer_table, m_node}, entry.str()}}};
+    m_store.transact(transaction,
+                     [this](const transaction_reply& reply)
+                     {
+                         const bool done = reply.outcome == store_outcome::done;
+                         if (!done || !m_leaving)
+                         {
+                             m_delay(done ? announce_period : peer_period, [this] { announce(); });
+                         }
+                     });
+}
+
+void peer_list::read_peers()
+{
+    m_store.query({.table = peer_table},
+                  [this](const query_reply& reply)
+                  {
+                      if (reply.answered)
+                      {
+                          take_peers(reply.rows);
+                      }
+                      m_delay(peer_period, [this] { read_peers(); });
+                  });
+}
+
+void peer_list::take_peers(const std::vector<stored_row>& rows)
+{
+    const auto now = m_clock();
+    std::vector<peer> peers;
+    for (const auto& it : rows)
+    {
+        auto& seen = m_changes[it.name.key];
+        if (seen.version != it.version)
+        {
+            seen = {it.version, now};
+        }
+        std::istringstream entry{it.value};
+        peer peer;
+        entry >> peer.address >> peer.cores;
+        if (entry && now - seen.at < peer_life)
+        {
+            peers.push_back(std::move(peer));
+        }
+    }
+    m_peers.set(std::move(peers));
+}
+
+} // namespace masticcourse::gateway
--- a/tests/unit/test_gateway_course.cpp
+++ b/tests/unit/test_gateway_course.cpp
@@ -53,9 +53,12 @@
         CAPTURE(to_string(it.failure));
         course_world world;
         const auto view = world.send(world.make(it.route, "r"));
-        for (std::size_t n = 0; n < world.sent.size(); ++n)
+        // Each failure may send the request once more.
+        std::size_t failed = 0;
+        while (failed < world.sent.size())
         {
-            world.sent[n]->fail(it.failure);
+            const auto next = world.sent[failed++];
+            next->fail(it.failure);
         }
         CHECK(world.sent.size() == it.sent);
         REQUIRE(view->response);
--- a/tests/unit/test_gateway_loopback.cpp
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -5,6 +5,7 @@
 #include "row_store_client.hpp"
 
 #include "masticcourse/gateway/gateway.hpp"
+#include "masticcourse/gateway/peer_list.hpp"
 
 #include "net_fixture.hpp"
 #include "platform_target.hpp"
@@ -42,8 +43,8 @@
     gateway_process(const std::string& store_address, const std::string& node)
         : callers(free_address(threads.context())), readiness(free_address(threads.context())),
           peer_address(free_address(threads.context())), peers({peer_address, 1}),
-          store(threads.context(), {.address = store_address, .node = node, .self = {peer_address, 1}}, peers,
-                delays(), metrics),
+          store(threads.context(), {store_address, peer_address}, peers, delays(), metrics),
+          list(store, peers, node, {peer_address, 1}, delays(), gateway::monotonic_now),
           gateway(threads.context(),
                   {.frontend = callers,
                    .readiness = readiness,
@@ -52,7 +53,7 @@
                    .cache_bytes = 1'000'000,
                    .row_bytes = 10'000,
                    .stop_grace = 8s},
-                  protocol, store, peers, platform::make_table_decoders())
+                  protocol, store, peers, platform::make_table_decoders(), metrics)
     {
         boost::asio::post(threads.context(),
                           [this]
@@ -61,6 +62,7 @@
                                           [this](const auto& request, const auto& exchange)
                                           { gateway.serve_commits(request, exchange); });
                               store.start();
+                              list.start();
                               gateway.start();
                               started = true;
                           });
@@ -99,6 +101,7 @@
     gateway::peer_directory peers;
     platform::platform_protocol protocol;
     platform::row_store_client store;
+    gateway::peer_list list;
     gateway::gateway gateway;
 };
 
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -1,6 +1,7 @@
 // Which gateways answer, who collects a partition's commits, and what happens when a collector does not.
 #include "masticcourse/gateway/commit_router.hpp"
 #include "masticcourse/gateway/peer_directory.hpp"
+#include "masticcourse/gateway/peer_list.hpp"
 
 #include "support/memory_rows.hpp"
 #include "support/virtual_time.hpp"
@@ -228,3 +229,38 @@
     CHECK(got->at(1).version == 12);
     CHECK_FALSE(decode_results(std::string("\x81\x83\x09\x00\xf6")));
 }
+
+TEST_CASE("gateways find each other in the store; one that leaves, or writes no more, is off the list")
+{
+    virtual_time time;
+    row_table rows;
+    struct member
+    {
+        member(virtual_time& time, row_table& rows, const std::string& name)
+            : directory({name, 1}), store(rows, time.delays()),
+              list(store, directory, name, {name, 1}, time.delays(), time.clock())
+        {
+        }
+        peer_directory directory;
+        memory_store store;
+        peer_list list;
+    };
+    member one{time, rows, "one:1"};
+    member two{time, rows, "two:1"};
+    member three{time, rows, "three:1"};
+    one.list.start();
+    two.list.start();
+    three.list.start();
+    time.run(4s);
+    const auto seen_by_one = [&] { return one.directory.choose(5, time.now()).size(); };
+    CHECK(seen_by_one() == 2);
+    two.list.leave();
+    time.run(4s);
+    CHECK(seen_by_one() == 1);
+    // The third falls silent for good.
+    three.store.mode = store_mode::silent;
+    time.run(10s);
+    CHECK(seen_by_one() == 1);
+    time.run(20s);
+    CHECK(seen_by_one() == 0);
+}
--- a/tests/unit/test_gateway_targets.cpp
+++ b/tests/unit/test_gateway_targets.cpp
@@ -179,6 +179,7 @@
         const auto key = std::to_string(n);
         return choose(table, {.affinity = key});
     };
+    before.reserve(programs);
     for (int n = 0; n < programs; ++n)
     {
         before.push_back(where(n));
--- a/tests/unit/test_gateway_turns.cpp
+++ b/tests/unit/test_gateway_turns.cpp
@@ -55,7 +55,8 @@
 TEST_CASE("any gateway puts a chain together from the last turn's id, byte for byte")
 {
     turn_world world;
-    const std::string odd{"line\r\n\0\xff\x80 ", 11};
+    using namespace std::string_literals;
+    const auto odd = "line\r\n\0\xff\x80 "s;
     REQUIRE(world.keep("a", {}, "in a;", "out a\n"));
     REQUIRE(world.keep("b", {{"a"}}, odd, std::string(1'000, 'x') + "\n"));
     REQUIRE(world.keep("c", {{"a"}, {"b"}}, "in c;", ""));
