--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -11,6 +11,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -90,11 +91,17 @@
         int busy = 0;
         /// Failures in a row, for the pause before the next try.
         std::uint32_t failures = 0;
+        /// Rows under conditions as last written or read here. Versions only grow, so a condition on an older
+        /// one can't hold any more.
+        std::map<row_name, stored_row> known;
     };
 
     void pump(const std::string& partition);
     [[nodiscard]] item_list take_batch(partition_queue& queue) const;
     void give_up_expired(partition_queue& queue);
+    /// Tells changes whose condition is known to fail at once, without a transaction.
+    void refuse_outdated(partition_queue& queue);
+    void remember(const std::string& partition, const stored_row& row);
     void finish(const std::string& partition, item_list batch, const transaction_reply& reply);
     void settle_conflicts(item_list& batch, const transaction_reply& reply);
     void put_back(partition_queue& queue, item_list batch);
--- a/src/gateway/commit_queue.cpp
+++ b/src/gateway/commit_queue.cpp
@@ -14,6 +14,8 @@
 constexpr int most_under_way = 2;
 /// Rows and conditions of one transaction; the store takes 100 entries.
 constexpr std::size_t most_entries = 90;
+/// Rows remembered of one partition: those of a few thousand programs, some hundred bytes each.
+constexpr std::size_t most_known = 4'000;
 /// Bytes of one transaction; the store takes 1 MB, and base64 makes four bytes of three.
 constexpr std::size_t most_bytes = 600'000;
 /// The pause after a failure, doubled with each further one up to the longest: short enough that a turn ends
@@ -99,6 +101,7 @@
         return;
     }
     give_up_expired(queue);
+    refuse_outdated(queue);
     if (queue.waiting.empty())
     {
         return;
@@ -115,24 +118,59 @@
 commit_queue::item_list commit_queue::take_batch(partition_queue& queue) const
 {
     item_list batch;
+    item_list left;
     std::size_t entries = 0;
     std::size_t bytes = 0;
-    while (!queue.waiting.empty())
+    for (auto& it : queue.waiting)
     {
-        const auto& change = queue.waiting.front().change;
-        entries += entries_of(change);
-        bytes += bytes_of(change);
-        const bool full = entries > most_entries || bytes > most_bytes;
-        if (!batch.empty() && (full || shares_row(batch, change)))
+        const bool full =
+            entries + entries_of(it.change) > most_entries || bytes + bytes_of(it.change) > most_bytes;
+        if (!batch.empty() && (full || shares_row(batch, it.change)))
         {
-            break;
+            left.push_back(std::move(it));
+            continue;
         }
-        batch.push_back(std::move(queue.waiting.front()));
-        queue.waiting.pop_front();
+        entries += entries_of(it.change);
+        bytes += bytes_of(it.change);
+        batch.push_back(std::move(it));
     }
+    queue.waiting = std::move(left);
     return batch;
 }
 
+void commit_queue::refuse_outdated(partition_queue& queue)
+{
+    item_list outdated;
+    item_list left;
+    for (auto& it : queue.waiting)
+    {
+        const auto& condition = it.change.condition;
+        const auto row = condition ? queue.known.find(condition->name) : queue.known.end();
+        const bool fails = row != queue.known.end() && row->second.version > condition->version;
+        (fails ? outdated : left).push_back(std::move(it));
+    }
+    queue.waiting = std::move(left);
+    for (auto& it : outdated)
+    {
+        const auto current = queue.known.at(it.change.condition->name);
+        resolve(it, {.outcome = store_outcome::conflict, .current = current});
+    }
+}
+
+void commit_queue::remember(const std::string& partition, const stored_row& row)
+{
+    auto& known = m_queues[partition].known;
+    if (known.size() >= most_known)
+    {
+        known.clear();
+    }
+    auto& it = known[row.name];
+    if (it.version < row.version)
+    {
+        it = row;
+    }
+}
+
 void commit_queue::give_up_expired(partition_queue& queue)
 {
     const auto now = m_clock();
@@ -150,6 +188,13 @@
     {
         queue.failures = 0;
         --queue.busy;
+        for (const auto& it : batch)
+        {
+            if (it.change.condition)
+            {
+                remember(partition, {it.change.condition->name, it.change.puts.front().value, reply.version});
+            }
+        }
         std::ranges::for_each(batch, [&](item& it)
                               { resolve(it, {.outcome = store_outcome::done, .version = reply.version}); });
         pump(partition);
@@ -158,6 +203,7 @@
     const auto size = batch.size();
     if (reply.outcome == store_outcome::conflict)
     {
+        std::ranges::for_each(reply.current, [&](const stored_row& it) { remember(partition, it); });
         settle_conflicts(batch, reply);
     }
     const bool progress = batch.size() < size;
--- a/src/gateway/commit_router.cpp
+++ b/src/gateway/commit_router.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/gateway/commit_router.hpp"
 
+#include "masticcourse/telemetry/log.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <memory>
@@ -83,6 +85,9 @@
         // What the collector did is not known. Written once more, a change does no harm: it holds under its
         // condition, or may be written twice.
         m_peers.failed(collector, m_clock());
+        log_event(event_id::collector_failed, {{"collector", collector},
+                                               {"changes", std::to_string(sent.size())},
+                                               {"answer", answer ? "unreadable" : "none"}});
         for (auto& it : sent)
         {
             m_own.submit(it.change.partition, std::move(it.change.change), std::move(it.on_result));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds kill_margin{500};
 /// How long a collector may take before its sender writes by itself: a transaction with one lost answer takes
 /// 100 ms.
-constexpr milliseconds collector_limit{400};
+constexpr milliseconds collector_limit{800};
 constexpr milliseconds collector_connect_limit{100};
 /// When callers may come back to a process that has read no configuration yet.
 constexpr milliseconds after_no_configuration{300};
--- a/tests/unit/test_gateway_commits.cpp
+++ b/tests/unit/test_gateway_commits.cpp
@@ -138,3 +138,18 @@
     CHECK(world.count(store_outcome::conflict) == 2);
     CHECK(world.count(store_outcome::done) == 5);
 }
+
+TEST_CASE("a condition on a version that is known to be past fails at once, without a transaction")
+{
+    commit_world world;
+    world.put("row", 0);
+    world.time.run(100ms);
+    const auto made = world.rows.transactions();
+    world.put("row", 0);
+    CHECK(world.count(store_outcome::conflict) == 1);
+    CHECK(world.results.back().current->version == 1);
+    CHECK(world.rows.transactions() == made);
+    world.put("row", 1);
+    world.time.run(100ms);
+    CHECK(world.count(store_outcome::done) == 2);
+}
