Group commit: changes of a row being written wait, known conflicts cost no transaction; broken targets are left for a moment

Ruled out: the store's rate (no 429), repetitions (none), two collectors for one partition (one writer each, every second). A target whose answer broke is left for 250 ms at the first time, not the third; the test that counted to three is replaced by one on the growing pause.

--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -94,10 +95,13 @@
         /// Rows under conditions as last written or read here. Versions only grow, so a condition on an older
         /// one can't hold any more.
         std::map<row_name, stored_row> known;
+        /// Rows that transactions under way write. A change of one of them waits: its condition would fail,
+        /// and with it the whole transaction that it is in.
+        std::set<row_name> being_written;
     };
 
     void pump(const std::string& partition);
-    [[nodiscard]] item_list take_batch(partition_queue& queue) const;
+    [[nodiscard]] static item_list take_batch(partition_queue& queue);
     void give_up_expired(partition_queue& queue);
     /// Tells changes whose condition is known to fail at once, without a transaction.
     void refuse_outdated(partition_queue& queue);
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -40,8 +40,8 @@
     std::chrono::milliseconds timeout{10'000};
     /// For opening a connection; zero leaves it to `timeout`.
     std::chrono::milliseconds connect_timeout{0};
-    /// Whether a connection is opened for it even where one is idle.
-    bool on_new_connection = false;
+    /// Connections that have been idle for longer are not used for it; zero opens a new one.
+    std::chrono::milliseconds longest_idle{std::chrono::hours{1}};
     /// Whether it does no harm if the request runs twice; if unset, GET and HEAD count as harmless.
     std::optional<bool> idempotent;
     /// Answers for which this is false belong to other requests: they are read and dropped. Empty takes all.
--- a/src/gateway/commit_queue.cpp
+++ b/src/gateway/commit_queue.cpp
@@ -36,28 +36,16 @@
     return n;
 }
 
-bool writes(const row_change& change, const row_name& name)
-{
-    return std::ranges::find(change.puts, name, &row_put::name) != change.puts.end();
-}
-
 std::optional<stored_row> find_row(const std::vector<stored_row>& rows, const row_name& name)
 {
     const auto it = std::ranges::find(rows, name, &stored_row::name);
     return it != rows.end() ? std::optional{*it} : std::nullopt;
 }
 
-/// @return whether @a change writes a row that one of the batch writes. In one transaction both conditions on
-/// that row would hold, and the later change would undo the earlier one.
-template <typename Batch>
-bool shares_row(const Batch& batch, const row_change& change)
+/// @return whether @a change writes one of @a rows
+bool touches(const row_change& change, const std::set<row_name>& rows)
 {
-    return std::ranges::any_of(batch,
-                               [&change](const auto& it)
-                               {
-                                   return std::ranges::any_of(change.puts, [&it](const row_put& put)
-                                                              { return writes(it.change, put.name); });
-                               });
+    return std::ranges::any_of(change.puts, [&rows](const row_put& it) { return rows.contains(it.name); });
 }
 
 row_transaction to_transaction(const std::string& partition, const row_change& first)
@@ -106,8 +94,12 @@
     {
         return;
     }
-    ++queue.busy;
     auto batch = std::make_shared<item_list>(take_batch(queue));
+    if (batch->empty())
+    {
+        return;
+    }
+    ++queue.busy;
     auto transaction = to_transaction(partition, batch->front().change);
     std::for_each(std::next(batch->begin()), batch->end(),
                   [&transaction](const item& it) { append(transaction, it.change); });
@@ -115,7 +107,7 @@
                      { finish(partition, std::move(*batch), reply); });
 }
 
-commit_queue::item_list commit_queue::take_batch(partition_queue& queue) const
+commit_queue::item_list commit_queue::take_batch(partition_queue& queue)
 {
     item_list batch;
     item_list left;
@@ -125,13 +117,17 @@
     {
         const bool full =
             entries + entries_of(it.change) > most_entries || bytes + bytes_of(it.change) > most_bytes;
-        if (!batch.empty() && (full || shares_row(batch, it.change)))
+        // Two changes of one row never share a transaction: both conditions would hold, and the later would
+        // undo the earlier.
+        if ((full && !batch.empty()) || touches(it.change, queue.being_written))
         {
             left.push_back(std::move(it));
             continue;
         }
         entries += entries_of(it.change);
         bytes += bytes_of(it.change);
+        std::ranges::for_each(it.change.puts,
+                              [&queue](const row_put& put) { queue.being_written.insert(put.name); });
         batch.push_back(std::move(it));
     }
     queue.waiting = std::move(left);
@@ -184,6 +180,11 @@
 void commit_queue::finish(const std::string& partition, item_list batch, const transaction_reply& reply)
 {
     auto& queue = m_queues[partition];
+    for (const auto& it : batch)
+    {
+        std::ranges::for_each(it.change.puts,
+                              [&queue](const row_put& put) { queue.being_written.erase(put.name); });
+    }
     if (reply.outcome == store_outcome::done)
     {
         queue.failures = 0;
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -11,13 +11,10 @@
 
 /// How long a stated load counts: reports of a busy target come several times in this time.
 constexpr milliseconds report_lifetime{1'000};
-/// First pause after a failure to connect; doubled with each further one. A killed process is back within
-/// seconds, and each trial costs one request a connection attempt.
+/// First pause after a failure; doubled with each further one in a row. A killed process is back within
+/// seconds, and each trial costs one request an attempt.
 constexpr milliseconds first_pause{250};
 constexpr milliseconds longest_pause{2'000};
-/// Broken answers in a row before a target is avoided: a few in a hundred are broken on a bad day, three in a
-/// row are not chance.
-constexpr std::uint32_t broken_limit = 3;
 
 milliseconds pause_after(std::uint32_t failures)
 {
@@ -129,9 +126,11 @@
     }
     else if (verdict != target_verdict::none)
     {
+        // A broken answer may be chance, a few in a hundred on a bad day, or a target going down: a quarter
+        // of a second with the others costs nothing if it was chance, and spares requests that can't be sent
+        // again if not.
         ++row.failures;
-        const bool avoid = verdict == target_verdict::unreachable || row.failures >= broken_limit;
-        row.avoided_until = avoid ? now + pause_after(row.failures) : row.avoided_until;
+        row.avoided_until = now + pause_after(row.failures);
     }
 }
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -63,11 +63,20 @@
     return connection;
 }
 
-std::shared_ptr<http_connection> connection_pool::take(const std::string& address)
+std::shared_ptr<http_connection> connection_pool::take(const std::string& address,
+                                                       std::chrono::milliseconds longest_idle)
 {
     const auto now = std::chrono::steady_clock::now();
     const auto stale = [now](const http_connection& it) { return it.idle_since + it.idle_limit < now; };
+    const auto rested = [now, longest_idle](const http_connection& it)
+    { return it.idle_since + longest_idle < now; };
     auto connection = pop(address);
+    if (connection && rested(*connection))
+    {
+        // The others have been idle for longer still; they stay for requests that don't mind.
+        put_back(address, connection);
+        return nullptr;
+    }
     while (connection && (stale(*connection) || !connection->quiet()))
     {
         connection = pop(address);
@@ -75,6 +84,12 @@
     return connection;
 }
 
+void connection_pool::put_back(const std::string& address, const std::shared_ptr<http_connection>& connection)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_idle[address].push_back(connection);
+}
+
 void connection_pool::put(const std::string& address, const std::shared_ptr<http_connection>& connection)
 {
     connection->idle_since = std::chrono::steady_clock::now();
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -44,14 +44,17 @@
 class connection_pool
 {
   public:
+    /// @param longest_idle one that has been idle for longer is not given out
     /// @return a quiet connection, or null if there is none
-    [[nodiscard]] std::shared_ptr<http_connection> take(const std::string& address);
+    [[nodiscard]] std::shared_ptr<http_connection> take(const std::string& address,
+                                                        std::chrono::milliseconds longest_idle);
 
     /// Keeps @a connection for the next request, unless enough are kept.
     void put(const std::string& address, const std::shared_ptr<http_connection>& connection);
 
   private:
     [[nodiscard]] std::shared_ptr<http_connection> pop(const std::string& address);
+    void put_back(const std::string& address, const std::shared_ptr<http_connection>& connection);
 
     std::mutex m_mutex;
     std::unordered_map<std::string, std::vector<std::shared_ptr<http_connection>>> m_idle;
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -125,7 +125,7 @@
 
 void http_transfer::start()
 {
-    auto connection = m_request.on_new_connection ? nullptr : m_pool->take(m_request.address);
+    auto connection = m_pool->take(m_request.address, m_request.longest_idle);
     begin_on(connection ? connection : std::make_shared<http_connection>(m_context));
 }
 
--- a/tests/unit/test_gateway_commits.cpp
+++ b/tests/unit/test_gateway_commits.cpp
@@ -153,3 +153,16 @@
     world.time.run(100ms);
     CHECK(world.count(store_outcome::done) == 2);
 }
+
+TEST_CASE("a change of a row that is being written waits, and does not fail the others with it")
+{
+    commit_world world;
+    world.put("row", 0);
+    world.put("row", 0);
+    world.put("other", 0);
+    world.time.run(100ms);
+    CHECK(world.count(store_outcome::done) == 2);
+    CHECK(world.count(store_outcome::conflict) == 1);
+    // The conflict was known without asking the store.
+    CHECK(world.rows.transactions() == 2);
+}
--- a/tests/unit/test_gateway_targets.cpp
+++ b/tests/unit/test_gateway_targets.cpp
@@ -116,18 +116,22 @@
     CHECK(choose(table, {}) != "none");
 }
 
-TEST_CASE("single broken answers are chance, three in a row are not")
+TEST_CASE("a target whose answer broke is left for others for a moment, longer each time until one is sound")
 {
     auto table = make_table(2);
-    const auto broken = [&table] { table.end({"t0"}, target_verdict::broken, start); };
-    broken();
-    broken();
+    const auto pause = [&table]
+    {
+        table.end({"t0"}, target_verdict::broken, start);
+        return table.find({"t0"})->avoided_until - start;
+    };
+    const auto first = pause();
+    CHECK(first > 0ms);
+    CHECK(first <= 250ms);
+    CHECK(pause() == 2 * first);
+    CHECK(pause() == 4 * first);
     table.end({"t0"}, target_verdict::sound, start);
-    broken();
-    broken();
     CHECK(table.find({"t0"})->avoided_until <= start);
-    broken();
-    CHECK(table.find({"t0"})->avoided_until > start);
+    CHECK(pause() == first);
 }
 
 TEST_CASE("what others have at a target counts less as the report ages")
