--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -12,9 +12,9 @@
 {
 
 /// How long a gateway that did not answer is left out; doubled with each failure in a row. A frozen one is
-/// back within seconds; one that is gone for good costs one late commit in six seconds.
+/// back within seconds; one that is gone for good costs one late commit in twenty.
 constexpr milliseconds first_pause{1'500};
-constexpr milliseconds longest_pause{6'000};
+constexpr milliseconds longest_pause{20'000};
 
 /// Weighted rendezvous hashing: each peer is chosen in proportion to its weight, and only the partitions of a
 /// peer that leaves move (Schindelhauer and Schomaker, 2005).
@@ -80,7 +80,7 @@
 void peer_directory::failed(const std::string& address, time_point now)
 {
     auto& it = m_avoided[address];
-    constexpr std::uint32_t longest_shift = 2;
+    constexpr std::uint32_t longest_shift = 4;
     const auto pause = std::min(first_pause * (1 << std::min(it.failures, longest_shift)), longest_pause);
     ++it.failures;
     it.until = now + pause;
