Collectors answer in time whatever the store does; senders keep to them

Ruled out: targets (their runs ended in time), the repetition of calls, the callers' retries (refused ones were few by then). Change: a collector tells after 400 ms what it could not write yet, and keeps nothing longer; its sender sends that again. Senders write by themselves only when a collector is silent or can't reach a store that they reach.

--- a/include/masticcourse/gateway/commit_router.hpp
+++ b/include/masticcourse/gateway/commit_router.hpp
@@ -47,13 +47,17 @@
 {
   public:
     /// @param own writes what this gateway collects, and what a collector does not answer for
-    commit_router(commit_sink& own, peer_directory& peers, collector_call call, clock_function clock);
+    commit_router(commit_sink& own, const row_store& store, peer_directory& peers, collector_call call,
+                  delay_function delay, clock_function clock);
 
     void submit(const std::string& partition, row_change change, change_callback on_result) override;
     [[nodiscard]] std::size_t pending() const override;
 
-    /// Writes what another gateway sent.
-    /// @param on_done takes the encoded results; nothing if the message can't be read or is empty
+    /// Writes what another gateway sent. The results come soon whatever the store does: what is not known by
+    /// then is told as unknown, and its sender sends it again. So a slow store never looks like a silent
+    /// collector; senders that took it for one and all wrote by themselves would keep the store slow.
+    /// @param on_done takes the encoded results; nothing if the message can't be read or is empty, or the
+    /// store can't be reached from here
     void collect(const std::string& bytes, std::function<void(std::optional<std::string>)> on_done);
 
   private:
@@ -73,10 +77,15 @@
     /// Finds another way for what waits for a collector that does not answer.
     void reroute(const std::string& collector);
     void on_answer(const std::string& collector, item_list sent, const std::optional<std::string>& answer);
+    void on_results(item_list sent, const std::vector<change_result>& results);
+    void on_silence(const std::string& collector, item_list sent);
+    void send_again(item it);
 
     commit_sink& m_own;
+    const row_store& m_store;
     peer_directory& m_peers;
     collector_call m_call;
+    delay_function m_delay;
     clock_function m_clock;
     std::unordered_map<std::string, outbox> m_outboxes;
     std::size_t m_forwarded = 0;
--- a/src/gateway/commit_router.cpp
+++ b/src/gateway/commit_router.cpp
@@ -17,18 +17,33 @@
 /// few enough that a busy gateway's changes share messages.
 constexpr int most_under_way = 4;
 
+/// Within this time a collector answers: several transactions' time, well under what a sender waits for it.
+constexpr milliseconds answer_within{400};
+/// Until what the collector could not write yet is sent to it again.
+constexpr milliseconds again_after{25};
+
 /// The results of one message's changes as they come in.
 struct collection
 {
     std::vector<change_result> results;
     std::size_t missing = 0;
+    std::function<void(std::optional<std::string>)> on_done;
+
+    void finish()
+    {
+        if (const auto callback = std::exchange(on_done, nullptr))
+        {
+            callback(encode_results(results));
+        }
+    }
 };
 
 } // namespace
 
-commit_router::commit_router(commit_sink& own, peer_directory& peers, collector_call call,
-                             clock_function clock)
-    : m_own(own), m_peers(peers), m_call(std::move(call)), m_clock(std::move(clock))
+commit_router::commit_router(commit_sink& own, const row_store& store, peer_directory& peers,
+                             collector_call call, delay_function delay, clock_function clock)
+    : m_own(own), m_store(store), m_peers(peers), m_call(std::move(call)), m_delay(std::move(delay)),
+      m_clock(std::move(clock))
 {
 }
 
@@ -75,26 +90,62 @@
     if (results && results->size() == sent.size())
     {
         m_peers.answered(collector);
-        for (std::size_t i = 0; i < sent.size(); ++i)
-        {
-            sent[i].on_result((*results)[i]);
-        }
+        on_results(std::move(sent), *results);
     }
     else
     {
-        // What the collector did is not known. Written once more, a change does no harm: it holds under its
-        // condition, or may be written twice.
-        m_peers.failed(collector, m_clock());
-        log_event(event_id::collector_failed, {{"collector", collector},
-                                               {"changes", std::to_string(sent.size())},
-                                               {"answer", answer ? "unreadable" : "none"}});
-        for (auto& it : sent)
+        on_silence(collector, std::move(sent));
+    }
+    send(collector);
+}
+
+void commit_router::on_results(item_list sent, const std::vector<change_result>& results)
+{
+    for (std::size_t i = 0; i < sent.size(); ++i)
+    {
+        const bool over = sent[i].change.change.expires <= m_clock();
+        if (results[i].outcome == store_outcome::unknown && !over)
         {
-            m_own.submit(it.change.partition, std::move(it.change.change), std::move(it.on_result));
+            send_again(std::move(sent[i]));
+        }
+        else
+        {
+            sent[i].on_result(results[i]);
         }
-        reroute(collector);
     }
-    send(collector);
+}
+
+void commit_router::send_again(item it)
+{
+    auto kept = std::make_shared<item>(std::move(it));
+    ++m_forwarded;
+    m_delay(again_after,
+            [this, kept]
+            {
+                --m_forwarded;
+                submit(kept->change.partition, std::move(kept->change.change), std::move(kept->on_result));
+            });
+}
+
+void commit_router::on_silence(const std::string& collector, item_list sent)
+{
+    if (!m_store.reachable())
+    {
+        // Nobody can write now. The collector stays the one, so that the store's return does not find many
+        // writers.
+        std::ranges::for_each(sent, [this](item& it) { send_again(std::move(it)); });
+        return;
+    }
+    log_event(event_id::collector_failed,
+              {{"collector", collector}, {"changes", std::to_string(sent.size())}});
+    m_peers.failed(collector, m_clock());
+    // What the collector did is not known. Written once more, a change does no harm: it holds under its
+    // condition, or may be written twice.
+    for (auto& it : sent)
+    {
+        m_own.submit(it.change.partition, std::move(it.change.change), std::move(it.on_result));
+    }
+    reroute(collector);
 }
 
 void commit_router::reroute(const std::string& collector)
@@ -108,8 +159,9 @@
 
 void commit_router::collect(const std::string& bytes, std::function<void(std::optional<std::string>)> on_done)
 {
-    auto changes = decode_changes(bytes, m_clock());
-    if (!changes || changes->empty())
+    const auto now = m_clock();
+    auto changes = decode_changes(bytes, now);
+    if (!changes || changes->empty() || !m_store.reachable())
     {
         on_done(std::nullopt);
         return;
@@ -117,16 +169,20 @@
     auto collected = std::make_shared<collection>();
     collected->results.resize(changes->size());
     collected->missing = changes->size();
+    collected->on_done = std::move(on_done);
+    m_delay(answer_within, [collected] { collected->finish(); });
     for (std::size_t i = 0; i < changes->size(); ++i)
     {
         auto& it = (*changes)[i];
+        // Not kept longer than its sender is told: it comes again.
+        it.change.expires = std::min(it.change.expires, now + answer_within);
         m_own.submit(it.partition, std::move(it.change),
-                     [collected, i, on_done](const change_result& result)
+                     [collected, i](const change_result& result)
                      {
                          collected->results[i] = result;
                          if (--collected->missing == 0)
                          {
-                             on_done(encode_results(collected->results));
+                             collected->finish();
                          }
                      });
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,10 +85,10 @@
       decoders(std::move(readers)), registry(counters), client(context),
       own_commits(store, delays(), monotonic_now),
       commits(
-          own_commits, peers,
+          own_commits, store, peers,
           [this](const auto& address, auto bytes, auto on_answer)
           { call_collector(address, std::move(bytes), std::move(on_answer)); },
-          monotonic_now),
+          delays(), monotonic_now),
       spending(store, commits, delays(), monotonic_now),
       turns(store, commits, options.cache_bytes, options.row_bytes),
       services{.open = [this](auto request, auto on_chunk, auto on_reply)
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -43,10 +43,10 @@
             : peers(self), store(world.rows, world.time.delays()),
               own(store, world.time.delays(), world.time.clock()),
               router(
-                  own, peers,
+                  own, store, peers,
                   [&world](const std::string& to, std::string bytes, collector_callback on_answer)
                   { world.call(to, std::move(bytes), std::move(on_answer)); },
-                  world.time.clock())
+                  world.time.delays(), world.time.clock())
         {
         }
         peer_directory peers;
@@ -264,3 +264,63 @@
     time.run(20s);
     CHECK(seen_by_one() == 0);
 }
+
+// Load pattern: an outage of seconds under full load. If senders took their collectors for dead meanwhile,
+// all would write by themselves after it, the partitions would stay full, and collectors would go on to miss
+// their time.
+TEST_CASE("after an outage the same collectors go on, and each change is written in few transactions")
+{
+    for (const auto mode : {store_mode::silent, store_mode::refusing})
+    {
+        router_world world{40};
+        const auto put_all = [&](const std::string& round)
+        {
+            for (auto& [address, member] : world.members)
+            {
+                world.put(*member, address + round);
+            }
+        };
+        for (auto& [address, member] : world.members)
+        {
+            member->store.mode = mode;
+        }
+        put_all("/early");
+        world.time.run(300ms);
+        for (auto& [address, member] : world.members)
+        {
+            member->store.says_reachable = false;
+        }
+        world.time.run(2s);
+        CHECK(world.done() == 0);
+        for (auto& [address, member] : world.members)
+        {
+            member->store.mode = store_mode::good;
+            member->store.says_reachable = true;
+        }
+        const auto before = world.rows.transactions();
+        put_all("/late");
+        world.time.run(700ms);
+        CHECK(world.done() == 80);
+        CHECK(world.rows.transactions() - before < 20);
+    }
+}
+
+TEST_CASE("a collector that can't reach the store is left by those that can")
+{
+    router_world world{5};
+    auto& first = *world.members.begin()->second;
+    const auto collector =
+        first.peers.collector_of("p", world.time.now()).value_or(world.members.begin()->first);
+    auto& cut_off = *world.members[collector];
+    cut_off.store.mode = store_mode::refusing;
+    cut_off.store.says_reachable = false;
+    for (auto& [address, member] : world.members)
+    {
+        if (address != collector)
+        {
+            world.put(*member, address);
+        }
+    }
+    world.time.run(100ms);
+    CHECK(world.done() == 4);
+}
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -29,7 +29,8 @@
 {
     spender(row_table& rows, virtual_time& time, const std::string& address, const member_call& call)
         : store(rows, time.delays()), peers({address, 1}), own(store, time.delays(), time.clock()),
-          commits(own, peers, call, time.clock()), spending(store, commits, time.delays(), time.clock())
+          commits(own, store, peers, call, time.delays(), time.clock()),
+          spending(store, commits, time.delays(), time.clock())
     {
     }
 
