--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,3 +7,5 @@
 tools/format.sh --check
 tools/lint.sh
 tools/run_tests.sh
+# The whole path on the users' platform, over real processes.
+tools/gateway_demo.sh | tail -1
