--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -6,7 +6,7 @@
 
 #include "masticcourse/gateway/gateway_request.hpp"
 #include "masticcourse/gateway/peer_directory.hpp"
-#include "masticcourse/gateway/request_course.hpp"
+#include "masticcourse/gateway/request_forwarding.hpp"
 #include "masticcourse/gateway/table_follower.hpp"
 #include "masticcourse/net/http_server.hpp"
 #include "masticcourse/telemetry/metrics.hpp"
--- a/include/masticcourse/gateway/request_course.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -25,7 +25,7 @@
                                                                  http_reply_callback)>;
 
 /// What a request on its way uses. All of it outlives every request.
-struct course_services
+struct forwarding_services
 {
     open_function open;
     const gateway_protocol& protocol;
@@ -39,7 +39,7 @@
 };
 
 /// How a request ended, for counters and logs.
-enum class course_end : std::uint8_t
+enum class request_end : std::uint8_t
 {
     answered,
     refused,
@@ -49,12 +49,12 @@
     cancelled,
 };
 
-[[nodiscard]] std::string_view to_string(course_end end);
+[[nodiscard]] std::string_view to_string(request_end end);
 
 /// Starts a request; it lives until it is answered or its caller is gone.
 /// @param config  in force when the request came; kept until its end
 /// @param on_end  called once
-void start_course(course_services& services, config_ptr config, gateway_request request,
-                  std::shared_ptr<http_exchange> exchange, std::function<void(course_end)> on_end);
+void forward_request(forwarding_services& services, config_ptr config, gateway_request request,
+                     std::shared_ptr<http_exchange> exchange, std::function<void(request_end)> on_end);
 
 } // namespace masticcourse::gateway
--- a/src/gateway/course.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -1,5 +1,5 @@
 // A request from its arrival until a target is chosen.
-#include "course.hpp"
+#include "forwarded_request.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -16,14 +16,15 @@
 
 } // namespace
 
-course::course(course_services& services, config_ptr config, gateway_request request,
-               std::shared_ptr<http_exchange> exchange, std::function<void(course_end)> on_end)
+forwarded_request::forwarded_request(forwarding_services& services, config_ptr config,
+                                     gateway_request request, std::shared_ptr<http_exchange> exchange,
+                                     std::function<void(request_end)> on_end)
     : m_services(services), m_config(std::move(config)), m_request(std::move(request)),
       m_exchange(std::move(exchange)), m_on_end(std::move(on_end)), m_started(services.clock())
 {
 }
 
-void course::start()
+void forwarded_request::start()
 {
     const std::string_view path{m_request.target};
     m_route = m_config->find_route(m_request.host, path.substr(0, path.find('?')));
@@ -53,22 +54,22 @@
     }
 }
 
-bool course::is_turn() const
+bool forwarded_request::is_turn() const
 {
     return m_route->keeps_turns() && m_request.program && m_request.program->budget;
 }
 
-bool course::streams() const
+bool forwarded_request::streams() const
 {
     return m_route->kind == request_kind::stream;
 }
 
-milliseconds course::time_left() const
+milliseconds forwarded_request::time_left() const
 {
     return std::chrono::floor<milliseconds>(m_deadline - m_services.clock());
 }
 
-void course::set_deadline()
+void forwarded_request::set_deadline()
 {
     // The timer keeps the request until its deadline; what is large is given back when it ends.
     m_services.delay(std::max(time_left(), milliseconds{0}),
@@ -81,7 +82,7 @@
                      });
 }
 
-void course::start_turn()
+void forwarded_request::start_turn()
 {
     const auto& claim = *m_request.program;
     const reservation_request reservation{.program = claim.program,
@@ -109,7 +110,7 @@
     }
 }
 
-void course::load_chain()
+void forwarded_request::load_chain()
 {
     const auto& previous = m_request.program->previous;
     if (!previous)
@@ -121,7 +122,7 @@
                                 { self->on_chain(std::move(chain)); });
 }
 
-void course::on_chain(turn_chain chain)
+void forwarded_request::on_chain(turn_chain chain)
 {
     if (m_finished)
     {
@@ -146,7 +147,7 @@
     }
 }
 
-void course::on_reservation(reservation_outcome outcome)
+void forwarded_request::on_reservation(reservation_outcome outcome)
 {
     if (m_finished)
     {
--- a/src/gateway/course.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -2,7 +2,7 @@
 /// The state of one request on its way.
 #pragma once
 
-#include "masticcourse/gateway/request_course.hpp"
+#include "masticcourse/gateway/request_forwarding.hpp"
 #include "masticcourse/net/sse.hpp"
 
 #include <memory>
@@ -22,11 +22,11 @@
     granted,
 };
 
-class course : public std::enable_shared_from_this<course>
+class forwarded_request : public std::enable_shared_from_this<forwarded_request>
 {
   public:
-    course(course_services& services, config_ptr config, gateway_request request,
-           std::shared_ptr<http_exchange> exchange, std::function<void(course_end)> on_end);
+    forwarded_request(forwarding_services& services, config_ptr config, gateway_request request,
+                      std::shared_ptr<http_exchange> exchange, std::function<void(request_end)> on_end);
 
     void start();
 
@@ -73,19 +73,19 @@
     void break_off(std::string_view detail);
     void on_caller_gone();
     void on_deadline();
-    void finish(course_end end, std::string_view detail);
-    void log_end(course_end end, std::string_view detail) const;
+    void finish(request_end end, std::string_view detail);
+    void log_end(request_end end, std::string_view detail) const;
     void log_retry(std::string_view why) const;
     /// @}
 
     [[nodiscard]] milliseconds time_left() const;
     [[nodiscard]] bool is_turn() const;
 
-    course_services& m_services;
+    forwarding_services& m_services;
     config_ptr m_config;
     gateway_request m_request;
     std::shared_ptr<http_exchange> m_exchange;
-    std::function<void(course_end)> m_on_end;
+    std::function<void(request_end)> m_on_end;
     const route* m_route = nullptr;
     time_point m_started;
     time_point m_deadline;
--- a/src/gateway/course_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -1,5 +1,5 @@
 // What the caller is given, and how a request ends.
-#include "course.hpp"
+#include "forwarded_request.hpp"
 
 #include "masticcourse/telemetry/log.hpp"
 
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void course::on_whole_answer(http_client_reply reply)
+void forwarded_request::on_whole_answer(http_client_reply reply)
 {
     const bool again = m_route->kind == request_kind::idempotent && failed_at_target(m_answer->status);
     end_attempt(again ? target_verdict::broken : target_verdict::sound);
@@ -33,10 +33,10 @@
                          .content_type = {},
                          .body = std::move(reply.body),
                          .headers = std::move(m_answer->headers)});
-    finish(course_end::answered, "whole answer");
+    finish(request_end::answered, "whole answer");
 }
 
-void course::on_whole_stream()
+void forwarded_request::on_whole_stream()
 {
     m_stream_whole = true;
     end_attempt(target_verdict::sound);
@@ -44,7 +44,7 @@
     {
         hand_out();
         m_exchange->end_stream();
-        finish(course_end::answered, "whole stream");
+        finish(request_end::answered, "whole stream");
         return;
     }
     turn_record turn{.ancestors = std::move(m_chain.turns), .input = m_request.body, .output = m_output};
@@ -59,7 +59,7 @@
                           });
 }
 
-void course::hand_out()
+void forwarded_request::hand_out()
 {
     if (m_reservation == reservation_state::pending || !m_answer)
     {
@@ -76,7 +76,7 @@
     finish_turn();
 }
 
-void course::finish_turn()
+void forwarded_request::finish_turn()
 {
     if (m_finished || !m_kept || m_reservation != reservation_state::granted)
     {
@@ -87,11 +87,11 @@
         m_exchange->begin_stream(m_answer->status, m_answer->headers);
     }
     m_exchange->end_stream();
-    finish(course_end::answered, "turn kept");
+    finish(request_end::answered, "turn kept");
 }
 
-void course::refuse(refusal_reason reason, ran_state ran, std::string detail,
-                    std::optional<milliseconds> retry_after)
+void forwarded_request::refuse(refusal_reason reason, ran_state ran, std::string detail,
+                               std::optional<milliseconds> retry_after)
 {
     if (m_finished)
     {
@@ -100,24 +100,24 @@
     const auto text = std::string{to_string(reason)} + ": " + detail;
     m_exchange->respond(m_services.protocol.encode(
         refusal{.reason = reason, .ran = ran, .detail = std::move(detail), .retry_after = retry_after}));
-    finish(course_end::refused, text);
+    finish(request_end::refused, text);
 }
 
-void course::break_off(std::string_view detail)
+void forwarded_request::break_off(std::string_view detail)
 {
     // Dropping the exchange closes the connection: the caller sees that the answer is not whole.
-    finish(course_end::broken_off, detail);
+    finish(request_end::broken_off, detail);
 }
 
-void course::on_caller_gone()
+void forwarded_request::on_caller_gone()
 {
     if (!m_finished)
     {
-        finish(course_end::cancelled, "the caller left");
+        finish(request_end::cancelled, "the caller left");
     }
 }
 
-void course::on_deadline()
+void forwarded_request::on_deadline()
 {
     if (m_finished)
     {
@@ -135,7 +135,7 @@
     }
 }
 
-void course::finish(course_end end, std::string_view detail)
+void forwarded_request::finish(request_end end, std::string_view detail)
 {
     m_finished = true;
     log_end(end, detail);
@@ -159,11 +159,11 @@
     on_end(end);
 }
 
-void course::log_end(course_end end, std::string_view detail) const
+void forwarded_request::log_end(request_end end, std::string_view detail) const
 {
     const auto elapsed = std::chrono::floor<milliseconds>(m_services.clock() - m_started);
     const auto& program = m_request.program;
-    log_event(end == course_end::answered ? event_id::request_answered : event_id::request_failed,
+    log_event(end == request_end::answered ? event_id::request_answered : event_id::request_failed,
               {{"request", m_request.id.value},
                {"program", program ? program->program.value : "-"},
                {"route", m_route != nullptr ? m_route->name : "-"},
--- a/src/gateway/course_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -1,5 +1,5 @@
 // The attempts of a request: sending it to one target after the other, and what comes back.
-#include "course.hpp"
+#include "forwarded_request.hpp"
 
 #include "masticcourse/gateway/target_choice.hpp"
 #include "masticcourse/telemetry/log.hpp"
@@ -36,7 +36,7 @@
 
 } // namespace
 
-std::string course::affinity() const
+std::string forwarded_request::affinity() const
 {
     if (m_request.program && m_route->keeps_turns())
     {
@@ -45,7 +45,7 @@
     return m_route->sticky ? m_request.object : std::string{};
 }
 
-const target* course::next_target()
+const target* forwarded_request::next_target()
 {
     const auto& program = m_request.program;
     const auto& share_key = program ? program->program.value : m_request.id.value;
@@ -58,7 +58,7 @@
     return choose_target(candidates, query, m_services.clock());
 }
 
-void course::dispatch()
+void forwarded_request::dispatch()
 {
     if (time_left() <= milliseconds{0})
     {
@@ -74,7 +74,7 @@
     send_to(chosen->record);
 }
 
-void course::refuse_without_target()
+void forwarded_request::refuse_without_target()
 {
     if (m_may_have_run)
     {
@@ -90,7 +90,7 @@
     }
 }
 
-void course::send_to(const target_record& target)
+void forwarded_request::send_to(const target_record& target)
 {
     ++m_attempt;
     ++m_attempts;
@@ -124,19 +124,20 @@
         }
     };
     request.on_head = [for_this_attempt](const http_client_reply& reply)
-    { for_this_attempt([&](course& it) { it.on_head(reply); }); };
+    { for_this_attempt([&](forwarded_request& it) { it.on_head(reply); }); };
     http_chunk_callback on_piece;
     if (streams())
     {
         on_piece = [for_this_attempt](std::string_view piece)
-        { for_this_attempt([&](course& it) { it.on_piece(piece); }); };
+        { for_this_attempt([&](forwarded_request& it) { it.on_piece(piece); }); };
     }
-    m_upstream = m_services.open(std::move(request), std::move(on_piece),
-                                 [for_this_attempt](http_client_reply reply)
-                                 { for_this_attempt([&](course& it) { it.on_reply(std::move(reply)); }); });
+    m_upstream =
+        m_services.open(std::move(request), std::move(on_piece),
+                        [for_this_attempt](http_client_reply reply)
+                        { for_this_attempt([&](forwarded_request& it) { it.on_reply(std::move(reply)); }); });
 }
 
-void course::on_head(const http_client_reply& reply)
+void forwarded_request::on_head(const http_client_reply& reply)
 {
     m_answer = m_services.protocol.decode(reply);
     if (m_answer->load)
@@ -145,7 +146,7 @@
     }
 }
 
-void course::on_piece(std::string_view piece)
+void forwarded_request::on_piece(std::string_view piece)
 {
     if (!m_answer || !m_answer->authentic)
     {
@@ -161,7 +162,7 @@
     hand_out();
 }
 
-void course::end_attempt(target_verdict verdict)
+void forwarded_request::end_attempt(target_verdict verdict)
 {
     if (m_target)
     {
@@ -175,7 +176,7 @@
     }
 }
 
-void course::on_reply(http_client_reply reply)
+void forwarded_request::on_reply(http_client_reply reply)
 {
     m_upstream.reset();
     if (reply.failure == http_failure::connect)
@@ -208,12 +209,12 @@
     }
 }
 
-bool course::may_try_again() const
+bool forwarded_request::may_try_again() const
 {
     return m_attempts < m_route->max_attempts && time_left() > milliseconds{0};
 }
 
-void course::on_no_connection()
+void forwarded_request::on_no_connection()
 {
     // Nothing was sent: this target does not count as an attempt.
     --m_attempts;
@@ -222,7 +223,7 @@
     dispatch();
 }
 
-void course::on_not_run()
+void forwarded_request::on_not_run()
 {
     log_retry("the target did not run it");
     end_attempt(target_verdict::refused);
@@ -237,7 +238,7 @@
     }
 }
 
-void course::on_lost_answer(std::string_view why)
+void forwarded_request::on_lost_answer(std::string_view why)
 {
     log_retry(why);
     end_attempt(target_verdict::broken);
@@ -256,7 +257,7 @@
     }
 }
 
-void course::log_retry(std::string_view why) const
+void forwarded_request::log_retry(std::string_view why) const
 {
     const auto now = m_services.clock();
     const auto* const row = m_services.targets.find(m_target->id);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -63,7 +63,7 @@
     commit_router commits;
     program_spending spending;
     turn_store turns;
-    course_services services;
+    forwarding_services services;
     table_follower config_rows;
     table_follower target_rows;
     std::unique_ptr<http_server> frontend;
@@ -186,9 +186,9 @@
         return;
     }
     const auto started = monotonic_now();
-    start_course(
+    forward_request(
         services, config.current(), std::move(asked), std::move(exchange),
-        [this, started](course_end end)
+        [this, started](request_end end)
         {
             const std::vector<metric_label> labels{{"end", std::string{to_string(end)}}};
             registry.get_counter("masticcourse_requests_total", "Requests by their end.", labels).add();
--- a/src/gateway/request_course.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -1,23 +1,23 @@
-#include "masticcourse/gateway/request_course.hpp"
+#include "masticcourse/gateway/request_forwarding.hpp"
 
-#include "course.hpp"
+#include "forwarded_request.hpp"
 
 #include <utility>
 
 namespace masticcourse::gateway
 {
 
-std::string_view to_string(course_end end)
+std::string_view to_string(request_end end)
 {
     switch (end)
     {
-    case course_end::answered:
+    case request_end::answered:
         return "answered";
-    case course_end::refused:
+    case request_end::refused:
         return "refused";
-    case course_end::broken_off:
+    case request_end::broken_off:
         return "broken_off";
-    case course_end::cancelled:
+    case request_end::cancelled:
         break;
     }
     return "cancelled";
@@ -51,11 +51,11 @@
     return "deadline_passed";
 }
 
-void start_course(course_services& services, config_ptr config, gateway_request request,
-                  std::shared_ptr<http_exchange> exchange, std::function<void(course_end)> on_end)
+void forward_request(forwarding_services& services, config_ptr config, gateway_request request,
+                     std::shared_ptr<http_exchange> exchange, std::function<void(request_end)> on_end)
 {
-    std::make_shared<detail::course>(services, std::move(config), std::move(request), std::move(exchange),
-                                     std::move(on_end))
+    std::make_shared<detail::forwarded_request>(services, std::move(config), std::move(request),
+                                                std::move(exchange), std::move(on_end))
         ->start();
 }
 
--- a/tests/support/course_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -1,4 +1,4 @@
-#include "support/course_world.hpp"
+#include "support/forwarding_world.hpp"
 
 #include "masticcourse/net/sse.hpp"
 
@@ -175,7 +175,7 @@
     return response;
 }
 
-course_world::course_world()
+forwarding_world::forwarding_world()
     : config(std::make_shared<const gateway::gateway_config>(make_config())),
       services{
           .open =
@@ -200,7 +200,7 @@
     }
 }
 
-gateway::gateway_request course_world::make(const std::string& route, const std::string& id) const
+gateway::gateway_request forwarding_world::make(const std::string& route, const std::string& id) const
 {
     return {.id = {id},
             .method = "POST",
@@ -210,8 +210,8 @@
             .patience = 2s};
 }
 
-gateway::gateway_request course_world::make_turn(const std::string& id, const std::string& previous,
-                                                 token_count budget) const
+gateway::gateway_request forwarding_world::make_turn(const std::string& id, const std::string& previous,
+                                                     token_count budget) const
 {
     auto request = make("turn", id);
     request.program = gateway::program_claim{.program = {"p"}, .budget = budget, .most_tokens = 100};
@@ -222,22 +222,22 @@
     return request;
 }
 
-std::shared_ptr<caller_view> course_world::send(gateway::gateway_request request)
+std::shared_ptr<caller_view> forwarding_world::send(gateway::gateway_request request)
 {
     auto view = std::make_shared<caller_view>();
-    gateway::start_course(services, config, std::move(request), std::make_shared<viewed_exchange>(view),
-                          [this](gateway::course_end end) { ends.push_back(end); });
+    gateway::forward_request(services, config, std::move(request), std::make_shared<viewed_exchange>(view),
+                             [this](gateway::request_end end) { ends.push_back(end); });
     return view;
 }
 
-sent_ptr course_world::last() const
+sent_ptr forwarding_world::last() const
 {
     REQUIRE_FALSE(sent.empty());
     return sent.back();
 }
 
-std::shared_ptr<caller_view> course_world::play_turn(const std::string& id, const std::string& previous,
-                                                     const std::vector<std::string>& events)
+std::shared_ptr<caller_view> forwarding_world::play_turn(const std::string& id, const std::string& previous,
+                                                         const std::vector<std::string>& events)
 {
     auto view = send(make_turn(id, previous));
     time.run(100ms);
--- a/tests/support/course_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -5,7 +5,7 @@
 #include "support/memory_rows.hpp"
 #include "support/virtual_time.hpp"
 
-#include "masticcourse/gateway/request_course.hpp"
+#include "masticcourse/gateway/request_forwarding.hpp"
 
 #include <deque>
 #include <memory>
@@ -62,10 +62,10 @@
     [[nodiscard]] http_response encode(const gateway::refusal& refusal) const override;
 };
 
-class course_world
+class forwarding_world
 {
   public:
-    course_world();
+    forwarding_world();
 
     /// A request on one of the routes: "lookup" (idempotent), "order" (not), "stream", "turn".
     [[nodiscard]] gateway::gateway_request make(const std::string& route, const std::string& id) const;
@@ -91,9 +91,9 @@
     gateway::target_table targets;
     plain_protocol protocol;
     std::vector<sent_ptr> sent;
-    std::vector<gateway::course_end> ends;
+    std::vector<gateway::request_end> ends;
     gateway::config_ptr config;
-    gateway::course_services services;
+    gateway::forwarding_services services;
 };
 
 } // namespace masticcourse::testing
--- a/tests/unit/test_gateway_course.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -1,6 +1,6 @@
 // One request on its way: what is sent again and what never, what is held until it is durable, and when
 // callers hear of it.
-#include "support/course_world.hpp"
+#include "support/forwarding_world.hpp"
 
 #include <doctest/doctest.h>
 
@@ -51,7 +51,7 @@
     {
         CAPTURE(it.route);
         CAPTURE(to_string(it.failure));
-        course_world world;
+        forwarding_world world;
         const auto view = world.send(world.make(it.route, "r"));
         // Each failure may send the request once more.
         std::size_t failed = 0;
@@ -79,7 +79,7 @@
     for (const auto* route : {"lookup", "order", "stream"})
     {
         CAPTURE(route);
-        course_world world;
+        forwarding_world world;
         const auto view = world.send(world.make(route, "r"));
         world.last()->refuse();
         CHECK(world.sent.size() == 2);
@@ -103,7 +103,7 @@
     for (const auto& it : table)
     {
         CAPTURE(it.status);
-        course_world world;
+        forwarding_world world;
         const auto view = world.send(world.make("order", "r"));
         world.last()->end(it.status, it.marked, "x");
         CHECK(world.sent.size() == 1);
@@ -114,7 +114,7 @@
 
 TEST_CASE("a target's own failure reaches the caller as it is, if the request may not run again")
 {
-    course_world world;
+    forwarding_world world;
     const auto view = world.send(world.make("order", "r"));
     world.last()->end(500, true, "its own words");
     REQUIRE(view->response);
@@ -124,7 +124,7 @@
 
 TEST_CASE("events are handed on as they come; a stream that breaks off is never told as whole")
 {
-    course_world world;
+    forwarding_world world;
     const auto view = world.send(world.make("stream", "r"));
     world.last()->begin(200);
     world.last()->event("one");
@@ -151,7 +151,7 @@
 
 TEST_CASE("at the deadline a request is answered at once, and its target is told to stop")
 {
-    course_world world;
+    forwarding_world world;
     const auto view = world.send(world.make("order", "r"));
     world.time.run(1'999ms);
     CHECK_FALSE(view->response);
@@ -163,18 +163,18 @@
 
 TEST_CASE("a caller who leaves stops the target's work")
 {
-    course_world world;
+    forwarding_world world;
     const auto view = world.send(world.make("stream", "r"));
     REQUIRE(view->on_closed);
     view->on_closed();
     CHECK(world.last()->cancelled);
-    CHECK(world.ends == std::vector{course_end::cancelled});
+    CHECK(world.ends == std::vector{request_end::cancelled});
     CHECK(world.targets.find({world.last()->request.address})->in_flight == 0);
 }
 
 TEST_CASE("targets are told how long they may take: what the caller waits, less what has passed")
 {
-    course_world world;
+    forwarding_world world;
     std::ignore = world.send(world.make("lookup", "r"));
     CHECK(find_header(world.last()->request.headers, "left") == "2000");
     world.time.run(500ms);
@@ -184,7 +184,7 @@
 
 TEST_CASE("a turn reads what was said before it, and is followed by turns through any gateway")
 {
-    course_world world;
+    forwarding_world world;
     std::ignore = world.play_turn("a", "", {"one", "two"});
     std::ignore = world.play_turn("b", "a", {"three"});
     std::ignore = world.send(world.make_turn("c", "b"));
@@ -194,7 +194,7 @@
 
 TEST_CASE("no token is handed out before its reservation is durable")
 {
-    course_world world;
+    forwarding_world world;
     world.store.mode = store_mode::silent;
     const auto view = world.send(world.make_turn("a"));
     world.last()->begin(200);
@@ -208,7 +208,7 @@
 
 TEST_CASE("the end of a turn is handed out when the turn is durable, and not otherwise")
 {
-    course_world world;
+    forwarding_world world;
     const auto view = world.send(world.make_turn("a"));
     world.time.run(100ms);
     world.last()->begin(200);
@@ -234,7 +234,7 @@
 
 TEST_CASE("near the limit a turn is sent to no target before it is reserved, and refused without having run")
 {
-    course_world world;
+    forwarding_world world;
     std::ignore = world.play_turn("a", "", {"1", "2", "3", "4", "5"});
     std::ignore = world.play_turn("b", "a", {"1", "2", "3", "4", "5"});
     const auto sent = world.sent.size();
@@ -248,7 +248,7 @@
 
 TEST_CASE("a turn after one that does not exist is refused; after one that can't be read, told to come back")
 {
-    course_world world;
+    forwarding_world world;
     const auto missing = world.send(world.make_turn("a", "none"));
     world.time.run(200ms);
     CHECK(body_of(*missing) == "no_such_turn");
@@ -263,7 +263,7 @@
 TEST_CASE(
     "while the store is known to be away, what needs an answer of it first is refused at once; tools go on")
 {
-    course_world world;
+    forwarding_world world;
     std::ignore = world.play_turn("a", "", {"1"});
     world.store.says_reachable = false;
     world.store.mode = store_mode::refusing;
@@ -285,7 +285,7 @@
 TEST_CASE(
     "while the store is away a turn that surely has the budget runs, and is handed out on the store's return")
 {
-    course_world world;
+    forwarding_world world;
     std::ignore = world.play_turn("a", "", {"1"});
     world.store.says_reachable = false;
     world.store.mode = store_mode::refusing;
@@ -313,7 +313,7 @@
 
 TEST_CASE("a turn that its caller left is charged what was handed out, and leaves no reservation")
 {
-    course_world world;
+    forwarding_world world;
     const auto view = world.send(world.make_turn("a", "", 420));
     world.time.run(100ms);
     world.last()->begin(200);
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -233,8 +233,8 @@
             if (draw(40) == 0)
             {
                 // The process is lost with all that it knew; what it had under way stays behind in the clock.
-                static std::vector<std::unique_ptr<spender>> graveyard;
-                graveyard.push_back(std::exchange(world.gateways[at], world.make(at, 3)));
+                static std::vector<std::unique_ptr<spender>> lost_gateways;
+                lost_gateways.push_back(std::exchange(world.gateways[at], world.make(at, 3)));
             }
             const auto name = std::to_string(next++);
             counted[name] = 0;
