--- a/tests/unit/test_docs.cpp
+++ b/tests/unit/test_docs.cpp
@@ -24,6 +24,21 @@
     return {std::istreambuf_iterator<char>{file}, {}};
 }
 
+std::string read_sources(const std::string& folder)
+{
+    std::string sources;
+    const std::string root{MASTICCOURSE_SOURCE_DIR};
+    for (const auto& it : std::filesystem::recursive_directory_iterator(root + folder))
+    {
+        if (it.is_regular_file())
+        {
+            std::ifstream file{it.path(), std::ios::binary};
+            sources.append(std::istreambuf_iterator<char>{file}, {});
+        }
+    }
+    return sources;
+}
+
 /// Whether @a word stands in @a text, and not only as the beginning of a longer name.
 bool has_word(const std::string& text, const std::string& word)
 {
@@ -60,16 +75,8 @@
 
 TEST_CASE("every event of the catalogue is recorded somewhere")
 {
-    std::string sources;
-    for (const auto& it :
-         std::filesystem::recursive_directory_iterator(std::string{MASTICCOURSE_SOURCE_DIR} + "/src"))
-    {
-        if (it.is_regular_file())
-        {
-            std::ifstream file{it.path(), std::ios::binary};
-            sources.append(std::istreambuf_iterator<char>{file}, {});
-        }
-    }
+    // The adapter to the users' platform holds the gateway's main, which records events of its own.
+    const auto sources = read_sources("/src") + read_sources("/platform");
     for (const auto& it : event_catalogue)
     {
         CAPTURE(it.name);
--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -331,3 +331,21 @@
     world.time.run(200ms);
     CHECK(body_of(*over) == "over_budget");
 }
+
+TEST_CASE(
+    "a reservation that becomes durable after the last event does not end a turn that is not durable yet")
+{
+    forwarding_world world;
+    const auto view = world.send(world.make_turn("a"));
+    world.time.run(5ms);
+    world.last()->begin(200);
+    world.last()->event("one");
+    world.last()->end(200);
+    CHECK(view->text.empty());
+    // The reservation was written first, the turn five milliseconds later.
+    world.time.run(7ms);
+    CHECK(view->text == "data: one\n\n");
+    CHECK_FALSE(view->ended);
+    world.time.run(10ms);
+    CHECK(view->ended);
+}
--- /dev/null
+++ b/tests/unit/test_row_store_client.cpp
@@ -0,0 +1,100 @@
+// The client for the users' platform's store against its stand-in, where the store falls silent.
+#include "row_store_client.hpp"
+
+#include "masticcourse/gateway/io_delay.hpp"
+
+#include "net_fixture.hpp"
+#include "table_service.hpp"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/post.hpp>
+
+#include <chrono>
+#include <future>
+#include <string>
+
+using namespace masticcourse;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct client_world
+{
+    client_world()
+        : peers({"127.0.0.1:1", 1}), client(threads.context(), {loopback(store.port()), "127.0.0.1:0"}, peers,
+                                            gateway::make_io_delay(threads.context()), metrics)
+    {
+    }
+    client_world(const client_world&) = delete;
+    client_world(client_world&&) = delete;
+    client_world& operator=(const client_world&) = delete;
+    client_world& operator=(client_world&&) = delete;
+    ~client_world()
+    {
+        threads.stop();
+        store_threads.stop();
+    }
+
+    /// @return what a call that takes a callback called back with
+    template <typename Reply, typename Call>
+    Reply wait_for(Call call)
+    {
+        std::promise<Reply> done;
+        auto reply = done.get_future();
+        boost::asio::post(threads.context(),
+                          [&] { call([&done](Reply it) { done.set_value(std::move(it)); }); });
+        return reply.get();
+    }
+
+    io_threads store_threads{1};
+    standins::table_service store{store_threads.context(), "127.0.0.1:0"};
+    io_threads threads{1};
+    metrics_registry metrics;
+    gateway::peer_directory peers;
+    platform::row_store_client client;
+};
+
+} // namespace
+
+// A feed that hung for as long as a slow call may take let a request reach a target two seconds after its
+// leave.
+TEST_CASE("a feed that hangs ends soon after its wait, however long calls may take at present")
+{
+    client_world world;
+    world.store.set_fault(standins::table_fault::silent);
+    for (int n = 0; n < 4; ++n)
+    {
+        // Each silence lets the next call take longer.
+        std::ignore = world.wait_for<gateway::query_reply>([&](auto done)
+                                                           { world.client.query({.table = "t"}, done); });
+    }
+    const auto began = std::chrono::steady_clock::now();
+    const auto reply =
+        world.wait_for<gateway::feed_reply>([&](auto done) { world.client.follow("t", 0, 1s, done); });
+    CHECK(reply.outcome == gateway::feed_outcome::failed);
+    // 1.5 s, against 3.5 s; the rest is for busy machines.
+    CHECK(std::chrono::steady_clock::now() - began < 3s);
+}
+
+TEST_CASE("what the store says of a version that it has forgotten, and of rows that are there")
+{
+    client_world world;
+    world.store.put("t", "a", "value");
+    const auto rows =
+        world.wait_for<gateway::query_reply>([&](auto done) { world.client.query({.table = "t"}, done); });
+    REQUIRE(rows.answered);
+    REQUIRE(rows.rows.size() == 1);
+    CHECK(rows.rows[0].value == "value");
+    world.store.remove("t", "a");
+    const auto feed = world.wait_for<gateway::feed_reply>(
+        [&](auto done) { world.client.follow("t", rows.version, 1s, done); });
+    REQUIRE(feed.rows.size() == 1);
+    CHECK(feed.rows[0].removed);
+    world.store.forget_history();
+    const auto gone = world.wait_for<gateway::feed_reply>(
+        [&](auto done) { world.client.follow("t", rows.version, 1s, done); });
+    CHECK(gone.outcome == gateway::feed_outcome::history_gone);
+}
