A vanished entry's grace counts from the store's return

The feed that hung, held to be the cause at first, is a fault of its own, but not this one. Ruled out: a late feed (the entry went exactly 2.0 s after it vanished, the length of the grace). Change: the grace ends two seconds after the store's return, as the platform promises lapsed entries by then. Before: requests to it for 2.0 s. After: the new test gets none 0.7 s after the entry vanished.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -199,7 +199,10 @@
 
 milliseconds gateway::state::grace() const
 {
-    return store.steady_for() < options.steady_after ? lapse_grace : milliseconds{0};
+    // Counted from the store's return, not from when the entry vanished: one that vanishes later than that
+    // has left, and requests that still went to it would reach it past the time in which it serves.
+    const auto since_return = std::chrono::floor<milliseconds>(store.steady_for());
+    return std::max(milliseconds{0}, lapse_grace - since_return);
 }
 
 void gateway::state::take_config(const stored_row& row)
--- a/tests/unit/test_gateway_loopback.cpp
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -266,3 +266,19 @@
     CHECK(late.header("Connection") == "close");
     CHECK(eventually([&] { return stopped.load(); }));
 }
+
+TEST_CASE(
+    "an entry that vanishes more than two seconds after the store's return has left: no request goes there")
+{
+    platform_world world;
+    gateway_process gateway{loopback(world.store.port()), "only"};
+    world.wait_ready(gateway);
+    world.store.set_fault(table_fault::refuse);
+    std::this_thread::sleep_for(300ms);
+    world.store.set_fault(table_fault::none);
+    std::this_thread::sleep_for(2'600ms);
+    CHECK(world.send(gateway, "/tool/1", "b1").status == 200);
+    world.store.remove("servers", "i-app");
+    std::this_thread::sleep_for(700ms);
+    CHECK(world.send(gateway, "/tool/1", "b2").status == 503);
+}
