The setting limits.steady_after_ms, without use, is gone

Cause: since the grace of vanished entries counts from the store's return, nothing reads it; the gateway still checked it. Ruled out: other readers (searched in all sources, the template, tests and the demo).

--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -41,8 +41,6 @@
     std::size_t row_bytes = 0;
     /// From the order to stop until the process is killed.
     milliseconds stop_grace{};
-    /// While the store has not been steady for so long, an entry that vanishes may have lapsed.
-    milliseconds steady_after{3'000};
 };
 
 /// How the operator's and the targets' rows are read.
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -66,7 +66,6 @@
 memory_mb = 130
 cores = 0.5
 stop_grace_s = 8.5
-steady_after_ms = 3000
 )";
 
 } // namespace
--- a/tools/gateway_demo.sh
+++ b/tools/gateway_demo.sh
@@ -28,7 +28,6 @@
 memory_mb = 128
 cores = 1
 stop_grace_s = 8
-steady_after_ms = 3000
 EOF
 }
 
