Gateways that lack the store in an outage are not taken for dead

Counts of the store's calls (a trial on a scratch copy) showed 1,100 transactions a second instead of 430 after it, 250 ms each instead of 14, a third of them conflicts: in the outage each gateway asks others for a way to the store, and took those that answered 'none here' for dead, for up to 20 s. Each then knew other collectors, and all wrote by themselves. Change: a peer or collector that answers that it lacks the store is left out for 300 ms, always the same; silence still doubles. Collectors say so with a status of their own. Both new tests failed with the old rule (40 writers instead of 1).

--- a/include/masticcourse/gateway/commit_router.hpp
+++ b/include/masticcourse/gateway/commit_router.hpp
@@ -10,6 +10,7 @@
 #include "masticcourse/gateway/commit_queue.hpp"
 #include "masticcourse/gateway/peer_directory.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -38,8 +39,25 @@
 [[nodiscard]] std::optional<std::vector<change_result>> decode_results(const std::string& bytes);
 /// @}
 
-/// Takes the answer of a collector, or nothing if there is none.
-using collector_callback = std::function<void(std::optional<std::string>)>;
+enum class collector_outcome : std::uint8_t
+{
+    /// The changes were taken; their results are known.
+    collected,
+    /// The collector can't reach the store: it took nothing.
+    lacks_store,
+    /// No answer, or none that can be read: what was done is not known.
+    no_answer,
+};
+
+/// What a collector says to one message.
+struct collector_answer
+{
+    collector_outcome outcome = collector_outcome::no_answer;
+    /// Encoded results; empty unless collected.
+    std::string results;
+};
+
+using collector_callback = std::function<void(const collector_answer&)>;
 /// Sends encoded changes to a collector.
 using collector_call = std::function<void(const std::string& address, std::string bytes, collector_callback)>;
 
@@ -56,9 +74,8 @@
     /// Writes what another gateway sent. The results come soon whatever the store does: what is not known by
     /// then is told as unknown, and its sender sends it again. So a slow store never looks like a silent
     /// collector; senders that took it for one and all wrote by themselves would keep the store slow.
-    /// @param on_done takes the encoded results; nothing if the message can't be read or is empty, or the
-    /// store can't be reached from here
-    void collect(const std::string& bytes, std::function<void(std::optional<std::string>)> on_done);
+    /// @param on_done takes the results; `no_answer` if the message can't be read or is empty
+    void collect(const std::string& bytes, collector_callback on_done);
 
   private:
     struct item
@@ -76,9 +93,10 @@
     void send(const std::string& collector);
     /// Finds another way for what waits for a collector that does not answer.
     void reroute(const std::string& collector);
-    void on_answer(const std::string& collector, item_list sent, const std::optional<std::string>& answer);
+    void on_answer(const std::string& collector, item_list sent, const collector_answer& answer);
     void on_results(item_list sent, const std::vector<change_result>& results);
-    void on_silence(const std::string& collector, item_list sent);
+    /// The collector did not do its work; @a outcome says why.
+    void on_failure(const std::string& collector, item_list sent, collector_outcome outcome);
     void send_again(item it);
 
     commit_sink& m_own;
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -40,14 +40,17 @@
     [[nodiscard]] std::optional<std::string> collector_of(std::string_view partition, time_point now);
 
     void answered(const std::string& address);
-    /// It is left out for a while, longer with each failure in a row.
+    /// It did not answer: it is left out for a while, longer with each failure in a row.
     void failed(const std::string& address, time_point now);
+    /// It answered that it can't reach the store itself: it is left out for a short while, always the same.
+    void lacks_store(const std::string& address, time_point now);
 
   private:
     struct avoidance
     {
+        /// Silences in a row.
         std::uint32_t failures = 0;
-        time_point until;
+        time_point until{};
     };
 
     [[nodiscard]] bool avoided(const std::string& address, time_point now) const;
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -213,11 +213,11 @@
               "Look for a middlebox that forgets connections."},
     event_row{event_id::peer_restarted, "peer_restarted", event_severity::info,
               "A peer came back with a new incarnation.", "None."},
-    event_row{event_id::collector_failed, "collector_failed", event_severity::warning,
-              "The gateway that collects a partition's commits did not answer; its sender writes by itself "
-              "and leaves "
-              "it out for a while.",
-              "Look at that gateway if it recurs."},
+    event_row{
+        event_id::collector_failed, "collector_failed", event_severity::warning,
+        "The gateway that collects a partition's commits did not answer, or lacks the store (`why`); its "
+        "sender writes by itself and leaves it out for a while.",
+        "Look at that gateway if it recurs."},
     event_row{event_id::target_available, "target_available", event_severity::info, "A target takes work.",
               "None."},
     event_row{event_id::target_lost, "target_lost", event_severity::warning,
--- a/src/gateway/commit_router.cpp
+++ b/src/gateway/commit_router.cpp
@@ -27,13 +27,13 @@
 {
     std::vector<change_result> results;
     std::size_t missing = 0;
-    std::function<void(std::optional<std::string>)> on_done;
+    collector_callback on_done;
 
     void finish()
     {
         if (const auto callback = std::exchange(on_done, nullptr))
         {
-            callback(encode_results(results));
+            callback({collector_outcome::collected, encode_results(results)});
         }
     }
 };
@@ -77,16 +77,16 @@
     std::vector<routed_change> changes;
     std::ranges::transform(*sent, std::back_inserter(changes), &item::change);
     m_call(collector, encode_changes(changes, m_clock()),
-           [this, collector, sent](const std::optional<std::string>& answer)
+           [this, collector, sent](const collector_answer& answer)
            { on_answer(collector, std::move(*sent), answer); });
 }
 
-void commit_router::on_answer(const std::string& collector, item_list sent,
-                              const std::optional<std::string>& answer)
+void commit_router::on_answer(const std::string& collector, item_list sent, const collector_answer& answer)
 {
     --m_outboxes[collector].under_way;
     m_forwarded -= sent.size();
-    const auto results = answer ? decode_results(*answer) : std::nullopt;
+    const bool collected = answer.outcome == collector_outcome::collected;
+    const auto results = collected ? decode_results(answer.results) : std::nullopt;
     if (results && results->size() == sent.size())
     {
         m_peers.answered(collector);
@@ -94,7 +94,7 @@
     }
     else
     {
-        on_silence(collector, std::move(sent));
+        on_failure(collector, std::move(sent), answer.outcome);
     }
     send(collector);
 }
@@ -127,7 +127,7 @@
             });
 }
 
-void commit_router::on_silence(const std::string& collector, item_list sent)
+void commit_router::on_failure(const std::string& collector, item_list sent, collector_outcome outcome)
 {
     if (!m_store.reachable())
     {
@@ -136,9 +136,18 @@
         std::ranges::for_each(sent, [this](item& it) { send_again(std::move(it)); });
         return;
     }
-    log_event(event_id::collector_failed,
-              {{"collector", collector}, {"changes", std::to_string(sent.size())}});
-    m_peers.failed(collector, m_clock());
+    const bool storeless = outcome == collector_outcome::lacks_store;
+    log_event(event_id::collector_failed, {{"collector", collector},
+                                           {"why", storeless ? "it lacks the store" : "no answer"},
+                                           {"changes", std::to_string(sent.size())}});
+    if (storeless)
+    {
+        m_peers.lacks_store(collector, m_clock());
+    }
+    else
+    {
+        m_peers.failed(collector, m_clock());
+    }
     // What the collector did is not known. Written once more, a change does no harm: it holds under its
     // condition, or may be written twice.
     for (auto& it : sent)
@@ -157,13 +166,18 @@
     }
 }
 
-void commit_router::collect(const std::string& bytes, std::function<void(std::optional<std::string>)> on_done)
+void commit_router::collect(const std::string& bytes, collector_callback on_done)
 {
     const auto now = m_clock();
     auto changes = decode_changes(bytes, now);
-    if (!changes || changes->empty() || !m_store.reachable())
+    if (!changes || changes->empty())
+    {
+        on_done({.outcome = collector_outcome::no_answer});
+        return;
+    }
+    if (!m_store.reachable())
     {
-        on_done(std::nullopt);
+        on_done({.outcome = collector_outcome::lacks_store});
         return;
     }
     auto collected = std::make_shared<collection>();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,6 +28,44 @@
 /// When callers may come back to a process that has read no configuration yet.
 constexpr milliseconds after_no_configuration{300};
 
+/// @name Between a collector and its senders
+/// @{
+constexpr int status_collected = 200;
+constexpr int status_unreadable = 400;
+constexpr int status_lacks_store = 503;
+
+collector_answer to_collector_answer(http_client_reply reply)
+{
+    if (reply.failure != http_failure::none)
+    {
+        return {};
+    }
+    switch (reply.status)
+    {
+    case status_collected:
+        return {collector_outcome::collected, std::move(reply.body)};
+    case status_lacks_store:
+        return {.outcome = collector_outcome::lacks_store};
+    default:
+        return {};
+    }
+}
+
+http_response to_response(const collector_answer& answer)
+{
+    switch (answer.outcome)
+    {
+    case collector_outcome::collected:
+        return {.status = status_collected, .content_type = "application/cbor", .body = answer.results};
+    case collector_outcome::lacks_store:
+        return {.status = status_lacks_store, .body = "{}"};
+    case collector_outcome::no_answer:
+        break;
+    }
+    return {.status = status_unreadable, .body = "{}"};
+}
+/// @}
+
 } // namespace
 
 struct gateway::state
@@ -119,13 +157,8 @@
                                 .headers = {{"Content-Type", "application/cbor"}},
                                 .timeout = collector_limit,
                                 .connect_timeout = collector_connect_limit};
-    client.send(std::move(request),
-                [on_answer = std::move(on_answer)](http_client_reply reply)
-                {
-                    constexpr int ok = 200;
-                    const bool whole = reply.failure == http_failure::none && reply.status == ok;
-                    on_answer(whole ? std::optional{std::move(reply.body)} : std::nullopt);
-                });
+    client.send(std::move(request), [on_answer = std::move(on_answer)](http_client_reply reply)
+                { on_answer(to_collector_answer(std::move(reply))); });
 }
 
 void gateway::state::start()
@@ -336,15 +369,8 @@
 
 void gateway::serve_commits(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
-    m_state->commits.collect(request.body,
-                             [exchange](std::optional<std::string> results)
-                             {
-                                 constexpr int ok = 200;
-                                 constexpr int bad_request = 400;
-                                 exchange->respond({.status = results ? ok : bad_request,
-                                                    .content_type = "application/cbor",
-                                                    .body = std::move(results).value_or("")});
-                             });
+    m_state->commits.collect(request.body, [exchange](const collector_answer& answer)
+                             { exchange->respond(to_response(answer)); });
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -15,6 +15,11 @@
 /// back within seconds; one that is gone for good costs one late commit in twenty.
 constexpr milliseconds first_pause{1'500};
 constexpr milliseconds longest_pause{20'000};
+/// How long one that can't reach the store is left out: it looks for the way back every 250 ms. An outage is
+/// over for all gateways within that time; those that took the others for dead meanwhile, for up to 20 s, all
+/// wrote by themselves after it: on a deployment of 34, transactions took 250 ms instead of 14 and a third of
+/// them failed by conflicts, until ten seconds after an outage of four.
+constexpr milliseconds storeless_pause{300};
 
 /// Weighted rendezvous hashing: each peer is chosen in proportion to its weight, and only the partitions of a
 /// peer that leaves move (Schindelhauer and Schomaker, 2005).
@@ -77,6 +82,11 @@
     m_avoided.erase(address);
 }
 
+void peer_directory::lacks_store(const std::string& address, time_point now)
+{
+    m_avoided[address] = {.until = now + storeless_pause};
+}
+
 void peer_directory::failed(const std::string& address, time_point now)
 {
     auto& it = m_avoided[address];
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -70,14 +70,11 @@
         ++messages;
         if (dead == to)
         {
-            time.delays()(400ms, [on_answer] { on_answer(std::nullopt); });
+            time.delays()(400ms, [on_answer] { on_answer({}); });
             return;
         }
-        time.delays()(1ms,
-                      [this, to, bytes = std::move(bytes), on_answer] {
-                          members[to]->router.collect(bytes, [on_answer](auto answer)
-                                                      { on_answer(std::move(answer)); });
-                      });
+        time.delays()(1ms, [this, to, bytes = std::move(bytes), on_answer]
+                      { members[to]->router.collect(bytes, on_answer); });
     }
 
     void put(member& by, const std::string& key, std::optional<row_version> expected = std::nullopt)
@@ -149,6 +146,20 @@
     }
 }
 
+TEST_CASE("a gateway that lacks the store is left out for a short while, however often it says so")
+{
+    const auto peers = make_peers(2);
+    peer_directory directory{peers[0]};
+    directory.set(peers);
+    const auto& other = peers[1].address;
+    for (int n = 0; n < 10; ++n)
+    {
+        directory.lacks_store(other, start);
+    }
+    CHECK(directory.choose(5, start + 200ms).empty());
+    CHECK(directory.choose(5, start + 300ms).size() == 1);
+}
+
 TEST_CASE("through a collector, many gateways' changes share few transactions")
 {
     router_world world{40};
@@ -325,3 +336,30 @@
     world.time.run(100ms);
     CHECK(world.done() == 4);
 }
+
+// Load pattern: an outage of seconds, in which each of forty gateways asks a few others, at random, for a way
+// to the store. Had they taken those that have none for dead, each would know other collectors after it, and
+// all would write by themselves, against each other.
+TEST_CASE("gateways that asked each other for a way in an outage agree on the collector soon after it")
+{
+    router_world world{40};
+    for (int round = 0; round < 80; ++round)
+    {
+        for (auto& [address, member] : world.members)
+        {
+            for (const auto& asked : member->peers.choose(2, world.time.now()))
+            {
+                member->peers.lacks_store(asked, world.time.now());
+            }
+        }
+        world.time.run(50ms);
+    }
+    world.time.run(250ms);
+    for (auto& [address, member] : world.members)
+    {
+        world.put(*member, address);
+    }
+    world.time.run(100ms);
+    CHECK(world.done() == 40);
+    CHECK(world.rows.transactions() < 6);
+}
