Gateways read from what a partition's collector remembers

Ruled out: pushing rows to all gateways (34 times the bytes); asking peers at random (a chain lies in up to eight partitions). Change: the commit queue remembers the rows that it wrote or read (bounded, least recently used; replaces the map of known rows), and reads of turns and budgets ask the partition's collector before the store. A refusal for the budget still rests on the row itself. A budget is looked up before the turn's reservation, so that a turn need not wait for its reservation to be sent. The fault soak found that a collector that remembers only a row whose key begins alike answered for another one; mended, test first.

--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -7,11 +7,11 @@
 /// however many turns end; a batch holds up to 90 changes.
 #pragma once
 
+#include "masticcourse/gateway/row_memory.hpp"
 #include "masticcourse/gateway/row_store.hpp"
 
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -69,7 +69,10 @@
 class commit_queue final : public commit_sink
 {
   public:
-    commit_queue(row_store& store, delay_function delay, clock_function clock);
+    /// @param memory_bytes for rows as they were last written or read: versions only grow, so a condition on
+    /// an older one is known to fail, and other gateways read from it
+    commit_queue(row_store& store, delay_function delay, clock_function clock,
+                 std::size_t memory_bytes = default_memory);
 
     void submit(const std::string& partition, row_change change, change_callback on_result) override;
 
@@ -78,7 +81,15 @@
         return m_pending;
     }
 
+    [[nodiscard]] const row_memory& memory() const
+    {
+        return m_memory;
+    }
+
   private:
+    /// Those of a few thousand programs, some hundred bytes each.
+    static constexpr std::size_t default_memory = 2'000'000;
+
     struct item
     {
         row_change change;
@@ -92,9 +103,6 @@
         int busy = 0;
         /// Failures in a row, for the pause before the next try.
         std::uint32_t failures = 0;
-        /// Rows under conditions as last written or read here. Versions only grow, so a condition on an older
-        /// one can't hold any more.
-        std::map<row_name, stored_row> known;
         /// Rows that transactions under way write. A change of one of them waits: its condition would fail,
         /// and with it the whole transaction that it is in.
         std::set<row_name> being_written;
@@ -105,7 +113,7 @@
     void give_up_expired(partition_queue& queue);
     /// Tells changes whose condition is known to fail at once, without a transaction.
     void refuse_outdated(partition_queue& queue);
-    void remember(const std::string& partition, const stored_row& row);
+    void remember(const item_list& written, row_version version);
     void finish(const std::string& partition, item_list batch, const transaction_reply& reply);
     void settle_conflicts(item_list& batch, const transaction_reply& reply);
     void put_back(partition_queue& queue, item_list batch);
@@ -116,6 +124,7 @@
     delay_function m_delay;
     clock_function m_clock;
     std::unordered_map<std::string, partition_queue> m_queues;
+    row_memory m_memory;
     std::size_t m_pending = 0;
     std::minstd_rand m_random{std::random_device{}()};
 };
--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -74,6 +74,11 @@
     /// Serves a peer's request to that path.
     void serve_commits(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
 
+    /// Where peers ask for rows that this gateway remembers.
+    static constexpr const char* recall_path = "/rows";
+    /// Serves a peer's request to that path.
+    void serve_recall(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+
   private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -37,7 +37,11 @@
     /// Every gateway that knows the same peers names the same one, by weighted rendezvous hashing. They need
     /// not agree: two that write one partition cost a conflict, not more.
     /// @return the gateway that collects the commits of @a partition, or nothing if it is this one
-    [[nodiscard]] std::optional<std::string> collector_of(std::string_view partition, time_point now);
+    [[nodiscard]] std::optional<std::string> collector_of(std::string_view partition, time_point now) const;
+
+    /// The same, whether it reaches the store or not: it remembers what it has written.
+    [[nodiscard]] std::optional<std::string> last_collector_of(std::string_view partition,
+                                                               time_point now) const;
 
     void answered(const std::string& address);
     /// It did not answer: it is left out for a while, longer with each failure in a row.
@@ -50,10 +54,16 @@
     {
         /// Silences in a row.
         std::uint32_t failures = 0;
-        time_point until{};
+        time_point silent_until{};
+        time_point storeless_until{};
     };
 
+    /// Whether it did not answer lately.
+    [[nodiscard]] bool silent(const std::string& address, time_point now) const;
+    /// Whether it did not answer lately, or lacked the store.
     [[nodiscard]] bool avoided(const std::string& address, time_point now) const;
+    template <typename Avoided>
+    [[nodiscard]] std::optional<std::string> best_for(std::string_view partition, Avoided is_avoided) const;
 
     peer m_self;
     std::vector<peer> m_others;
--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -7,6 +7,7 @@
 #include "masticcourse/gateway/commit_queue.hpp"
 #include "masticcourse/gateway/spending_row.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -51,6 +52,13 @@
     /// known here holds it with room to spare, so a refusal is not to be expected.
     [[nodiscard]] bool ample(const reservation_request& request) const;
 
+    /// Whether nothing is known of a program that has had turns elsewhere.
+    [[nodiscard]] bool unknown(const program_id& id) const;
+
+    /// Reads what a program has spent, if any gateway or the store tells; calls back once, whatever came of
+    /// it. So a turn need not wait for its reservation before it is sent, also while the store is away.
+    void look_up(const program_id& id, std::function<void()> on_end);
+
     /// Reserves; calls back once. Refusals rest on a reading of the row made after this call.
     void reserve(reservation_request request, reservation_callback on_result);
 
@@ -88,14 +96,17 @@
     };
 
     void step(const program_id& id);
-    void read(const program_id& id);
+    /// @param memory_will_do whether what another gateway remembers is enough: a write under an outdated
+    /// version fails, but a refusal must rest on the row itself
+    void read(const program_id& id, bool memory_will_do);
     void write(const program_id& id, program_entry& entry);
     void refuse_expired(program_entry& entry);
     /// Adds what fits to @a next.
     static void admit(program_entry& entry, spending_row& next, std::vector<claim>& admitted);
     void on_written(const program_id& id, const spending_row& next, std::vector<claim> admitted,
                     const std::vector<settlement>& settled, const change_result& result);
-    static void adopt(program_entry& entry, const std::optional<stored_row>& row);
+    /// @param fresh whether the row was read from the store just now
+    static void adopt(program_entry& entry, const std::optional<stored_row>& row, bool fresh);
     void plan_flush(const program_id& id, program_entry& entry);
 
     row_store& m_store;
--- a/include/masticcourse/gateway/row_store.hpp
+++ b/include/masticcourse/gateway/row_store.hpp
@@ -82,6 +82,9 @@
     std::string partition;
     std::string from;
     std::string to;
+    /// An answer from what a gateway remembers will do: the rows never change, or are changed only under
+    /// their version.
+    bool memory_will_do = false;
 };
 
 struct query_reply
@@ -89,8 +92,10 @@
     /// False if the store could not be asked; nothing else counts then.
     bool answered = false;
     std::vector<stored_row> rows;
-    /// The store's version as of which the rows were read.
+    /// The store's version as of which the rows were read; 0 if they are remembered ones.
     row_version version = 0;
+    /// The rows are remembered ones: there may be newer versions.
+    bool from_memory = false;
 };
 
 enum class feed_outcome : std::uint8_t
--- /dev/null
+++ b/src/gateway/collected_rows.cpp
@@ -0,0 +1,83 @@
+#include "masticcourse/gateway/collected_rows.hpp"
+
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+collected_rows::collected_rows(row_store& store, const row_memory& own, peer_directory& peers,
+                               recall_call call, std::function<time_point()> clock)
+    : m_store(store), m_own(own), m_peers(peers), m_call(std::move(call)), m_clock(std::move(clock))
+{
+}
+
+void collected_rows::transact(const row_transaction& transaction, transaction_callback on_reply)
+{
+    m_store.transact(transaction, std::move(on_reply));
+}
+
+void collected_rows::query(const row_query& query, query_callback on_reply)
+{
+    if (!query.memory_will_do)
+    {
+        m_store.query(query, std::move(on_reply));
+        return;
+    }
+    const auto collector = m_peers.last_collector_of(query.partition, m_clock());
+    if (!collector)
+    {
+        answer(query, remembered(query), std::move(on_reply));
+        return;
+    }
+    m_call(*collector, encode_query(query),
+           [this, collector = *collector, query,
+            on_reply = std::move(on_reply)](const std::optional<std::string>& bytes) mutable
+           {
+               auto rows = bytes ? decode_rows(*bytes) : std::nullopt;
+               if (!rows)
+               {
+                   m_peers.failed(collector, m_clock());
+               }
+               answer(query, std::move(rows).value_or(std::vector<stored_row>{}), std::move(on_reply));
+           });
+}
+
+void collected_rows::answer(const row_query& query, std::vector<stored_row> rows, query_callback on_reply)
+{
+    // Other rows of the range say nothing of the first one: its key may be just the beginning of theirs.
+    if (rows.empty() || rows.front().name.key != query.from)
+    {
+        m_store.query(query, std::move(on_reply));
+        return;
+    }
+    on_reply({.answered = true, .rows = std::move(rows), .from_memory = true});
+}
+
+void collected_rows::follow(const std::string& table, row_version version, milliseconds wait,
+                            feed_callback on_reply)
+{
+    m_store.follow(table, version, wait, std::move(on_reply));
+}
+
+bool collected_rows::reachable() const
+{
+    return m_store.reachable();
+}
+
+duration collected_rows::steady_for() const
+{
+    return m_store.steady_for();
+}
+
+std::vector<stored_row> collected_rows::remembered(const row_query& query) const
+{
+    return m_own.range(query.table, query.from, query.to);
+}
+
+std::optional<std::string> collected_rows::recall(const std::string& bytes) const
+{
+    const auto query = decode_query(bytes);
+    return query ? std::optional{encode_rows(remembered(*query))} : std::nullopt;
+}
+
+} // namespace masticcourse::gateway
--- a/src/gateway/commit_codec.cpp
+++ b/src/gateway/commit_codec.cpp
@@ -1,4 +1,5 @@
-// How changes and their results travel between gateways: CBOR, arrays in a fixed order.
+// How changes, their results and remembered rows travel between gateways: CBOR, arrays in a fixed order.
+#include "masticcourse/gateway/collected_rows.hpp"
 #include "masticcourse/gateway/commit_router.hpp"
 
 #include <algorithm>
@@ -63,14 +64,20 @@
     return routed;
 }
 
+json to_json(const stored_row& it)
+{
+    return json::array({to_json(it.name), to_json(it.value), it.version});
+}
+
+stored_row to_row(const json& it)
+{
+    return {.name = to_name(it.at(0)), .value = to_text(it.at(1)), .version = it.at(2).get<row_version>()};
+}
+
 json to_json(const change_result& it)
 {
-    json row;
-    if (it.current)
-    {
-        row = json::array({to_json(it.current->name), to_json(it.current->value), it.current->version});
-    }
-    return json::array({static_cast<int>(it.outcome), it.version, std::move(row)});
+    return json::array(
+        {static_cast<int>(it.outcome), it.version, it.current ? to_json(*it.current) : json{}});
 }
 
 change_result to_result(const json& it)
@@ -84,8 +91,7 @@
                          .version = it.at(1).get<row_version>()};
     if (const auto& row = it.at(2); !row.is_null())
     {
-        result.current = stored_row{
-            .name = to_name(row.at(0)), .value = to_text(row.at(1)), .version = row.at(2).get<row_version>()};
+        result.current = to_row(row);
     }
     return result;
 }
@@ -119,6 +125,37 @@
 
 } // namespace
 
+std::string encode_query(const row_query& query)
+{
+    return to_bytes(json::array({json::array({query.table, query.partition, query.from, query.to})}));
+}
+
+std::optional<row_query> decode_query(const std::string& bytes)
+{
+    const auto read = read_array(bytes,
+                                 [](const json& it)
+                                 {
+                                     return row_query{.table = it.at(0).get<std::string>(),
+                                                      .partition = it.at(1).get<std::string>(),
+                                                      .from = it.at(2).get<std::string>(),
+                                                      .to = it.at(3).get<std::string>(),
+                                                      .memory_will_do = true};
+                                 });
+    return read && read->size() == 1 ? std::optional{read->front()} : std::nullopt;
+}
+
+std::string encode_rows(const std::vector<stored_row>& rows)
+{
+    json document = json::array();
+    std::ranges::for_each(rows, [&](const auto& it) { document.push_back(to_json(it)); });
+    return to_bytes(document);
+}
+
+std::optional<std::vector<stored_row>> decode_rows(const std::string& bytes)
+{
+    return read_array(bytes, to_row);
+}
+
 std::string encode_changes(const std::vector<routed_change>& changes, time_point now)
 {
     json document = json::array();
--- a/src/gateway/commit_queue.cpp
+++ b/src/gateway/commit_queue.cpp
@@ -14,8 +14,6 @@
 constexpr int most_under_way = 2;
 /// Rows and conditions of one transaction; the store takes 100 entries.
 constexpr std::size_t most_entries = 90;
-/// Rows remembered of one partition: those of a few thousand programs, some hundred bytes each.
-constexpr std::size_t most_known = 4'000;
 /// Bytes of one transaction; the store takes 1 MB, and base64 makes four bytes of three.
 constexpr std::size_t most_bytes = 600'000;
 /// The pause after a failure, doubled with each further one up to the longest: short enough that a turn ends
@@ -69,8 +67,9 @@
 
 } // namespace
 
-commit_queue::commit_queue(row_store& store, delay_function delay, clock_function clock)
-    : m_store(store), m_delay(std::move(delay)), m_clock(std::move(clock))
+commit_queue::commit_queue(row_store& store, delay_function delay, clock_function clock,
+                           std::size_t memory_bytes)
+    : m_store(store), m_delay(std::move(delay)), m_clock(std::move(clock)), m_memory(memory_bytes)
 {
 }
 
@@ -141,29 +140,28 @@
     for (auto& it : queue.waiting)
     {
         const auto& condition = it.change.condition;
-        const auto row = condition ? queue.known.find(condition->name) : queue.known.end();
-        const bool fails = row != queue.known.end() && row->second.version > condition->version;
+        const auto* const row = condition ? m_memory.find(condition->name) : nullptr;
+        const bool fails = row != nullptr && row->version > condition->version;
         (fails ? outdated : left).push_back(std::move(it));
     }
     queue.waiting = std::move(left);
     for (auto& it : outdated)
     {
-        const auto current = queue.known.at(it.change.condition->name);
+        const auto current = *m_memory.find(it.change.condition->name);
         resolve(it, {.outcome = store_outcome::conflict, .current = current});
     }
 }
 
-void commit_queue::remember(const std::string& partition, const stored_row& row)
+void commit_queue::remember(const item_list& written, row_version version)
 {
-    auto& known = m_queues[partition].known;
-    if (known.size() >= most_known)
+    for (const auto& it : written)
     {
-        known.clear();
-    }
-    auto& it = known[row.name];
-    if (it.version < row.version)
-    {
-        it = row;
+        // Rows that belong together are remembered together or not at all: no reader meets a part of them.
+        if (it.change.puts.size() == 1)
+        {
+            const auto& put = it.change.puts.front();
+            m_memory.put({put.name, put.value, version});
+        }
     }
 }
 
@@ -189,13 +187,7 @@
     {
         queue.failures = 0;
         --queue.busy;
-        for (const auto& it : batch)
-        {
-            if (it.change.condition)
-            {
-                remember(partition, {it.change.condition->name, it.change.puts.front().value, reply.version});
-            }
-        }
+        remember(batch, reply.version);
         std::ranges::for_each(batch, [&](item& it)
                               { resolve(it, {.outcome = store_outcome::done, .version = reply.version}); });
         pump(partition);
@@ -204,7 +196,7 @@
     const auto size = batch.size();
     if (reply.outcome == store_outcome::conflict)
     {
-        std::ranges::for_each(reply.current, [&](const stored_row& it) { remember(partition, it); });
+        std::ranges::for_each(reply.current, [this](const stored_row& it) { m_memory.put(it); });
         settle_conflicts(batch, reply);
     }
     const bool progress = batch.size() < size;
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -84,6 +84,21 @@
 
 void forwarded_request::start_turn()
 {
+    const auto& claim = *m_request.program;
+    if (claim.previous && m_services.spending.unknown(claim.program))
+    {
+        m_services.spending.look_up(claim.program, [self = shared_from_this()] { self->reserve(); });
+        return;
+    }
+    reserve();
+}
+
+void forwarded_request::reserve()
+{
+    if (m_finished)
+    {
+        return;
+    }
     const auto& claim = *m_request.program;
     const reservation_request reservation{.program = claim.program,
                                           .request = m_request.id,
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -35,6 +35,7 @@
     /// @{
     void set_deadline();
     void start_turn();
+    void reserve();
     void load_chain();
     void on_chain(turn_chain chain);
     void on_reservation(reservation_outcome outcome);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "masticcourse/gateway/gateway.hpp"
 
+#include "masticcourse/gateway/collected_rows.hpp"
 #include "masticcourse/gateway/commit_router.hpp"
 #include "masticcourse/gateway/io_delay.hpp"
 #include "masticcourse/telemetry/log.hpp"
@@ -25,6 +26,11 @@
 /// 100 ms.
 constexpr milliseconds collector_limit{800};
 constexpr milliseconds collector_connect_limit{100};
+/// How long a collector may take to say what it remembers: a few times what a busy one takes. The store,
+/// which is asked then, answers within 10 ms.
+constexpr milliseconds recall_limit{100};
+/// The memory for rows of collected partitions, as a share of that for turns.
+constexpr std::size_t row_memory_share = 2;
 /// When callers may come back to a process that has read no configuration yet.
 constexpr milliseconds after_no_configuration{300};
 
@@ -85,6 +91,7 @@
     void sweep_often();
     void check_stopped();
     void call_collector(const std::string& address, std::string bytes, collector_callback on_answer);
+    void recall(const std::string& address, std::string bytes, recall_callback on_rows);
 
     boost::asio::io_context& context;
     gateway_options options;
@@ -99,6 +106,7 @@
     http_client client;
     commit_queue own_commits;
     commit_router commits;
+    collected_rows shared_rows;
     program_spending spending;
     turn_store turns;
     forwarding_services services;
@@ -118,14 +126,19 @@
                       metrics_registry& counters)
     : context(io), options(std::move(given)), protocol(wire), store(table_store), peers(others),
       decoders(std::move(readers)), registry(counters), delay(make_io_delay(context)), client(context),
-      own_commits(store, delay, monotonic_now),
+      own_commits(store, delay, monotonic_now, options.cache_bytes / row_memory_share),
       commits(
           own_commits, store, peers,
           [this](const auto& address, auto bytes, auto on_answer)
           { call_collector(address, std::move(bytes), std::move(on_answer)); },
           delay, monotonic_now),
-      spending(store, commits, delay, monotonic_now),
-      turns(store, commits, options.cache_bytes, options.row_bytes),
+      shared_rows(
+          store, own_commits.memory(), peers,
+          [this](const auto& address, auto bytes, auto on_rows)
+          { recall(address, std::move(bytes), std::move(on_rows)); },
+          monotonic_now),
+      spending(shared_rows, commits, delay, monotonic_now),
+      turns(shared_rows, commits, options.cache_bytes, options.row_bytes),
       services{.open = [this](auto request, auto on_chunk, auto on_reply)
                { return client.open_stream(std::move(request), std::move(on_chunk), std::move(on_reply)); },
                .protocol = protocol,
@@ -161,6 +174,24 @@
                 { on_answer(to_collector_answer(std::move(reply))); });
 }
 
+void gateway::state::recall(const std::string& address, std::string bytes, recall_callback on_rows)
+{
+    http_client_request request{.address = address,
+                                .method = "POST",
+                                .target = recall_path,
+                                .body = std::move(bytes),
+                                .headers = {{"Content-Type", "application/cbor"}},
+                                .timeout = recall_limit,
+                                .connect_timeout = recall_limit,
+                                .idempotent = true};
+    client.send(std::move(request),
+                [on_rows = std::move(on_rows)](http_client_reply reply)
+                {
+                    const bool read = reply.failure == http_failure::none && reply.status == status_collected;
+                    on_rows(read ? std::optional{std::move(reply.body)} : std::nullopt);
+                });
+}
+
 void gateway::state::start()
 {
     frontend =
@@ -373,4 +404,12 @@
                              { exchange->respond(to_response(answer)); });
 }
 
+void gateway::serve_recall(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+{
+    auto rows = m_state->shared_rows.recall(request.body);
+    exchange->respond({.status = rows ? status_collected : status_unreadable,
+                       .content_type = "application/cbor",
+                       .body = std::move(rows).value_or("")});
+}
+
 } // namespace masticcourse::gateway
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -40,10 +40,16 @@
     m_others = std::move(peers);
 }
 
+bool peer_directory::silent(const std::string& address, time_point now) const
+{
+    const auto it = m_avoided.find(address);
+    return it != m_avoided.end() && it->second.silent_until > now;
+}
+
 bool peer_directory::avoided(const std::string& address, time_point now) const
 {
     const auto it = m_avoided.find(address);
-    return it != m_avoided.end() && it->second.until > now;
+    return it != m_avoided.end() && std::max(it->second.silent_until, it->second.storeless_until) > now;
 }
 
 std::vector<std::string> peer_directory::choose(std::size_t most, time_point now)
@@ -61,14 +67,25 @@
     return chosen;
 }
 
-std::optional<std::string> peer_directory::collector_of(std::string_view partition, time_point now)
+std::optional<std::string> peer_directory::collector_of(std::string_view partition, time_point now) const
+{
+    return best_for(partition, [&](const std::string& address) { return avoided(address, now); });
+}
+
+std::optional<std::string> peer_directory::last_collector_of(std::string_view partition, time_point now) const
+{
+    return best_for(partition, [&](const std::string& address) { return silent(address, now); });
+}
+
+template <typename Avoided>
+std::optional<std::string> peer_directory::best_for(std::string_view partition, Avoided is_avoided) const
 {
     const peer* best = &m_self;
     double best_score = score(m_self, partition);
     for (const auto& it : m_others)
     {
         const double its_score = score(it, partition);
-        if (its_score > best_score && !avoided(it.address, now))
+        if (its_score > best_score && !is_avoided(it.address))
         {
             best = &it;
             best_score = its_score;
@@ -84,7 +101,7 @@
 
 void peer_directory::lacks_store(const std::string& address, time_point now)
 {
-    m_avoided[address] = {.until = now + storeless_pause};
+    m_avoided[address] = {.storeless_until = now + storeless_pause};
 }
 
 void peer_directory::failed(const std::string& address, time_point now)
@@ -93,7 +110,7 @@
     constexpr std::uint32_t longest_shift = 4;
     const auto pause = std::min(first_pause * (1 << std::min(it.failures, longest_shift)), longest_pause);
     ++it.failures;
-    it.until = now + pause;
+    it.silent_until = now + pause;
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -33,6 +33,20 @@
     return key + ' ';
 }
 
+row_query query_of(const program_id& id, bool memory_will_do)
+{
+    return {.table = spending_table,
+            .partition = partition_of(id.value),
+            .from = id.value,
+            .to = key_after(id.value),
+            .memory_will_do = memory_will_do};
+}
+
+std::optional<stored_row> first_row(const query_reply& reply)
+{
+    return reply.rows.empty() ? std::nullopt : std::optional{reply.rows.front()};
+}
+
 } // namespace
 
 program_spending::program_spending(row_store& store, commit_sink& commits, delay_function delay,
@@ -56,6 +70,27 @@
     return entry.row->committed() + waiting + needed <= request.budget;
 }
 
+bool program_spending::unknown(const program_id& id) const
+{
+    const auto it = m_programs.find(id);
+    return it == m_programs.end() || (!it->second.row && !it->second.busy);
+}
+
+void program_spending::look_up(const program_id& id, std::function<void()> on_end)
+{
+    m_programs[id].used = m_clock();
+    m_store.query(query_of(id, true),
+                  [this, id, on_end = std::move(on_end)](const query_reply& reply)
+                  {
+                      auto& entry = m_programs[id];
+                      if (reply.answered && !entry.row && !entry.busy)
+                      {
+                          adopt(entry, first_row(reply), !reply.from_memory);
+                      }
+                      on_end();
+                  });
+}
+
 void program_spending::reserve(reservation_request request, reservation_callback on_result)
 {
     const auto id = request.program;
@@ -114,7 +149,7 @@
     }
     if (!entry.row)
     {
-        read(id);
+        read(id, true);
         return;
     }
     write(id, entry);
@@ -131,22 +166,18 @@
     std::ranges::for_each(refused, [](const claim& it) { it.on_result(reservation_outcome::unavailable); });
 }
 
-void program_spending::read(const program_id& id)
+void program_spending::read(const program_id& id, bool memory_will_do)
 {
     auto& entry = m_programs[id];
     entry.busy = true;
-    const row_query query{.table = spending_table,
-                          .partition = partition_of(id.value),
-                          .from = id.value,
-                          .to = key_after(id.value)};
-    m_store.query(query,
+    m_store.query(query_of(id, memory_will_do),
                   [this, id](const query_reply& reply)
                   {
                       auto& read_entry = m_programs[id];
                       read_entry.busy = false;
                       if (reply.answered)
                       {
-                          adopt(read_entry, reply.rows.empty() ? std::nullopt : std::optional{reply.rows[0]});
+                          adopt(read_entry, first_row(reply), !reply.from_memory);
                           step(id);
                           return;
                       }
@@ -161,13 +192,13 @@
                   });
 }
 
-void program_spending::adopt(program_entry& entry, const std::optional<stored_row>& row)
+void program_spending::adopt(program_entry& entry, const std::optional<stored_row>& row, bool fresh)
 {
     entry.version = row ? row->version : 0;
     // A row that can't be read counts as a program that has spent all: no turn runs on a guess.
     constexpr token_count all = token_count{1} << 40U;
     entry.row = row ? decode_spending(row->value).value_or(spending_row{.spent = all}) : spending_row{};
-    std::ranges::for_each(entry.claims, [](claim& it) { it.fresh = true; });
+    std::ranges::for_each(entry.claims, [fresh](claim& it) { it.fresh = it.fresh || fresh; });
 }
 
 void program_spending::admit(program_entry& entry, spending_row& next, std::vector<claim>& admitted)
@@ -212,7 +243,7 @@
         entry.busy = false;
         if (!entry.claims.empty())
         {
-            read(id);
+            read(id, false);
         }
         return;
     }
@@ -256,7 +287,7 @@
                         std::make_move_iterator(admitted.end()));
     if (result.outcome == store_outcome::conflict)
     {
-        adopt(entry, result.current);
+        adopt(entry, result.current, true);
     }
     else
     {
--- a/src/gateway/turn_store.cpp
+++ b/src/gateway/turn_store.cpp
@@ -205,7 +205,9 @@
     const row_query query{.table = turn_table,
                           .partition = partition_of(id.value),
                           .from = id.value,
-                          .to = id.value + std::string{after_pieces}};
+                          .to = id.value + std::string{after_pieces},
+                          // A turn never changes.
+                          .memory_will_do = true};
     m_store.query(query,
                   [this, id, on_turn = std::move(on_turn)](const query_reply& reply)
                   {
--- /dev/null
+++ b/tests/unit/test_gateway_collected_rows.cpp
@@ -0,0 +1,278 @@
+// What a gateway learns from the one that collects a partition's commits, with and without the store.
+#include "masticcourse/gateway/collected_rows.hpp"
+#include "masticcourse/gateway/commit_router.hpp"
+#include "masticcourse/gateway/partition.hpp"
+#include "masticcourse/gateway/program_spending.hpp"
+#include "masticcourse/gateway/turn_store.hpp"
+
+#include "support/memory_rows.hpp"
+#include "support/virtual_time.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+using namespace masticcourse;
+using namespace masticcourse::gateway;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t roomy = 1'000'000;
+constexpr std::size_t row_bytes = 500;
+
+/// Three gateways that reach each other, each with its own way to the same rows.
+struct recall_world
+{
+    struct member
+    {
+        member(recall_world& world, const std::string& address)
+            : peers({address, 1}), store(world.rows, world.time.delays()),
+              own(store, world.time.delays(), world.time.clock()),
+              commits(
+                  own, store, peers,
+                  [&world](const auto& to, const auto& bytes, const auto& on_answer)
+                  { world.collect(to, bytes, on_answer); },
+                  world.time.delays(), world.time.clock()),
+              shared(
+                  store, own.memory(), peers,
+                  [&world](const auto& to, const auto& bytes, const auto& on_rows)
+                  { world.recall(to, bytes, on_rows); },
+                  world.time.clock()),
+              spending(shared, commits, world.time.delays(), world.time.clock()),
+              turns(shared, commits, roomy, row_bytes)
+        {
+        }
+
+        peer_directory peers;
+        memory_store store;
+        commit_queue own;
+        commit_router commits;
+        collected_rows shared;
+        program_spending spending;
+        turn_store turns;
+    };
+
+    recall_world()
+    {
+        const std::vector<peer> all{{"0", 1}, {"1", 1}, {"2", 1}};
+        for (std::size_t n = 0; n < members.size(); ++n)
+        {
+            members[n] = std::make_unique<member>(*this, all[n].address);
+            members[n]->peers.set(all);
+        }
+    }
+
+    void collect(const std::string& to, const std::string& bytes, const collector_callback& on_answer)
+    {
+        time.delays()(1ms, [this, to, bytes, on_answer]
+                      { members[std::stoul(to)]->commits.collect(bytes, on_answer); });
+    }
+
+    void recall(const std::string& to, const std::string& bytes, const recall_callback& on_rows)
+    {
+        const auto answer = [this, to, bytes, on_rows]
+        { on_rows(silent ? std::nullopt : members[std::stoul(to)]->shared.recall(bytes)); };
+        time.delays()(1ms, answer);
+    }
+
+    void set_store(store_mode mode)
+    {
+        for (auto& it : members)
+        {
+            it->store.mode = mode;
+            it->store.says_reachable = mode == store_mode::good;
+        }
+    }
+
+    reservation_outcome reserve(std::size_t at, const std::string& request, token_count tokens, bool first)
+    {
+        std::optional<reservation_outcome> outcome;
+        members[at]->spending.reserve({.program = {"p"},
+                                       .request = {request},
+                                       .tokens = tokens,
+                                       .budget = 1'000,
+                                       .first = first,
+                                       .expires = time.now() + 1s},
+                                      [&outcome](reservation_outcome it) { outcome = it; });
+        time.run(1'500ms);
+        REQUIRE(outcome);
+        return *outcome;
+    }
+
+    bool keep(std::size_t at, const std::string& id, std::vector<request_id> ancestors,
+              const std::string& input)
+    {
+        bool kept = false;
+        members[at]->turns.keep({id}, {std::move(ancestors), input, "out\n"}, time.now() + 1s,
+                                [&kept](bool it) { kept = it; });
+        time.run(1s);
+        return kept;
+    }
+
+    turn_chain load(std::size_t at, const std::string& id)
+    {
+        std::optional<turn_chain> loaded;
+        members[at]->turns.load_chain({id}, [&loaded](turn_chain it) { loaded = std::move(it); });
+        time.run(1s);
+        REQUIRE(loaded);
+        return *loaded;
+    }
+
+    [[nodiscard]] std::size_t queries() const
+    {
+        std::size_t n = 0;
+        for (const auto& it : members)
+        {
+            n += it->store.queries;
+        }
+        return n;
+    }
+
+    virtual_time time;
+    row_table rows;
+    std::array<std::unique_ptr<member>, 3> members;
+    bool silent = false;
+};
+
+} // namespace
+
+TEST_CASE("remembered rows: the newest version, within the capacity, by range")
+{
+    row_memory memory{1'000};
+    memory.put({{"t", "a"}, "new", 7});
+    memory.put({{"t", "a"}, "old", 3});
+    REQUIRE(memory.find({"t", "a"}) != nullptr);
+    CHECK(memory.find({"t", "a"})->value == "new");
+    memory.put({{"t", "a~1"}, "more", 8});
+    memory.put({{"u", "a"}, "elsewhere", 9});
+    CHECK(memory.range("t", "a", "a~~").size() == 2);
+    CHECK(memory.range("t", "b", "c").empty());
+    for (int n = 0; n < 100; ++n)
+    {
+        memory.put({{"t", "k" + std::to_string(n)}, "v", 10});
+        CHECK(memory.bytes() <= 1'000);
+    }
+    CHECK(memory.find({"t", "a"}) == nullptr);
+    CHECK(memory.find({"t", "k99"}) != nullptr);
+}
+
+// Load pattern: the store is away for all, and callers who try again reach gateways that have not seen their
+// program before.
+TEST_CASE("while the store is away, a gateway goes on with a program that only others have seen")
+{
+    recall_world world;
+    REQUIRE(world.keep(0, "a", {}, "in a;"));
+    REQUIRE(world.keep(0, "b", {{"a"}}, "in b;"));
+    REQUIRE(world.reserve(0, "b", 100, true) == reservation_outcome::granted);
+    for (const auto mode : {store_mode::refusing, store_mode::silent})
+    {
+        world.set_store(mode);
+        // Each has asked the others for a way to the store, and found none.
+        for (auto& it : world.members)
+        {
+            for (const auto* const asked : {"0", "1", "2"})
+            {
+                it->peers.lacks_store(asked, world.time.now());
+            }
+        }
+        for (std::size_t at = 1; at < 3; ++at)
+        {
+            auto& spending = world.members[at]->spending;
+            bool ended = false;
+            spending.look_up({"p"}, [&ended] { ended = true; });
+            world.time.run(100ms);
+            CHECK(ended);
+            CHECK_FALSE(spending.unknown({"p"}));
+            CHECK(spending.ample({.program = {"p"}, .request = {"c"}, .tokens = 100, .budget = 1'000}));
+            const auto chain = world.load(at, "b");
+            CHECK(chain.outcome == chain_outcome::found);
+            CHECK(chain.prompt == "in a;out\nin b;out\n");
+        }
+        const auto unknown = world.load(1, "never");
+        CHECK(unknown.outcome == chain_outcome::unavailable);
+    }
+}
+
+TEST_CASE("what a collector remembers costs the store no read; what it does not is read there")
+{
+    recall_world world;
+    REQUIRE(world.keep(0, "a", {}, "in a;"));
+    const auto before = world.queries();
+    CHECK(world.load(1, "a").outcome == chain_outcome::found);
+    CHECK(world.queries() == before);
+    CHECK(world.load(1, "never").outcome == chain_outcome::missing);
+    CHECK(world.queries() == before + 1);
+    world.silent = true;
+    CHECK(world.load(2, "a").outcome == chain_outcome::found);
+    CHECK(world.queries() >= before + 1);
+}
+
+// The fault soak found it: a turn that a collector had forgotten, or written before its restart, was taken
+// for one that never was, if the collector remembered another turn whose id begins like it.
+TEST_CASE("a turn is found in the store though only others, whose ids begin alike, are remembered")
+{
+    recall_world world;
+    std::string other;
+    for (int n = 0; other.empty() || partition_of(other) != partition_of("a"); ++n)
+    {
+        other = "a" + std::to_string(n);
+    }
+    REQUIRE(world.keep(0, other, {}, "in other;"));
+    const auto pieces = encode_turn({{}, "in a;", "out a\n"}, row_bytes);
+    std::ignore =
+        world.rows.apply({.partition = partition_of("a"), .puts = {{{"turns", "a"}, pieces.front()}}});
+    const auto chain = world.load(1, "a");
+    CHECK(chain.outcome == chain_outcome::found);
+    CHECK(chain.prompt == "in a;out a\n");
+}
+
+TEST_CASE("a turn of several rows is read whole")
+{
+    recall_world world;
+    REQUIRE(world.keep(0, "large", {}, std::string(3 * row_bytes, 'x')));
+    const auto chain = world.load(1, "large");
+    CHECK(chain.outcome == chain_outcome::found);
+    CHECK(chain.prompt.size() == 3 * row_bytes + 4);
+}
+
+TEST_CASE("a refusal for the budget rests on the row itself, never on what is remembered of it")
+{
+    recall_world world;
+    REQUIRE(world.reserve(0, "one", 900, true) == reservation_outcome::granted);
+    // Another gateway settles under the row's version without the collector's knowledge.
+    const auto row = world.rows.read({.table = "spending", .partition = partition_of("p")}).rows.at(0);
+    REQUIRE(world.rows
+                .apply({.partition = partition_of("p"),
+                        .conditions = {{row.name, row.version}},
+                        .puts = {{row.name, encode(spending_row{.spent = 10})}}})
+                .outcome == store_outcome::done);
+    CHECK(world.reserve(1, "two", 900, false) == reservation_outcome::granted);
+    CHECK(world.reserve(2, "three", 900, false) == reservation_outcome::over_budget);
+}
+
+TEST_CASE("queries and rows are read as they were written; damaged ones are none")
+{
+    const row_query query{.table = "t", .partition = "p1", .from = "a", .to = "a~~"};
+    const auto read = decode_query(encode_query(query));
+    REQUIRE(read);
+    CHECK(read->table == "t");
+    CHECK(read->partition == "p1");
+    CHECK(read->from == "a");
+    CHECK(read->to == "a~~");
+    CHECK_FALSE(decode_query("no such message"));
+    const auto bytes = encode_rows({{{"t", "a"}, std::string("\0\xff", 2), 7}});
+    const auto rows = decode_rows(bytes);
+    REQUIRE(rows);
+    REQUIRE(rows->size() == 1);
+    CHECK(rows->at(0).value == std::string("\0\xff", 2));
+    CHECK(rows->at(0).version == 7);
+    CHECK_FALSE(decode_rows(bytes.substr(0, bytes.size() - 1)));
+}
