A fault soak of real gateways: seeds, faults from outside, promises checked by callers and targets

tests/soak runs the stand-in of the platform and three gateways as processes, with targets and callers of its own: proxies on loopback delay, reset, silence or cut one way what goes to the store and to targets; gateways and the store's process are killed, paused, told to stop, told to reload, in series that overlap; every fourth seed has planned work only and allows no request cut off. Checked: whole answers, nothing run twice, 'not run' true, histories byte for byte, budgets, no turn lost, drains, recovery in 12 s.

--- a/cmake/extra.cmake
+++ b/cmake/extra.cmake
@@ -8,5 +8,10 @@
 add_test(NAME system_soak.fixed_range COMMAND system-soak --seed 300 --seeds 60)
 include(cmake/process.cmake)
 include(cmake/capacity.cmake)
+# Real gateways under faults from outside, a few seeds; those that once failed stand here, unchanged:
+# 3: a turn was refused as unknown when a collector remembered only another whose id begins alike.
+# 8: the soak itself started a gateway twice; 4: it drew ports that outgoing connections take.
+add_test(NAME gateway_soak.once_failing
+  COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --build ${CMAKE_BINARY_DIR} --list 3 4 8)
 # Listed in KNOWN-RED.txt.
 add_test(NAME system_soak.withdrawn_intent COMMAND system-soak --list 12852)
--- /dev/null
+++ b/tests/soak/targets.py
@@ -0,0 +1,74 @@
+"""Targets: engines that stream and desks that answer, with faults on command."""
+
+import asyncio
+import random
+
+import ledger as promises
+import wire
+from proxy import Proxy
+
+
+class Target:
+    SLOTS = 8
+
+    def __init__(self, ledger, name, service, streams, seed):
+        self.ledger, self.name, self.service, self.streams = ledger, name, service, streams
+        self.random = random.Random(f"{seed} {name}")
+        self.proxy = Proxy()
+        self.lose_answers = 0.0
+        self.busy = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.proxy.target_port = server.sockets[0].getsockname()[1]
+        await self.proxy.start()
+
+    def entry(self, state):
+        return {"service": self.service, "address": f"127.0.0.1:{self.proxy.port}", "zone": "here", "version": "v1",
+                "slots": self.SLOTS, "state": state, "coldRemainingMs": 0, "sequence": 1}
+
+    async def serve(self, reader, writer):
+        try:
+            while (request := await wire.read_message(reader)).whole:
+                if not await self.answer(request, writer):
+                    break
+        except (OSError, asyncio.CancelledError):
+            pass  # The caller left, or the run is over.
+        writer.close()
+
+    async def answer(self, request, writer):
+        request_id = request.headers.get(wire.REQUEST_ID, "")
+        headers = {wire.REQUEST_ID: request_id}
+        if request.headers.get(wire.EXPECT_INSTANCE, self.name) != self.name:
+            writer.write(wire.answer(421, headers))
+            return True
+        if self.busy >= self.SLOTS:
+            writer.write(wire.answer(503, headers | {wire.NOT_EXECUTED: "full"}))
+            return True
+        self.busy += 1
+        try:
+            return await self.run(request, request_id, headers, writer)
+        finally:
+            self.busy -= 1
+
+    async def run(self, request, request_id, headers, writer):
+        self.ledger.on_run(self.name, request_id, request.body, asyncio.get_running_loop().time())
+        headers |= {wire.SIGNATURE: f"by-{self.name}", "Masticcourse-Instance-Load": f"{self.busy},0,{self.SLOTS}"}
+        if not self.streams:
+            await asyncio.sleep(self.random.uniform(0.005, 0.08))
+            if self.random.random() < self.lose_answers:
+                return False
+            writer.write(wire.answer(200, headers, promises.answer_of(request_id)))
+            return True
+        head = {**headers, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        lines = ["HTTP/1.1 200 OK"] + [f"{k}: {v}" for k, v in head.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        for event in promises.stream_of(request_id).decode().split("\n\n")[:-1]:
+            await asyncio.sleep(self.random.uniform(0.002, 0.03))
+            if self.random.random() < self.lose_answers:
+                return False
+            piece = (event + "\n\n").encode()
+            writer.write(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
