--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,7 @@
 #include "masticcourse/gateway/gateway.hpp"
 
-#include "masticcourse/gateway/collected_rows.hpp"
-#include "masticcourse/gateway/commit_router.hpp"
+#include "peer_calls.hpp"
+
 #include "masticcourse/gateway/io_delay.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
@@ -22,56 +22,11 @@
 constexpr milliseconds turn_away_time{2'500};
 /// Kept free before the process would be killed.
 constexpr milliseconds kill_margin{500};
-/// How long a collector may take before its sender writes by itself: a transaction with one lost answer takes
-/// 100 ms.
-constexpr milliseconds collector_limit{800};
-constexpr milliseconds collector_connect_limit{100};
-/// How long a collector may take to say what it remembers: a few times what a busy one takes. The store,
-/// which is asked then, answers within 10 ms.
-constexpr milliseconds recall_limit{100};
 /// The memory for rows of collected partitions, as a share of that for turns.
 constexpr std::size_t row_memory_share = 2;
 /// When callers may come back to a process that has read no configuration yet.
 constexpr milliseconds after_no_configuration{300};
 
-/// @name Between a collector and its senders
-/// @{
-constexpr int status_collected = 200;
-constexpr int status_unreadable = 400;
-constexpr int status_lacks_store = 503;
-
-collector_answer to_collector_answer(http_client_reply reply)
-{
-    if (reply.failure != http_failure::none)
-    {
-        return {};
-    }
-    switch (reply.status)
-    {
-    case status_collected:
-        return {collector_outcome::collected, std::move(reply.body)};
-    case status_lacks_store:
-        return {.outcome = collector_outcome::lacks_store};
-    default:
-        return {};
-    }
-}
-
-http_response to_response(const collector_answer& answer)
-{
-    switch (answer.outcome)
-    {
-    case collector_outcome::collected:
-        return {.status = status_collected, .content_type = "application/cbor", .body = answer.results};
-    case collector_outcome::lacks_store:
-        return {.status = status_lacks_store, .body = "{}"};
-    case collector_outcome::no_answer:
-        break;
-    }
-    return {.status = status_unreadable, .body = "{}"};
-}
-/// @}
-
 } // namespace
 
 struct gateway::state
@@ -90,8 +45,6 @@
     void sweep();
     void sweep_often();
     void check_stopped();
-    void call_collector(const std::string& address, std::string bytes, collector_callback on_answer);
-    void recall(const std::string& address, std::string bytes, recall_callback on_rows);
 
     boost::asio::io_context& context;
     gateway_options options;
@@ -104,6 +57,7 @@
     config_holder config;
     target_table targets;
     http_client client;
+    detail::peer_calls to_peers;
     commit_queue own_commits;
     commit_router commits;
     collected_rows shared_rows;
@@ -126,16 +80,16 @@
                       metrics_registry& counters)
     : context(io), options(std::move(given)), protocol(wire), store(table_store), peers(others),
       decoders(std::move(readers)), registry(counters), delay(make_io_delay(context)), client(context),
-      own_commits(store, delay, monotonic_now, options.cache_bytes / row_memory_share),
+      to_peers(context), own_commits(store, delay, monotonic_now, options.cache_bytes / row_memory_share),
       commits(
           own_commits, store, peers,
           [this](const auto& address, auto bytes, auto on_answer)
-          { call_collector(address, std::move(bytes), std::move(on_answer)); },
+          { to_peers.collect(address, std::move(bytes), std::move(on_answer)); },
           delay, monotonic_now),
       shared_rows(
           store, own_commits.memory(), peers,
           [this](const auto& address, auto bytes, auto on_rows)
-          { recall(address, std::move(bytes), std::move(on_rows)); },
+          { to_peers.recall(address, std::move(bytes), std::move(on_rows)); },
           monotonic_now),
       spending(shared_rows, commits, delay, monotonic_now),
       turns(shared_rows, commits, options.cache_bytes, options.row_bytes),
@@ -160,38 +114,6 @@
 {
 }
 
-void gateway::state::call_collector(const std::string& address, std::string bytes,
-                                    collector_callback on_answer)
-{
-    http_client_request request{.address = address,
-                                .method = "POST",
-                                .target = commit_path,
-                                .body = std::move(bytes),
-                                .headers = {{"Content-Type", "application/cbor"}},
-                                .timeout = collector_limit,
-                                .connect_timeout = collector_connect_limit};
-    client.send(std::move(request), [on_answer = std::move(on_answer)](http_client_reply reply)
-                { on_answer(to_collector_answer(std::move(reply))); });
-}
-
-void gateway::state::recall(const std::string& address, std::string bytes, recall_callback on_rows)
-{
-    http_client_request request{.address = address,
-                                .method = "POST",
-                                .target = recall_path,
-                                .body = std::move(bytes),
-                                .headers = {{"Content-Type", "application/cbor"}},
-                                .timeout = recall_limit,
-                                .connect_timeout = recall_limit,
-                                .idempotent = true};
-    client.send(std::move(request),
-                [on_rows = std::move(on_rows)](http_client_reply reply)
-                {
-                    const bool read = reply.failure == http_failure::none && reply.status == status_collected;
-                    on_rows(read ? std::optional{std::move(reply.body)} : std::nullopt);
-                });
-}
-
 void gateway::state::start()
 {
     frontend =
@@ -401,15 +323,12 @@
 void gateway::serve_commits(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
     m_state->commits.collect(request.body, [exchange](const collector_answer& answer)
-                             { exchange->respond(to_response(answer)); });
+                             { exchange->respond(detail::to_response(answer)); });
 }
 
 void gateway::serve_recall(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
-    auto rows = m_state->shared_rows.recall(request.body);
-    exchange->respond({.status = rows ? status_collected : status_unreadable,
-                       .content_type = "application/cbor",
-                       .body = std::move(rows).value_or("")});
+    exchange->respond(detail::to_response(m_state->shared_rows.recall(request.body)));
 }
 
 } // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/peer_calls.cpp
@@ -0,0 +1,99 @@
+#include "peer_calls.hpp"
+
+#include "masticcourse/gateway/gateway.hpp"
+
+#include <utility>
+
+namespace masticcourse::gateway::detail
+{
+
+namespace
+{
+
+/// How long a collector may take before its sender writes by itself: a transaction with one lost answer takes
+/// 100 ms.
+constexpr milliseconds collector_limit{800};
+constexpr milliseconds collector_connect_limit{100};
+/// How long a collector may take to say what it remembers: a few times what a busy one takes. The store,
+/// which is asked then, answers within 10 ms.
+constexpr milliseconds recall_limit{100};
+
+constexpr int status_ok = 200;
+constexpr int status_unreadable = 400;
+constexpr int status_lacks_store = 503;
+
+http_client_request make_request(const std::string& address, const char* path, std::string body)
+{
+    return {.address = address,
+            .method = "POST",
+            .target = path,
+            .body = std::move(body),
+            .headers = {{"Content-Type", "application/cbor"}}};
+}
+
+collector_answer to_collector_answer(http_client_reply reply)
+{
+    if (reply.failure != http_failure::none)
+    {
+        return {};
+    }
+    switch (reply.status)
+    {
+    case status_ok:
+        return {collector_outcome::collected, std::move(reply.body)};
+    case status_lacks_store:
+        return {.outcome = collector_outcome::lacks_store};
+    default:
+        return {};
+    }
+}
+
+} // namespace
+
+void peer_calls::collect(const std::string& address, std::string changes, collector_callback on_answer)
+{
+    auto request = make_request(address, gateway::commit_path, std::move(changes));
+    request.timeout = collector_limit;
+    request.connect_timeout = collector_connect_limit;
+    m_client.send(std::move(request), [on_answer = std::move(on_answer)](http_client_reply reply)
+                  { on_answer(to_collector_answer(std::move(reply))); });
+}
+
+void peer_calls::recall(const std::string& address, std::string query, recall_callback on_rows)
+{
+    auto request = make_request(address, gateway::recall_path, std::move(query));
+    request.timeout = recall_limit;
+    request.connect_timeout = recall_limit;
+    request.idempotent = true;
+    m_client.send(std::move(request),
+                  [on_rows = std::move(on_rows)](http_client_reply reply)
+                  {
+                      const bool read = reply.failure == http_failure::none && reply.status == status_ok;
+                      on_rows(read ? std::optional{std::move(reply.body)} : std::nullopt);
+                  });
+}
+
+http_response to_response(const collector_answer& answer)
+{
+    switch (answer.outcome)
+    {
+    case collector_outcome::collected:
+        return {.status = status_ok, .content_type = "application/cbor", .body = answer.results};
+    case collector_outcome::lacks_store:
+        return {.status = status_lacks_store, .body = "{}"};
+    case collector_outcome::no_answer:
+        break;
+    }
+    return {.status = status_unreadable, .body = "{}"};
+}
+
+http_response to_response(std::optional<std::string> rows)
+{
+    if (!rows)
+    {
+        return {.status = status_unreadable, .body = "{}"};
+    }
+    return {.status = status_ok, .content_type = "application/cbor", .body = std::move(*rows)};
+}
+
+} // namespace masticcourse::gateway::detail
--- /dev/null
+++ b/src/gateway/peer_calls.hpp
@@ -0,0 +1,36 @@
+/// @file
+/// What gateways ask of each other over HTTP: to collect commits, and what they remember of rows.
+#pragma once
+
+#include "masticcourse/gateway/collected_rows.hpp"
+#include "masticcourse/gateway/commit_router.hpp"
+#include "masticcourse/net/http_client.hpp"
+#include "masticcourse/net/http_message.hpp"
+
+#include <optional>
+#include <string>
+
+namespace masticcourse::gateway::detail
+{
+
+/// The asking side.
+class peer_calls
+{
+  public:
+    explicit peer_calls(boost::asio::io_context& context) : m_client(context) {}
+
+    void collect(const std::string& address, std::string changes, collector_callback on_answer);
+    void recall(const std::string& address, std::string query, recall_callback on_rows);
+
+  private:
+    http_client m_client;
+};
+
+/// @name The answering side
+/// @{
+[[nodiscard]] http_response to_response(const collector_answer& answer);
+/// @param rows nothing if the question could not be read
+[[nodiscard]] http_response to_response(std::optional<std::string> rows);
+/// @}
+
+} // namespace masticcourse::gateway::detail
