--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -1,6 +1,7 @@
 #include "peer_calls.hpp"
 
 #include "masticcourse/gateway/gateway.hpp"
+#include "masticcourse/telemetry/log.hpp"
 
 #include <utility>
 
@@ -66,9 +67,14 @@
     request.connect_timeout = recall_limit;
     request.idempotent = true;
     m_client.send(std::move(request),
-                  [on_rows = std::move(on_rows)](http_client_reply reply)
+                  [address, on_rows = std::move(on_rows)](http_client_reply reply)
                   {
                       const bool read = reply.failure == http_failure::none && reply.status == status_ok;
+                      if (!read)
+                      {
+                          log_event(event_id::collector_failed,
+                                    {{"collector", address}, {"why", "no answer to a read"}});
+                      }
                       on_rows(read ? std::optional{std::move(reply.body)} : std::nullopt);
                   });
 }
