VMs with little processor time collect no commits

Ruled out: gateways that were stopping (other addresses), the store (15 ms a transaction, no refusal). Change: a VM with less than 0.15 of a core collects only if none has more. Test first; the test on shares by weight stands unchanged.

--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 #include <xxhash.h>
 
 namespace masticcourse::gateway
@@ -21,6 +22,11 @@
 /// them failed by conflicts, until ten seconds after an outage of four.
 constexpr milliseconds storeless_pause{300};
 
+/// With less processor time a VM collects only if none has more: on a deployment of 34 gateways and 8
+/// partitions, two collectors with 0.09 of a core left 2,431 reads and 354 commits of a day without an
+/// answer, those with 0.5 hardly any.
+constexpr double least_collector_cores = 0.15;
+
 /// Weighted rendezvous hashing: each peer is chosen in proportion to its weight, and only the partitions of a
 /// peer that leaves move (Schindelhauer and Schomaker, 2005).
 double score(const peer& it, std::string_view partition)
@@ -80,15 +86,18 @@
 template <typename Avoided>
 std::optional<std::string> peer_directory::best_for(std::string_view partition, Avoided is_avoided) const
 {
+    const auto rank = [partition](const peer& it) {
+        return std::pair{it.cores >= least_collector_cores, score(it, partition)};
+    };
     const peer* best = &m_self;
-    double best_score = score(m_self, partition);
+    auto best_rank = rank(m_self);
     for (const auto& it : m_others)
     {
-        const double its_score = score(it, partition);
-        if (its_score > best_score && !is_avoided(it.address))
+        const auto its_rank = rank(it);
+        if (its_rank > best_rank && !is_avoided(it.address))
         {
             best = &it;
-            best_score = its_score;
+            best_rank = its_rank;
         }
     }
     return best != &m_self ? std::optional{best->address} : std::nullopt;
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -126,6 +126,33 @@
     CHECK(shares.size() == 10);
 }
 
+// Load pattern: VMs of a tenth of a core among larger ones. One that collects the commits of an eighth of 34
+// gateways can't keep up, and answers neither commits nor reads in time.
+TEST_CASE("a VM with little processor time collects nothing while there are others")
+{
+    std::vector<peer> peers = make_peers(10);
+    for (std::size_t n = 0; n < 8; ++n)
+    {
+        peers[n].cores = 0.09;
+    }
+    peers[8].cores = 0.22;
+    peers[9].cores = 0.5;
+    for (int n = 0; n < 100; ++n)
+    {
+        const auto partition = "p" + std::to_string(n);
+        for (const auto& self : peers)
+        {
+            peer_directory directory{self};
+            directory.set(peers);
+            const auto collector = directory.collector_of(partition, start).value_or(self.address);
+            CHECK((collector == peers[8].address || collector == peers[9].address));
+        }
+    }
+    peer_directory alone{peers[0]};
+    alone.set({peers[0], peers[1]});
+    CHECK(alone.collector_of("p", start).value_or(peers[0].address) != peers[9].address);
+}
+
 TEST_CASE("a gateway that does not answer is left out, longer each time, until it answers")
 {
     const auto peers = make_peers(2);
