--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace boost::asio
 {
@@ -43,14 +44,23 @@
     milliseconds stop_grace{};
 };
 
-/// How the operator's and the targets' rows are read.
+/// Why a row can't be read, in words.
+struct row_fault
+{
+    std::string why;
+};
+
+template <typename Content>
+using decoded_row = std::variant<Content, row_fault>;
+
+/// How the operator's and the targets' rows are read. Anybody may have written them.
 struct table_decoders
 {
     std::string config_table;
     std::string target_table;
-    /// @return nothing if the row is not the configuration, or is malformed (it says so in the log)
-    std::function<std::optional<gateway_config>(const stored_row&)> decode_config;
-    std::function<std::optional<target_record>(const stored_row&)> decode_target;
+    /// @return nothing if the row is not the configuration
+    std::function<std::optional<decoded_row<gateway_config>>(const stored_row&)> decode_config;
+    std::function<decoded_row<target_record>(const stored_row&)> decode_target;
 };
 
 class gateway
--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -25,7 +25,8 @@
 struct program_claim
 {
     program_id program;
-    /// The tokens that all turns of the program may generate; empty on requests that are no turns.
+    /// The tokens that all turns of the program may generate; empty on requests that generate none. Whether
+    /// turns are kept is another matter: it follows from the route.
     std::optional<token_count> budget;
     /// The most tokens that this turn generates.
     token_count most_tokens = 0;
@@ -49,6 +50,8 @@
     std::optional<milliseconds> patience;
     /// Names the object that the request is about; empty if none is named.
     std::string object;
+    /// The last event that the caller has of a stream that broke off; the answer goes on behind it.
+    std::optional<std::string> after_event;
     std::optional<program_claim> program;
 };
 
@@ -60,6 +63,8 @@
     no_configuration,
     no_route,
     no_such_turn,
+    /// A turn that is kept can't go on from a broken answer that another process handed out.
+    not_resumable,
     over_budget,
     /// The store that keeps turns and budgets can't be reached.
     store_away,
@@ -89,6 +94,8 @@
     std::vector<http_header> headers;
     /// The target states that it did not run the request.
     bool not_run = false;
+    /// The life of the target that was meant has ended: another one has its address. Implies `not_run`.
+    bool other_life = false;
     /// The answer bears the mark by which callers know a target's own.
     bool authentic = false;
     std::optional<target_load_report> load;
--- a/include/masticcourse/gateway/route_table.hpp
+++ b/include/masticcourse/gateway/route_table.hpp
@@ -23,7 +23,7 @@
     idempotent,
     /// Runs at most once.
     non_idempotent,
-    /// Answered by a series of events; runs at most once.
+    /// Answered by a series of events; runs at most once, unless its route says that it may be resumed.
     stream,
 };
 
@@ -50,10 +50,20 @@
     std::vector<service_share> services;
     /// To how many targets one request may be sent.
     std::uint32_t max_attempts = 1;
-    /// How long turns are kept; empty where a route's requests are no turns of programs.
+    /// How long turns are kept; empty where what was said is not kept.
     std::optional<seconds> retention;
     /// A target that handled the same object before is faster.
     bool sticky = false;
+    /// A stream that broke off may go on at another target behind its last event.
+    bool resumable = false;
+    /// The longest pause between two events with which a stream still has its full worth.
+    milliseconds event_gap{};
+
+    /// Whether a request may run more than once.
+    [[nodiscard]] bool repeatable() const
+    {
+        return kind == request_kind::idempotent || (kind == request_kind::stream && resumable);
+    }
 
     [[nodiscard]] bool keeps_turns() const
     {
--- /dev/null
+++ b/include/masticcourse/gateway/stream_progress.hpp
@@ -0,0 +1,94 @@
+/// @file
+/// How far a streamed answer has come, over all targets that made parts of it.
+///
+/// A stream that may be resumed is handed on in whole events only: whatever its target breaks off in is
+/// dropped, and the next target goes on behind the last whole event. So no event is missing, comes twice, or
+/// is joined from two runs. Other streams are handed on byte by byte.
+#pragma once
+
+#include "masticcourse/core/ids.hpp"
+#include "masticcourse/net/sse.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace masticcourse::gateway
+{
+
+/// How pieces of a stream are handed on.
+enum class stream_passing : std::uint8_t
+{
+    /// As they come.
+    bytes,
+    /// As they come; events are counted on the way.
+    counted_bytes,
+    /// In whole events.
+    whole_events,
+};
+
+class stream_progress
+{
+  public:
+    explicit stream_progress(stream_passing passing);
+    // The parser's callback refers to this object.
+    stream_progress(const stream_progress&) = delete;
+    stream_progress(stream_progress&&) = delete;
+    stream_progress& operator=(const stream_progress&) = delete;
+    stream_progress& operator=(stream_progress&&) = delete;
+    ~stream_progress() = default;
+
+    /// Another target goes on: what the one before left unfinished is dropped.
+    void begin_run();
+
+    /// Takes the next piece of the present run.
+    /// @return what may be handed out now; nothing if the run can't be used: an event is too long, or it does
+    /// not go on where the one before it ended
+    [[nodiscard]] std::optional<std::string> feed(std::string_view piece);
+
+    /// @return what is left behind the last whole event, once the run has ended as it should
+    [[nodiscard]] std::string take_rest();
+
+    /// Whole events so far.
+    [[nodiscard]] token_count events() const
+    {
+        return m_events;
+    }
+    /// Whether part of an event may have been handed out.
+    [[nodiscard]] bool may_end_within_event() const
+    {
+        return m_passing != stream_passing::whole_events;
+    }
+    /// The data of the events so far, each with a line feed behind it.
+    [[nodiscard]] const std::string& output() const
+    {
+        return m_output;
+    }
+    /// @return the id of the last whole event, if it has one
+    [[nodiscard]] const std::optional<std::string>& last_event() const
+    {
+        return m_last_event;
+    }
+    /// Whether another target can go on without loss: nothing has been taken yet, or it is known behind what.
+    [[nodiscard]] bool can_go_on() const
+    {
+        return m_events == 0 || m_last_event.has_value();
+    }
+
+  private:
+    void take_event(const sse_event& event);
+    [[nodiscard]] std::optional<std::string> feed_whole_events(std::string_view piece);
+
+    stream_passing m_passing;
+    std::optional<sse_parser> m_parser;
+    /// Bytes of an event that is not whole yet.
+    std::string m_partial;
+    std::string m_output;
+    token_count m_events = 0;
+    std::optional<std::string> m_last_event;
+    /// An event of the present run repeats one that came before.
+    bool m_repeats = false;
+};
+
+} // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/table_follower.hpp
+++ b/include/masticcourse/gateway/table_follower.hpp
@@ -19,8 +19,6 @@
     std::function<void(const std::vector<stored_row>&)> on_snapshot;
     /// One row changed or was removed.
     std::function<void(const stored_row&)> on_change;
-    /// The store answers again after it did not.
-    std::function<void()> on_return;
 };
 
 class table_follower
@@ -41,7 +39,6 @@
     void read();
     void follow();
     void on_feed(const feed_reply& reply);
-    void answered();
     void try_again(void (table_follower::*step)());
 
     row_store& m_store;
@@ -50,7 +47,6 @@
     follower_callbacks m_callbacks;
     row_version m_version = 0;
     bool m_loaded = false;
-    bool m_failing = false;
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/target_table.hpp
+++ b/include/masticcourse/gateway/target_table.hpp
@@ -15,13 +15,25 @@
 namespace masticcourse::gateway
 {
 
-/// One life of a target.
+/// What a target is registered under. It may start again under its id, and then knows nothing of before.
 using target_id = strong_string<struct gateway_target_id_tag>;
 
+/// One life of a target.
+struct target_life
+{
+    target_id id;
+    /// When it started, in milliseconds of Unix time; 0 if it does not say.
+    std::int64_t born = 0;
+
+    friend bool operator==(const target_life&, const target_life&) = default;
+};
+
 /// A target as it registered itself.
 struct target_record
 {
     target_id id;
+    /// When this life of it started, in milliseconds of Unix time; 0 if it does not say.
+    std::int64_t born = 0;
     service_name service;
     /// "ip:port"
     std::string address;
@@ -33,6 +45,11 @@
     /// How much longer it is slow after its start.
     milliseconds warming{0};
 
+    [[nodiscard]] target_life life() const
+    {
+        return {id, born};
+    }
+
     friend bool operator==(const target_record&, const target_record&) = default;
 };
 
@@ -51,6 +68,8 @@
     sound,
     /// It refused without running the request.
     refused,
+    /// Another target, or another life of it, answers at its address: this life has ended.
+    ended,
     /// No connection could be opened.
     unreachable,
     /// The answer was missing, broken off or no answer.
@@ -74,6 +93,8 @@
     time_point avoided_until{};
     /// Its entry vanished while the registry was not to be trusted; it counts as gone then.
     std::optional<time_point> gone_at;
+    /// This life has ended, as its address told: it takes no requests until its entry changes.
+    bool ended = false;
 
     /// Requests that it runs or has waiting, as estimated.
     [[nodiscard]] double load(time_point now) const;
@@ -87,19 +108,27 @@
     /// @name What the registry says
     /// @{
 
-    /// Adds or changes an entry.
+    /// Adds or changes an entry. A later life under the same id starts afresh: nothing that is known of the
+    /// earlier one holds. An entry of an earlier life than the known one changes nothing.
     /// @return whether anything but its load changed
     bool put(const target_record& record);
 
+    /// The entry can't be read: whoever wrote it, it names no target to use, and the entry before it does not
+    /// hold any more.
+    /// @return whether it was known
+    bool withdraw(const target_id& id);
+
     /// An entry vanished: at once, or after @a grace where it may have lapsed while its target lives.
     /// @return whether it was known
     bool remove(const target_id& id, time_point now, milliseconds grace);
 
-    /// The whole registry as of one moment.
-    void replace(const std::vector<target_record>& records, time_point now, milliseconds grace);
+    /// The whole registry as of one moment holds @a present: all others have vanished.
+    void retain(const std::vector<target_id>& present, time_point now, milliseconds grace);
 
-    /// Entries that lapsed are given @a grace from @a now on: the registry has just come back.
-    void extend_grace(time_point now, milliseconds grace);
+    /// The registry could not be asked for @a time: that does not count against the grace of entries that
+    /// vanished. Only such time is added, so that a path that comes and goes keeps no entry of a target that
+    /// has left.
+    void hold_grace(duration time);
 
     /// Forgets targets whose time has passed.
     /// @return those forgotten
@@ -108,9 +137,10 @@
 
     /// @name Requests of this process
     /// @{
-    void begin(const target_id& id);
-    void end(const target_id& id, target_verdict verdict, time_point now);
-    void report(const target_id& id, const target_load_report& load, time_point now);
+    void begin(const target_life& life);
+    /// What comes of an earlier life than the present one changes nothing.
+    void end(const target_life& life, target_verdict verdict, time_point now);
+    void report(const target_life& life, const target_load_report& load, time_point now);
     /// @}
 
     /// @return the targets of @a service that take new requests, sound or not, in order of their ids
@@ -122,6 +152,9 @@
     }
 
   private:
+    /// @return the row of that life, or null if it is not the present one
+    [[nodiscard]] target* find_life(const target_life& life);
+
     std::unordered_map<target_id, target> m_targets;
 };
 
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -77,6 +77,9 @@
     [[nodiscard]] std::optional<std::string> header(std::string_view name) const;
 };
 
+/// @return whether the client can connect to @a address: "ip:port"
+[[nodiscard]] bool is_client_address(std::string_view address);
+
 using http_reply_callback = std::function<void(http_client_reply)>;
 using http_chunk_callback = std::function<void(std::string_view)>;
 
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -248,8 +248,9 @@
               "A patch named a version that is no longer in force.",
               "Read the version in force and patch again."},
     event_row{event_id::config_invalid, "config_invalid", event_severity::error,
-              "A stored configuration can't be read; the version in force stands.",
-              "Report it; patch to a valid version."},
+              "A stored row can't be read: of a configuration, the version in force stands; an entry of a "
+              "target names none to use until it changes.",
+              "Report it with `key` and `why`; of a configuration, patch to a valid version."},
     event_row{event_id::call_retried, "call_retried", event_severity::info,
               "An idempotent or provably unrun call goes to another target.", "None."},
     event_row{event_id::overload_refused, "overload_refused", event_severity::warning,
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -44,24 +44,40 @@
                 self->on_caller_gone();
             }
         });
-    if (is_turn())
+    if (is_kept() && m_route->resumable && m_request.after_event)
+    {
+        // What the caller has of the broken turn is not known here, so the whole turn could not be kept.
+        refuse(refusal_reason::not_resumable, ran_state::no, "a turn that is kept starts from its beginning",
+               milliseconds{0});
+        return;
+    }
+    if (streams())
+    {
+        begin_progress();
+    }
+    if (has_budget())
     {
         start_turn();
     }
     else
     {
-        dispatch();
+        load_chain();
     }
 }
 
-bool forwarded_request::is_turn() const
+bool forwarded_request::has_budget() const
+{
+    return streams() && m_request.program && m_request.program->budget;
+}
+
+bool forwarded_request::is_kept() const
 {
-    return m_route->keeps_turns() && m_request.program && m_request.program->budget;
+    return streams() && m_route->keeps_turns();
 }
 
-bool forwarded_request::streams() const
+std::optional<request_id> forwarded_request::previous_turn() const
 {
-    return m_route->kind == request_kind::stream;
+    return is_kept() && m_request.program ? m_request.program->previous : std::nullopt;
 }
 
 milliseconds forwarded_request::time_left() const
@@ -85,7 +101,7 @@
 void forwarded_request::start_turn()
 {
     const auto& claim = *m_request.program;
-    if (claim.previous && m_services.spending.unknown(claim.program))
+    if (previous_turn() && m_services.spending.unknown(claim.program))
     {
         m_services.spending.look_up(claim.program, [self = shared_from_this()] { self->reserve(); });
         return;
@@ -104,7 +120,7 @@
                                           .request = m_request.id,
                                           .tokens = claim.most_tokens,
                                           .budget = *claim.budget,
-                                          .first = !claim.previous.has_value(),
+                                          .first = !previous_turn().has_value(),
                                           .expires = m_deadline};
     m_reserve_first = !m_services.spending.ample(reservation);
     if (m_reserve_first && !m_services.store.reachable())
@@ -127,7 +143,7 @@
 
 void forwarded_request::load_chain()
 {
-    const auto& previous = m_request.program->previous;
+    const auto previous = previous_turn();
     if (!previous)
     {
         on_chain({.outcome = chain_outcome::found});
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "masticcourse/gateway/request_forwarding.hpp"
-#include "masticcourse/net/sse.hpp"
+#include "masticcourse/gateway/stream_progress.hpp"
 
 #include <memory>
 #include <optional>
@@ -13,10 +13,10 @@
 namespace masticcourse::gateway::detail
 {
 
-/// Where the budget of a turn stands.
+/// Where the budget that a request draws on stands.
 enum class reservation_state : std::uint8_t
 {
-    /// The request is no turn.
+    /// The request states no budget.
     not_needed,
     pending,
     granted,
@@ -53,22 +53,34 @@
     /// @name The target's answer
     /// @{
     void on_head(const http_client_reply& reply);
-    void on_piece(std::string_view piece);
     void on_reply(http_client_reply reply);
     void on_no_connection();
     void on_not_run();
     void on_lost_answer(std::string_view why);
     void on_whole_answer(http_client_reply reply);
-    void on_whole_stream();
     void end_attempt(target_verdict verdict);
-    [[nodiscard]] bool streams() const;
     [[nodiscard]] bool may_try_again() const;
     /// @}
 
+    /// @name A streamed answer
+    /// @{
+    void begin_progress();
+    void on_piece(std::string_view piece);
+    void on_whole_stream();
+    /// Leaves a target that falls silent in the middle of a stream that may go on elsewhere.
+    void watch_silence(milliseconds wait);
+    void on_silence();
+    /// Whether an earlier target made a part of the answer.
+    [[nodiscard]] bool goes_on() const;
+    [[nodiscard]] bool streams() const;
+    /// @}
+
     /// @name Towards the caller
     /// @{
     void hand_out();
-    void finish_turn();
+    void keep_turn();
+    /// Tells the caller that the stream is whole, once nothing of it is open.
+    void finish_stream();
     void refuse(refusal_reason reason, ran_state ran, std::string detail,
                 std::optional<milliseconds> retry_after = std::nullopt);
     void break_off(std::string_view detail);
@@ -80,7 +92,11 @@
     /// @}
 
     [[nodiscard]] milliseconds time_left() const;
-    [[nodiscard]] bool is_turn() const;
+    /// Whether it may generate tokens only within a program's budget.
+    [[nodiscard]] bool has_budget() const;
+    /// Whether what is said in it is kept for the turns after it.
+    [[nodiscard]] bool is_kept() const;
+    [[nodiscard]] std::optional<request_id> previous_turn() const;
 
     forwarding_services& m_services;
     config_ptr m_config;
@@ -99,8 +115,6 @@
     /// The reservation must be durable before a target may see the turn.
     bool m_reserve_first = false;
     turn_chain m_chain;
-    std::string m_output;
-    std::uint64_t m_events = 0;
     bool m_kept = false;
     /// @}
 
@@ -121,8 +135,12 @@
 
     /// @name Of a stream
     /// @{
-    std::optional<sse_parser> m_parser;
+    std::optional<stream_progress> m_progress;
+    /// The head of the first target's answer, which stands for the whole stream.
+    std::optional<target_answer> m_head;
+    /// What may be handed out once the reservation is durable.
     std::string m_held;
+    time_point m_last_piece;
     bool m_head_sent = false;
     bool m_stream_whole = false;
     /// @}
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -22,7 +22,7 @@
 
 void forwarded_request::on_whole_answer(http_client_reply reply)
 {
-    const bool again = m_route->kind == request_kind::idempotent && failed_at_target(m_answer->status);
+    const bool again = m_route->repeatable() && failed_at_target(m_answer->status);
     end_attempt(again ? target_verdict::broken : target_verdict::sound);
     if (again && may_try_again())
     {
@@ -36,58 +36,49 @@
     finish(request_end::answered, "whole answer");
 }
 
-void forwarded_request::on_whole_stream()
+void forwarded_request::keep_turn()
 {
-    m_stream_whole = true;
-    end_attempt(target_verdict::sound);
-    if (!is_turn())
-    {
-        hand_out();
-        m_exchange->end_stream();
-        finish(request_end::answered, "whole stream");
-        return;
-    }
-    turn_record turn{.ancestors = std::move(m_chain.turns), .input = m_request.body, .output = m_output};
+    turn_record turn{
+        .ancestors = std::move(m_chain.turns), .input = m_request.body, .output = m_progress->output()};
     m_services.turns.keep(m_request.id, std::move(turn), m_deadline,
                           [self = shared_from_this()](bool kept)
                           {
                               self->m_kept = kept;
-                              if (kept)
-                              {
-                                  self->finish_turn();
-                              }
+                              self->finish_stream();
                           });
 }
 
 void forwarded_request::hand_out()
 {
-    if (m_reservation == reservation_state::pending || !m_answer)
+    if (m_reservation == reservation_state::pending || !m_head)
     {
         return;
     }
-    if (!m_held.empty() || m_stream_whole)
+    if (!m_held.empty())
     {
         if (!std::exchange(m_head_sent, true))
         {
-            m_exchange->begin_stream(m_answer->status, m_answer->headers);
+            m_exchange->begin_stream(m_head->status, m_head->headers);
         }
         m_exchange->write(std::exchange(m_held, {}));
     }
-    finish_turn();
+    finish_stream();
 }
 
-void forwarded_request::finish_turn()
+void forwarded_request::finish_stream()
 {
-    if (m_finished || !m_kept || m_reservation != reservation_state::granted)
+    const bool reserved = m_reservation != reservation_state::pending;
+    const bool durable = m_kept || !is_kept();
+    if (m_finished || !m_stream_whole || !reserved || !durable)
     {
         return;
     }
     if (!std::exchange(m_head_sent, true))
     {
-        m_exchange->begin_stream(m_answer->status, m_answer->headers);
+        m_exchange->begin_stream(m_head->status, m_head->headers);
     }
     m_exchange->end_stream();
-    finish(request_end::answered, "turn kept");
+    finish(request_end::answered, is_kept() ? "turn kept" : "whole stream");
 }
 
 void forwarded_request::refuse(refusal_reason reason, ran_state ran, std::string detail,
@@ -98,6 +89,11 @@
         return;
     }
     const auto text = std::string{to_string(reason)} + ": " + detail;
+    if (m_head_sent)
+    {
+        break_off(text);
+        return;
+    }
     m_exchange->respond(m_services.protocol.encode(
         refusal{.reason = reason, .ran = ran, .detail = std::move(detail), .retry_after = retry_after}));
     finish(request_end::refused, text);
@@ -124,15 +120,7 @@
         return;
     }
     const bool sent = m_may_have_run || m_target || m_stream_whole;
-    if (m_head_sent)
-    {
-        break_off("the deadline passed in the middle of the answer");
-    }
-    else
-    {
-        refuse(refusal_reason::deadline_passed, sent ? ran_state::unknown : ran_state::no,
-               "the deadline passed");
-    }
+    refuse(refusal_reason::deadline_passed, sent ? ran_state::unknown : ran_state::no, "the deadline passed");
 }
 
 void forwarded_request::finish(request_end end, std::string_view detail)
@@ -147,8 +135,8 @@
         const token_count per_event =
             service != nullptr && service->engine ? service->engine->tokens_per_event : 1;
         // An event that was cut off in the middle counts too.
-        const auto open = m_stream_whole ? 0 : 1;
-        const auto events = m_head_sent ? static_cast<token_count>(m_events) + open : 0;
+        const token_count open = m_stream_whole || !m_progress->may_end_within_event() ? 0 : 1;
+        const auto events = m_head_sent ? m_progress->events() + open : 0;
         m_services.spending.settle(m_request.program->program, m_request.id, events * per_event);
     }
     m_exchange.reset();
@@ -172,7 +160,7 @@
                {"why", std::string{detail}},
                {"target", m_tried.empty() ? "-" : m_tried.back().value},
                {"attempts", std::to_string(m_tried.size())},
-               {"events", std::to_string(m_events)},
+               {"events", std::to_string(m_progress ? m_progress->events() : 0)},
                {"budget", program && program->budget ? std::to_string(*program->budget) : "-"},
                {"most", program ? std::to_string(program->most_tokens) : "-"},
                {"previous", program && program->previous ? program->previous->value : "-"},
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -97,23 +97,23 @@
     m_target = target;
     m_tried.push_back(target.id);
     m_answer.reset();
-    m_held.clear();
-    m_output.clear();
-    m_events = 0;
-    m_parser.emplace(
-        [this](const sse_event& event)
-        {
-            m_output.append(event.data).append("\n");
-            ++m_events;
-        });
-    m_services.targets.begin(target.id);
+    if (m_progress)
+    {
+        m_progress->begin_run();
+    }
+    if (!goes_on())
+    {
+        m_head.reset();
+        m_held.clear();
+    }
+    m_services.targets.begin(target.life());
 
     const auto attempt = m_attempt;
     auto request =
         m_services.protocol.encode(m_request, m_chain.prompt + m_request.body, target, time_left());
     request.timeout = time_left();
     request.connect_timeout = connect_limit;
-    request.idempotent = m_route->kind == request_kind::idempotent;
+    request.idempotent = m_route->repeatable();
     request.is_own_answer = [&protocol = m_services.protocol, id = m_request.id](
                                 const http_client_reply& reply) { return protocol.answers(reply, id); };
     const auto for_this_attempt = [self = shared_from_this(), attempt](auto action)
@@ -142,31 +142,19 @@
     m_answer = m_services.protocol.decode(reply);
     if (m_answer->load)
     {
-        m_services.targets.report(m_target->id, *m_answer->load, m_services.clock());
-    }
-}
-
-void forwarded_request::on_piece(std::string_view piece)
-{
-    if (!m_answer || !m_answer->authentic)
-    {
-        return;
+        m_services.targets.report(m_target->life(), *m_answer->load, m_services.clock());
     }
-    m_held += piece;
-    if (is_turn() && !m_parser->feed(piece))
+    if (!m_head && streams() && m_answer->success() && m_answer->authentic)
     {
-        end_attempt(target_verdict::broken);
-        break_off("an event of the target is too long");
-        return;
+        m_head = m_answer;
     }
-    hand_out();
 }
 
 void forwarded_request::end_attempt(target_verdict verdict)
 {
     if (m_target)
     {
-        m_services.targets.end(m_target->id, verdict, m_services.clock());
+        m_services.targets.end(m_target->life(), verdict, m_services.clock());
         m_target.reset();
     }
     // Closing the connection tells a target that is still at work to stop.
@@ -199,6 +187,10 @@
     {
         on_lost_answer("the target refused without stating that it did not run the request");
     }
+    else if (!m_answer->success() && goes_on())
+    {
+        on_lost_answer("the target did not go on with the stream");
+    }
     else if (streams() && m_answer->success())
     {
         on_whole_stream();
@@ -225,6 +217,15 @@
 
 void forwarded_request::on_not_run()
 {
+    if (m_answer->other_life)
+    {
+        // Nobody is there to have run it: this target does not count as an attempt.
+        --m_attempts;
+        log_retry("the target's life has ended");
+        end_attempt(target_verdict::ended);
+        dispatch();
+        return;
+    }
     log_retry("the target did not run it");
     end_attempt(target_verdict::refused);
     m_found_full = true;
@@ -243,11 +244,8 @@
     log_retry(why);
     end_attempt(target_verdict::broken);
     m_may_have_run = true;
-    if (m_head_sent)
-    {
-        break_off(why);
-    }
-    else if (m_route->kind == request_kind::idempotent && may_try_again())
+    const bool can_go_on = !m_progress || m_progress->can_go_on();
+    if (m_route->repeatable() && can_go_on && may_try_again())
     {
         dispatch();
     }
--- /dev/null
+++ b/src/gateway/forwarded_request_stream.cpp
@@ -0,0 +1,120 @@
+// A streamed answer on its way from one target, or from several in turn, to the caller.
+#include "forwarded_request.hpp"
+
+#include <algorithm>
+
+namespace masticcourse::gateway::detail
+{
+
+namespace
+{
+
+/// How many of a route's longest pauses a target may be silent in the middle of a stream that can go on
+/// elsewhere: an engine that puts a request back and reads its prompt again takes two or three.
+constexpr int silent_gaps = 4;
+/// Below this, links and busy processors alone explain a silence.
+constexpr milliseconds least_silence{600};
+
+milliseconds silence_limit(const route& route)
+{
+    return std::max(least_silence, route.event_gap * silent_gaps);
+}
+
+} // namespace
+
+bool forwarded_request::streams() const
+{
+    return m_route->kind == request_kind::stream;
+}
+
+bool forwarded_request::goes_on() const
+{
+    return m_progress && m_progress->events() > 0;
+}
+
+void forwarded_request::begin_progress()
+{
+    if (m_route->resumable)
+    {
+        m_progress.emplace(stream_passing::whole_events);
+    }
+    else if (has_budget() || is_kept())
+    {
+        m_progress.emplace(stream_passing::counted_bytes);
+    }
+    else
+    {
+        m_progress.emplace(stream_passing::bytes);
+    }
+}
+
+void forwarded_request::on_piece(std::string_view piece)
+{
+    if (!m_answer || !m_answer->authentic)
+    {
+        return;
+    }
+    m_last_piece = m_services.clock();
+    const bool begun = goes_on();
+    const auto text = m_progress->feed(piece);
+    if (!text)
+    {
+        on_lost_answer("an event of the target is too long, or repeats one before");
+        return;
+    }
+    m_held += *text;
+    if (m_route->resumable && goes_on())
+    {
+        m_request.after_event = m_progress->last_event();
+        if (!begun)
+        {
+            watch_silence(silence_limit(*m_route));
+        }
+    }
+    hand_out();
+}
+
+void forwarded_request::on_whole_stream()
+{
+    m_held += m_progress->take_rest();
+    m_stream_whole = true;
+    end_attempt(target_verdict::sound);
+    if (is_kept())
+    {
+        keep_turn();
+    }
+    hand_out();
+}
+
+void forwarded_request::watch_silence(milliseconds wait)
+{
+    m_services.delay(wait,
+                     [weak = weak_from_this()]
+                     {
+                         if (const auto self = weak.lock())
+                         {
+                             self->on_silence();
+                         }
+                     });
+}
+
+void forwarded_request::on_silence()
+{
+    if (m_finished || m_stream_whole)
+    {
+        return;
+    }
+    const auto limit = silence_limit(*m_route);
+    const auto silent = std::chrono::floor<milliseconds>(m_services.clock() - m_last_piece);
+    if (m_target && silent >= limit && m_progress->can_go_on() && may_try_again() && next_target() != nullptr)
+    {
+        m_last_piece = m_services.clock();
+        on_lost_answer("the target fell silent in the middle of its answer");
+    }
+    if (!m_finished)
+    {
+        watch_silence(std::max(limit - silent, least_silence));
+    }
+}
+
+} // namespace masticcourse::gateway::detail
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace masticcourse::gateway
@@ -40,6 +41,10 @@
     void take_config(const stored_row& row);
     void take_target(const stored_row& row);
     void take_targets(const std::vector<stored_row>& rows);
+    /// @return whether the row names a target to use
+    bool take_entry(const stored_row& row);
+    /// Logs a row that can't be read, once for each version of it.
+    void note_fault(const stored_row& row, const row_fault& fault);
     [[nodiscard]] milliseconds grace() const;
     [[nodiscard]] bool ready() const;
     void sweep();
@@ -71,6 +76,9 @@
     std::unique_ptr<http_server> metrics_server;
     std::function<void()> on_stopped;
     std::optional<time_point> stopping_since;
+    /// The versions of rows whose faults have been logged.
+    std::map<row_name, row_version> noted_faults;
+    std::optional<time_point> last_sweep;
     bool was_ready = false;
     bool gone = false;
 };
@@ -109,8 +117,7 @@
                    .on_change = [this](const auto& row) { take_config(row); }}),
       target_rows(store, decoders.target_table, delay,
                   {.on_snapshot = [this](const auto& rows) { take_targets(rows); },
-                   .on_change = [this](const auto& row) { take_target(row); },
-                   .on_return = [this] { targets.extend_grace(monotonic_now(), lapse_grace); }})
+                   .on_change = [this](const auto& row) { take_target(row); }})
 {
 }
 
@@ -198,7 +205,17 @@
         return;
     }
     auto decoded = decoders.decode_config(row);
-    if (!decoded || !config.adopt(std::move(*decoded)))
+    if (!decoded)
+    {
+        return;
+    }
+    if (const auto* const fault = std::get_if<row_fault>(&*decoded))
+    {
+        // The version in force stays.
+        note_fault(row, *fault);
+        return;
+    }
+    if (!config.adopt(std::get<gateway_config>(std::move(*decoded))))
     {
         return;
     }
@@ -225,34 +242,73 @@
         sweep();
         return;
     }
-    const auto record = decoders.decode_target(row);
-    if (record && targets.put(*record))
+    take_entry(row);
+}
+
+bool gateway::state::take_entry(const stored_row& row)
+{
+    const auto decoded = decoders.decode_target(row);
+    if (const auto* const fault = std::get_if<row_fault>(&decoded))
+    {
+        note_fault(row, *fault);
+        targets.withdraw({row.name.key});
+        return false;
+    }
+    noted_faults.erase(row.name);
+    const auto& record = std::get<target_record>(decoded);
+    if (targets.put(record))
     {
-        log_event(event_id::target_available, {{"target", record->id.value},
-                                               {"service", record->service.value},
-                                               {"address", record->address},
-                                               {"draining", record->draining ? "yes" : "no"},
+        log_event(event_id::target_available, {{"target", record.id.value},
+                                               {"born", std::to_string(record.born)},
+                                               {"service", record.service.value},
+                                               {"address", record.address},
+                                               {"draining", record.draining ? "yes" : "no"},
                                                {"row_version", std::to_string(row.version)}});
     }
+    return true;
+}
+
+void gateway::state::note_fault(const stored_row& row, const row_fault& fault)
+{
+    // Whoever writes such rows may write many: what is remembered of them is bounded.
+    constexpr std::size_t most_noted = 1'000;
+    auto& noted = noted_faults[row.name];
+    if (std::exchange(noted, row.version) == row.version)
+    {
+        return;
+    }
+    log_event(event_id::config_invalid, {{"table", row.name.table},
+                                         {"key", row.name.key},
+                                         {"row_version", std::to_string(row.version)},
+                                         {"why", fault.why}});
+    if (noted_faults.size() > most_noted)
+    {
+        noted_faults.clear();
+    }
 }
 
 void gateway::state::take_targets(const std::vector<stored_row>& rows)
 {
-    std::vector<target_record> records;
+    std::vector<target_id> present;
     for (const auto& it : rows)
     {
-        if (auto record = decoders.decode_target(it))
+        if (take_entry(it))
         {
-            records.push_back(std::move(*record));
+            present.push_back({it.name.key});
         }
     }
-    targets.replace(records, monotonic_now(), grace());
-    log_event(event_id::registry_read, {{"targets", std::to_string(records.size())}});
+    targets.retain(present, monotonic_now(), grace());
+    log_event(event_id::registry_read, {{"targets", std::to_string(present.size())}});
 }
 
 void gateway::state::sweep()
 {
     const auto now = monotonic_now();
+    if (!store.reachable() && last_sweep)
+    {
+        targets.hold_grace(now - *last_sweep);
+    }
+    last_sweep = now;
     targets.expire(now);
     spending.forget_idle(now);
     if (ready() != was_ready)
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -35,6 +35,8 @@
         return "no_route";
     case refusal_reason::no_such_turn:
         return "no_such_turn";
+    case refusal_reason::not_resumable:
+        return "not_resumable";
     case refusal_reason::over_budget:
         return "over_budget";
     case refusal_reason::store_away:
--- a/src/gateway/table_follower.cpp
+++ b/src/gateway/table_follower.cpp
@@ -38,7 +38,6 @@
                           try_again(&table_follower::read);
                           return;
                       }
-                      answered();
                       m_loaded = true;
                       m_version = reply.version;
                       m_callbacks.on_snapshot(reply.rows);
@@ -64,23 +63,13 @@
     case feed_outcome::changed:
         break;
     }
-    answered();
     m_version = std::max(m_version, reply.version);
     std::ranges::for_each(reply.rows, [this](const stored_row& it) { m_callbacks.on_change(it); });
     follow();
 }
 
-void table_follower::answered()
-{
-    if (std::exchange(m_failing, false) && m_callbacks.on_return)
-    {
-        m_callbacks.on_return();
-    }
-}
-
 void table_follower::try_again(void (table_follower::*step)())
 {
-    m_failing = true;
     m_delay(retry_pause, [this, step] { (this->*step)(); });
 }
 
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -40,12 +40,26 @@
 bool target_table::put(const target_record& record)
 {
     auto& row = m_targets[record.id];
+    if (record.born < row.record.born)
+    {
+        return false;
+    }
     const bool changed = row.record != record;
+    if (record.born > row.record.born)
+    {
+        row = {};
+    }
+    row.ended = row.ended && !changed;
     row.record = record;
     row.gone_at.reset();
     return changed;
 }
 
+bool target_table::withdraw(const target_id& id)
+{
+    return m_targets.erase(id) > 0;
+}
+
 bool target_table::remove(const target_id& id, time_point now, milliseconds grace)
 {
     const auto it = m_targets.find(id);
@@ -60,30 +74,25 @@
     return true;
 }
 
-void target_table::replace(const std::vector<target_record>& records, time_point now, milliseconds grace)
+void target_table::retain(const std::vector<target_id>& present, time_point now, milliseconds grace)
 {
-    std::unordered_set<target_id> present;
-    for (const auto& it : records)
-    {
-        present.insert(it.id);
-        put(it);
-    }
+    const std::unordered_set<target_id> kept(present.begin(), present.end());
     for (auto& [id, row] : m_targets)
     {
-        if (!present.contains(id))
+        if (!kept.contains(id))
         {
             remove(id, now, grace);
         }
     }
 }
 
-void target_table::extend_grace(time_point now, milliseconds grace)
+void target_table::hold_grace(duration time)
 {
     for (auto& [id, row] : m_targets)
     {
         if (row.gone_at)
         {
-            row.gone_at = std::max(*row.gone_at, now + grace);
+            *row.gone_at += time;
         }
     }
 }
@@ -102,28 +111,38 @@
     return gone;
 }
 
-void target_table::begin(const target_id& id)
+target* target_table::find_life(const target_life& life)
+{
+    const auto it = m_targets.find(life.id);
+    return it != m_targets.end() && it->second.record.born == life.born ? &it->second : nullptr;
+}
+
+void target_table::begin(const target_life& life)
 {
-    if (const auto it = m_targets.find(id); it != m_targets.end())
+    if (auto* const row = find_life(life))
     {
-        ++it->second.in_flight;
+        ++row->in_flight;
     }
 }
 
-void target_table::end(const target_id& id, target_verdict verdict, time_point now)
+void target_table::end(const target_life& life, target_verdict verdict, time_point now)
 {
-    const auto it = m_targets.find(id);
-    if (it == m_targets.end())
+    auto* const found = find_life(life);
+    if (found == nullptr)
     {
         return;
     }
-    auto& row = it->second;
+    auto& row = *found;
     row.in_flight -= row.in_flight > 0 ? 1 : 0;
     if (verdict == target_verdict::sound || verdict == target_verdict::refused)
     {
         row.failures = 0;
         row.avoided_until = {};
     }
+    else if (verdict == target_verdict::ended)
+    {
+        row.ended = true;
+    }
     else if (verdict != target_verdict::none)
     {
         // A broken answer may be chance, a few in a hundred on a bad day, or a target going down: a quarter
@@ -134,14 +153,13 @@
     }
 }
 
-void target_table::report(const target_id& id, const target_load_report& load, time_point now)
+void target_table::report(const target_life& life, const target_load_report& load, time_point now)
 {
-    if (const auto it = m_targets.find(id); it != m_targets.end())
+    if (auto* const row = find_life(life))
     {
-        auto& row = it->second;
         const auto total = load.running + load.waiting;
-        row.foreign_load = total - std::min(total, row.in_flight);
-        row.reported = now;
+        row->foreign_load = total - std::min(total, row->in_flight);
+        row->reported = now;
     }
 }
 
@@ -150,7 +168,7 @@
     std::vector<const target*> found;
     for (const auto& [id, row] : m_targets)
     {
-        if (row.record.service == service && !row.record.draining)
+        if (row.record.service == service && !row.record.draining && !row.ended)
         {
             found.push_back(&row);
         }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "masticcourse/net/http_client.hpp"
 
+#include "endpoint.hpp"
 #include "http_transfer.hpp"
 
 #include <utility>
@@ -23,6 +24,11 @@
     return "the connection broke; the request may have taken effect";
 }
 
+bool is_client_address(std::string_view address)
+{
+    return detail::parse_endpoint(address).has_value();
+}
+
 std::optional<std::string> http_client_reply::header(std::string_view name) const
 {
     return find_header(headers, name);
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -84,9 +84,12 @@
     gateway::gateway_config config{
         .version = 1,
         .routes = {make("lookup", request_kind::idempotent), make("order", request_kind::non_idempotent),
-                   make("stream", request_kind::stream), make("turn", request_kind::stream)},
+                   make("stream", request_kind::stream), make("turn", request_kind::stream),
+                   make("plan", request_kind::stream)},
         .services = {{.name = {"s"}, .engine = gateway::engine_traits{10}}}};
-    config.routes.back().retention = gateway::seconds{60};
+    config.routes[3].retention = gateway::seconds{60};
+    config.routes[4].resumable = true;
+    config.routes[4].event_gap = 200ms;
     return config;
 }
 
@@ -112,6 +115,11 @@
     on_chunk(format_sse({.data = data}));
 }
 
+void sent_request::event(int id, const std::string& data) const
+{
+    on_chunk(format_sse({.id = std::to_string(id), .data = data}));
+}
+
 void sent_request::end(int status, bool marked, const std::string& body)
 {
     auto reply = head_of(status, marked);
@@ -130,6 +138,13 @@
     std::exchange(on_reply, nullptr)(std::move(reply));
 }
 
+void sent_request::misdirect()
+{
+    http_client_reply reply{.status = 421, .headers = {{"not-run", "1"}}};
+    request.on_head(reply);
+    std::exchange(on_reply, nullptr)(std::move(reply));
+}
+
 void sent_request::fail(http_failure failure)
 {
     std::exchange(on_reply, nullptr)({.failure = failure});
@@ -145,17 +160,23 @@
                                            const gateway::target_record& target,
                                            gateway::milliseconds time_left) const
 {
-    return {.address = target.id.value,
-            .method = request.method,
-            .target = request.target,
-            .body = std::move(body),
-            .headers = {{"left", std::to_string(time_left.count())}}};
+    http_client_request out{.address = target.id.value,
+                            .method = request.method,
+                            .target = request.target,
+                            .body = std::move(body),
+                            .headers = {{"left", std::to_string(time_left.count())}}};
+    if (request.after_event)
+    {
+        out.headers.push_back({"after", *request.after_event});
+    }
+    return out;
 }
 
 gateway::target_answer plain_protocol::decode(const http_client_reply& reply) const
 {
     return {.status = reply.status,
             .not_run = reply.header("not-run").has_value(),
+            .other_life = reply.status == 421,
             .authentic = reply.header("mark").has_value()};
 }
 
@@ -210,11 +231,18 @@
             .patience = 2s};
 }
 
+gateway::gateway_request forwarding_world::make_budgeted(const std::string& route, const std::string& id,
+                                                         token_count budget) const
+{
+    auto request = make(route, id);
+    request.program = gateway::program_claim{.program = {"p"}, .budget = budget, .most_tokens = 100};
+    return request;
+}
+
 gateway::gateway_request forwarding_world::make_turn(const std::string& id, const std::string& previous,
                                                      token_count budget) const
 {
-    auto request = make("turn", id);
-    request.program = gateway::program_claim{.program = {"p"}, .budget = budget, .most_tokens = 100};
+    auto request = make_budgeted("turn", id, budget);
     if (!previous.empty())
     {
         request.program->previous = gateway::request_id{previous};
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -40,8 +40,12 @@
     /// @{
     void begin(int status, bool marked = true) const;
     void event(const std::string& data) const;
+    /// An event that bears its number.
+    void event(int id, const std::string& data) const;
     void end(int status, bool marked = true, const std::string& body = "");
     void refuse();
+    /// Another target answers at its address.
+    void misdirect();
     void fail(http_failure failure);
     /// @}
 };
@@ -67,8 +71,12 @@
   public:
     forwarding_world();
 
-    /// A request on one of the routes: "lookup" (idempotent), "order" (not), "stream", "turn".
+    /// A request on one of the routes: "lookup" (idempotent), "order" (not), "stream", "turn" (kept), "plan"
+    /// (a stream that may be resumed).
     [[nodiscard]] gateway::gateway_request make(const std::string& route, const std::string& id) const;
+    /// A request of the program "p" on a route of streams.
+    [[nodiscard]] gateway::gateway_request make_budgeted(const std::string& route, const std::string& id,
+                                                         token_count budget = 1'000) const;
     /// A turn of the program "p".
     [[nodiscard]] gateway::gateway_request make_turn(const std::string& id, const std::string& previous = "",
                                                      token_count budget = 1'000) const;
--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -349,3 +349,252 @@
     world.time.run(10ms);
     CHECK(view->ended);
 }
+
+TEST_CASE("a budget holds on every route of streams, whether its turns are kept or not")
+{
+    for (const auto* route : {"stream", "turn", "plan"})
+    {
+        CAPTURE(route);
+        forwarding_world world;
+        // 250 hold two turns of 100 at once, and a third one only when those have ended with less.
+        const auto first = world.send(world.make_budgeted(route, "a", 250));
+        const auto second = world.send(world.make_budgeted(route, "b", 250));
+        world.time.run(200ms);
+        CHECK(world.sent.size() == 2);
+        const auto third = world.send(world.make_budgeted(route, "c", 250));
+        world.time.run(200ms);
+        CHECK(world.sent.size() == 2);
+        CHECK(body_of(*third) == "over_budget");
+        for (const auto& it : world.sent)
+        {
+            it->begin(200);
+            it->event(1, "one");
+            it->end(200);
+        }
+        world.time.run(500ms);
+        CHECK(first->ended);
+        CHECK(second->ended);
+        const auto fourth = world.send(world.make_budgeted(route, "d", 250));
+        world.time.run(200ms);
+        CHECK(world.sent.size() == 3);
+    }
+}
+
+TEST_CASE("no token of a stream with a budget is handed out before its reservation is durable, kept or not")
+{
+    for (const auto* route : {"stream", "plan"})
+    {
+        CAPTURE(route);
+        forwarding_world world;
+        world.store.mode = store_mode::silent;
+        const auto view = world.send(world.make_budgeted(route, "a"));
+        world.last()->begin(200);
+        world.last()->event(1, "one");
+        world.last()->end(200);
+        world.time.run(200ms);
+        CHECK(view->text.empty());
+        CHECK_FALSE(view->ended);
+        world.store.mode = store_mode::good;
+        world.time.run(500ms);
+        CHECK(view->text == "id: 1\ndata: one\n\n");
+        CHECK(view->ended);
+    }
+}
+
+TEST_CASE("a turn that is kept needs no budget")
+{
+    forwarding_world world;
+    auto first = world.make("turn", "a");
+    const auto view = world.send(first);
+    world.last()->begin(200);
+    world.last()->event("one");
+    world.last()->end(200);
+    CHECK_FALSE(view->ended);
+    world.time.run(100ms);
+    CHECK(view->ended);
+    auto next = world.make("turn", "b");
+    next.program = program_claim{.program = {"p"}, .previous = request_id{"a"}};
+    std::ignore = world.send(next);
+    world.time.run(100ms);
+    CHECK(world.last()->request.body == "body of a;one\nbody of b;");
+}
+
+TEST_CASE("a stream that may be resumed goes on at another target behind its last whole event")
+{
+    struct row
+    {
+        const char* name;
+        std::size_t events;
+        /// Of the event that the target broke off in.
+        const char* partial;
+        http_failure failure;
+    };
+    constexpr std::array table{
+        row{"before its first event", 0, "", http_failure::broken},
+        row{"in the middle of the first event", 0, "id: 1\nda", http_failure::broken},
+        row{"between two events", 2, "", http_failure::broken},
+        row{"in the middle of a later event", 2, "id: 3\ndata: thr", http_failure::broken},
+        row{"before the blank line", 2, "id: 3\ndata: three\n", http_failure::timeout},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        forwarding_world world;
+        const auto view = world.send(world.make("plan", "r"));
+        const auto first = world.last();
+        first->begin(200);
+        for (std::size_t n = 1; n <= it.events; ++n)
+        {
+            first->event(static_cast<int>(n), "x");
+        }
+        first->on_chunk(it.partial);
+        first->fail(it.failure);
+        REQUIRE(world.sent.size() == 2);
+        const auto second = world.last();
+        CHECK(second->request.address != first->request.address);
+        const auto after = find_header(second->request.headers, "after");
+        CHECK(after.value_or("0") == std::to_string(it.events));
+        second->begin(200);
+        for (std::size_t n = it.events + 1; n <= 4; ++n)
+        {
+            second->event(static_cast<int>(n), "x");
+        }
+        second->end(200);
+        CHECK(view->ended);
+        CHECK(view->text == "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n");
+    }
+}
+
+TEST_CASE("the runs of a resumed stream together keep to attempts, deadline, budget and order")
+{
+    forwarding_world world;
+    const auto view = world.send(world.make_budgeted("plan", "r", 400));
+    world.time.run(100ms);
+    world.last()->begin(200);
+    world.last()->event(1, "x");
+    world.last()->event(2, "x");
+    const auto first = world.last();
+    first->fail(http_failure::broken);
+    const auto second = world.last();
+    REQUIRE(second != first);
+    SUBCASE("no attempt is left: the answer is not told as whole")
+    {
+        second->begin(200);
+        second->event(3, "x");
+        second->fail(http_failure::broken);
+        CHECK(world.sent.size() == 2);
+        CHECK(view->closed);
+        CHECK_FALSE(view->ended);
+    }
+    SUBCASE("a target that starts over is left: no event comes twice")
+    {
+        second->begin(200);
+        second->event(1, "x");
+        CHECK(view->closed);
+        CHECK(view->text == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+    }
+    SUBCASE("a target that does not go on is no end")
+    {
+        second->end(404, true, "no such stream");
+        CHECK(view->closed);
+        CHECK_FALSE(view->ended);
+    }
+    SUBCASE("the deadline bounds all runs")
+    {
+        world.time.run(2s);
+        CHECK(view->closed);
+        CHECK(second->cancelled);
+    }
+    SUBCASE("the caller leaves")
+    {
+        view->on_closed();
+        CHECK(second->cancelled);
+    }
+    SUBCASE("what all runs handed out is charged: 30 of 400 tokens leave room for three more turns")
+    {
+        second->begin(200);
+        second->event(3, "x");
+        second->end(200);
+        CHECK(view->ended);
+        world.time.run(1s);
+        for (const auto* id : {"b", "c", "d"})
+        {
+            std::ignore = world.send(world.make_budgeted("plan", id, 400));
+            world.time.run(200ms);
+        }
+        CHECK(world.sent.size() == 5);
+        const auto over = world.send(world.make_budgeted("plan", "e", 400));
+        world.time.run(200ms);
+        CHECK(body_of(*over) == "over_budget");
+    }
+}
+
+TEST_CASE(
+    "a target that falls silent in the middle of a stream that may go on elsewhere is left, and stopped")
+{
+    forwarding_world world;
+    const auto view = world.send(world.make("plan", "r"));
+    const auto first = world.last();
+    first->begin(200);
+    first->event(1, "x");
+    world.time.run(700ms);
+    CHECK(world.sent.size() == 1);
+    world.time.run(200ms);
+    REQUIRE(world.sent.size() == 2);
+    CHECK(first->cancelled);
+    world.last()->begin(200);
+    world.last()->event(2, "x");
+    world.last()->end(200);
+    CHECK(view->ended);
+    CHECK(view->text == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+}
+
+TEST_CASE(
+    "a caller's own resumption is passed on; of a turn that is kept it is refused, as its start is not known")
+{
+    forwarding_world world;
+    auto resumed = world.make("plan", "r");
+    resumed.after_event = "3";
+    std::ignore = world.send(resumed);
+    CHECK(find_header(world.last()->request.headers, "after") == "3");
+    world.last()->begin(200);
+    world.last()->event(4, "x");
+    world.last()->fail(http_failure::broken);
+    CHECK(find_header(world.last()->request.headers, "after") == "4");
+
+    auto kept = std::make_shared<gateway_config>(*world.config);
+    kept->routes[3].resumable = true;
+    world.config = kept;
+    auto turn = world.make_turn("t");
+    turn.after_event = "3";
+    const auto sent = world.sent.size();
+    const auto view = world.send(turn);
+    CHECK(world.sent.size() == sent);
+    CHECK(body_of(*view) == "not_resumable");
+}
+
+TEST_CASE("a life that has ended is left for good, costs no attempt, and is not told as full")
+{
+    forwarding_world world;
+    const auto view = world.send(world.make("order", "r"));
+    const auto dead = world.last()->request.address;
+    world.last()->misdirect();
+    REQUIRE(world.sent.size() == 2);
+    world.last()->refuse();
+    REQUIRE(world.sent.size() == 3);
+    world.last()->end(200, true, "done");
+    CHECK(body_of(*view) == "done");
+    for (int n = 0; n < 10; ++n)
+    {
+        std::ignore = world.send(world.make("order", "s" + std::to_string(n)));
+        CHECK(world.last()->request.address != dead);
+    }
+    forwarding_world other;
+    const auto refused = other.send(other.make("order", "r"));
+    for (std::size_t n = 0; n < other.sent.size(); ++n)
+    {
+        const auto next = other.sent[n];
+        next->misdirect();
+    }
+    CHECK(body_of(*refused) == "no_target");
+}
--- a/tests/unit/test_gateway_targets.cpp
+++ b/tests/unit/test_gateway_targets.cpp
@@ -81,18 +81,100 @@
         CHECK(table.expire(start + 2s).size() == 1);
         CHECK(ids(table).empty());
     }
-    SUBCASE("the store returns later: the grace counts from then")
+    SUBCASE("time in which the registry can't be asked does not count against the grace")
     {
-        table.extend_grace(start + 1s, 2s);
+        table.hold_grace(1s);
         CHECK(table.expire(start + 2'999ms).empty());
         CHECK(table.expire(start + 3s).size() == 1);
     }
 }
 
+TEST_CASE("a path to the registry that comes and goes keeps no entry of a target that has left")
+{
+    // Once a gateway whose way to the store failed and returned eleven times in twelve seconds gave every
+    // entry that had vanished two more seconds at each return, and sent a request to a target 3.4 s after it
+    // had left.
+    auto table = make_table(1);
+    table.remove({"t0"}, start, 1'560ms);
+    // Each failure of the feed holds the grace for as long as it lasts and no longer.
+    constexpr auto away = 10ms;
+    auto now = start;
+    for (int n = 0; n < 11; ++n)
+    {
+        now += 100ms;
+        table.hold_grace(away);
+    }
+    CHECK(table.expire(start + 1'669ms).empty());
+    CHECK(table.expire(start + 1'670ms).size() == 1);
+}
+
+TEST_CASE("a target that starts again under its id starts afresh, and its old life changes nothing any more")
+{
+    auto table = make_table(1);
+    auto reborn = make_record("t0");
+    reborn.born = 2;
+    const target_life old_life{{"t0"}};
+    table.begin(old_life);
+    table.begin(old_life);
+    table.report(old_life, {.running = 4, .waiting = 9, .slots = 4}, start);
+    table.end(old_life, target_verdict::broken, start);
+    CHECK(table.put(reborn));
+    const auto* const row = table.find({"t0"});
+    CHECK(row->load(start) == doctest::Approx(0));
+    CHECK(row->failures == 0);
+    CHECK(row->avoided_until <= start);
+
+    table.begin(reborn.life());
+    table.end(old_life, target_verdict::broken, start);
+    table.report(old_life, {.running = 4, .waiting = 9, .slots = 4}, start);
+    CHECK(table.find({"t0"})->load(start) == doctest::Approx(1));
+    CHECK(table.find({"t0"})->failures == 0);
+    SUBCASE("a late entry of the old life is no news")
+    {
+        auto late = make_record("t0");
+        late.draining = true;
+        CHECK_FALSE(table.put(late));
+        CHECK(ids(table) == std::vector<std::string>{"t0"});
+        CHECK(table.find({"t0"})->record.born == 2);
+    }
+    SUBCASE("it vanished and its old life was about to be forgotten")
+    {
+        table.remove({"t0"}, start, 2s);
+        reborn.born = 3;
+        table.put(reborn);
+        CHECK(table.expire(start + 1h).empty());
+    }
+}
+
+TEST_CASE("a life that has ended takes no requests until its entry changes")
+{
+    auto table = make_table(2);
+    const target_life life{{"t0"}};
+    table.begin(life);
+    table.end(life, target_verdict::ended, start);
+    CHECK(ids(table) == std::vector<std::string>{"t1"});
+    // The same entry read once more is no news.
+    table.put(make_record("t0"));
+    CHECK(ids(table) == std::vector<std::string>{"t1"});
+    auto reborn = make_record("t0");
+    reborn.born = 5;
+    table.put(reborn);
+    CHECK(ids(table) == std::vector<std::string>{"t0", "t1"});
+}
+
+TEST_CASE("an entry that can't be read names no target, whatever stood there before")
+{
+    auto table = make_table(2);
+    CHECK(table.withdraw({"t0"}));
+    CHECK_FALSE(table.withdraw({"t0"}));
+    CHECK(ids(table) == std::vector<std::string>{"t1"});
+}
+
 TEST_CASE("a whole reading of the registry drops what it does not hold")
 {
     auto table = make_table(3);
-    table.replace({make_record("t1"), make_record("new")}, start, 0ms);
+    table.put(make_record("new"));
+    table.retain({{"t1"}, {"new"}}, start, 0ms);
     table.expire(start);
     CHECK(ids(table) == std::vector<std::string>{"new", "t1"});
 }
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -6,11 +6,16 @@
 #include "store_codec.hpp"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <string>
+#include <utility>
+#include <variant>
+#include <vector>
 
 using namespace masticcourse;
 using namespace masticcourse::platform;
@@ -47,11 +52,15 @@
 const std::string good_config = R"({"version":7,"unknown":1,"routes":[
   {"name":"turns","host":"h","prefix":"/a/","type":"streaming","timeoutMs":3000,"targetLatencyMs":250,"priority":1,
    "backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2,"retentionEnabled":true,
-   "retentionS":60.0,"sticky":true},
+   "retentionS":60.0,"sticky":true,"resumable":true,"gapTargetMs":200},
   {"name":"tool","host":"h","prefix":"/b/","type":"non_idempotent","service":"s2","timeoutMs":1500.0}],
   "services":[{"name":"s1","healthPath":"/healthz","maxConnections":130,"engine":{"tokensPerEvent":14}},
   {"name":"s2"}],"limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400}})";
 
+const std::string good_entry =
+    R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":8,"state":"draining",)"
+    R"("coldRemainingMs":250,"stage":"dual","sequence":4,"born":1764000000123})";
+
 const std::string good_settings = R"(node = "n"
 failure_domain = "d"
 [listen]
@@ -211,8 +220,10 @@
 
 TEST_CASE("the operator's configuration is read into routes and services; unknown fields don't matter")
 {
-    const auto config = decode_config(make_row("config", good_config));
-    REQUIRE(config);
+    const auto decoded = decode_config(make_row("config", good_config));
+    REQUIRE(decoded);
+    const auto* const config = std::get_if<gateway::gateway_config>(&*decoded);
+    REQUIRE(config != nullptr);
     CHECK(config->version == 7);
     REQUIRE(config->routes.size() == 2);
     const auto& turns = config->routes[0];
@@ -221,6 +232,9 @@
     CHECK(turns.services.size() == 2);
     CHECK(turns.services[0].weight == 90);
     CHECK(turns.max_attempts == 2);
+    CHECK(turns.resumable);
+    CHECK(turns.repeatable());
+    CHECK(turns.event_gap == 200ms);
     const auto& tool = config->routes[1];
     CHECK(tool.kind == gateway::request_kind::non_idempotent);
     CHECK_FALSE(tool.keeps_turns());
@@ -241,15 +255,126 @@
           R"({"version":1,"routes":[{"host":"h","prefix":"/","type":"streaming"}],"services":[]})"})
     {
         CAPTURE(text);
-        CHECK_FALSE(decode_config(make_row("config", text)));
+        const auto decoded = decode_config(make_row("config", text));
+        REQUIRE(decoded);
+        CHECK(std::holds_alternative<gateway::row_fault>(*decoded));
     }
-    CHECK_FALSE(decode_target(make_row("i-1", "{}")));
-    const auto target = decode_target(
-        make_row("i-1", R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":8,"state":"draining"})"));
-    REQUIRE(target);
-    CHECK(target->id.value == "i-1");
+}
+
+TEST_CASE("an entry of a target is read whole or not at all")
+{
+    const auto good = nlohmann::json::parse(good_entry);
+    const auto decode = [](const nlohmann::json& entry)
+    {
+        return decode_target(
+            make_row("i-1", entry.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)));
+    };
+    const auto decoded = decode(good);
+    const auto* const target = std::get_if<gateway::target_record>(&decoded);
+    REQUIRE(target != nullptr);
+    CHECK(target->life() == gateway::target_life{{"i-1"}, 1'764'000'000'123});
     CHECK(target->draining);
     CHECK(target->slots == 8);
+    CHECK(target->warming == 250ms);
+    auto ageless = good;
+    ageless.erase("born");
+    CHECK(std::holds_alternative<gateway::target_record>(decode(ageless)));
+
+    struct row
+    {
+        const char* field;
+        nlohmann::json value;
+    };
+    const std::array table{
+        row{"service", 7},
+        row{"service", ""},
+        row{"address", nullptr},
+        row{"address", "nowhere"},
+        row{"zone", true},
+        row{"version", 1},
+        row{"slots", "8"},
+        row{"slots", 0},
+        row{"slots", -1},
+        row{"slots", 1.5},
+        row{"slots", 1e300},
+        row{"state", "gone"},
+        row{"state", 1},
+        row{"sequence", "4"},
+        row{"sequence", {}},
+        row{"coldRemainingMs", "0"},
+        row{"coldRemainingMs", -1},
+        row{"born", "now"},
+        row{"born", 1.25},
+        row{"born", -1},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.field);
+        CAPTURE(it.value.dump());
+        auto entry = good;
+        entry[it.field] = it.value;
+        CHECK(std::holds_alternative<gateway::row_fault>(decode(entry)));
+        if (std::string{it.field} != "born")
+        {
+            entry.erase(it.field);
+            CHECK(std::holds_alternative<gateway::row_fault>(decode(entry)));
+        }
+    }
+    for (const auto* text : {"", "[]", "null", "{", "\xff\xfe"})
+    {
+        CHECK(std::holds_alternative<gateway::row_fault>(decode_target(make_row("i-1", text))));
+    }
+}
+
+TEST_CASE("rows with any bytes changed crash nothing and invent no target")
+{
+    const auto holds = [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& changes)
+    {
+        std::string text = good_entry;
+        std::ranges::for_each(changes, [&text](const auto& it)
+                              { text[it.first % text.size()] = static_cast<char>(it.second); });
+        const auto decoded = decode_target(make_row("i-1", text));
+        const auto* const target = std::get_if<gateway::target_record>(&decoded);
+        const bool usable = target == nullptr || (target->id.value == "i-1" && target->slots > 0 &&
+                                                  is_client_address(target->address));
+        std::string config = good_config;
+        std::ranges::for_each(changes, [&config](const auto& it)
+                              { config[it.first * 3U % config.size()] = static_cast<char>(it.second); });
+        return usable && decode_config(make_row("config", config)).has_value();
+    };
+    CHECK(rc::check([&](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& changes)
+                    { return holds(changes); }));
+    // Small changes are the likeliest to be believed.
+    for (unsigned at = 0; at < good_entry.size(); ++at)
+    {
+        for (unsigned byte = 0; byte < 256; byte += 5)
+        {
+            CHECK(holds({{static_cast<std::uint8_t>(at), static_cast<std::uint8_t>(byte)}}));
+        }
+    }
+}
+
+TEST_CASE("a row whose value is no base64 leaves the other rows of its page")
+{
+    const auto page = decode_page(R"({"ver":9,"nowMs":1,"rows":[
+        {"table":"t","part":"","key":"a","value":"!!","ver":3},
+        {"table":"t","part":"","key":"b","value":"bm9kZS0x","ver":4}]})");
+    REQUIRE(page);
+    REQUIRE(page->rows.size() == 2);
+    CHECK(page->rows[0].value.empty());
+    CHECK(page->rows[1].value == "node-1");
+}
+
+TEST_CASE("the last event that a caller has goes on to the target, once, as the gateway knows it")
+{
+    auto request = decode({{"Last-Event-Id", "4"}});
+    CHECK(request.after_event == "4");
+    request.after_event = "6";
+    const gateway::target_record target{.id = {"i-1"}, .address = "10.0.0.1:80"};
+    const auto sent = platform_protocol{}.encode(request, "", target, 1s);
+    CHECK(find_header(sent.headers, "Last-Event-Id") == "6");
+    CHECK(std::ranges::count(sent.headers, std::string{"Last-Event-Id"}, &http_header::name) == 1);
+    CHECK_FALSE(find_header(forwarded({}).headers, "Last-Event-Id"));
 }
 
 TEST_CASE("base64 there and back, and nothing that is none")
