--- a/tests/unit/test_gateway_overdraft.cpp
+++ b/tests/unit/test_gateway_overdraft.cpp
@@ -169,7 +169,7 @@
     CHECK(read->step == message.step);
     CHECK(read->tokens == 7);
     for (const auto* text :
-         {"", "[]", "[3,\"p\",\"r\",1]", "[-1,\"p\",\"r\",1]", "[0,1,\"r\",1]", "[0,\"p\",\"r\",\"1\"]"})
+         {"", "[]", R"([3,"p","r",1])", R"([-1,"p","r",1])", R"([0,1,"r",1])", R"([0,"p","r","1"])"})
     {
         CAPTURE(text);
         CHECK_FALSE(decode_overdraft(text));
