--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 namespace masticcourse::gateway
@@ -81,14 +82,11 @@
     struct claim
     {
         reservation_request request;
-        reservation_callback on_result;
-        /// Of a charge.
-        charge_callback on_charged;
+        /// A turn's claim, or the charge for what has been handed out already, which is never refused.
+        std::variant<reservation_callback, charge_callback> on_result;
         /// Whether the row has been read since the claim was made.
         bool fresh = false;
-        /// What it claims has been handed out: it is not refused.
-        bool handed_out = false;
-        /// Of those tokens, what lies beyond the budget.
+        /// Of a charge, what lies beyond the budget.
         token_count beyond = 0;
     };
     struct settlement
@@ -109,7 +107,7 @@
         time_point used;
     };
 
-    static void grant(const claim& it);
+    static void answer(const claim& it, reservation_outcome outcome);
     void step(const program_id& id);
     /// @param memory_will_do whether what another gateway remembers is enough: a write under an outdated
     /// version fails, but a refusal must rest on the row itself
--- a/include/masticcourse/gateway/stream_progress.hpp
+++ b/include/masticcourse/gateway/stream_progress.hpp
@@ -54,11 +54,6 @@
     {
         return m_events;
     }
-    /// Whether part of an event may have been handed out.
-    [[nodiscard]] bool may_end_within_event() const
-    {
-        return m_passing != stream_passing::whole_events;
-    }
     /// The data of the events so far, each with a line feed behind it.
     [[nodiscard]] const std::string& output() const
     {
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -78,13 +78,17 @@
 
 void forwarded_request::set_deadline()
 {
-    // The timer keeps the request until its deadline; what is large is given back when it ends.
-    m_services.delay(std::max(time_left(), milliseconds{0}),
-                     [weak = weak_from_this()]
+    take_later(std::max(time_left(), milliseconds{0}), &forwarded_request::on_deadline);
+}
+
+void forwarded_request::take_later(milliseconds wait, void (forwarded_request::*step)())
+{
+    m_services.delay(wait,
+                     [weak = weak_from_this(), step]
                      {
                          if (const auto self = weak.lock())
                          {
-                             self->on_deadline();
+                             (self.get()->*step)();
                          }
                      });
 }
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -51,8 +51,9 @@
     void plan_overdraft();
     void draw();
     void on_overdraft(token_count granted);
-    /// The request has ended with @a tokens handed out ahead.
-    void end_overdraft(token_count tokens);
+    /// The request has ended: what it handed out is settled with the budget, and with the overdraft if it was
+    /// handed out ahead.
+    void settle_budget();
     /// Whether all that has come may be handed out before the reservation is durable.
     [[nodiscard]] bool within_overdraft() const;
     [[nodiscard]] token_count tokens_per_event() const;
@@ -84,8 +85,7 @@
     void begin_progress();
     void on_piece(std::string_view piece);
     void on_whole_stream();
-    /// Leaves a target that falls silent in the middle of a stream that may go on elsewhere.
-    void watch_silence(milliseconds wait);
+    /// Looks whether the target has fallen silent in the middle of a stream that may go on elsewhere.
     void on_silence();
     /// Whether an earlier target made a part of the answer.
     [[nodiscard]] bool goes_on() const;
@@ -94,6 +94,9 @@
 
     /// @name Towards the caller
     /// @{
+    /// Whether the budget allows what has come so far.
+    [[nodiscard]] bool may_hand_out() const;
+    void begin_answer();
     void hand_out();
     void keep_turn();
     /// Tells the caller that the stream is whole, once nothing of it is open.
@@ -109,6 +112,8 @@
     /// @}
 
     [[nodiscard]] milliseconds time_left() const;
+    /// Takes a step after a while, if the request is still there.
+    void take_later(milliseconds wait, void (forwarded_request::*step)());
     /// Whether it may generate tokens only within a program's budget.
     [[nodiscard]] bool has_budget() const;
     /// Whether what is said in it is kept for the turns after it.
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -48,18 +48,28 @@
                           });
 }
 
+bool forwarded_request::may_hand_out() const
+{
+    return m_reservation != reservation_state::pending || within_overdraft();
+}
+
+void forwarded_request::begin_answer()
+{
+    if (!std::exchange(m_head_sent, true))
+    {
+        m_exchange->begin_stream(m_head->status, m_head->headers);
+    }
+}
+
 void forwarded_request::hand_out()
 {
-    if ((m_reservation == reservation_state::pending && !within_overdraft()) || !m_head)
+    if (!may_hand_out() || !m_head)
     {
         return;
     }
     if (!m_held.empty())
     {
-        if (!std::exchange(m_head_sent, true))
-        {
-            m_exchange->begin_stream(m_head->status, m_head->headers);
-        }
+        begin_answer();
         m_exchange->write(std::exchange(m_held, {}));
     }
     finish_stream();
@@ -67,16 +77,12 @@
 
 void forwarded_request::finish_stream()
 {
-    const bool reserved = m_reservation != reservation_state::pending || within_overdraft();
     const bool durable = m_kept || !is_kept();
-    if (m_finished || !m_stream_whole || !reserved || !durable)
+    if (m_finished || !m_stream_whole || !may_hand_out() || !durable)
     {
         return;
     }
-    if (!std::exchange(m_head_sent, true))
-    {
-        m_exchange->begin_stream(m_head->status, m_head->headers);
-    }
+    begin_answer();
     m_exchange->end_stream();
     finish(request_end::answered, is_kept() ? "turn kept" : "whole stream");
 }
@@ -128,22 +134,7 @@
     m_finished = true;
     log_end(end, detail);
     end_attempt(target_verdict::none);
-    if (m_reservation != reservation_state::not_needed)
-    {
-        const auto& program = m_request.program->program;
-        // An event that was cut off in the middle counts too.
-        const token_count open = m_stream_whole || !m_progress->may_end_within_event() ? 0 : 1;
-        const auto events = m_head_sent ? m_progress->events() + open : 0;
-        const auto tokens = events * tokens_per_event();
-        if (m_drawn && m_reservation == reservation_state::pending)
-        {
-            end_overdraft(tokens);
-        }
-        else
-        {
-            m_services.spending.settle(program, m_request.id, tokens);
-        }
-    }
+    settle_budget();
     m_exchange.reset();
     m_chain = {};
     m_held.clear();
--- a/src/gateway/forwarded_request_overdraft.cpp
+++ b/src/gateway/forwarded_request_overdraft.cpp
@@ -30,14 +30,7 @@
         draw();
         return;
     }
-    m_services.delay(calm_reservation,
-                     [weak = weak_from_this()]
-                     {
-                         if (const auto self = weak.lock())
-                         {
-                             self->draw();
-                         }
-                     });
+    take_later(calm_reservation, &forwarded_request::draw);
 }
 
 void forwarded_request::draw()
@@ -86,19 +79,28 @@
     }
 }
 
-void forwarded_request::end_overdraft(token_count tokens)
+void forwarded_request::settle_budget()
 {
-    const auto& program = m_request.program->program;
-    if (tokens == 0)
+    if (m_reservation == reservation_state::not_needed)
     {
-        m_services.overdrafts.clear(program, m_request.id);
-        m_services.spending.settle(program, m_request.id, 0);
         return;
     }
-    m_services.overdrafts.settle(program, m_request.id, tokens);
+    const auto& claim = *m_request.program;
+    const auto tokens = m_head_sent ? m_progress->events() * tokens_per_event() : 0;
+    const bool ahead = m_drawn && m_reservation == reservation_state::pending;
+    if (ahead)
+    {
+        m_services.overdrafts.settle(claim.program, m_request.id, tokens);
+    }
+    if (!ahead || tokens == 0)
+    {
+        m_services.spending.settle(claim.program, m_request.id, tokens);
+        return;
+    }
     m_services.spending.charge(
-        {.program = program, .request = m_request.id, .tokens = tokens, .budget = *m_request.program->budget},
-        [&overdrafts = m_services.overdrafts, program, request = m_request.id](token_count beyond)
+        {.program = claim.program, .request = m_request.id, .tokens = tokens, .budget = *claim.budget},
+        [&overdrafts = m_services.overdrafts, program = claim.program,
+         request = m_request.id](token_count beyond)
         {
             // What lies beyond the budget is the program's overdraft for good.
             overdrafts.settle(program, request, beyond);
--- a/src/gateway/forwarded_request_stream.cpp
+++ b/src/gateway/forwarded_request_stream.cpp
@@ -59,7 +59,7 @@
         m_request.after_event = m_progress->last_event();
         if (!begun)
         {
-            watch_silence(silence_limit(*m_route));
+            take_later(silence_limit(*m_route), &forwarded_request::on_silence);
         }
     }
     hand_out();
@@ -77,18 +77,6 @@
     hand_out();
 }
 
-void forwarded_request::watch_silence(milliseconds wait)
-{
-    m_services.delay(wait,
-                     [weak = weak_from_this()]
-                     {
-                         if (const auto self = weak.lock())
-                         {
-                             self->on_silence();
-                         }
-                     });
-}
-
 void forwarded_request::on_silence()
 {
     if (m_finished || m_stream_whole)
@@ -104,7 +92,7 @@
     }
     if (!m_finished)
     {
-        watch_silence(std::max(limit - silent, least_silence));
+        take_later(std::max(limit - silent, least_silence), &forwarded_request::on_silence);
     }
 }
 
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -135,19 +135,19 @@
     // Should the turn's own claim be under way, what it reserves is settled with it.
     entry.settlements.push_back({turn.request, turn.tokens});
     turn.expires = m_clock() + settlement_life;
-    entry.claims.push_back({.request = std::move(turn),
-                            .on_result = [](reservation_outcome) {},
-                            .on_charged = std::move(on_durable),
-                            .handed_out = true});
+    entry.claims.push_back({.request = std::move(turn), .on_result = std::move(on_durable)});
     plan_flush(id, entry);
 }
 
-void program_spending::grant(const claim& it)
+void program_spending::answer(const claim& it, reservation_outcome outcome)
 {
-    it.on_result(reservation_outcome::granted);
-    if (it.on_charged)
+    if (const auto* const on_reserved = std::get_if<reservation_callback>(&it.on_result))
     {
-        it.on_charged(it.beyond);
+        (*on_reserved)(outcome);
+    }
+    else if (outcome == reservation_outcome::granted)
+    {
+        std::get<charge_callback>(it.on_result)(it.beyond);
     }
 }
 
@@ -190,7 +190,7 @@
     std::vector<claim> refused{std::make_move_iterator(expired.begin()),
                                std::make_move_iterator(expired.end())};
     entry.claims.erase(expired.begin(), expired.end());
-    std::ranges::for_each(refused, [](const claim& it) { it.on_result(reservation_outcome::unavailable); });
+    std::ranges::for_each(refused, [](const claim& it) { answer(it, reservation_outcome::unavailable); });
 }
 
 void program_spending::read(const program_id& id, bool memory_will_do)
@@ -235,7 +235,8 @@
     {
         const bool there = next.has(it.request.request);
         const bool fits = next.committed() + it.request.tokens <= it.request.budget;
-        if (there || fits || it.handed_out)
+        const bool handed_out = std::holds_alternative<charge_callback>(it.on_result);
+        if (there || fits || handed_out)
         {
             if (!there)
             {
@@ -246,7 +247,7 @@
         }
         else if (it.fresh)
         {
-            it.on_result(reservation_outcome::over_budget);
+            answer(it, reservation_outcome::over_budget);
         }
         else
         {
@@ -287,7 +288,7 @@
     {
         // All of it stands in the row already: the answers to earlier writes were lost.
         entry.busy = false;
-        std::ranges::for_each(admitted, grant);
+        std::ranges::for_each(admitted, [](const claim& it) { answer(it, reservation_outcome::granted); });
         step(id);
         return;
     }
@@ -313,7 +314,7 @@
     {
         entry.row = next;
         entry.version = result.version;
-        std::ranges::for_each(admitted, grant);
+        std::ranges::for_each(admitted, [](const claim& it) { answer(it, reservation_outcome::granted); });
         step(id);
         return;
     }
