Overdrafts travel by the codec and the calls that peers had already

Behaviour is as before, but for what travels between gateways of one version. Overdraft messages had a JSON codec of their own under the media type of CBOR, beside the codec that reads arrays strictly: they are in it now, with one reader of enumerations for both and one of single elements. The call for an overdraft was the call for remembered rows with another path, and the types of its callbacks stood twice: peer_calls::ask, peer_call. Clearing an overdraft is settling it at nothing: one step less. The test's malformed messages are refused as texts and in the encoding; fractions and truth values too.

--- a/include/masticcourse/gateway/collected_rows.hpp
+++ b/include/masticcourse/gateway/collected_rows.hpp
@@ -29,16 +29,12 @@
 [[nodiscard]] std::optional<std::vector<stored_row>> decode_rows(const std::string& bytes);
 /// @}
 
-/// Takes a collector's encoded rows, or nothing if it does not answer.
-using recall_callback = std::function<void(std::optional<std::string>)>;
-/// Sends an encoded query to a collector.
-using recall_call = std::function<void(const std::string& address, std::string bytes, recall_callback)>;
-
 class collected_rows final : public row_store
 {
   public:
-    /// @param own what this gateway remembers of the partitions that it collects
-    collected_rows(row_store& store, const row_memory& own, peer_directory& peers, recall_call call,
+    /// @param own  what this gateway remembers of the partitions that it collects
+    /// @param call asks a collector for the rows of an encoded query
+    collected_rows(row_store& store, const row_memory& own, peer_directory& peers, peer_call call,
                    std::function<time_point()> clock);
 
     void transact(const row_transaction& transaction, transaction_callback on_reply) override;
@@ -62,7 +58,7 @@
     row_store& m_store;
     const row_memory& m_own;
     peer_directory& m_peers;
-    recall_call m_call;
+    peer_call m_call;
     std::function<time_point()> m_clock;
 };
 
--- a/include/masticcourse/gateway/overdraft.hpp
+++ b/include/masticcourse/gateway/overdraft.hpp
@@ -17,7 +17,6 @@
 {
     draw,
     settle,
-    clear,
 };
 
 struct overdraft_message
@@ -29,20 +28,23 @@
     token_count tokens = 0;
 };
 
+/// @name On the wire between gateways
+/// @{
 [[nodiscard]] std::string encode(const overdraft_message& message);
 /// @return nothing if @a bytes are no message
 [[nodiscard]] std::optional<overdraft_message> decode_overdraft(const std::string& bytes);
+/// The answer: the tokens that may be handed out.
+[[nodiscard]] std::string encode_grant(token_count granted);
+[[nodiscard]] std::optional<token_count> decode_grant(const std::string& bytes);
+/// @}
 
 /// The tokens that may be handed out; 0 if none, or if the holder did not answer.
 using draw_callback = std::function<void(token_count)>;
-/// Sends a message to a peer; calls back with its answer, or nothing.
-using overdraft_call = std::function<void(const std::string& address, std::string message,
-                                          std::function<void(std::optional<std::string>)>)>;
 
 class overdraft
 {
   public:
-    overdraft(overdraft_seats& seats, overdraft_call call, clock_function clock)
+    overdraft(overdraft_seats& seats, peer_call call, clock_function clock)
         : m_seats(seats), m_call(std::move(call)), m_clock(std::move(clock))
     {
     }
@@ -50,7 +52,8 @@
     /// Asks for an overdraft for a turn. Calls back once, at once if the seat is held here or by nobody.
     void draw(const program_id& program, const request_id& request, token_count most, draw_callback on_grant);
 
-    /// The turn has ended before a row accounts for it; @a used tokens were handed out.
+    /// The turn has ended, and @a used tokens of it stay open: no row accounts for them yet, or they lie
+    /// beyond the budget in it.
     void settle(const program_id& program, const request_id& request, token_count used);
 
     /// A row accounts for the turn now.
@@ -77,7 +80,7 @@
     token_count apply(const overdraft_message& message);
 
     overdraft_seats& m_seats;
-    overdraft_call m_call;
+    peer_call m_call;
     clock_function m_clock;
     overdraft_ledger m_ledger;
 };
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -5,6 +5,7 @@
 #include "masticcourse/gateway/time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -15,6 +16,11 @@
 namespace masticcourse::gateway
 {
 
+/// Takes a peer's answer, or nothing if it gave none.
+using peer_callback = std::function<void(std::optional<std::string>)>;
+/// Sends encoded bytes to a peer.
+using peer_call = std::function<void(const std::string& address, std::string bytes, peer_callback)>;
+
 struct peer
 {
     /// "ip:port"
--- a/src/gateway/collected_rows.cpp
+++ b/src/gateway/collected_rows.cpp
@@ -5,8 +5,8 @@
 namespace masticcourse::gateway
 {
 
-collected_rows::collected_rows(row_store& store, const row_memory& own, peer_directory& peers,
-                               recall_call call, std::function<time_point()> clock)
+collected_rows::collected_rows(row_store& store, const row_memory& own, peer_directory& peers, peer_call call,
+                               std::function<time_point()> clock)
     : m_store(store), m_own(own), m_peers(peers), m_call(std::move(call)), m_clock(std::move(clock))
 {
 }
--- a/src/gateway/commit_codec.cpp
+++ b/src/gateway/commit_codec.cpp
@@ -1,10 +1,14 @@
-// How changes, their results and remembered rows travel between gateways: CBOR, arrays in a fixed order.
+// How changes, their results, remembered rows and overdrafts travel between gateways: CBOR, arrays in a fixed
+// order.
 #include "masticcourse/gateway/collected_rows.hpp"
 #include "masticcourse/gateway/commit_router.hpp"
+#include "masticcourse/gateway/overdraft.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 namespace masticcourse::gateway
 {
@@ -80,14 +84,32 @@
         {static_cast<int>(it.outcome), it.version, it.current ? to_json(*it.current) : json{}});
 }
 
-change_result to_result(const json& it)
+/// @throws std::invalid_argument unless it is a whole number
+std::int64_t to_whole(const json& it)
 {
-    const auto outcome = it.at(0).get<int>();
-    if (outcome < 0 || outcome > static_cast<int>(store_outcome::unknown))
+    if (!it.is_number_integer())
     {
-        throw std::out_of_range("outcome");
+        throw std::invalid_argument("no whole number");
     }
-    change_result result{.outcome = static_cast<store_outcome>(outcome),
+    return it.get<std::int64_t>();
+}
+
+/// @param last the greatest value of the enumeration
+/// @throws std::out_of_range for a number that names none of its values
+template <typename Enum>
+Enum to_enum(const json& it, Enum last)
+{
+    const auto number = to_whole(it);
+    if (number < 0 || number > static_cast<std::int64_t>(last))
+    {
+        throw std::out_of_range("enumeration");
+    }
+    return static_cast<Enum>(number);
+}
+
+change_result to_result(const json& it)
+{
+    change_result result{.outcome = to_enum(it.at(0), store_outcome::unknown),
                          .version = it.at(1).get<row_version>()};
     if (const auto& row = it.at(2); !row.is_null())
     {
@@ -123,6 +145,14 @@
     }
 }
 
+/// Reads an array of exactly one element.
+template <typename Read>
+auto read_one(const std::string& bytes, Read read) -> std::optional<decltype(read(json{}))>
+{
+    auto found = read_array(bytes, read);
+    return found && found->size() == 1 ? std::optional{std::move(found->front())} : std::nullopt;
+}
+
 } // namespace
 
 std::string encode_query(const row_query& query)
@@ -132,16 +162,43 @@
 
 std::optional<row_query> decode_query(const std::string& bytes)
 {
-    const auto read = read_array(bytes,
-                                 [](const json& it)
-                                 {
-                                     return row_query{.table = it.at(0).get<std::string>(),
-                                                      .partition = it.at(1).get<std::string>(),
-                                                      .from = it.at(2).get<std::string>(),
-                                                      .to = it.at(3).get<std::string>(),
-                                                      .memory_will_do = true};
-                                 });
-    return read && read->size() == 1 ? std::optional{read->front()} : std::nullopt;
+    return read_one(bytes,
+                    [](const json& it)
+                    {
+                        return row_query{.table = it.at(0).get<std::string>(),
+                                         .partition = it.at(1).get<std::string>(),
+                                         .from = it.at(2).get<std::string>(),
+                                         .to = it.at(3).get<std::string>(),
+                                         .memory_will_do = true};
+                    });
+}
+
+std::string encode(const overdraft_message& message)
+{
+    return to_bytes(json::array({json::array(
+        {static_cast<int>(message.step), message.program.value, message.request.value, message.tokens})}));
+}
+
+std::optional<overdraft_message> decode_overdraft(const std::string& bytes)
+{
+    return read_one(bytes,
+                    [](const json& it)
+                    {
+                        return overdraft_message{.step = to_enum(it.at(0), overdraft_step::settle),
+                                                 .program = {it.at(1).get<std::string>()},
+                                                 .request = {it.at(2).get<std::string>()},
+                                                 .tokens = to_whole(it.at(3))};
+                    });
+}
+
+std::string encode_grant(token_count granted)
+{
+    return to_bytes(json::array({granted}));
+}
+
+std::optional<token_count> decode_grant(const std::string& bytes)
+{
+    return read_one(bytes, to_whole);
 }
 
 std::string encode_rows(const std::vector<stored_row>& rows)
--- a/src/gateway/overdraft.cpp
+++ b/src/gateway/overdraft.cpp
@@ -1,36 +1,10 @@
 #include "masticcourse/gateway/overdraft.hpp"
 
-#include <charconv>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace masticcourse::gateway
 {
 
-std::string encode(const overdraft_message& message)
-{
-    return nlohmann::json{static_cast<int>(message.step), message.program.value, message.request.value,
-                          message.tokens}
-        .dump();
-}
-
-std::optional<overdraft_message> decode_overdraft(const std::string& bytes)
-{
-    constexpr std::size_t members = 4;
-    const auto document = nlohmann::json::parse(bytes, nullptr, false);
-    const bool shaped = document.is_array() && document.size() == members &&
-                        document[0].is_number_unsigned() && document[1].is_string() &&
-                        document[2].is_string() && document[3].is_number_integer();
-    if (!shaped || document[0].get<unsigned>() > static_cast<unsigned>(overdraft_step::clear))
-    {
-        return std::nullopt;
-    }
-    return overdraft_message{.step = static_cast<overdraft_step>(document[0].get<unsigned>()),
-                             .program = {document[1].get<std::string>()},
-                             .request = {document[2].get<std::string>()},
-                             .tokens = document[3].get<token_count>()};
-}
-
 void overdraft::draw(const program_id& program, const request_id& request, token_count most,
                      draw_callback on_grant)
 {
@@ -45,7 +19,7 @@
 
 void overdraft::clear(const program_id& program, const request_id& request)
 {
-    tell({.step = overdraft_step::clear, .program = program, .request = request}, nullptr);
+    settle(program, request, 0);
 }
 
 void overdraft::tell(const overdraft_message& message, draw_callback on_grant)
@@ -67,37 +41,27 @@
     m_call(*holder, encode(message),
            [report](const std::optional<std::string>& answer)
            {
-               token_count granted = 0;
-               if (answer)
-               {
-                   std::from_chars(answer->data(), answer->data() + answer->size(), granted);
-               }
-               report(granted);
+               const auto granted = answer ? decode_grant(*answer) : std::nullopt;
+               report(granted.value_or(0));
            });
 }
 
 token_count overdraft::apply(const overdraft_message& message)
 {
-    switch (message.step)
+    if (message.step == overdraft_step::settle)
     {
-    case overdraft_step::draw:
-        return m_seats.holds(overdraft_seat_of(message.program.value))
-                   ? m_ledger.draw(message.program, message.request, message.tokens, m_clock())
-                   : 0;
-    case overdraft_step::settle:
         m_ledger.settle(message.program, message.request, message.tokens);
         return 0;
-    case overdraft_step::clear:
-        m_ledger.clear(message.program, message.request);
-        return 0;
     }
-    return 0;
+    return m_seats.holds(overdraft_seat_of(message.program.value))
+               ? m_ledger.draw(message.program, message.request, message.tokens, m_clock())
+               : 0;
 }
 
 std::optional<std::string> overdraft::serve(const std::string& bytes)
 {
     const auto message = decode_overdraft(bytes);
-    return message ? std::optional{std::to_string(apply(*message))} : std::nullopt;
+    return message ? std::optional{encode_grant(apply(*message))} : std::nullopt;
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -63,39 +63,37 @@
                   { on_answer(to_collector_answer(std::move(reply))); });
 }
 
-void peer_calls::recall(const std::string& address, std::string query, recall_callback on_rows)
+void peer_calls::ask(http_client_request request, milliseconds limit, peer_callback on_answer)
 {
-    auto request = make_request(address, gateway::recall_path, std::move(query));
-    request.timeout = recall_limit;
-    request.connect_timeout = recall_limit;
+    request.timeout = limit;
+    request.connect_timeout = limit;
     request.idempotent = true;
     m_client.send(std::move(request),
-                  [address, on_rows = std::move(on_rows)](http_client_reply reply)
+                  [on_answer = std::move(on_answer)](http_client_reply reply)
                   {
                       const bool read = reply.failure == http_failure::none && reply.status == status_ok;
-                      if (!read)
-                      {
-                          log_event(event_id::collector_failed,
-                                    {{"collector", address}, {"why", "no answer to a read"}});
-                      }
-                      on_rows(read ? std::optional{std::move(reply.body)} : std::nullopt);
+                      on_answer(read ? std::optional{std::move(reply.body)} : std::nullopt);
                   });
 }
 
-void peer_calls::overdraft(const std::string& address, std::string message,
-                           std::function<void(std::optional<std::string>)> on_answer)
+void peer_calls::recall(const std::string& address, std::string query, peer_callback on_rows)
 {
-    auto request = make_request(address, gateway::overdraft_path, std::move(message));
-    request.timeout = overdraft_limit;
-    request.connect_timeout = overdraft_limit;
-    // Each message may come twice.
-    request.idempotent = true;
-    m_client.send(std::move(request),
-                  [on_answer = std::move(on_answer)](http_client_reply reply)
-                  {
-                      const bool read = reply.failure == http_failure::none && reply.status == status_ok;
-                      on_answer(read ? std::optional{std::move(reply.body)} : std::nullopt);
-                  });
+    ask(make_request(address, gateway::recall_path, std::move(query)), recall_limit,
+        [address, on_rows = std::move(on_rows)](std::optional<std::string> rows)
+        {
+            if (!rows)
+            {
+                log_event(event_id::collector_failed,
+                          {{"collector", address}, {"why", "no answer to a read"}});
+            }
+            on_rows(std::move(rows));
+        });
+}
+
+void peer_calls::overdraft(const std::string& address, std::string message, peer_callback on_answer)
+{
+    ask(make_request(address, gateway::overdraft_path, std::move(message)), overdraft_limit,
+        std::move(on_answer));
 }
 
 http_response to_response(const collector_answer& answer)
--- a/src/gateway/peer_calls.hpp
+++ b/src/gateway/peer_calls.hpp
@@ -7,7 +7,6 @@
 #include "masticcourse/net/http_client.hpp"
 #include "masticcourse/net/http_message.hpp"
 
-#include <functional>
 #include <optional>
 #include <string>
 
@@ -21,11 +20,13 @@
     explicit peer_calls(boost::asio::io_context& context) : m_client(context) {}
 
     void collect(const std::string& address, std::string changes, collector_callback on_answer);
-    void recall(const std::string& address, std::string query, recall_callback on_rows);
-    void overdraft(const std::string& address, std::string message,
-                   std::function<void(std::optional<std::string>)> on_answer);
+    void recall(const std::string& address, std::string query, peer_callback on_rows);
+    void overdraft(const std::string& address, std::string message, peer_callback on_answer);
 
   private:
+    /// Asks for what does no harm if it is asked twice.
+    void ask(http_client_request request, milliseconds limit, peer_callback on_answer);
+
     http_client m_client;
 };
 
--- a/tests/unit/test_gateway_collected_rows.cpp
+++ b/tests/unit/test_gateway_collected_rows.cpp
@@ -76,7 +76,7 @@
                       { members[std::stoul(to)]->commits.collect(bytes, on_answer); });
     }
 
-    void recall(const std::string& to, const std::string& bytes, const recall_callback& on_rows)
+    void recall(const std::string& to, const std::string& bytes, const peer_callback& on_rows)
     {
         const auto answer = [this, to, bytes, on_rows]
         { on_rows(silent ? std::nullopt : members[std::stoul(to)]->shared.recall(bytes)); };
--- a/tests/unit/test_gateway_overdraft.cpp
+++ b/tests/unit/test_gateway_overdraft.cpp
@@ -8,6 +8,7 @@
 #include "masticcourse/gateway/partition.hpp"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -168,11 +169,17 @@
     REQUIRE(read);
     CHECK(read->step == message.step);
     CHECK(read->tokens == 7);
+    CHECK(decode_grant(encode_grant(286)) == 286);
+    CHECK_FALSE(decode_grant("286"));
     for (const auto* text :
-         {"", "[]", R"([3,"p","r",1])", R"([-1,"p","r",1])", R"([0,1,"r",1])", R"([0,"p","r","1"])"})
+         {"", "[]", R"([3,"p","r",1])", R"([-1,"p","r",1])", R"([0,1,"r",1])", R"([0,"p","r","1"])",
+          R"([0,"p","r",1.5])", R"([0,"p","r",true])", R"([0.5,"p","r",1])"})
     {
         CAPTURE(text);
         CHECK_FALSE(decode_overdraft(text));
+        std::string bytes;
+        nlohmann::json::to_cbor(nlohmann::json::array({nlohmann::json::parse(text, nullptr, false)}), bytes);
+        CHECK_FALSE(decode_overdraft(bytes));
     }
 }
 
