A target's start is a time of day, not a bare number under the wire's name

Behaviour is as before. The house rules ask for chrono types wherever a time stands and for our own names inside: born becomes started, a wall_time.

--- a/include/masticcourse/gateway/target_table.hpp
+++ b/include/masticcourse/gateway/target_table.hpp
@@ -22,8 +22,8 @@
 struct target_life
 {
     target_id id;
-    /// When it started, in milliseconds of Unix time; 0 if it does not say.
-    std::int64_t born = 0;
+    /// When it started; the epoch if it does not say.
+    wall_time started{};
 
     friend bool operator==(const target_life&, const target_life&) = default;
 };
@@ -32,8 +32,8 @@
 struct target_record
 {
     target_id id;
-    /// When this life of it started, in milliseconds of Unix time; 0 if it does not say.
-    std::int64_t born = 0;
+    /// When this life of it started; the epoch if it does not say.
+    wall_time started{};
     service_name service;
     /// "ip:port"
     std::string address;
@@ -47,7 +47,7 @@
 
     [[nodiscard]] target_life life() const
     {
-        return {id, born};
+        return {id, started};
     }
 
     friend bool operator==(const target_record&, const target_record&) = default;
--- a/include/masticcourse/gateway/time.hpp
+++ b/include/masticcourse/gateway/time.hpp
@@ -13,6 +13,8 @@
 using duration = core_duration;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+/// The time of day as other machines tell it. It may differ between them: only times of one machine compare.
+using wall_time = std::chrono::sys_time<milliseconds>;
 
 /// @return the monotonic time of this process
 [[nodiscard]] inline time_point monotonic_now()
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -276,12 +276,13 @@
     const auto& record = std::get<target_record>(decoded);
     if (targets.put(record))
     {
-        log_event(event_id::target_available, {{"target", record.id.value},
-                                               {"born", std::to_string(record.born)},
-                                               {"service", record.service.value},
-                                               {"address", record.address},
-                                               {"draining", record.draining ? "yes" : "no"},
-                                               {"row_version", std::to_string(row.version)}});
+        log_event(event_id::target_available,
+                  {{"target", record.id.value},
+                   {"started_ms", std::to_string(record.started.time_since_epoch().count())},
+                   {"service", record.service.value},
+                   {"address", record.address},
+                   {"draining", record.draining ? "yes" : "no"},
+                   {"row_version", std::to_string(row.version)}});
     }
     return true;
 }
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -40,12 +40,12 @@
 bool target_table::put(const target_record& record)
 {
     auto& row = m_targets[record.id];
-    if (record.born < row.record.born)
+    if (record.started < row.record.started)
     {
         return false;
     }
     const bool changed = row.record != record;
-    if (record.born > row.record.born)
+    if (record.started > row.record.started)
     {
         row = {};
     }
@@ -114,7 +114,7 @@
 target* target_table::find_life(const target_life& life)
 {
     const auto it = m_targets.find(life.id);
-    return it != m_targets.end() && it->second.record.born == life.born ? &it->second : nullptr;
+    return it != m_targets.end() && it->second.record.started == life.started ? &it->second : nullptr;
 }
 
 void target_table::begin(const target_life& life)
--- a/tests/unit/test_gateway_targets.cpp
+++ b/tests/unit/test_gateway_targets.cpp
@@ -112,7 +112,7 @@
 {
     auto table = make_table(1);
     auto reborn = make_record("t0");
-    reborn.born = 2;
+    reborn.started = wall_time{2ms};
     const target_life old_life{{"t0"}};
     table.begin(old_life);
     table.begin(old_life);
@@ -135,12 +135,12 @@
         late.draining = true;
         CHECK_FALSE(table.put(late));
         CHECK(ids(table) == std::vector<std::string>{"t0"});
-        CHECK(table.find({"t0"})->record.born == 2);
+        CHECK(table.find({"t0"})->record.started == wall_time{2ms});
     }
     SUBCASE("it vanished and its old life was about to be forgotten")
     {
         table.remove({"t0"}, start, 2s);
-        reborn.born = 3;
+        reborn.started = wall_time{3ms};
         table.put(reborn);
         CHECK(table.expire(start + 1h).empty());
     }
@@ -157,7 +157,7 @@
     table.put(make_record("t0"));
     CHECK(ids(table) == std::vector<std::string>{"t1"});
     auto reborn = make_record("t0");
-    reborn.born = 5;
+    reborn.started = wall_time{5ms};
     table.put(reborn);
     CHECK(ids(table) == std::vector<std::string>{"t0", "t1"});
 }
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -272,7 +272,7 @@
     const auto decoded = decode(good);
     const auto* const target = std::get_if<gateway::target_record>(&decoded);
     REQUIRE(target != nullptr);
-    CHECK(target->life() == gateway::target_life{{"i-1"}, 1'764'000'000'123});
+    CHECK(target->life() == gateway::target_life{{"i-1"}, gateway::wall_time{1'764'000'000'123ms}});
     CHECK(target->draining);
     CHECK(target->slots == 8);
     CHECK(target->warming == 250ms);
