--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -17,6 +17,21 @@
 namespace
 {
 
+/// Checks that the budget of the program "p" holds so many turns of 100 tokens more, and not one beyond them.
+void check_room_for(forwarding_world& world, const std::string& route, std::size_t turns, token_count budget)
+{
+    const auto sent = world.sent.size();
+    for (std::size_t n = 0; n < turns; ++n)
+    {
+        std::ignore = world.send(world.make_budgeted(route, "further-" + std::to_string(n), budget));
+        world.time.run(200ms);
+    }
+    CHECK(world.sent.size() == sent + turns);
+    const auto over = world.send(world.make_budgeted(route, "beyond", budget));
+    world.time.run(200ms);
+    CHECK(body_of(*over) == "over_budget");
+}
+
 constexpr int status_unavailable = 503;
 constexpr int status_bad_gateway = 502;
 
@@ -315,16 +330,8 @@
     world.last()->event("1");
     view->on_closed();
     world.time.run(1s);
-    // 420 less two events of ten tokens (the second may have been cut off) hold four turns of 100.
-    for (const auto* id : {"b", "c", "d", "e"})
-    {
-        std::ignore = world.send(world.make_turn(id, "", 420));
-        world.time.run(200ms);
-    }
-    CHECK(world.sent.size() == 5);
-    const auto over = world.send(world.make_turn("f", "", 420));
-    world.time.run(200ms);
-    CHECK(body_of(*over) == "over_budget");
+    // 420 less one event of ten tokens hold four turns of 100.
+    check_room_for(world, "turn", 4, 420);
 }
 
 TEST_CASE(
@@ -512,15 +519,8 @@
         second->end(200);
         CHECK(view->ended);
         world.time.run(1s);
-        for (const auto* id : {"b", "c", "d"})
-        {
-            std::ignore = world.send(world.make_budgeted("plan", id, 400));
-            world.time.run(200ms);
-        }
-        CHECK(world.sent.size() == 5);
-        const auto over = world.send(world.make_budgeted("plan", "e", 400));
-        world.time.run(200ms);
-        CHECK(body_of(*over) == "over_budget");
+        CHECK(world.sent.size() == 2);
+        check_room_for(world, "plan", 3, 400);
     }
 }
 
