--- a/include/masticcourse/gateway/overdraft.hpp
+++ b/include/masticcourse/gateway/overdraft.hpp
@@ -2,8 +2,8 @@
 /// Overdrafts as requests use them: asked of the gateway that may allow them, which may be this one.
 #pragma once
 
+#include "masticcourse/gateway/overdraft_buckets.hpp"
 #include "masticcourse/gateway/overdraft_ledger.hpp"
-#include "masticcourse/gateway/overdraft_seats.hpp"
 
 #include <functional>
 #include <optional>
@@ -44,12 +44,12 @@
 class overdraft
 {
   public:
-    overdraft(overdraft_seats& seats, peer_call call, clock_function clock)
-        : m_seats(seats), m_call(std::move(call)), m_clock(std::move(clock))
+    overdraft(overdraft_buckets& buckets, peer_call call, clock_function clock)
+        : m_buckets(buckets), m_call(std::move(call)), m_clock(std::move(clock))
     {
     }
 
-    /// Asks for an overdraft for a turn. Calls back once, at once if the seat is held here or by nobody.
+    /// Asks for an overdraft for a turn. Calls back once, at once if the bucket is held here or by nobody.
     void draw(const program_id& program, const request_id& request, token_count most, draw_callback on_grant);
 
     /// The turn has ended, and @a used tokens of it stay open: no row accounts for them yet, or they lie
@@ -63,10 +63,10 @@
     /// @return nothing if the message can't be read
     [[nodiscard]] std::optional<std::string> serve(const std::string& bytes);
 
-    /// Whether nothing is open here for the programs of a seat.
-    [[nodiscard]] bool idle(std::size_t seat) const
+    /// Whether nothing is open here for the programs of a bucket.
+    [[nodiscard]] bool idle(std::size_t bucket) const
     {
-        return m_ledger.empty(seat);
+        return m_ledger.empty(bucket);
     }
 
     /// Forgets programs that are long over.
@@ -79,7 +79,7 @@
     void tell(const overdraft_message& message, draw_callback on_grant);
     token_count apply(const overdraft_message& message);
 
-    overdraft_seats& m_seats;
+    overdraft_buckets& m_buckets;
     peer_call m_call;
     clock_function m_clock;
     overdraft_ledger m_ledger;
--- a/include/masticcourse/gateway/overdraft_seats.hpp
+++ b/include/masticcourse/gateway/overdraft_buckets.hpp
@@ -1,17 +1,18 @@
 /// @file
 /// Which gateway may allow a program an overdraft: one row of the store names, for each of a fixed number of
-/// seats, the life of the gateway that holds it. A program's seat follows from its id.
+/// buckets, the life of the gateway that holds it. A program's bucket follows from its id.
 ///
-/// - A seat is taken and given up under the row's version only, so no two lives hold one at a time, however
+/// - A bucket is taken and given up under the row's version only, so no two lives hold one at a time, however
 ///   long one of them slept or was cut off. There is no lease and no clock in it.
-/// - Whoever gives a seat up has nothing open for its programs. A life that died holding one may have had:
+/// - Whoever gives a bucket up has nothing open for its programs. A life that died holding one may have had:
 /// its
-///   seat stays its own until the next life on the same VM has run for so long that no program of then is
+///   bucket stays its own until the next life on the same VM has run for so long that no program of then is
 ///   left.
 #pragma once
 
 #include "masticcourse/gateway/commit_queue.hpp"
 #include "masticcourse/gateway/peer_directory.hpp"
+#include "masticcourse/gateway/row_fault_log.hpp"
 #include "masticcourse/gateway/row_store.hpp"
 
 #include <cstdint>
@@ -35,40 +36,40 @@
     friend bool operator==(const gateway_life&, const gateway_life&) = default;
 };
 
-/// How many seats there are: several for each gateway of a small site, so that they share the load evenly; on
-/// larger ones some gateways hold none.
-inline constexpr std::size_t overdraft_seat_count = 32;
+/// How many buckets there are: several for each gateway of a small site, so that they share the load evenly;
+/// on larger ones some gateways hold none.
+inline constexpr std::size_t overdraft_bucket_count = 32;
 
-[[nodiscard]] std::size_t overdraft_seat_of(std::string_view program);
+[[nodiscard]] std::size_t overdraft_bucket_of(std::string_view program);
 
 /// After that long without a turn no program is left: ten times what turns are kept for.
 inline constexpr seconds longest_program{600};
 
-/// The seats; nothing in one that is free.
-using seat_table = std::vector<std::optional<gateway_life>>;
+/// The buckets; nothing in one that is free.
+using bucket_table = std::vector<std::optional<gateway_life>>;
 
-[[nodiscard]] std::string encode_seats(const seat_table& seats);
+[[nodiscard]] std::string encode_buckets(const bucket_table& buckets);
 /// @return nothing if @a text is no such row
-[[nodiscard]] std::optional<seat_table> decode_seats(const std::string& text);
+[[nodiscard]] std::optional<bucket_table> decode_buckets(const std::string& text);
 
-class overdraft_seats
+class overdraft_buckets
 {
   public:
-    overdraft_seats(row_store& store, const peer_directory& peers, gateway_life self, delay_function delay,
-                    clock_function clock);
+    overdraft_buckets(row_store& store, const peer_directory& peers, gateway_life self, delay_function delay,
+                      clock_function clock);
 
     void start();
 
-    /// Takes no more seats, and gives up those held as soon as the store is there and @a idle says that
-    /// nothing is open for a seat. While the store is away they are used on: nobody else could take them.
+    /// Takes no more buckets, and gives up those held as soon as the store is there and @a idle says that
+    /// nothing is open for a bucket. While the store is away they are used on: nobody else could take them.
     void leave(std::function<bool(std::size_t)> idle);
 
-    /// @return whether the seat is this life's
-    [[nodiscard]] bool is_own(std::size_t seat) const;
-    /// @return whether this life holds the seat and may use it: it has not begun to give it up
-    [[nodiscard]] bool holds(std::size_t seat) const;
-    /// @return where the holder of a seat is reached, as far as it is known
-    [[nodiscard]] std::optional<std::string> holder_of(std::size_t seat) const;
+    /// @return whether the bucket is this life's
+    [[nodiscard]] bool is_own(std::size_t bucket) const;
+    /// @return whether this life holds the bucket and may use it: it has not begun to give it up
+    [[nodiscard]] bool holds(std::size_t bucket) const;
+    /// @return where the holder of a bucket is reached, as far as it is known
+    [[nodiscard]] std::optional<std::string> holder_of(std::size_t bucket) const;
     /// Whether this life is leaving and has given up all that it can.
     [[nodiscard]] bool may_go() const;
 
@@ -78,10 +79,10 @@
     void step_later(milliseconds pause);
     void adopt(const std::optional<stored_row>& row);
     /// @return the table as this life would have it, or nothing if that is how it is
-    [[nodiscard]] std::optional<seat_table> wish() const;
+    [[nodiscard]] std::optional<bucket_table> wish() const;
     [[nodiscard]] std::size_t fair_share() const;
     [[nodiscard]] bool may_take(const std::optional<gateway_life>& holder) const;
-    void write(const seat_table& next);
+    void write(const bucket_table& next);
 
     row_store& m_store;
     const peer_directory& m_peers;
@@ -89,12 +90,13 @@
     delay_function m_delay;
     clock_function m_clock;
     time_point m_started;
-    seat_table m_seats = seat_table(overdraft_seat_count);
+    bucket_table m_buckets = bucket_table(overdraft_bucket_count);
     row_version m_version = 0;
+    row_fault_log m_faults;
     /// Set once this life is leaving.
     std::function<bool(std::size_t)> m_idle;
-    /// Giving up has been asked of the store. It may be done at any time from then on, so no seat is used any
-    /// more, whatever the answer was.
+    /// Giving up has been asked of the store. It may be done at any time from then on, so no bucket is used
+    /// any more, whatever the answer was.
     bool m_gave_up = false;
     /// Numbers the steps planned; only the last one is taken.
     std::uint64_t m_planned = 0;
--- a/include/masticcourse/gateway/overdraft_ledger.hpp
+++ b/include/masticcourse/gateway/overdraft_ledger.hpp
@@ -34,8 +34,8 @@
     /// A row accounts for the turn.
     void clear(const program_id& program, const request_id& request);
 
-    /// @return whether nothing is open for the programs of a seat
-    [[nodiscard]] bool empty(std::size_t seat) const;
+    /// @return whether nothing is open for the programs of a bucket
+    [[nodiscard]] bool empty(std::size_t bucket) const;
 
     /// Forgets programs for which nothing was asked for so long that none of then is left.
     void forget(time_point now);
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -55,7 +55,7 @@
     store_back = 3202,
     store_relayed = 3203,
     registry_read = 3204,
-    overdraft_seats_changed = 3205,
+    overdraft_buckets_changed = 3205,
     peer_up = 4001,
     peer_lost = 4002,
     peer_silent = 4003,
@@ -179,7 +179,7 @@
     event_row{
         event_id::overdraft_drawn, "overdraft_drawn", event_severity::info,
         "A request asked to hand out tokens before its reservation is durable; `granted` of `most` may be.",
-        "None; 0 while the store is away means that the program's seat has no live holder, or that it "
+        "None; 0 while the store is away means that the program's bucket has no live holder, or that it "
         "has had its overdraft."},
     event_row{event_id::shard_claimed, "shard_claimed", event_severity::info,
               "This process took a shard; its epoch rose.", "None."},
@@ -213,8 +213,8 @@
         "The registry of targets was read whole: at the start, or because the store dropped its history.",
         "None."},
     event_row{
-        event_id::overdraft_seats_changed, "overdraft_seats_changed", event_severity::info,
-        "This gateway took seats, or gave them up: it allows overdrafts to the programs of those `held`.",
+        event_id::overdraft_buckets_changed, "overdraft_buckets_changed", event_severity::info,
+        "This gateway took buckets, or gave them up: it allows overdrafts to the programs of those `held`.",
         "None."},
     event_row{event_id::peer_up, "peer_up", event_severity::info, "A connection to a peer is up.", "None."},
     event_row{event_id::peer_lost, "peer_lost", event_severity::info, "A connection to a peer closed.",
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,10 +3,10 @@
 #include "peer_calls.hpp"
 
 #include "masticcourse/gateway/io_delay.hpp"
+#include "masticcourse/gateway/row_fault_log.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
-#include <map>
 #include <random>
 #include <utility>
 
@@ -51,8 +51,6 @@
     void take_targets(const std::vector<stored_row>& rows);
     /// @return whether the row names a target to use
     bool take_entry(const stored_row& row);
-    /// Logs a row that can't be read, once for each version of it.
-    void note_fault(const stored_row& row, const row_fault& fault);
     [[nodiscard]] milliseconds grace() const;
     [[nodiscard]] bool ready() const;
     void sweep();
@@ -76,7 +74,7 @@
     collected_rows shared_rows;
     program_spending spending;
     turn_store turns;
-    overdraft_seats seats;
+    overdraft_buckets buckets;
     overdraft overdrafts;
     forwarding_services services;
     table_follower config_rows;
@@ -86,8 +84,7 @@
     std::unique_ptr<http_server> metrics_server;
     std::function<void()> on_stopped;
     std::optional<time_point> stopping_since;
-    /// The versions of rows whose faults have been logged.
-    std::map<row_name, row_version> noted_faults;
+    row_fault_log faults;
     std::optional<time_point> last_sweep;
     bool was_ready = false;
     bool gone = false;
@@ -111,9 +108,9 @@
           monotonic_now),
       spending(shared_rows, commits, delay, monotonic_now),
       turns(shared_rows, commits, options.cache_bytes, options.row_bytes),
-      seats(store, peers, {options.peer_address, random_life()}, delay, monotonic_now),
+      buckets(store, peers, {options.peer_address, random_life()}, delay, monotonic_now),
       overdrafts(
-          seats,
+          buckets,
           [this](const auto& address, auto message, auto on_answer)
           { to_peers.overdraft(address, std::move(message), std::move(on_answer)); },
           monotonic_now),
@@ -162,7 +159,7 @@
     }
     config_rows.start();
     target_rows.start();
-    seats.start();
+    buckets.start();
     sweep_often();
 }
 
@@ -230,7 +227,7 @@
     if (const auto* const fault = std::get_if<row_fault>(&*decoded))
     {
         // The version in force stays.
-        note_fault(row, *fault);
+        faults.note(row.name, row.version, fault->why);
         return;
     }
     if (!config.adopt(std::get<gateway_config>(std::move(*decoded))))
@@ -268,11 +265,11 @@
     const auto decoded = decoders.decode_target(row);
     if (const auto* const fault = std::get_if<row_fault>(&decoded))
     {
-        note_fault(row, *fault);
+        faults.note(row.name, row.version, fault->why);
         targets.withdraw({row.name.key});
         return false;
     }
-    noted_faults.erase(row.name);
+    faults.forget(row.name);
     const auto& record = std::get<target_record>(decoded);
     if (targets.put(record))
     {
@@ -287,25 +284,6 @@
     return true;
 }
 
-void gateway::state::note_fault(const stored_row& row, const row_fault& fault)
-{
-    // Whoever writes such rows may write many: what is remembered of them is bounded.
-    constexpr std::size_t most_noted = 1'000;
-    auto& noted = noted_faults[row.name];
-    if (std::exchange(noted, row.version) == row.version)
-    {
-        return;
-    }
-    log_event(event_id::config_invalid, {{"table", row.name.table},
-                                         {"key", row.name.key},
-                                         {"row_version", std::to_string(row.version)},
-                                         {"why", fault.why}});
-    if (noted_faults.size() > most_noted)
-    {
-        noted_faults.clear();
-    }
-}
-
 void gateway::state::take_targets(const std::vector<stored_row>& rows)
 {
     std::vector<target_id> present;
@@ -348,7 +326,7 @@
     stopping_since = monotonic_now();
     sweep();
     frontend->announce_close();
-    seats.leave([this](std::size_t seat) { return overdrafts.idle(seat); });
+    buckets.leave([this](std::size_t bucket) { return overdrafts.idle(bucket); });
     check_stopped();
 }
 
@@ -362,8 +340,8 @@
         gone = true;
         frontend->stop_accepting();
     }
-    // Seats are given up while the store is there; without it nobody waits for that.
-    const bool gave_up = seats.may_go() || !store.reachable();
+    // Buckets are given up while the store is there; without it nobody waits for that.
+    const bool gave_up = buckets.may_go() || !store.reachable();
     const bool idle = frontend->open_exchanges() == 0 && commits.pending() == 0 && gave_up;
     // Idle connections get the server's grace after `stop_accepting` for requests on their way.
     const bool settled = waited >= turn_away_time + http_limits{}.stop_grace + sweep_period;
--- a/src/gateway/overdraft.cpp
+++ b/src/gateway/overdraft.cpp
@@ -31,9 +31,9 @@
             on_grant(granted);
         }
     };
-    const auto seat = overdraft_seat_of(message.program.value);
-    const auto holder = m_seats.holder_of(seat);
-    if (m_seats.is_own(seat) || !holder)
+    const auto bucket = overdraft_bucket_of(message.program.value);
+    const auto holder = m_buckets.holder_of(bucket);
+    if (m_buckets.is_own(bucket) || !holder)
     {
         report(apply(message));
         return;
@@ -53,7 +53,7 @@
         m_ledger.settle(message.program, message.request, message.tokens);
         return 0;
     }
-    return m_seats.holds(overdraft_seat_of(message.program.value))
+    return m_buckets.holds(overdraft_bucket_of(message.program.value))
                ? m_ledger.draw(message.program, message.request, message.tokens, m_clock())
                : 0;
 }
--- a/src/gateway/overdraft_seats.cpp
+++ b/src/gateway/overdraft_buckets.cpp
@@ -1,4 +1,4 @@
-#include "masticcourse/gateway/overdraft_seats.hpp"
+#include "masticcourse/gateway/overdraft_buckets.hpp"
 
 #include "masticcourse/telemetry/log.hpp"
 
@@ -13,15 +13,15 @@
 namespace
 {
 
-const std::string seat_table_name = "overdraft";
-const std::string seat_row_key = "seats";
+const std::string bucket_table_name = "overdraft";
+const std::string bucket_row_key = "buckets";
 
 /// Until the first look at the row.
 constexpr milliseconds first_look{300};
 /// Until the row is written if there is none: gateways that start together are then on each other's list,
-/// which is read every three seconds, and none takes the seats of all.
+/// which is read every three seconds, and none takes the buckets of all.
 constexpr milliseconds first_write{4'000};
-/// Between two looks: a seat that was given up is taken that much later. A call of a kilobyte.
+/// Between two looks: a bucket that was given up is taken that much later. A call of a kilobyte.
 constexpr milliseconds look_period{2'000};
 /// After a conflict, at most: gateways that start together write one after the other.
 constexpr milliseconds longest_backoff{150};
@@ -30,31 +30,31 @@
 
 } // namespace
 
-std::size_t overdraft_seat_of(std::string_view program)
+std::size_t overdraft_bucket_of(std::string_view program)
 {
-    // Seeded, so that seats and partitions of the store do not fall together.
+    // Seeded, so that buckets and partitions of the store do not fall together.
     constexpr std::uint64_t seed = 0x0d;
-    return XXH3_64bits_withSeed(program.data(), program.size(), seed) % overdraft_seat_count;
+    return XXH3_64bits_withSeed(program.data(), program.size(), seed) % overdraft_bucket_count;
 }
 
-std::string encode_seats(const seat_table& seats)
+std::string encode_buckets(const bucket_table& buckets)
 {
     nlohmann::json document = nlohmann::json::array();
-    for (const auto& it : seats)
+    for (const auto& it : buckets)
     {
         document.push_back(it ? nlohmann::json{it->address, it->life} : nlohmann::json{});
     }
     return document.dump();
 }
 
-std::optional<seat_table> decode_seats(const std::string& text)
+std::optional<bucket_table> decode_buckets(const std::string& text)
 {
     const auto document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_array() || document.size() != overdraft_seat_count)
+    if (!document.is_array() || document.size() != overdraft_bucket_count)
     {
         return std::nullopt;
     }
-    seat_table seats;
+    bucket_table buckets;
     for (const auto& it : document)
     {
         const bool held = it.is_array() && it.size() == 2 && it[0].is_string() && it[1].is_string();
@@ -62,52 +62,53 @@
         {
             return std::nullopt;
         }
-        seats.push_back(held ? std::optional{gateway_life{it[0].get<std::string>(), it[1].get<std::string>()}}
-                             : std::nullopt);
+        buckets.push_back(
+            held ? std::optional{gateway_life{it[0].get<std::string>(), it[1].get<std::string>()}}
+                 : std::nullopt);
     }
-    return seats;
+    return buckets;
 }
 
-overdraft_seats::overdraft_seats(row_store& store, const peer_directory& peers, gateway_life self,
-                                 delay_function delay, clock_function clock)
+overdraft_buckets::overdraft_buckets(row_store& store, const peer_directory& peers, gateway_life self,
+                                     delay_function delay, clock_function clock)
     : m_store(store), m_peers(peers), m_self(std::move(self)), m_delay(std::move(delay)),
       m_clock(std::move(clock)), m_started(m_clock())
 {
 }
 
-void overdraft_seats::start()
+void overdraft_buckets::start()
 {
     step_later(first_look);
 }
 
-void overdraft_seats::leave(std::function<bool(std::size_t)> idle)
+void overdraft_buckets::leave(std::function<bool(std::size_t)> idle)
 {
     m_idle = std::move(idle);
     step_later(milliseconds{0});
 }
 
-bool overdraft_seats::is_own(std::size_t seat) const
+bool overdraft_buckets::is_own(std::size_t bucket) const
 {
-    return m_seats[seat] == m_self;
+    return m_buckets[bucket] == m_self;
 }
 
-bool overdraft_seats::holds(std::size_t seat) const
+bool overdraft_buckets::holds(std::size_t bucket) const
 {
     const bool leaving = m_idle && m_store.reachable();
-    return is_own(seat) && !leaving && !m_gave_up;
+    return is_own(bucket) && !leaving && !m_gave_up;
 }
 
-std::optional<std::string> overdraft_seats::holder_of(std::size_t seat) const
+std::optional<std::string> overdraft_buckets::holder_of(std::size_t bucket) const
 {
-    return m_seats[seat] ? std::optional{m_seats[seat]->address} : std::nullopt;
+    return m_buckets[bucket] ? std::optional{m_buckets[bucket]->address} : std::nullopt;
 }
 
-bool overdraft_seats::may_go() const
+bool overdraft_buckets::may_go() const
 {
     return m_idle && wish() == std::nullopt;
 }
 
-void overdraft_seats::step_later(milliseconds pause)
+void overdraft_buckets::step_later(milliseconds pause)
 {
     m_delay(pause,
             [this, planned = ++m_planned]
@@ -119,7 +120,7 @@
             });
 }
 
-void overdraft_seats::step()
+void overdraft_buckets::step()
 {
     if (m_idle && !wish())
     {
@@ -127,7 +128,7 @@
         step_later(leaving_period);
         return;
     }
-    const row_query query{.table = seat_table_name};
+    const row_query query{.table = bucket_table_name};
     m_store.query(query,
                   [this](const query_reply& reply)
                   {
@@ -147,28 +148,26 @@
                   });
 }
 
-void overdraft_seats::adopt(const std::optional<stored_row>& row)
+void overdraft_buckets::adopt(const std::optional<stored_row>& row)
 {
-    const auto known = std::exchange(m_version, row ? row->version : 0);
-    const auto seats = row ? decode_seats(row->value) : std::optional{seat_table(overdraft_seat_count)};
-    if (!seats && known != m_version)
+    m_version = row ? row->version : 0;
+    const auto buckets =
+        row ? decode_buckets(row->value) : std::optional{bucket_table(overdraft_bucket_count)};
+    if (!buckets)
     {
-        log_event(event_id::config_invalid, {{"table", seat_table_name},
-                                             {"key", seat_row_key},
-                                             {"row_version", std::to_string(m_version)},
-                                             {"why", "no table of seats"}});
+        m_faults.note(row->name, row->version, "no table of buckets");
     }
-    // Of a row that can't be read nobody holds a seat, and nobody takes one.
-    m_seats = seats.value_or(seat_table(overdraft_seat_count, gateway_life{}));
+    // Of a row that can't be read nobody holds a bucket, and nobody takes one.
+    m_buckets = buckets.value_or(bucket_table(overdraft_bucket_count, gateway_life{}));
 }
 
-std::size_t overdraft_seats::fair_share() const
+std::size_t overdraft_buckets::fair_share() const
 {
     const auto gateways = m_peers.size() + 1;
-    return (overdraft_seat_count + gateways - 1) / gateways;
+    return (overdraft_bucket_count + gateways - 1) / gateways;
 }
 
-bool overdraft_seats::may_take(const std::optional<gateway_life>& holder) const
+bool overdraft_buckets::may_take(const std::optional<gateway_life>& holder) const
 {
     if (!holder)
     {
@@ -178,19 +177,19 @@
     return predecessor && m_clock() - m_started >= longest_program;
 }
 
-std::optional<seat_table> overdraft_seats::wish() const
+std::optional<bucket_table> overdraft_buckets::wish() const
 {
-    auto next = m_seats;
+    auto next = m_buckets;
     if (m_idle)
     {
-        for (std::size_t seat = 0; seat < next.size(); ++seat)
+        for (std::size_t bucket = 0; bucket < next.size(); ++bucket)
         {
-            if (is_own(seat) && m_idle(seat))
+            if (is_own(bucket) && m_idle(bucket))
             {
-                next[seat].reset();
+                next[bucket].reset();
             }
         }
-        return next != m_seats ? std::optional{next} : std::nullopt;
+        return next != m_buckets ? std::optional{next} : std::nullopt;
     }
     if (m_version == 0 && m_clock() - m_started < first_write)
     {
@@ -206,23 +205,23 @@
             ++held;
         }
     }
-    return next != m_seats ? std::optional{next} : std::nullopt;
+    return next != m_buckets ? std::optional{next} : std::nullopt;
 }
 
-void overdraft_seats::write(const seat_table& next)
+void overdraft_buckets::write(const bucket_table& next)
 {
     m_gave_up = m_idle != nullptr;
-    const row_transaction transaction{.conditions = {{{seat_table_name, seat_row_key}, m_version}},
-                                      .puts = {{{seat_table_name, seat_row_key}, encode_seats(next)}}};
+    const row_transaction transaction{.conditions = {{{bucket_table_name, bucket_row_key}, m_version}},
+                                      .puts = {{{bucket_table_name, bucket_row_key}, encode_buckets(next)}}};
     m_store.transact(transaction,
                      [this, next](const transaction_reply& reply)
                      {
                          if (reply.outcome == store_outcome::done)
                          {
-                             m_seats = next;
+                             m_buckets = next;
                              m_version = reply.version;
                              log_event(
-                                 event_id::overdraft_seats_changed,
+                                 event_id::overdraft_buckets_changed,
                                  {{"held", std::to_string(std::ranges::count(next, std::optional{m_self}))},
                                   {"leaving", m_idle ? "yes" : "no"},
                                   {"row_version", std::to_string(reply.version)}});
--- a/src/gateway/overdraft_ledger.cpp
+++ b/src/gateway/overdraft_ledger.cpp
@@ -1,6 +1,6 @@
 #include "masticcourse/gateway/overdraft_ledger.hpp"
 
-#include "masticcourse/gateway/overdraft_seats.hpp"
+#include "masticcourse/gateway/overdraft_buckets.hpp"
 
 #include <algorithm>
 #include <numeric>
@@ -77,10 +77,10 @@
     }
 }
 
-bool overdraft_ledger::empty(std::size_t seat) const
+bool overdraft_ledger::empty(std::size_t bucket) const
 {
-    return std::ranges::none_of(m_programs,
-                                [seat](const auto& it) { return overdraft_seat_of(it.first.value) == seat; });
+    return std::ranges::none_of(m_programs, [bucket](const auto& it)
+                                { return overdraft_bucket_of(it.first.value) == bucket; });
 }
 
 void overdraft_ledger::forget(time_point now)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,7 +24,7 @@
 # and rows of other writers. Those below stay as they were when they failed once.
 WIDE_SEEDS = 1000
 # Gateways share out the right to allow overdrafts within that time of their start.
-SEATS_S = 5.0
+BUCKETS_S = 5.0
 # A run that is not over by then hangs: programs under way at the end of the faults take half a minute at most.
 LONGEST_S = 75.0
 CONFIG = {"version": 2, "services": [{"name": "model", "engine": {"tokensPerEvent": 10}}, {"name": "desk2"}],
@@ -66,7 +66,7 @@
             await wire.put_row(fleet.store_port, "servers", it.name, it.entry("ready"))
         await wire.put_row(fleet.store_port, "op", "config", CONFIG)
         # All gateways hear of the configuration and the targets within a second.
-        await asyncio.sleep(SEATS_S if ledger.wide else 1.0)
+        await asyncio.sleep(BUCKETS_S if ledger.wide else 1.0)
         until = asyncio.get_running_loop().time() + FAULTS_S
         callers = [Caller(f"c{n}", fleet, ledger, seed) for n in range(CALLERS)]
         await asyncio.wait_for(asyncio.gather(faults.run(until), *(it.run(until) for it in callers)), LONGEST_S)
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -100,8 +100,8 @@
     gateway::program_spending spending{store, commits, time.delays(), time.clock()};
     gateway::turn_store turns{store, commits, 1'000'000, 10'000};
     gateway::peer_directory peers{{.address = "self"}};
-    gateway::overdraft_seats seats{store, peers, {"self", "1"}, time.delays(), time.clock()};
-    gateway::overdraft overdrafts{seats, nullptr, time.clock()};
+    gateway::overdraft_buckets buckets{store, peers, {"self", "1"}, time.delays(), time.clock()};
+    gateway::overdraft overdrafts{buckets, nullptr, time.clock()};
     gateway::target_table targets;
     plain_protocol protocol;
     std::vector<sent_ptr> sent;
--- a/tests/unit/test_gateway_loopback.cpp
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -32,15 +32,21 @@
 namespace
 {
 
-/// A port that was free a moment ago, below those that the system gives to outgoing connections: one of them
-/// took such a port before its gateway listened there.
+/// A port that was free a moment ago and is given to nobody else by this process, below those that the system
+/// gives to outgoing connections: one of them took such a port before its gateway listened there.
 std::string free_address(boost::asio::io_context& context)
 {
-    std::uniform_int_distribution<std::uint16_t> ports(20'000, 32'000);
-    std::random_device random;
+    constexpr std::uint16_t first = 20'000;
+    constexpr std::uint16_t end = 32'000;
+    static std::uint16_t next = []
+    {
+        std::random_device random;
+        return std::uniform_int_distribution<std::uint16_t>{first, end - 1}(random);
+    }();
     while (true)
     {
-        const boost::asio::ip::tcp::endpoint chosen{boost::asio::ip::address_v4::loopback(), ports(random)};
+        const boost::asio::ip::tcp::endpoint chosen{boost::asio::ip::address_v4::loopback(), next};
+        next = next + 1 < end ? static_cast<std::uint16_t>(next + 1) : first;
         boost::asio::ip::tcp::acceptor acceptor{context, chosen.protocol()};
         boost::system::error_code ec;
         acceptor.bind(chosen, ec);
--- a/tests/unit/test_gateway_overdraft.cpp
+++ b/tests/unit/test_gateway_overdraft.cpp
@@ -36,19 +36,19 @@
     {
         member(gateway_group& group, const std::string& address, const std::string& life)
             : store(group.rows, group.time.delays()), peers({.address = address}),
-              seats(store, peers, {address, life}, group.time.delays(), group.time.clock()),
+              buckets(store, peers, {address, life}, group.time.delays(), group.time.clock()),
               overdrafts(
-                  seats,
+                  buckets,
                   [&group](const auto& to, auto message, auto on_answer)
                   { group.call(to, message, on_answer); },
                   group.time.clock())
         {
-            seats.start();
+            buckets.start();
         }
 
         memory_store store;
         peer_directory peers;
-        overdraft_seats seats;
+        overdraft_buckets buckets;
         overdraft overdrafts;
     };
 
@@ -97,12 +97,12 @@
         return granted;
     }
 
-    [[nodiscard]] std::vector<std::string> holders(std::size_t seat) const
+    [[nodiscard]] std::vector<std::string> holders(std::size_t bucket) const
     {
         std::vector<std::string> found;
         for (const auto& [address, it] : members)
         {
-            if (it->seats.holds(seat))
+            if (it->buckets.holds(bucket))
             {
                 found.push_back(address);
             }
@@ -147,22 +147,22 @@
     ledger.clear({"p"}, {"d"});
     ledger.clear({"p"}, {"e"});
     ledger.clear({"q"}, {"c"});
-    CHECK(ledger.empty(overdraft_seat_of("p")));
+    CHECK(ledger.empty(overdraft_bucket_of("p")));
     // What ends twice, or was never drawn, changes nothing.
     ledger.settle({"p"}, {"a"}, 30);
     ledger.clear({"p"}, {"a"});
-    CHECK(ledger.empty(overdraft_seat_of("p")));
+    CHECK(ledger.empty(overdraft_bucket_of("p")));
     CHECK(ledger.draw({"p"}, {"a"}, 0, now) == 0);
 }
 
-TEST_CASE("the row of seats there and back, and nothing that is none")
+TEST_CASE("the row of buckets there and back, and nothing that is none")
 {
-    seat_table seats(overdraft_seat_count);
-    seats[3] = gateway_life{"10.0.0.1:7380", "17"};
-    CHECK(decode_seats(encode_seats(seats)) == seats);
+    bucket_table buckets(overdraft_bucket_count);
+    buckets[3] = gateway_life{"10.0.0.1:7380", "17"};
+    CHECK(decode_buckets(encode_buckets(buckets)) == buckets);
     for (const auto* text : {"", "[]", "{}", "[1]", "null"})
     {
-        CHECK_FALSE(decode_seats(text));
+        CHECK_FALSE(decode_buckets(text));
     }
     const overdraft_message message{overdraft_step::settle, {"p"}, {"r"}, 7};
     const auto read = decode_overdraft(encode(message));
@@ -183,22 +183,22 @@
     }
 }
 
-TEST_CASE("seats are shared out among the gateways, each held by one")
+TEST_CASE("buckets are shared out among the gateways, each held by one")
 {
     for (const std::size_t count : {1U, 7U, 34U})
     {
         CAPTURE(count);
         const gateway_group group(count);
         std::map<std::string, std::size_t> held;
-        for (std::size_t seat = 0; seat < overdraft_seat_count; ++seat)
+        for (std::size_t bucket = 0; bucket < overdraft_bucket_count; ++bucket)
         {
-            const auto holders = group.holders(seat);
+            const auto holders = group.holders(bucket);
             REQUIRE(holders.size() == 1);
             ++held[holders.front()];
         }
         const auto most =
             std::ranges::max_element(held, {}, [](const auto& it) { return it.second; })->second;
-        CHECK(most <= (overdraft_seat_count + count - 1) / count);
+        CHECK(most <= (overdraft_bucket_count + count - 1) / count);
     }
 }
 
@@ -214,56 +214,56 @@
     CHECK(group.draw("g3", "p", "c") == 75);
     SUBCASE("a holder that does not answer allows nothing")
     {
-        const auto holder = group.holders(overdraft_seat_of("q")).front();
+        const auto holder = group.holders(overdraft_bucket_of("q")).front();
         group.cut.insert(holder);
         CHECK(group.draw(holder == "g0" ? "g1" : "g0", "q", "d") == 0);
         CHECK(group.draw(holder, "q", "d") == 100);
     }
 }
 
-TEST_CASE("a life that died holding a seat leaves it to nobody, until no program of then can be left")
+TEST_CASE("a life that died holding a bucket leaves it to nobody, until no program of then can be left")
 {
     gateway_group group(3);
-    const auto seat = overdraft_seat_of("p");
-    const auto holder = group.holders(seat).front();
+    const auto bucket = overdraft_bucket_of("p");
+    const auto holder = group.holders(bucket).front();
     CHECK(group.draw(holder, "p", "a") == 100);
     group.start(holder);
     group.time.run(60s);
-    CHECK(group.holders(seat).empty());
+    CHECK(group.holders(bucket).empty());
     for (const auto* at : {"g0", "g1", "g2"})
     {
         CHECK(group.draw(at, "p", "b") == 0);
     }
     group.time.run(600s);
-    CHECK(group.holders(seat) == std::vector{holder});
+    CHECK(group.holders(bucket) == std::vector{holder});
 }
 
-TEST_CASE("a gateway that leaves gives its seats up once nothing is open, and others take them")
+TEST_CASE("a gateway that leaves gives its buckets up once nothing is open, and others take them")
 {
     gateway_group group(3);
-    const auto seat = overdraft_seat_of("p");
-    const auto holder = group.holders(seat).front();
+    const auto bucket = overdraft_bucket_of("p");
+    const auto holder = group.holders(bucket).front();
     auto& leaving = *group.members.at(holder);
     CHECK(group.draw(holder, "p", "a") == 100);
-    leaving.seats.leave([&leaving](std::size_t it) { return leaving.overdrafts.idle(it); });
+    leaving.buckets.leave([&leaving](std::size_t it) { return leaving.overdrafts.idle(it); });
     group.time.run(1s);
-    CHECK(leaving.seats.is_own(seat));
-    CHECK(group.holders(seat).empty());
+    CHECK(leaving.buckets.is_own(bucket));
+    CHECK(group.holders(bucket).empty());
     CHECK(group.draw(holder, "p", "c") == 0);
     leaving.overdrafts.clear({"p"}, {"a"});
     group.time.run(1s);
-    CHECK_FALSE(leaving.seats.is_own(seat));
-    CHECK(leaving.seats.may_go());
+    CHECK_FALSE(leaving.buckets.is_own(bucket));
+    CHECK(leaving.buckets.may_go());
     group.stop(holder);
     group.time.run(10s);
-    CHECK(group.holders(seat).size() == 1);
-    CHECK(group.draw(group.holders(seat).front(), "p", "d") == 100);
+    CHECK(group.holders(bucket).size() == 1);
+    CHECK(group.draw(group.holders(bucket).front(), "p", "d") == 100);
 }
 
-TEST_CASE("nobody holds a seat of a row that can't be read, and nobody overwrites it")
+TEST_CASE("nobody holds a bucket of a row that can't be read, and nobody overwrites it")
 {
     gateway_group group(1);
-    const auto broken = group.rows.apply({.puts = {{{"overdraft", "seats"}, "another writer's"}}});
+    const auto broken = group.rows.apply({.puts = {{{"overdraft", "buckets"}, "another writer's"}}});
     group.time.run(30s);
     CHECK(group.holders(0).empty());
     CHECK(group.rows.read({.table = "overdraft"}).rows.front().version == broken.version);
@@ -325,9 +325,9 @@
                 const auto sum = std::accumulate(its.begin(), its.end(), token_count{0},
                                                  [](token_count n, const auto& it) { return n + it.second; });
                 RC_ASSERT(sum <= most);
-                for (std::size_t seat = 0; seat < overdraft_seat_count; ++seat)
+                for (std::size_t bucket = 0; bucket < overdraft_bucket_count; ++bucket)
                 {
-                    RC_ASSERT(group.holders(seat).size() <= 1);
+                    RC_ASSERT(group.holders(bucket).size() <= 1);
                 }
             }
         }));
@@ -336,7 +336,7 @@
 TEST_CASE("while the store is away a stream whose turns are not kept goes through on its program's overdraft")
 {
     forwarding_world world;
-    world.seats.start();
+    world.buckets.start();
     world.time.run(5s);
     world.store.says_reachable = false;
     world.store.mode = store_mode::refusing;
@@ -367,7 +367,7 @@
         world.last()->end(200);
         world.time.run(1s);
         CHECK(next->ended);
-        CHECK(world.overdrafts.idle(overdraft_seat_of("p")));
+        CHECK(world.overdrafts.idle(overdraft_bucket_of("p")));
         // 20 + 90 of 250 tokens are charged: one more turn of 100 fits, not two.
         std::ignore = world.send(world.make_budgeted("plan", "c", 250));
         world.time.run(200ms);
@@ -397,7 +397,7 @@
 TEST_CASE("a store that is merely slow to answer is not waited for either")
 {
     forwarding_world world;
-    world.seats.start();
+    world.buckets.start();
     world.time.run(5s);
     world.store.mode = store_mode::silent;
     const auto view = world.send(world.make_budgeted("stream", "a"));
@@ -412,7 +412,7 @@
           "no more")
 {
     forwarding_world world;
-    world.seats.start();
+    world.buckets.start();
     world.time.run(5s);
     const auto play = [&world](const std::string& id)
     {
@@ -435,11 +435,11 @@
     world.store.says_reachable = false;
     world.store.mode = store_mode::refusing;
     CHECK(play("b") == "(no answer)");
-    CHECK_FALSE(world.overdrafts.idle(overdraft_seat_of("p")));
+    CHECK_FALSE(world.overdrafts.idle(overdraft_bucket_of("p")));
     world.store.says_reachable = true;
     world.store.mode = store_mode::good;
     world.time.run(2s);
-    CHECK(world.overdrafts.idle(overdraft_seat_of("p")));
+    CHECK(world.overdrafts.idle(overdraft_bucket_of("p")));
     CHECK(play("c") == "over_budget");
     const auto row = decode_spending(
         world.rows.read({.table = "spending", .partition = partition_of("p")}).rows.front().value);
@@ -452,12 +452,12 @@
     "a gateway that leaves goes on allowing overdrafts while the store is away, and stops for good then")
 {
     gateway_group group(2);
-    const auto seat = overdraft_seat_of("p");
-    const auto holder = group.holders(seat).front();
+    const auto bucket = overdraft_bucket_of("p");
+    const auto holder = group.holders(bucket).front();
     auto& leaving = *group.members.at(holder);
     leaving.store.says_reachable = false;
     leaving.store.mode = store_mode::refusing;
-    leaving.seats.leave([&leaving](std::size_t it) { return leaving.overdrafts.idle(it); });
+    leaving.buckets.leave([&leaving](std::size_t it) { return leaving.overdrafts.idle(it); });
     group.time.run(1s);
     CHECK(group.draw(holder, "p", "a") == 100);
     leaving.overdrafts.clear({"p"}, {"a"});
@@ -476,7 +476,7 @@
     // Found by a day with two outages and a slow store: a program got 1,287 tokens on a budget of 858, with
     // 286 for one turn.
     forwarding_world world;
-    world.seats.start();
+    world.buckets.start();
     world.time.run(5s);
     token_count handed = 0;
     for (int n = 0; n < 12; ++n)
