--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,8 @@
 
 # Longer than the pause in which a gateway looks for the store, shorter than a caller's patience in all.
 LONGEST_S = 4.0
+# What another writer makes of an entry.
+FOREIGN = [{"state": "gone"}, {"slots": "8"}, {"service": 7}, {"address": None}, {"born": "yesterday"}, {"sequence": {}}]
 SPOILS = [Mode.DELAY, Mode.SILENT, Mode.UP_LOST, Mode.DOWN_LOST, Mode.RESET]
 
 
@@ -63,6 +65,22 @@
         await asyncio.sleep(span)
         target.lose_answers = 0.0
 
+    async def start_target_again(self):
+        """A target crashes and starts again under its name."""
+        target = self.random.choice(self.targets)
+        target.start_again()
+        await asyncio.sleep(self.random.uniform(0.0, 1.0))
+        await wire.put_row(self.fleet.store_port, "servers", target.name, target.entry("ready"))
+
+    async def write_foreign_row(self):
+        """Another writer's row stands where a target's stood, or beside them."""
+        target, span = self.random.choice(self.targets), self.span()
+        name = self.random.choice([target.name, "another"])
+        entry = target.entry("ready") | self.random.choice(FOREIGN)
+        await wire.put_row(self.fleet.store_port, "servers", name, entry)
+        await asyncio.sleep(span)
+        await wire.put_row(self.fleet.store_port, "servers", target.name, target.entry("ready"))
+
     async def stop_gateway(self):
         """Planned: told to stop, it ends by itself, and is started again."""
         gateway = self.random.choice(self.fleet.gateways)
@@ -90,6 +108,8 @@
         planned = [self.stop_gateway, self.reload_gateway, self.drain_target]
         unplanned = [self.cut_store, self.cut_target, self.pause_store, self.pause_gateway, self.kill_gateways,
                      self.lose_answers]
+        if self.ledger.wide:
+            unplanned += [self.start_target_again, self.write_foreign_row]
         kinds = planned if self.ledger.planned_only else planned[:2] + unplanned
         loop = asyncio.get_running_loop()
         start = loop.time()
--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -593,3 +593,25 @@
     }
     CHECK(body_of(*refused) == "no_target");
 }
+
+TEST_CASE("streams of one program go to one target, where its prompt is cached, whether its turns are kept or not")
+{
+    for (const auto* route : {"stream", "turn", "plan"})
+    {
+        CAPTURE(route);
+        forwarding_world world;
+        std::set<std::string> targets;
+        for (int n = 0; n < 8; ++n)
+        {
+            const auto view = world.send(world.make_budgeted(route, "r" + std::to_string(n), 10'000));
+            world.time.run(50ms);
+            targets.insert(world.last()->request.address);
+            world.last()->begin(200);
+            world.last()->event(1, "x");
+            world.last()->end(200);
+            world.time.run(50ms);
+            CHECK(view->ended);
+        }
+        CHECK(targets.size() == 1);
+    }
+}
--- /dev/null
+++ b/tools/ablation.py
@@ -0,0 +1,91 @@
+#!/usr/bin/env python3
+"""Plays deployments with one mechanism of the gateway switched off at a time, in a scratch copy of the tree.
+
+Usage: tools/ablation.py BENCH COPY OUT SITE... [--only NAME ...]
+
+Each switch is a replacement in one source file that takes the mechanism out and leaves everything else; one that no
+longer fits its file ends the run, so that the table never shows a switch that did nothing. The figures are trials.
+"""
+
+import argparse
+import pathlib
+import re
+import subprocess
+import sys
+
+FORWARD = "src/gateway/forwarded_request"
+SWITCHES = {
+    "nothing": [],
+    "overdrafts": [(f"{FORWARD}_overdraft.cpp", "if (is_kept() || m_reservation",
+                    "if (true || is_kept() || m_reservation"),
+                   (f"{FORWARD}.cpp", "m_reserve_first && is_kept() &&", "m_reserve_first &&")],
+    "affinity": [(f"{FORWARD}_attempts.cpp", "if (m_request.program && streams())", "if (false)")],
+    "affinity where nothing is kept": [(f"{FORWARD}_attempts.cpp", "if (m_request.program && streams())",
+                                        "if (m_request.program && is_kept())")],
+    "slack of affinity": [("src/gateway/target_choice.cpp", "affinity_slack = 0.5", "affinity_slack = 50")],
+    "collectors": [("src/gateway/commit_router.cpp",
+                    "const auto collector = m_peers.collector_of(partition, m_clock());",
+                    "const std::optional<std::string> collector;")],
+    "reads from collectors": [("src/gateway/collected_rows.cpp", "if (!query.memory_will_do)", "if (true)")],
+    "relay through peers": [("platform/row_store_client.cpp",
+                             "it->peers = m_peers.choose(most_peers, monotonic_now());", "it->peers.clear();")],
+    "waiting through outages": [(f"{FORWARD}.cpp", "m_reserve_first && is_kept() &&", "is_kept() &&")],
+    "avoidance after failures": [("src/gateway/target_choice.cpp",
+                                  "return it->avoided_until > now;", "return it->avoided_until > now + seconds{60};")],
+    "first write without a read": [("src/gateway/program_spending.cpp",
+                                    "entry.version == 0 && request.first", "false && request.first")],
+    "wait of settlements": [("src/gateway/program_spending.cpp", "settlement_wait{300}", "settlement_wait{1}")],
+    "sending before the reservation": [("src/gateway/program_spending.cpp", "ample_turns = 3;", "ample_turns = 1'000;")],
+    "resuming of streams": [("include/masticcourse/gateway/route_table.hpp",
+                             "(kind == request_kind::stream && resumable)", "(false && resumable)")],
+    "repeated store calls": [("platform/row_store_client.cpp", "most_repetitions = 3;", "most_repetitions = 0;")],
+}
+
+
+def apply(copy, replacements):
+    for path, old, new in replacements:
+        file = copy / path
+        text = file.read_text()
+        if old not in text:
+            sys.exit(f"{path} does not hold {old!r}")
+        file.write_text(text.replace(old, new))
+
+
+def restore(tree, copy, replacements):
+    for path, _, _ in replacements:
+        (copy / path).write_text((tree / path).read_text())
+
+
+def play(bench, copy, site, name):
+    done = subprocess.run([bench, "score", site, "--jobs", "4", "--why", f"trial: ablation, without {name}"],
+                          cwd=copy, capture_output=True, text=True, check=False)
+    rows = re.findall(r"^(quiet|trouble|scale)(-\d) +\S+ +\S+ +(-?[\d.]+)", done.stdout, re.M)
+    gate = "passed" if "GATE passed" in done.stdout else "failed"
+    broken = sorted(set(re.findall(r"BROKEN: (\w+)", done.stdout)))
+    return {kind + number: float(worth) for kind, number, worth in rows}, " ".join([gate, *broken])
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("bench")
+    parser.add_argument("copy", type=pathlib.Path)
+    parser.add_argument("out", type=pathlib.Path)
+    parser.add_argument("sites", nargs="+")
+    parser.add_argument("--only", nargs="+", default=list(SWITCHES))
+    given = parser.parse_args()
+    tree = pathlib.Path(__file__).resolve().parent.parent
+    for name in given.only:
+        restore(tree, given.copy, SWITCHES[name])
+        apply(given.copy, SWITCHES[name])
+        for site in given.sites:
+            worth, gate = play(given.bench, given.copy, site, name)
+            troubled = [value for day, value in worth.items() if not day.startswith("quiet")]
+            mean = sum(troubled) / len(troubled) if troubled else float("nan")
+            with given.out.open("a") as out:
+                days = " | ".join(f"{worth[day]:.3f}" for day in worth)
+                print(f"| {name} | {pathlib.Path(site).stem} | {days} | {mean:.3f} | {gate} |", file=out, flush=True)
+        restore(tree, given.copy, SWITCHES[name])
+
+
+if __name__ == "__main__":
+    main()
