What a collector did not take goes to the next in rank, not to the partition

Cause: a collector that lacks the store refuses commits, and each sender then wrote them by itself. Silent collectors had the same effect. Ruled out: engines (done after 0.2 s), the relay through peers (a gateway cut off passes calls on well), the store's own rate. Change: commits go to the next in rank; a gateway cut off takes none and says since when; a silent one is tried with one message; after two silences a change is written by its own gateway; without any way to the store changes are kept and nothing is sent.

--- a/include/masticcourse/gateway/collected_rows.hpp
+++ b/include/masticcourse/gateway/collected_rows.hpp
@@ -44,6 +44,7 @@
     void follow(const std::string& table, row_version version, milliseconds wait,
                 feed_callback on_reply) override;
     [[nodiscard]] bool reachable() const override;
+    [[nodiscard]] std::optional<duration> cut_off_for() const override;
     [[nodiscard]] duration steady_for() const override;
 
     /// Answers a peer's query from the own memory.
--- a/include/masticcourse/gateway/commit_router.hpp
+++ b/include/masticcourse/gateway/commit_router.hpp
@@ -5,6 +5,10 @@
 /// Load pattern: forty gateways that end 450 turns a second. Each by itself, hardly two changes ever share a
 /// transaction, and a thousand transactions a second fill the store's partitions and its rate: a quiet day
 /// served half of its programs. Through collectors the same changes take a few hundred.
+///
+/// The same holds while collectors fail: what one did not write goes to the next in rank, so that the number
+/// of writers a partition does not grow with the number of gateways that lost their collector. Only a change
+/// that several collectors left without an answer is written by its own gateway.
 #pragma once
 
 #include "masticcourse/gateway/commit_queue.hpp"
@@ -43,7 +47,7 @@
 {
     /// The changes were taken; their results are known.
     collected,
-    /// The collector can't reach the store: it took nothing.
+    /// The collector can't reach the store itself: it took nothing.
     lacks_store,
     /// No answer, or none that can be read: what was done is not known.
     no_answer,
@@ -55,6 +59,8 @@
     collector_outcome outcome = collector_outcome::no_answer;
     /// Encoded results; empty unless collected.
     std::string results;
+    /// How long the collector has lacked the store.
+    milliseconds lacked_for{};
 };
 
 using collector_callback = std::function<void(const collector_answer&)>;
@@ -82,6 +88,8 @@
     {
         routed_change change;
         change_callback on_result;
+        /// Collectors that it was sent to and that did not answer.
+        int silences = 0;
     };
     using item_list = std::vector<item>;
     struct outbox
@@ -90,13 +98,19 @@
         int under_way = 0;
     };
 
+    /// Sends a change to its collector, or writes it if that is this gateway.
+    void route(item it);
     void send(const std::string& collector);
+    /// Keeps a change until this gateway reaches the store again.
+    void hold(item it);
+    void release_later();
+    void release_held();
     /// Finds another way for what waits for a collector that does not answer.
     void reroute(const std::string& collector);
     void on_answer(const std::string& collector, item_list sent, const collector_answer& answer);
     void on_results(item_list sent, const std::vector<change_result>& results);
-    /// The collector did not do its work; @a outcome says why.
-    void on_failure(const std::string& collector, item_list sent, collector_outcome outcome);
+    /// The collector did not do its work; @a answer says why.
+    void on_failure(const std::string& collector, item_list sent, const collector_answer& answer);
     void send_again(item it);
 
     commit_sink& m_own;
@@ -106,6 +120,9 @@
     delay_function m_delay;
     clock_function m_clock;
     std::unordered_map<std::string, outbox> m_outboxes;
+    /// What waits for the store; in the order in which it came.
+    item_list m_held;
+    bool m_release_planned = false;
     std::size_t m_forwarded = 0;
 };
 
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -43,13 +43,17 @@
         return m_others.size();
     }
 
+    /// @param preferred comes first if it is among them
     /// @return other gateways that answered when last asked, in random order, at most @a most
-    [[nodiscard]] std::vector<std::string> choose(std::size_t most, time_point now);
+    [[nodiscard]] std::vector<std::string> choose(std::size_t most, time_point now,
+                                                  std::string_view preferred = {});
 
     /// Every gateway that knows the same peers names the same one, by weighted rendezvous hashing. They need
     /// not agree: two that write one partition cost a conflict, not more.
+    /// @param self_lacks_store this gateway can't reach the store itself: it collects only if nobody else does
     /// @return the gateway that collects the commits of @a partition, or nothing if it is this one
-    [[nodiscard]] std::optional<std::string> collector_of(std::string_view partition, time_point now) const;
+    [[nodiscard]] std::optional<std::string> collector_of(std::string_view partition, time_point now,
+                                                          bool self_lacks_store = false) const;
 
     /// The same, whether it reaches the store or not: it remembers what it has written.
     [[nodiscard]] std::optional<std::string> last_collector_of(std::string_view partition,
@@ -58,8 +62,13 @@
     void answered(const std::string& address);
     /// It did not answer: it is left out for a while, longer with each failure in a row.
     void failed(const std::string& address, time_point now);
-    /// It answered that it can't reach the store itself: it is left out for a short while, always the same.
-    void lacks_store(const std::string& address, time_point now);
+    /// It is being asked after a pause: until it answers, it is left out for others.
+    void on_trial(const std::string& address, time_point now);
+    /// It answered that it can't reach the store itself: it is left out for a short while, longer if it has
+    /// lacked the store for long.
+    void lacks_store(const std::string& address, time_point now, duration lacked_for = {});
+    /// The store is back for this gateway, and probably for those that lacked it too.
+    void forget_storeless();
 
   private:
     struct avoidance
@@ -75,7 +84,8 @@
     /// Whether it did not answer lately, or lacked the store.
     [[nodiscard]] bool avoided(const std::string& address, time_point now) const;
     template <typename Avoided>
-    [[nodiscard]] std::optional<std::string> best_for(std::string_view partition, Avoided is_avoided) const;
+    [[nodiscard]] std::optional<std::string> best_for(std::string_view partition, Avoided is_avoided,
+                                                      bool self_avoided) const;
 
     peer m_self;
     std::vector<peer> m_others;
--- a/include/masticcourse/gateway/row_store.hpp
+++ b/include/masticcourse/gateway/row_store.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -143,6 +144,9 @@
     /// @return whether calls are answered at present, directly or through a peer
     [[nodiscard]] virtual bool reachable() const = 0;
 
+    /// @return how long calls have had to go through peers; nothing while they go directly
+    [[nodiscard]] virtual std::optional<duration> cut_off_for() const = 0;
+
     /// @return how long all calls have been answered without fail; how far a missing row may be believed
     [[nodiscard]] virtual duration steady_for() const = 0;
 };
--- a/include/masticcourse/gateway/store_path.hpp
+++ b/include/masticcourse/gateway/store_path.hpp
@@ -37,9 +37,12 @@
     /// @return whether calls go directly at present
     [[nodiscard]] bool direct() const
     {
-        return !m_cut_off;
+        return !m_cut_off_since;
     }
 
+    /// @return how long calls have not gone directly; nothing while they do
+    [[nodiscard]] std::optional<duration> cut_off_for(time_point now) const;
+
     /// @return how long a direct call may take: several times what calls took of late
     [[nodiscard]] milliseconds call_limit() const
     {
@@ -79,7 +82,7 @@
   private:
     void fail(time_point now);
 
-    bool m_cut_off = false;
+    std::optional<time_point> m_cut_off_since;
     bool m_no_way = false;
     bool m_probe_wanted = false;
     std::uint32_t m_rate_limited = 0;
--- a/src/gateway/collected_rows.cpp
+++ b/src/gateway/collected_rows.cpp
@@ -23,7 +23,10 @@
         m_store.query(query, std::move(on_reply));
         return;
     }
-    const auto collector = m_peers.last_collector_of(query.partition, m_clock());
+    // Without the store there are no newer rows than those that the last collector remembers.
+    const auto now = m_clock();
+    const auto collector = m_store.reachable() ? m_peers.collector_of(query.partition, now)
+                                               : m_peers.last_collector_of(query.partition, now);
     if (!collector)
     {
         answer(query, remembered(query), std::move(on_reply));
@@ -61,6 +64,11 @@
     return m_store.reachable();
 }
 
+std::optional<duration> collected_rows::cut_off_for() const
+{
+    return m_store.cut_off_for();
+}
+
 duration collected_rows::steady_for() const
 {
     return m_store.steady_for();
--- a/src/gateway/commit_router.cpp
+++ b/src/gateway/commit_router.cpp
@@ -19,8 +19,11 @@
 
 /// Within this time a collector answers: several transactions' time, well under what a sender waits for it.
 constexpr milliseconds answer_within{400};
-/// Until what the collector could not write yet is sent to it again.
+/// Until what could not be written yet is tried again.
 constexpr milliseconds again_after{25};
+/// After that many collectors without an answer, a change is written by its own gateway: perhaps it is the
+/// one that the others don't reach.
+constexpr int most_silences = 2;
 
 /// The results of one message's changes as they come in.
 struct collection
@@ -49,22 +52,74 @@
 
 std::size_t commit_router::pending() const
 {
-    return m_forwarded + m_own.pending();
+    return m_forwarded + m_held.size() + m_own.pending();
 }
 
 void commit_router::submit(const std::string& partition, row_change change, change_callback on_result)
 {
-    const auto collector = m_peers.collector_of(partition, m_clock());
+    route({{partition, std::move(change)}, std::move(on_result)});
+}
+
+void commit_router::route(item it)
+{
+    if (!m_held.empty() && !m_store.reachable())
+    {
+        hold(std::move(it));
+        return;
+    }
+    const bool lacks_store = m_store.cut_off_for().has_value();
+    const auto collector = it.silences < most_silences
+                               ? m_peers.collector_of(it.change.partition, m_clock(), lacks_store)
+                               : std::nullopt;
     if (!collector)
     {
-        m_own.submit(partition, std::move(change), std::move(on_result));
+        m_own.submit(it.change.partition, std::move(it.change.change), std::move(it.on_result));
         return;
     }
     ++m_forwarded;
-    m_outboxes[*collector].waiting.push_back({{partition, std::move(change)}, std::move(on_result)});
+    m_outboxes[*collector].waiting.push_back(std::move(it));
     send(*collector);
 }
 
+void commit_router::hold(item it)
+{
+    m_held.push_back(std::move(it));
+    release_later();
+}
+
+void commit_router::release_later()
+{
+    if (!std::exchange(m_release_planned, true))
+    {
+        m_delay(again_after, [this] { release_held(); });
+    }
+}
+
+void commit_router::release_held()
+{
+    m_release_planned = false;
+    const auto now = m_clock();
+    const auto expired =
+        std::ranges::stable_partition(m_held, [now](const item& it) { return it.change.change.expires > now; });
+    item_list over{std::make_move_iterator(expired.begin()), std::make_move_iterator(expired.end())};
+    m_held.erase(expired.begin(), expired.end());
+    std::ranges::for_each(over, [](item& it) { it.on_result({}); });
+    if (m_held.empty())
+    {
+        return;
+    }
+    if (!m_store.reachable())
+    {
+        release_later();
+        return;
+    }
+    m_peers.forget_storeless();
+    for (auto& it : std::exchange(m_held, {}))
+    {
+        route(std::move(it));
+    }
+}
+
 void commit_router::send(const std::string& collector)
 {
     auto& box = m_outboxes[collector];
@@ -73,6 +128,7 @@
         return;
     }
     ++box.under_way;
+    m_peers.on_trial(collector, m_clock());
     auto sent = std::make_shared<item_list>(std::exchange(box.waiting, {}));
     std::vector<routed_change> changes;
     std::ranges::transform(*sent, std::back_inserter(changes), &item::change);
@@ -94,7 +150,7 @@
     }
     else
     {
-        on_failure(collector, std::move(sent), answer.outcome);
+        on_failure(collector, std::move(sent), answer);
     }
     send(collector);
 }
@@ -123,36 +179,37 @@
             [this, kept]
             {
                 --m_forwarded;
-                submit(kept->change.partition, std::move(kept->change.change), std::move(kept->on_result));
+                route(std::move(*kept));
             });
 }
 
-void commit_router::on_failure(const std::string& collector, item_list sent, collector_outcome outcome)
+void commit_router::on_failure(const std::string& collector, item_list sent, const collector_answer& answer)
 {
     if (!m_store.reachable())
     {
         // Nobody can write now. The collector stays the one, so that the store's return does not find many
         // writers.
-        std::ranges::for_each(sent, [this](item& it) { send_again(std::move(it)); });
+        std::ranges::for_each(sent, [this](item& it) { hold(std::move(it)); });
         return;
     }
-    const bool storeless = outcome == collector_outcome::lacks_store;
+    const bool storeless = answer.outcome == collector_outcome::lacks_store;
     log_event(event_id::collector_failed, {{"collector", collector},
                                            {"why", storeless ? "it lacks the store" : "no answer"},
                                            {"changes", std::to_string(sent.size())}});
     if (storeless)
     {
-        m_peers.lacks_store(collector, m_clock());
+        m_peers.lacks_store(collector, m_clock(), answer.lacked_for);
     }
     else
     {
         m_peers.failed(collector, m_clock());
     }
-    // What the collector did is not known. Written once more, a change does no harm: it holds under its
+    // What a silent collector did is not known. Written once more, a change does no harm: it holds under its
     // condition, or may be written twice.
     for (auto& it : sent)
     {
-        m_own.submit(it.change.partition, std::move(it.change.change), std::move(it.on_result));
+        it.silences += storeless ? 0 : 1;
+        route(std::move(it));
     }
     reroute(collector);
 }
@@ -162,7 +219,7 @@
     for (auto& it : std::exchange(m_outboxes[collector].waiting, {}))
     {
         --m_forwarded;
-        submit(it.change.partition, std::move(it.change.change), std::move(it.on_result));
+        route(std::move(it));
     }
 }
 
@@ -175,9 +232,10 @@
         on_done({.outcome = collector_outcome::no_answer});
         return;
     }
-    if (!m_store.reachable())
+    if (const auto cut_off_for = m_store.cut_off_for())
     {
-        on_done({.outcome = collector_outcome::lacks_store});
+        on_done({.outcome = collector_outcome::lacks_store,
+                 .lacked_for = std::chrono::floor<milliseconds>(*cut_off_for)});
         return;
     }
     auto collected = std::make_shared<collection>();
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -3,6 +3,8 @@
 #include "masticcourse/gateway/gateway.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
+#include <cstdlib>
+#include <string>
 #include <utility>
 
 namespace masticcourse::gateway::detail
@@ -22,6 +24,9 @@
 /// How long the holder of an overdraft may take to answer: it asks nobody itself.
 constexpr milliseconds overdraft_limit{100};
 
+/// How long a collector has lacked the store, in ms.
+const std::string lacked_for_header = "Lacked-Store-Ms";
+
 constexpr int status_ok = 200;
 constexpr int status_unreadable = 400;
 constexpr int status_lacks_store = 503;
@@ -35,6 +40,12 @@
             .headers = {{"Content-Type", "application/cbor"}}};
 }
 
+milliseconds read_lacked_for(const http_client_reply& reply)
+{
+    const auto text = reply.header(lacked_for_header);
+    return milliseconds{text ? std::atoll(text->c_str()) : 0};
+}
+
 collector_answer to_collector_answer(http_client_reply reply)
 {
     if (reply.failure != http_failure::none)
@@ -46,7 +57,7 @@
     case status_ok:
         return {collector_outcome::collected, std::move(reply.body)};
     case status_lacks_store:
-        return {.outcome = collector_outcome::lacks_store};
+        return {.outcome = collector_outcome::lacks_store, .lacked_for = read_lacked_for(reply)};
     default:
         return {};
     }
@@ -103,7 +114,9 @@
     case collector_outcome::collected:
         return {.status = status_ok, .content_type = "application/cbor", .body = answer.results};
     case collector_outcome::lacks_store:
-        return {.status = status_lacks_store, .body = "{}"};
+        return {.status = status_lacks_store,
+                .body = "{}",
+                .headers = {{lacked_for_header, std::to_string(answer.lacked_for.count())}}};
     case collector_outcome::no_answer:
         break;
     }
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 #include <utility>
 #include <xxhash.h>
 
@@ -16,15 +17,18 @@
 /// back within seconds; one that is gone for good costs one late commit in twenty.
 constexpr milliseconds first_pause{1'500};
 constexpr milliseconds longest_pause{20'000};
-/// How long one that can't reach the store is left out: it looks for the way back every 250 ms. An outage is
-/// over for all gateways within that time; those that took the others for dead meanwhile, for up to 20 s, all
-/// wrote by themselves after it: on a deployment of 34, transactions took 250 ms instead of 14 and a third of
-/// them failed by conflicts, until ten seconds after an outage of four.
+/// How long one that can't reach the store is left out at least: it looks for the way back about as often.
+/// Longer pauses after an outage for all would leave gateways with different collectors.
 constexpr milliseconds storeless_pause{300};
+/// One that has lacked the store for long is left out for half as long again, up to this: so many askers
+/// cost it little, and its partitions are back with it soon enough.
+constexpr milliseconds longest_storeless_pause{2'400};
+constexpr int storeless_pause_divisor = 2;
 
-/// With less processor time a VM collects only if none has more: on a deployment of 34 gateways and 8
-/// partitions, two collectors with 0.09 of a core left 2,431 reads and 354 commits of a day without an
-/// answer, those with 0.5 hardly any.
+/// How long a silent gateway that is asked again may take to answer before others ask it too.
+constexpr milliseconds trial_time{1'000};
+
+/// With less processor time a VM collects only if none has more: it could not keep up with a partition.
 constexpr double least_collector_cores = 0.15;
 
 /// Weighted rendezvous hashing: each peer is chosen in proportion to its weight, and only the partitions of a
@@ -58,7 +62,7 @@
     return it != m_avoided.end() && std::max(it->second.silent_until, it->second.storeless_until) > now;
 }
 
-std::vector<std::string> peer_directory::choose(std::size_t most, time_point now)
+std::vector<std::string> peer_directory::choose(std::size_t most, time_point now, std::string_view preferred)
 {
     std::vector<std::string> chosen;
     for (const auto& it : m_others)
@@ -69,31 +73,36 @@
         }
     }
     std::ranges::shuffle(chosen, m_random);
+    std::ranges::partition(chosen, [&](const std::string& it) { return it == preferred; });
     chosen.resize(std::min(chosen.size(), most));
     return chosen;
 }
 
-std::optional<std::string> peer_directory::collector_of(std::string_view partition, time_point now) const
+std::optional<std::string> peer_directory::collector_of(std::string_view partition, time_point now,
+                                                        bool self_lacks_store) const
 {
-    return best_for(partition, [&](const std::string& address) { return avoided(address, now); });
+    return best_for(
+        partition, [&](const std::string& address) { return avoided(address, now); }, self_lacks_store);
 }
 
 std::optional<std::string> peer_directory::last_collector_of(std::string_view partition, time_point now) const
 {
-    return best_for(partition, [&](const std::string& address) { return silent(address, now); });
+    return best_for(
+        partition, [&](const std::string& address) { return silent(address, now); }, false);
 }
 
 template <typename Avoided>
-std::optional<std::string> peer_directory::best_for(std::string_view partition, Avoided is_avoided) const
+std::optional<std::string> peer_directory::best_for(std::string_view partition, Avoided is_avoided,
+                                                    bool self_avoided) const
 {
-    const auto rank = [partition](const peer& it) {
-        return std::pair{it.cores >= least_collector_cores, score(it, partition)};
+    const auto rank = [partition](const peer& it, bool is_last) {
+        return std::tuple{!is_last, it.cores >= least_collector_cores, score(it, partition)};
     };
     const peer* best = &m_self;
-    auto best_rank = rank(m_self);
+    auto best_rank = rank(m_self, self_avoided);
     for (const auto& it : m_others)
     {
-        const auto its_rank = rank(it);
+        const auto its_rank = rank(it, false);
         if (its_rank > best_rank && !is_avoided(it.address))
         {
             best = &it;
@@ -108,9 +117,28 @@
     m_avoided.erase(address);
 }
 
-void peer_directory::lacks_store(const std::string& address, time_point now)
+void peer_directory::lacks_store(const std::string& address, time_point now, duration lacked_for)
+{
+    const duration pause = lacked_for / storeless_pause_divisor;
+    const auto bounded = std::clamp<duration>(pause, storeless_pause, longest_storeless_pause);
+    m_avoided[address] = {.storeless_until = now + bounded};
+}
+
+void peer_directory::forget_storeless()
+{
+    for (auto& [address, it] : m_avoided)
+    {
+        it.storeless_until = {};
+    }
+}
+
+void peer_directory::on_trial(const std::string& address, time_point now)
 {
-    m_avoided[address] = {.storeless_until = now + storeless_pause};
+    const auto it = m_avoided.find(address);
+    if (it != m_avoided.end() && it->second.failures > 0)
+    {
+        it->second.silent_until = now + trial_time;
+    }
 }
 
 void peer_directory::failed(const std::string& address, time_point now)
--- a/src/gateway/store_path.cpp
+++ b/src/gateway/store_path.cpp
@@ -36,7 +36,7 @@
     {
     case hop_result::answered:
     {
-        m_cut_off = false;
+        m_cut_off_since.reset();
         m_no_way = false;
         m_usual_ms += newest_share * (static_cast<double>(took.count()) - m_usual_ms);
         const milliseconds limit{static_cast<milliseconds::rep>(m_usual_ms * limit_factor)};
@@ -67,10 +67,15 @@
 
 void store_path::fail(time_point now)
 {
-    m_cut_off = true;
+    m_cut_off_since = m_cut_off_since.value_or(now);
     m_last_failure = now;
 }
 
+std::optional<duration> store_path::cut_off_for(time_point now) const
+{
+    return m_cut_off_since ? std::optional{now - *m_cut_off_since} : std::nullopt;
+}
+
 milliseconds store_path::repeat_after() const
 {
     return std::max(least_repeat, milliseconds{static_cast<milliseconds::rep>(m_usual_ms * repeat_factor)});
@@ -78,7 +83,7 @@
 
 bool store_path::take_probe(time_point now)
 {
-    const bool due = (m_cut_off || m_probe_wanted) && now >= m_last_probe + probe_period;
+    const bool due = (m_cut_off_since || m_probe_wanted) && now >= m_last_probe + probe_period;
     if (due)
     {
         m_last_probe = now;
--- a/tests/support/memory_rows.cpp
+++ b/tests/support/memory_rows.cpp
@@ -129,6 +129,11 @@
     return says_reachable;
 }
 
+std::optional<gateway::duration> memory_store::cut_off_for() const
+{
+    return says_reachable ? cut_off : cut_off.value_or(gateway::duration{});
+}
+
 gateway::duration memory_store::steady_for() const
 {
     return steady;
--- a/tests/support/memory_rows.hpp
+++ b/tests/support/memory_rows.hpp
@@ -69,6 +69,7 @@
     void follow(const std::string& table, gateway::row_version version, gateway::milliseconds wait,
                 gateway::feed_callback on_reply) override;
     [[nodiscard]] bool reachable() const override;
+    [[nodiscard]] std::optional<gateway::duration> cut_off_for() const override;
     [[nodiscard]] gateway::duration steady_for() const override;
 
     store_mode mode = store_mode::good;
@@ -77,6 +78,8 @@
     /// How long a silent call takes to fail.
     gateway::milliseconds patience{100};
     bool says_reachable = true;
+    /// Set while its calls go through peers.
+    std::optional<gateway::duration> cut_off;
     gateway::duration steady = gateway::seconds{100};
     std::size_t queries = 0;
 
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,7 +69,7 @@
     void call(const std::string& to, std::string bytes, collector_callback on_answer)
     {
         ++messages;
-        if (dead == to)
+        if (dead == to || dark.contains(to))
         {
             time.delays()(400ms, [on_answer] { on_answer({}); });
             return;
@@ -97,9 +98,75 @@
     std::map<std::string, std::unique_ptr<member>> members;
     std::vector<change_result> results;
     std::string dead;
+    /// These answer nothing either.
+    std::set<std::string> dark;
     int messages = 0;
 };
 
+/// What gateways made of the same changes.
+struct load_figures
+{
+    std::size_t transactions = 0;
+    int messages = 0;
+    std::ptrdiff_t done = 0;
+    std::ptrdiff_t wanted = 0;
+};
+
+enum class collector_fault
+{
+    none,
+    lacks_store,
+    silent,
+};
+
+/// Every third of @a count gateways has @a fault; the others write steadily, in eight partitions, for five
+/// seconds.
+load_figures write_steadily(int count, collector_fault fault)
+{
+    router_world world{count};
+    std::vector<router_world::member*> writers;
+    std::vector<router_world::member*> storeless;
+    for (int n = 0; auto& [address, member] : world.members)
+    {
+        const bool sound = n++ % 3 != 0;
+        if (sound)
+        {
+            writers.push_back(member.get());
+        }
+        else if (fault == collector_fault::lacks_store)
+        {
+            member->store.mode = store_mode::refusing;
+            member->store.says_reachable = false;
+            storeless.push_back(member.get());
+        }
+        else if (fault == collector_fault::silent)
+        {
+            world.dark.insert(address);
+        }
+    }
+    load_figures figures;
+    for (int round = 0; round < 50; ++round)
+    {
+        for (auto* const it : storeless)
+        {
+            it->store.cut_off = round * 100ms;
+        }
+        for (auto* const writer : writers)
+        {
+            const auto n = figures.wanted++;
+            row_change change{.puts = {{{"t", std::to_string(n)}, "value"}}, .expires = world.time.now() + 5s};
+            writer->router.submit("p" + std::to_string(n % 8), std::move(change),
+                                  [&world](const change_result& it) { world.results.push_back(it); });
+        }
+        world.time.run(100ms);
+    }
+    world.time.run(2s);
+    figures.transactions = world.rows.transactions();
+    figures.messages = world.messages;
+    figures.done = world.done();
+    return figures;
+}
+
 } // namespace
 
 TEST_CASE("all gateways name the same collector, and partitions are shared by weight")
@@ -390,3 +457,110 @@
     CHECK(world.done() == 40);
     CHECK(world.rows.transactions() < 6);
 }
+
+// Load pattern: the store turns a third of the gateways away, or a third of them falls silent, among them
+// collectors. What each of the others does then falls on the same partitions: if each wrote by itself, their
+// load would grow with the number of gateways.
+TEST_CASE("the load on partitions does not grow with the gateways that lost their collectors")
+{
+    for (const int count : {10, 100, 400})
+    {
+        const auto sound = write_steadily(count, collector_fault::none);
+        CHECK(sound.done == sound.wanted);
+        for (const auto fault : {collector_fault::lacks_store, collector_fault::silent})
+        {
+            CAPTURE(count);
+            CAPTURE(static_cast<int>(fault));
+            const auto figures = write_steadily(count, fault);
+            CHECK(figures.done == figures.wanted);
+            CHECK(figures.transactions < sound.transactions * 5 / 4);
+            CHECK(figures.messages < sound.messages * 3 / 2);
+        }
+    }
+}
+
+TEST_CASE("a gateway that lacks the store leaves its own partitions to others, and collects if nobody else does")
+{
+    const auto peers = make_peers(5);
+    peer_directory directory{peers[0]};
+    directory.set(peers);
+    for (int n = 0; n < 100; ++n)
+    {
+        CHECK(directory.collector_of(std::to_string(n), start, true));
+    }
+    for (const auto& it : peers)
+    {
+        directory.lacks_store(it.address, start);
+    }
+    CHECK_FALSE(directory.collector_of("p", start, true));
+    directory.forget_storeless();
+    CHECK(directory.collector_of("p", start, true));
+}
+
+TEST_CASE("a gateway that has lacked the store for long is asked less often, within a bound")
+{
+    struct row
+    {
+        milliseconds lacked_for;
+        milliseconds left_out;
+    };
+    const auto peers = make_peers(2);
+    for (const auto& it : {row{0ms, 300ms}, row{1s, 500ms}, row{60s, 2'400ms}})
+    {
+        peer_directory directory{peers[0]};
+        directory.set(peers);
+        directory.lacks_store(peers[1].address, start, it.lacked_for);
+        CHECK(directory.choose(1, start + it.left_out - 1ms).empty());
+        CHECK(directory.choose(1, start + it.left_out).size() == 1);
+    }
+}
+
+TEST_CASE("a silent gateway is asked again once; until it answers, others collect")
+{
+    const auto peers = make_peers(2);
+    peer_directory directory{peers[0]};
+    directory.set(peers);
+    const auto& other = peers[1].address;
+    directory.failed(other, start);
+    const auto later = start + 1'500ms;
+    CHECK(directory.choose(1, later).size() == 1);
+    directory.on_trial(other, later);
+    CHECK(directory.choose(1, later + 999ms).empty());
+    directory.answered(other);
+    directory.on_trial(other, later);
+    CHECK(directory.choose(1, later).size() == 1);
+}
+
+TEST_CASE("while a gateway has no way to the store, its changes wait without a message, and end in time")
+{
+    router_world world{5};
+    for (auto& [address, member] : world.members)
+    {
+        member->store.mode = store_mode::refusing;
+        member->store.says_reachable = false;
+    }
+    auto& writer = *world.members.begin()->second;
+    world.put(writer, "early");
+    world.time.run(500ms);
+    const auto messages = world.messages;
+    world.put(writer, "late");
+    world.time.run(2s);
+    CHECK(world.messages == messages);
+    CHECK(writer.router.pending() == 2);
+    world.time.run(2s);
+    CHECK(std::ranges::count(world.results, store_outcome::unknown, &change_result::outcome) == 2);
+    CHECK(writer.router.pending() == 0);
+}
+
+TEST_CASE("the peer that last passed calls on is asked first, as long as it has the store")
+{
+    const auto peers = make_peers(50);
+    peer_directory directory{peers[0]};
+    directory.set(peers);
+    const auto& relay = peers[7].address;
+    CHECK(directory.choose(3, start, relay).front() == relay);
+    CHECK(directory.choose(3, start, relay).size() == 3);
+    directory.lacks_store(relay, start);
+    const auto others = directory.choose(49, start, relay);
+    CHECK(std::ranges::find(others, relay) == others.end());
+}
