--- a/include/masticcourse/gateway/overdraft_buckets.hpp
+++ b/include/masticcourse/gateway/overdraft_buckets.hpp
@@ -4,6 +4,8 @@
 ///
 /// - A bucket is taken and given up under the row's version only, so no two lives hold one at a time, however
 ///   long one of them slept or was cut off. There is no lease and no clock in it.
+/// - Looks and tries are spread over a time that grows with the number of gateways: otherwise hundreds that
+///   start together would keep the row, and the partition that it lies in, full of conflicts.
 /// - Whoever gives a bucket up has nothing open for its programs. A life that died holding one may have had:
 /// its
 ///   bucket stays its own until the next life on the same VM has run for so long that no program of then is
@@ -81,6 +83,13 @@
     /// @return the table as this life would have it, or nothing if that is how it is
     [[nodiscard]] std::optional<bucket_table> wish() const;
     [[nodiscard]] std::size_t fair_share() const;
+    /// @return how long one turn of all gateways at the row takes, @a least on a small site
+    [[nodiscard]] milliseconds turn_time(milliseconds least) const;
+    [[nodiscard]] milliseconds random_pause(milliseconds least, milliseconds most);
+    /// Plans the next look at the row.
+    void look_later();
+    /// Plans another try at the row.
+    void try_later();
     [[nodiscard]] bool may_take(const std::optional<gateway_life>& holder) const;
     void write(const bucket_table& next);
 
--- a/src/gateway/overdraft_buckets.cpp
+++ b/src/gateway/overdraft_buckets.cpp
@@ -21,10 +21,13 @@
 /// Until the row is written if there is none: gateways that start together are then on each other's list,
 /// which is read every three seconds, and none takes the buckets of all.
 constexpr milliseconds first_write{4'000};
-/// Between two looks: a bucket that was given up is taken that much later. A call of a kilobyte.
-constexpr milliseconds look_period{2'000};
-/// After a conflict, at most: gateways that start together write one after the other.
-constexpr milliseconds longest_backoff{150};
+/// Between two looks at least: a bucket that was given up is taken that much later.
+constexpr milliseconds least_look_period{2'000};
+/// Until another try after a conflict or a failure, at most, on a small site.
+constexpr milliseconds least_backoff{150};
+/// Looks and tries of all gateways fall on one row. Each takes its turn in this much time for every gateway,
+/// so that the row's load is the same however many there are.
+constexpr milliseconds turn_per_gateway{20};
 /// Between two looks whether nothing is open any more, while leaving.
 constexpr milliseconds leaving_period{50};
 
@@ -81,6 +84,36 @@
     step_later(first_look);
 }
 
+milliseconds overdraft_buckets::turn_time(milliseconds least) const
+{
+    const auto gateways = static_cast<milliseconds::rep>(m_peers.size() + 1);
+    return std::max(least, gateways * turn_per_gateway);
+}
+
+milliseconds overdraft_buckets::random_pause(milliseconds least, milliseconds most)
+{
+    std::uniform_int_distribution<milliseconds::rep> pause(least.count(), most.count());
+    return milliseconds{pause(m_random)};
+}
+
+void overdraft_buckets::look_later()
+{
+    const auto until_first_write = std::chrono::ceil<milliseconds>(first_write - (m_clock() - m_started));
+    if (m_version == 0 && until_first_write > milliseconds{0})
+    {
+        step_later(until_first_write + random_pause(milliseconds{0}, turn_time(least_backoff)));
+        return;
+    }
+    const auto turn = turn_time(least_look_period);
+    // Gateways that start together should not look together.
+    step_later(m_idle ? leaving_period : random_pause(turn * 3 / 4, turn * 5 / 4));
+}
+
+void overdraft_buckets::try_later()
+{
+    step_later(random_pause(milliseconds{1}, turn_time(least_backoff)));
+}
+
 void overdraft_buckets::leave(std::function<bool(std::size_t)> idle)
 {
     m_idle = std::move(idle);
@@ -143,7 +176,7 @@
                       }
                       else
                       {
-                          step_later(m_idle ? leaving_period : look_period);
+                          look_later();
                       }
                   });
 }
@@ -225,13 +258,11 @@
                                  {{"held", std::to_string(std::ranges::count(next, std::optional{m_self}))},
                                   {"leaving", m_idle ? "yes" : "no"},
                                   {"row_version", std::to_string(reply.version)}});
-                             step_later(m_idle ? leaving_period : look_period);
+                             look_later();
                              return;
                          }
                          // What is not known to be done shows with the next look.
-                         std::uniform_int_distribution<milliseconds::rep> pause(1, longest_backoff.count());
-                         const bool conflict = reply.outcome == store_outcome::conflict;
-                         step_later(conflict ? milliseconds{pause(m_random)} : longest_backoff);
+                         try_later();
                      });
 }
 
--- a/src/gateway/peer_list.cpp
+++ b/src/gateway/peer_list.cpp
@@ -1,5 +1,6 @@
 #include "masticcourse/gateway/peer_list.hpp"
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -11,10 +12,13 @@
 
 /// Peers find each other in this table: node name to "ip:port".
 const std::string peer_table = "gateways";
-/// How often the list of peers is read: a new one is known that much later, for a third of a call a second.
+/// How often the list of peers is read at least: a new one is known that much later.
 constexpr milliseconds peer_period{3'000};
+/// All gateways read entries of all: the time between two readings grows with their number beyond this many
+/// readings a second, so that what the store hands out grows no faster than they do.
+constexpr milliseconds reading_per_gateway{20};
 /// How often the own entry is written anew, and how long one that is not counts: a gateway that is gone is
-/// off the list after two writes that did not come. Tens of gateways make a few writes a second of it.
+/// off the list after two writes that did not come.
 constexpr milliseconds announce_period{10'000};
 constexpr milliseconds peer_life{25'000};
 } // namespace
@@ -66,7 +70,9 @@
                       {
                           take_peers(reply.rows);
                       }
-                      m_delay(peer_period, [this] { read_peers(); });
+                      const auto gateways = static_cast<milliseconds::rep>(m_peers.size() + 1);
+                      m_delay(std::max(peer_period, gateways * reading_per_gateway),
+                              [this] { read_peers(); });
                   });
 }
 
--- a/tests/support/memory_rows.cpp
+++ b/tests/support/memory_rows.cpp
@@ -76,6 +76,7 @@
 void memory_store::transact(const gateway::row_transaction& transaction,
                             gateway::transaction_callback on_reply)
 {
+    ++writes;
     switch (mode)
     {
     case store_mode::good:
--- a/tests/support/memory_rows.hpp
+++ b/tests/support/memory_rows.hpp
@@ -82,6 +82,7 @@
     std::optional<gateway::duration> cut_off;
     gateway::duration steady = gateway::seconds{100};
     std::size_t queries = 0;
+    std::size_t writes = 0;
 
   private:
     row_table& m_rows;
--- a/tests/unit/test_gateway_overdraft.cpp
+++ b/tests/unit/test_gateway_overdraft.cpp
@@ -52,13 +52,22 @@
         overdraft overdrafts;
     };
 
-    explicit gateway_group(std::size_t count)
+    explicit gateway_group(std::size_t count, milliseconds settling = 20s)
     {
         for (std::size_t n = 0; n < count; ++n)
         {
             start("g" + std::to_string(n));
         }
-        time.run(20s);
+        time.run(settling);
+    }
+
+    /// @return calls made to the store so far
+    [[nodiscard]] std::size_t calls() const
+    {
+        std::size_t n = 0;
+        std::ranges::for_each(members,
+                              [&n](const auto& it) { n += it.second->store.queries + it.second->store.writes; });
+        return n;
     }
 
     /// Starts a life on a VM; one that ran there is dead from then on.
@@ -202,6 +211,30 @@
     }
 }
 
+// Load pattern: all gateways of a site start together, and all want a share of the one row.
+TEST_CASE("the calls to the row of buckets stay below what a partition takes, however many gateways there are")
+{
+    for (const std::size_t count : {10U, 100U, 400U})
+    {
+        CAPTURE(count);
+        gateway_group group(count, 0s);
+        std::size_t before = 0;
+        for (int second = 0; second < 40; ++second)
+        {
+            group.time.run(1s);
+            const auto calls = group.calls();
+            // Each starts with a look; later ones are spread.
+            constexpr std::size_t partition_rate = 150;
+            CHECK((second == 0 || calls - before < partition_rate));
+            before = calls;
+        }
+        for (std::size_t bucket = 0; bucket < overdraft_bucket_count; ++bucket)
+        {
+            CHECK(group.holders(bucket).size() == 1);
+        }
+    }
+}
+
 TEST_CASE("any gateway gets a program's overdraft from its holder, once for all of them, without the store")
 {
     gateway_group group(7);
