A turn that ends while another one's claim is written in vain is settled all the same

Cause: when the outcome of a write of a program's row was not known, all settlements that waited were dropped, also those that had come while it was under way; their reservations stayed counted at their most for good, and later turns met 402 though the budget held them. The test failed first.

--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -318,18 +318,18 @@
         step(id);
         return;
     }
-    // Not known to be done: what was settled is settled again, and what was claimed is claimed again.
-    entry.settlements.insert(entry.settlements.begin(), settled.begin(), settled.end());
+    // Not known to be done: what was claimed is claimed again.
     entry.claims.insert(entry.claims.begin(), std::make_move_iterator(admitted.begin()),
                         std::make_move_iterator(admitted.end()));
     if (result.outcome == store_outcome::conflict)
     {
+        entry.settlements.insert(entry.settlements.begin(), settled.begin(), settled.end());
         adopt(entry, result.current, true);
     }
     else
     {
+        // What was settled has been tried for its whole life; what has ended since is still to be settled.
         entry.row.reset();
-        entry.settlements.clear();
     }
     step(id);
 }
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -169,6 +169,26 @@
     CHECK(world.has("b", reservation_outcome::granted));
 }
 
+// Load pattern: several turns of a program at once through an outage. Tokens that a lost settlement leaves
+// reserved are spent for nobody: the program's later turns are refused though its budget holds them.
+TEST_CASE("a turn that ends while another one's claim is written in vain is settled once the store is back")
+{
+    spending_world world{1};
+    world.reserve(0, "a", 60, 100, true);
+    world.time.run(100ms);
+    world.gateways[0]->store.mode = store_mode::silent;
+    world.reserve(0, "b", 30, 100, false, 500ms);
+    world.time.run(100ms);
+    world.gateways[0]->spending.settle({"p"}, {"a"}, 5);
+    world.time.run(900ms);
+    CHECK(world.has("b", reservation_outcome::unavailable));
+    world.gateways[0]->store.mode = store_mode::good;
+    world.time.run(1s);
+    world.reserve(0, "c", 95, 100);
+    world.time.run(200ms);
+    CHECK(world.has("c", reservation_outcome::granted));
+}
+
 TEST_CASE("while the store is away nothing is granted, and claims end with their time")
 {
     spending_world world{1};
