--- a/include/masticcourse/gateway/collected_rows.hpp
+++ b/include/masticcourse/gateway/collected_rows.hpp
@@ -3,9 +3,9 @@
 /// written them lately, and remembers them.
 ///
 /// Load pattern: programs whose turns come through one gateway after the other, as callers move or try again
-/// elsewhere. Half of the calls to the store of 34 gateways were such reads, 900 a second. And while the
-/// store is away for all, a gateway that has not seen a program before could not tell what it goes on from or
-/// may spend, and had to refuse each of its turns; callers who try again always meet such gateways.
+/// elsewhere: the store would be asked for what a peer knows. And while the store is away for all, a gateway
+/// that has not seen a program before could not tell what it goes on from or may spend, and had to refuse
+/// each of its turns; callers who try again always meet such gateways.
 #pragma once
 
 #include "masticcourse/gateway/peer_directory.hpp"
--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -3,8 +3,7 @@
 /// meanwhile goes with the next one.
 ///
 /// Load pattern: hundreds of small writes a second from many gateways against a store that limits calls, not
-/// bytes. With one transaction of 8 ms at a time a partition takes 125 calls a second from one gateway
-/// however many turns end; a batch holds up to 90 changes.
+/// bytes. A partition takes one transaction at a time, however many turns end; so many changes share one.
 #pragma once
 
 #include "masticcourse/gateway/row_memory.hpp"
--- a/include/masticcourse/gateway/commit_router.hpp
+++ b/include/masticcourse/gateway/commit_router.hpp
@@ -2,9 +2,9 @@
 /// Sends commits to the gateway that collects their partition's, so that the store sees one writer a
 /// partition instead of one a gateway.
 ///
-/// Load pattern: forty gateways that end 450 turns a second. Each by itself, hardly two changes ever share a
-/// transaction, and a thousand transactions a second fill the store's partitions and its rate: a quiet day
-/// served half of its programs. Through collectors the same changes take a few hundred.
+/// Load pattern: tens of gateways that end hundreds of turns a second. Each by itself, hardly two changes
+/// ever share a transaction, and their number fills the store's partitions and its rate. Through collectors
+/// the same changes take a fraction of it.
 ///
 /// The same holds while collectors fail: what one did not write goes to the next in rank, so that the number
 /// of writers a partition does not grow with the number of gateways that lost their collector. Only a change
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -50,7 +50,8 @@
 
     /// Every gateway that knows the same peers names the same one, by weighted rendezvous hashing. They need
     /// not agree: two that write one partition cost a conflict, not more.
-    /// @param self_lacks_store this gateway can't reach the store itself: it collects only if nobody else does
+    /// @param self_lacks_store this gateway can't reach the store itself: it collects only if nobody else
+    /// does
     /// @return the gateway that collects the commits of @a partition, or nothing if it is this one
     [[nodiscard]] std::optional<std::string> collector_of(std::string_view partition, time_point now,
                                                           bool self_lacks_store = false) const;
--- a/include/masticcourse/gateway/target_choice.hpp
+++ b/include/masticcourse/gateway/target_choice.hpp
@@ -21,7 +21,8 @@
 {
     /// What is best kept together, such as a program whose prompt a target has cached; empty if nothing is.
     std::string_view affinity;
-    failure_domain_name own_domain;
+    /// Its targets come first; empty if no domain does.
+    failure_domain_name preferred_domain;
     /// Targets that this request was sent to already.
     std::span<const target_id> tried;
     /// Differs from one request to the next; breaks ties.
--- a/include/masticcourse/gateway/turn_store.hpp
+++ b/include/masticcourse/gateway/turn_store.hpp
@@ -28,6 +28,8 @@
     std::string input;
     /// The data of its events, each with a line feed behind it.
     std::string output;
+    /// Where the target that ran it lies; empty if that is not known.
+    failure_domain_name domain;
 
     friend bool operator==(const turn_record&, const turn_record&) = default;
 };
@@ -87,6 +89,8 @@
     std::vector<request_id> turns;
     /// Their inputs and outputs, in the order in which a target is to read them.
     std::string prompt;
+    /// Where the target that ran the last of them lies; empty if that is not known.
+    failure_domain_name domain;
 };
 
 using chain_callback = std::function<void(turn_chain)>;
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -227,7 +227,7 @@
     event_row{
         event_id::collector_failed, "collector_failed", event_severity::warning,
         "The gateway that collects a partition's commits did not answer, or lacks the store (`why`); its "
-        "sender writes by itself and leaves it out for a while.",
+        "sender turns to the next in rank and leaves it out for a while.",
         "Look at that gateway if it recurs."},
     event_row{event_id::target_available, "target_available", event_severity::info, "A target takes work.",
               "None."},
--- a/src/gateway/commit_queue.cpp
+++ b/src/gateway/commit_queue.cpp
@@ -12,7 +12,7 @@
 
 /// Transactions of one partition under way: the second is on its way while the store works on the first.
 constexpr int most_under_way = 2;
-/// Rows and conditions of one transaction; the store takes 100 entries.
+/// Rows and conditions of one transaction, below the 100 that the store takes.
 constexpr std::size_t most_entries = 90;
 /// Bytes of one transaction; the store takes 1 MB, and base64 makes four bytes of three.
 constexpr std::size_t most_bytes = 600'000;
--- a/src/gateway/commit_router.cpp
+++ b/src/gateway/commit_router.cpp
@@ -99,8 +99,8 @@
 {
     m_release_planned = false;
     const auto now = m_clock();
-    const auto expired =
-        std::ranges::stable_partition(m_held, [now](const item& it) { return it.change.change.expires > now; });
+    const auto expired = std::ranges::stable_partition(m_held, [now](const item& it)
+                                                       { return it.change.change.expires > now; });
     item_list over{std::make_move_iterator(expired.begin()), std::make_move_iterator(expired.end())};
     m_held.erase(expired.begin(), expired.end());
     std::ranges::for_each(over, [](item& it) { it.on_result({}); });
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -125,8 +125,8 @@
         return;
     }
     // While the store is away, a turn that surely has the budget runs all the same: its events and its end
-    // wait for the store's return. A program ends with its third failed turn; refused ones are used up
-    // within 3.5 s, ones that wait last out outages of 6 s, and go on the moment the store is back.
+    // wait for the store's return. A program ends with its third failed turn; ones that wait last out longer
+    // outages than ones that are refused, and go on the moment the store is back.
     m_reservation = reservation_state::pending;
     m_services.spending.reserve(reservation, [self = shared_from_this()](reservation_outcome outcome)
                                 { self->on_reservation(outcome); });
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -117,6 +117,8 @@
     /// Whether it may generate tokens only within a program's budget.
     [[nodiscard]] bool has_budget() const;
     /// Whether what is said in it is kept for the turns after it.
+    /// @return the failure domain whose targets are chosen first; empty if none is
+    [[nodiscard]] failure_domain_name preferred_domain() const;
     [[nodiscard]] bool is_kept() const;
     [[nodiscard]] std::optional<request_id> previous_turn() const;
 
@@ -147,6 +149,8 @@
     /// @name Of the attempts
     /// @{
     std::vector<target_id> m_tried;
+    /// Where the target that it was sent to last lies.
+    failure_domain_name m_last_domain;
     std::uint32_t m_attempts = 0;
     /// An attempt that may have run the request has been made.
     bool m_may_have_run = false;
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -38,8 +38,10 @@
 
 void forwarded_request::keep_turn()
 {
-    turn_record turn{
-        .ancestors = std::move(m_chain.turns), .input = m_request.body, .output = m_progress->output()};
+    turn_record turn{.ancestors = std::move(m_chain.turns),
+                     .input = m_request.body,
+                     .output = m_progress->output(),
+                     .domain = m_last_domain};
     m_services.turns.keep(m_request.id, std::move(turn), m_deadline,
                           [self = shared_from_this()](bool kept)
                           {
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -38,9 +38,7 @@
 
 std::string forwarded_request::affinity() const
 {
-    // The prompts of a program's turns begin alike, kept or not. On a deployment of 40 engines at 1.6 to 1.9
-    // times the usual load, streams that are not kept earned 0.06 more of their worth at one target than at
-    // the least busy one each time.
+    // The prompts of a program's turns begin alike, kept or not.
     if (m_request.program && streams())
     {
         return m_request.program->program.value;
@@ -48,6 +46,21 @@
     return m_route->sticky ? m_request.object : std::string{};
 }
 
+failure_domain_name forwarded_request::preferred_domain() const
+{
+    if (!m_request.program || !streams())
+    {
+        return m_services.own_domain;
+    }
+    // Turns may come through another domain than the ones before. Where that is not known, a program keeps to
+    // one target only if none is preferred for where it lies.
+    if (!is_kept())
+    {
+        return {};
+    }
+    return m_chain.domain.value.empty() ? m_services.own_domain : m_chain.domain;
+}
+
 const target* forwarded_request::next_target()
 {
     const auto& program = m_request.program;
@@ -55,7 +68,7 @@
     const auto candidates = m_services.targets.candidates(choose_service(*m_route, share_key));
     const auto key = affinity();
     const choice_query query{.affinity = key,
-                             .own_domain = m_services.own_domain,
+                             .preferred_domain = preferred_domain(),
                              .tried = m_tried,
                              .sequence = std::hash<request_id>{}(m_request.id)};
     return choose_target(candidates, query, m_services.clock());
@@ -99,6 +112,7 @@
     ++m_attempts;
     m_target = target;
     m_tried.push_back(target.id);
+    m_last_domain = target.domain;
     m_answer.reset();
     if (m_progress)
     {
--- a/src/gateway/overdraft_ledger.cpp
+++ b/src/gateway/overdraft_ledger.cpp
@@ -11,8 +11,7 @@
 namespace
 {
 
-/// Programs with something open, some 300 bytes each: a full outage of 10 s at ten times today's load. Beyond
-/// it nothing more is allowed.
+/// Programs with something open, some hundred bytes each. Beyond it nothing more is allowed.
 constexpr std::size_t most_programs = 20'000;
 
 } // namespace
--- a/src/gateway/partition.cpp
+++ b/src/gateway/partition.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/// A partition takes about 150 transactions a second, one after another. Eight carry 1,200, above what the
-/// store takes as a whole on small sites; more would only thin out the batches.
+/// A partition takes one transaction after another. So many carry what a small store takes as a whole; more
+/// would only thin out the batches.
 constexpr unsigned partition_count = 8;
 
 } // namespace
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -13,12 +13,11 @@
 namespace
 {
 
-/// How long a collector may take before its sender writes by itself: a transaction with one lost answer takes
-/// 100 ms.
+/// How long a collector may take before its sender turns to another: well above a transaction whose answer
+/// was lost once, and above the time within which collectors answer whatever the store does.
 constexpr milliseconds collector_limit{800};
 constexpr milliseconds collector_connect_limit{100};
-/// How long a collector may take to say what it remembers: a few times what a busy one takes. The store,
-/// which is asked then, answers within 10 ms.
+/// How long a collector may take to say what it remembers: the store, which is asked then, is not far.
 constexpr milliseconds recall_limit{100};
 
 /// How long the holder of an overdraft may take to answer: it asks nobody itself.
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -17,9 +17,8 @@
 
 const std::string spending_table = "spending";
 
-/// How long a settlement waits for the program's next turn to carry it along. The platform counts a turn at
-/// its most for a second after its end; 300 ms leave time for a slow store. It saves one write of three a
-/// turn.
+/// How long a settlement waits for the program's next turn to carry it along, which saves a write. The
+/// platform counts a turn at its most for a second after its end; this leaves time for a slow store.
 constexpr milliseconds settlement_wait{300};
 /// Turns of the present size that the budget must still hold besides, for a turn to start before its
 /// reservation is written: a runaway program starts about a dozen at once over several gateways.
--- a/src/gateway/store_path.cpp
+++ b/src/gateway/store_path.cpp
@@ -8,21 +8,19 @@
 namespace
 {
 
-/// Bounds on how long a call may take. The store answers within 4 to 30 ms on a calm day, and up to sixty
-/// times as slowly on a bad one.
+/// Bounds on how long a call may take: a slow store is many times as slow as on a calm day.
 constexpr milliseconds least_limit{300};
 constexpr milliseconds most_limit{2'500};
 /// How many times as long as usual a call may take.
 constexpr double limit_factor = 8;
-/// How many times as long as usual an answer may take before the call is repeated. With a third of the
-/// answers lost, a turn needs two writes: at 60 ms each repetition costs little of a turn's time, and a store
-/// that is merely slow gets at most one call more, as what is usual follows it.
+/// How many times as long as usual an answer may take before the call is repeated. A lost answer then costs
+/// little of a turn's time, and a store that is merely slow gets few calls more, as what is usual follows it.
 constexpr double repeat_factor = 3;
 constexpr milliseconds least_repeat{60};
 /// The share of the newest call in what is usual.
 constexpr double newest_share = 0.1;
-/// Refusals for the rate in a row that are taken for being turned away: at ten gateways' even share of a busy
-/// store, five in a row without one success are rare.
+/// Refusals for the rate in a row that are taken for being turned away: a store that is merely busy lets
+/// some calls of each gateway through.
 constexpr std::uint32_t rate_limited_limit = 5;
 /// Between two probes: the direct way is taken again that much after it is back, at most.
 constexpr milliseconds probe_period{250};
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -28,7 +28,7 @@
 
 double busyness(const target& it, const choice_query& query, time_point now)
 {
-    const double foreign = it.record.domain == query.own_domain ? 0 : domain_margin;
+    const double foreign = it.record.domain == query.preferred_domain ? 0 : domain_margin;
     const double warming = it.record.warming.count() > 0 ? warming_margin : 0;
     return it.fill(now) + foreign + warming;
 }
@@ -50,7 +50,7 @@
     const auto fill = [now](const target* it) { return it->fill(now); };
     const auto bound = fill(*std::ranges::min_element(targets, {}, fill)) + affinity_slack;
     std::erase_if(targets, [&](const target* it) { return fill(it) > bound; });
-    const auto is_far = [&](const target* it) { return it->record.domain != query.own_domain; };
+    const auto is_far = [&](const target* it) { return it->record.domain != query.preferred_domain; };
     if (!std::ranges::all_of(targets, is_far))
     {
         std::erase_if(targets, is_far);
--- a/src/gateway/turn_store.cpp
+++ b/src/gateway/turn_store.cpp
@@ -47,10 +47,13 @@
 {
     nlohmann::json ancestors = nlohmann::json::array();
     std::ranges::for_each(turn.ancestors, [&](const auto& it) { ancestors.push_back(it.value); });
-    const nlohmann::json document{
-        {"ancestors", std::move(ancestors)},
-        {"input", nlohmann::json::binary({turn.input.begin(), turn.input.end()})},
-        {"output", nlohmann::json::binary({turn.output.begin(), turn.output.end()})}};
+    nlohmann::json document{{"ancestors", std::move(ancestors)},
+                            {"input", nlohmann::json::binary({turn.input.begin(), turn.input.end()})},
+                            {"output", nlohmann::json::binary({turn.output.begin(), turn.output.end()})}};
+    if (!turn.domain.value.empty())
+    {
+        document["domain"] = turn.domain.value;
+    }
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
     std::vector<std::string> pieces;
@@ -88,6 +91,10 @@
     };
     turn.input = text("input");
     turn.output = text("output");
+    if (document.contains("domain") && document["domain"].is_string())
+    {
+        turn.domain = {document["domain"].get<std::string>()};
+    }
     return turn;
 }
 
@@ -191,6 +198,7 @@
         chain.turns = std::move(load->ids);
         std::ranges::for_each(load->turns,
                               [&](const turn_ptr& it) { chain.prompt += it->input + it->output; });
+        chain.domain = load->turns.back()->domain;
     }
     load->on_chain(std::move(chain));
 }
--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -618,3 +618,31 @@
         CHECK(targets.size() == 1);
     }
 }
+
+// Load pattern: lines of turns that come through another failure domain each time. A target that has read
+// their prompts is worth more than a near one.
+TEST_CASE("a program's turns stay in the domain that ran the one before, whichever domain they come through")
+{
+    forwarding_world world;
+    for (const auto* it : {"t0", "t1", "t2"})
+    {
+        world.targets.withdraw({it});
+    }
+    for (int n = 0; n < 4; ++n)
+    {
+        for (const std::string domain : {"here", "there"})
+        {
+            const auto id = domain + std::to_string(n);
+            world.targets.put({.id = {id}, .service = {"s"}, .address = id, .domain = {domain}, .slots = 4});
+        }
+    }
+    world.services.own_domain = {"here"};
+    world.play_turn("a", "", {"x"});
+    const auto home = world.last()->request.address;
+    CHECK(home.starts_with("here"));
+    world.services.own_domain = {"there"};
+    world.play_turn("b", "a", {"x"});
+    CHECK(world.last()->request.address == home);
+    std::ignore = world.send(world.make("lookup", "c"));
+    CHECK(world.last()->request.address.starts_with("there"));
+}
--- a/tests/unit/test_gateway_overdraft.cpp
+++ b/tests/unit/test_gateway_overdraft.cpp
@@ -65,8 +65,8 @@
     [[nodiscard]] std::size_t calls() const
     {
         std::size_t n = 0;
-        std::ranges::for_each(members,
-                              [&n](const auto& it) { n += it.second->store.queries + it.second->store.writes; });
+        std::ranges::for_each(members, [&n](const auto& it)
+                              { n += it.second->store.queries + it.second->store.writes; });
         return n;
     }
 
@@ -212,7 +212,8 @@
 }
 
 // Load pattern: all gateways of a site start together, and all want a share of the one row.
-TEST_CASE("the calls to the row of buckets stay below what a partition takes, however many gateways there are")
+TEST_CASE(
+    "the calls to the row of buckets stay below what a partition takes, however many gateways there are")
 {
     for (const std::size_t count : {10U, 100U, 400U})
     {
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -154,7 +154,8 @@
         for (auto* const writer : writers)
         {
             const auto n = figures.wanted++;
-            row_change change{.puts = {{{"t", std::to_string(n)}, "value"}}, .expires = world.time.now() + 5s};
+            row_change change{.puts = {{{"t", std::to_string(n)}, "value"}},
+                              .expires = world.time.now() + 5s};
             writer->router.submit("p" + std::to_string(n % 8), std::move(change),
                                   [&world](const change_result& it) { world.results.push_back(it); });
         }
@@ -479,7 +480,8 @@
     }
 }
 
-TEST_CASE("a gateway that lacks the store leaves its own partitions to others, and collects if nobody else does")
+TEST_CASE(
+    "a gateway that lacks the store leaves its own partitions to others, and collects if nobody else does")
 {
     const auto peers = make_peers(5);
     peer_directory directory{peers[0]};
@@ -564,3 +566,20 @@
     const auto others = directory.choose(49, start, relay);
     CHECK(std::ranges::find(others, relay) == others.end());
 }
+
+TEST_CASE("a gateway that is cut off hands its own partitions on")
+{
+    router_world world{5};
+    for (auto& [address, member] : world.members)
+    {
+        if (!member->peers.collector_of("p", world.time.now()))
+        {
+            member->store.cut_off = 1s;
+            member->store.mode = store_mode::silent;
+            world.put(*member, "row");
+        }
+    }
+    world.time.run(50ms);
+    CHECK(world.messages == 1);
+    CHECK(world.done() == 1);
+}
--- a/tests/unit/test_gateway_targets.cpp
+++ b/tests/unit/test_gateway_targets.cpp
@@ -251,7 +251,8 @@
     CHECK(row->load(start + 10s) == doctest::Approx(1));
 }
 
-TEST_CASE("without affinity the least busy target of the own domain is chosen, unless another is half a batch less busy")
+TEST_CASE("without affinity the least busy target of the own domain is chosen, unless another is half a "
+          "batch less busy")
 {
     struct row
     {
@@ -272,7 +273,7 @@
         begin_many(table, "near-busier", full);
         CAPTURE(it.near_in_flight);
         CAPTURE(it.far_in_flight);
-        CHECK(choose(table, {.own_domain = {"here"}}) == it.chosen);
+        CHECK(choose(table, {.preferred_domain = {"here"}}) == it.chosen);
     }
     auto table = make_table(2);
     const std::vector<target_id> tried{{"t0"}, {"t1"}};
@@ -323,8 +324,9 @@
     CHECK(moved < programs / 5);
 }
 
-// Load pattern: programs of five domains on engines of five domains. Each gateway needs connections to its own
-// domain's engines only, and a domain that is full or has lost its engines does not hold its programs back.
+// Load pattern: programs of five domains on engines of five domains. Each gateway needs connections to its
+// own domain's engines only, and a domain that is full or has lost its engines does not hold its programs
+// back.
 TEST_CASE("programs keep to engines of their own domain, and spread over the others when it is busy or lost")
 {
     auto table = make_spread_table(50);
@@ -335,7 +337,7 @@
         for (int n = 0; n < programs; ++n)
         {
             const auto key = std::to_string(n);
-            ++counts[domain_of(table, choose(table, {.affinity = key, .own_domain = {"d2"}}))];
+            ++counts[domain_of(table, choose(table, {.affinity = key, .preferred_domain = {"d2"}}))];
         }
         return counts;
     };
@@ -371,7 +373,7 @@
     for (int n = 0; n < 60; ++n)
     {
         const auto key = std::to_string(n);
-        const auto chosen = choose(table, {.affinity = key, .own_domain = {"d2"}});
+        const auto chosen = choose(table, {.affinity = key, .preferred_domain = {"d2"}});
         table.begin({{chosen}});
         near += chosen == "t2" ? 1 : 0;
     }
--- a/tests/unit/test_gateway_turns.cpp
+++ b/tests/unit/test_gateway_turns.cpp
@@ -102,6 +102,8 @@
     const auto pieces = encode_turn(turn, row_bytes);
     CHECK(pieces.size() > 1);
     CHECK(decode_turn(pieces) == turn);
+    const turn_record placed{{}, "input", "output", {"here"}};
+    CHECK(decode_turn(encode_turn(placed, row_bytes)) == placed);
     CHECK_FALSE(decode_turn({pieces.front()}));
     CHECK_FALSE(decode_turn({}));
     CHECK_FALSE(decode_turn({"\xa0"}));
