--- a/include/masticcourse/gateway/target_choice.hpp
+++ b/include/masticcourse/gateway/target_choice.hpp
@@ -3,7 +3,7 @@
 ///
 /// Load pattern: hundreds of gateways and targets in several failure domains. Spread over all of them, each
 /// gateway opens connections to nearly every target for a few requests each, and most prompts and answers
-/// cross domains. Within the domain the same work goes over a fraction of the pairs; a domain whose targets
+/// cross domains. Within one domain the same work goes over a fraction of the pairs; a domain whose targets
 /// are busy or lost spills over to the others.
 #pragma once
 
@@ -29,8 +29,8 @@
     std::uint64_t sequence = 0;
 };
 
-/// Chooses a target: with an affinity by rendezvous hashing, first among those of the own failure domain,
-/// left only for one that is clearly less busy; otherwise the least busy one, of the own failure domain
+/// Chooses a target: with an affinity by rendezvous hashing, first among those of the preferred domain that
+/// are not clearly busier than the least busy one; otherwise the least busy one, of the preferred domain
 /// unless another is clearly less busy. Targets that are avoided come last.
 /// @param candidates in order of their ids
 /// @return null if none is left
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -52,8 +52,8 @@
     {
         return m_services.own_domain;
     }
-    // Turns may come through another domain than the ones before. Where that is not known, a program keeps to
-    // one target only if none is preferred for where it lies.
+    // Turns may come through another domain than the ones before. Where no record tells which one ran those,
+    // none is preferred, so that all gateways name the same target.
     if (!is_kept())
     {
         return {};
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -32,7 +32,7 @@
                          ("src/gateway/target_choice.cpp", "if (!std::ranges::all_of(targets, is_far))", "if (false)")],
     "domain of the last turn": [(f"{FORWARD}_attempts.cpp", "m_chain.domain.value.empty()", "true")],
     "reads from collectors": [("src/gateway/collected_rows.cpp", "if (!query.memory_will_do)", "if (true)")],
-    "relay through peers": [("platform/row_store_client.cpp",
+    "relay through peers": [("platform/store_relay.cpp",
                              "it->peers = m_peers.choose(most, monotonic_now(), m_relay);", "it->peers.clear();")],
     "waiting through outages": [(f"{FORWARD}.cpp", "m_reserve_first && is_kept() &&", "is_kept() &&")],
     "avoidance after failures": [("src/gateway/target_choice.cpp",
