--- a/tests/unit/test_row_store_client.cpp
+++ b/tests/unit/test_row_store_client.cpp
@@ -2,6 +2,7 @@
 #include "row_store_client.hpp"
 
 #include "masticcourse/gateway/io_delay.hpp"
+#include "masticcourse/net/http_server.hpp"
 
 #include "net_fixture.hpp"
 #include "table_service.hpp"
@@ -10,9 +11,12 @@
 
 #include <boost/asio/post.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <future>
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace masticcourse;
 using namespace masticcourse::testing;
@@ -57,8 +61,87 @@
     platform::row_store_client client;
 };
 
+/// Gateways that pass calls on, or say that they lack the store too.
+class peer_group
+{
+  public:
+    explicit peer_group(int count)
+    {
+        for (int n = 0; n < count; ++n)
+        {
+            m_servers.push_back(std::make_unique<http_server>(
+                m_threads.context(), "127.0.0.1:0", http_limits{},
+                [this, n](const http_request&, const auto& exchange)
+                {
+                    ++asked;
+                    const bool passes_on = n == with_store;
+                    exchange->respond(
+                        passes_on ? http_response{.body = R"({"rows":[],"ver":1,"nowMs":1,"hasMore":false})",
+                                                  .headers = {{"Call-Status", "200"}}}
+                                  : http_response{.status = 503, .body = "{}"});
+                }));
+        }
+    }
+    peer_group(const peer_group&) = delete;
+    peer_group(peer_group&&) = delete;
+    peer_group& operator=(const peer_group&) = delete;
+    peer_group& operator=(peer_group&&) = delete;
+    ~peer_group()
+    {
+        m_threads.stop();
+    }
+
+    [[nodiscard]] std::vector<gateway::peer> list() const
+    {
+        std::vector<gateway::peer> peers;
+        std::ranges::transform(m_servers, std::back_inserter(peers),
+                               [](const auto& it) {
+                                   return gateway::peer{loopback(it->port()), 1};
+                               });
+        return peers;
+    }
+
+    std::atomic<int> asked = 0;
+    /// The one that passes calls on; none if there is no such.
+    std::atomic<int> with_store = -1;
+
+  private:
+    io_threads m_threads{1};
+    std::vector<std::unique_ptr<http_server>> m_servers;
+};
+
 } // namespace
 
+// Load pattern: the store turns half of all gateways away, and later is away for all. Each call of a gateway
+// that lacks it asks others: enough of them to find a way while there is one, few while there is none.
+TEST_CASE("a call finds the one peer of six that has the store; without any, a call asks one peer")
+{
+    peer_group group{6};
+    group.with_store = 4;
+    client_world world;
+    world.client.set_address("127.0.0.1:1");
+    world.peers.set(group.list());
+    const auto ask = [&]
+    {
+        return world
+            .wait_for<gateway::query_reply>([&](auto done) { world.client.query({.table = "t"}, done); })
+            .answered;
+    };
+    CHECK(ask());
+    CHECK(world.client.cut_off_for());
+    CHECK(world.client.reachable());
+    group.asked = 0;
+    // The one that has the store is asked first from then on.
+    CHECK(ask());
+    CHECK(group.asked == 1);
+    group.with_store = -1;
+    CHECK_FALSE(ask());
+    CHECK_FALSE(world.client.reachable());
+    group.asked = 0;
+    CHECK_FALSE(ask());
+    CHECK(group.asked <= 1);
+}
+
 // A feed that hung for as long as a slow call may take let a request reach a target two seconds after its
 // leave.
 TEST_CASE("a feed that hangs ends soon after its wait, however long calls may take at present")
