--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 
 #include "masticcourse/gateway/gateway_request.hpp"
 #include "masticcourse/gateway/peer_directory.hpp"
+#include "masticcourse/gateway/quota/quota_terms.hpp"
 #include "masticcourse/gateway/request_forwarding.hpp"
 #include "masticcourse/gateway/table_follower.hpp"
 #include "masticcourse/net/http_server.hpp"
@@ -44,6 +45,8 @@
     std::size_t row_bytes = 0;
     /// From the order to stop until the process is killed.
     milliseconds stop_grace{};
+    /// How far requests of a workspace may exceed its quota.
+    quota_rule quota;
 };
 
 /// Why a row can't be read, in words.
@@ -96,6 +99,11 @@
     /// Serves a peer's request to that path.
     void serve_overdraft(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
 
+    /// Where peers ask for portions of quotas that this gateway holds slices of.
+    static constexpr const char* quota_path = "/quota";
+    /// Serves a peer's request to that path.
+    void serve_quota(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+
   private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -53,6 +53,10 @@
     /// The last event that the caller has of a stream that broke off; the answer goes on behind it.
     std::optional<std::string> after_event;
     std::optional<program_claim> program;
+    /// What the caller shows to be let in; empty if it shows nothing.
+    std::string access_key;
+    /// Set once the key is known to be a workspace's.
+    workspace_id workspace;
 };
 
 /// Why the gateway answers by itself.
@@ -62,6 +66,14 @@
     /// No configuration has been read since the start.
     no_configuration,
     no_route,
+    /// The key opens no workspace.
+    unknown_key,
+    /// The key is not known, and whether the configuration is the newest one is not known either.
+    key_undecided,
+    /// The workspace has sent as much as its quota allows.
+    over_quota,
+    /// No gateway that hands out the workspace's quota can be asked.
+    quota_undecided,
     no_such_turn,
     /// A turn that is kept can't go on from a broken answer that another process handed out.
     not_resumable,
--- a/include/masticcourse/gateway/overdraft.hpp
+++ b/include/masticcourse/gateway/overdraft.hpp
@@ -2,7 +2,7 @@
 /// Overdrafts as requests use them: asked of the gateway that may allow them, which may be this one.
 #pragma once
 
-#include "masticcourse/gateway/overdraft_buckets.hpp"
+#include "masticcourse/gateway/bucket_ownership.hpp"
 #include "masticcourse/gateway/overdraft_ledger.hpp"
 
 #include <functional>
@@ -41,10 +41,12 @@
 /// The tokens that may be handed out; 0 if none, or if the holder did not answer.
 using draw_callback = std::function<void(token_count)>;
 
+[[nodiscard]] ownership_terms overdraft_ownership_terms();
+
 class overdraft
 {
   public:
-    overdraft(overdraft_buckets& buckets, peer_call call, clock_function clock)
+    overdraft(bucket_ownership& buckets, peer_call call, clock_function clock)
         : m_buckets(buckets), m_call(std::move(call)), m_clock(std::move(clock))
     {
     }
@@ -79,7 +81,7 @@
     void tell(const overdraft_message& message, draw_callback on_grant);
     token_count apply(const overdraft_message& message);
 
-    overdraft_buckets& m_buckets;
+    bucket_ownership& m_buckets;
     peer_call m_call;
     clock_function m_clock;
     overdraft_ledger m_ledger;
--- a/include/masticcourse/gateway/overdraft_ledger.hpp
+++ b/include/masticcourse/gateway/overdraft_ledger.hpp
@@ -12,11 +12,21 @@
 #include "masticcourse/gateway/program_spending.hpp"
 
 #include <cstddef>
+#include <string_view>
 #include <unordered_map>
 
 namespace masticcourse::gateway
 {
 
+/// How many buckets programs fall into: several for each gateway of a small site, so that they share the load
+/// evenly; on larger ones some gateways hold none.
+inline constexpr std::size_t overdraft_bucket_count = 32;
+
+[[nodiscard]] std::size_t overdraft_bucket_of(std::string_view program);
+
+/// After that long without a turn no program is left: ten times what turns are kept for.
+inline constexpr seconds longest_program{600};
+
 class overdraft_ledger
 {
   public:
--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -5,10 +5,13 @@
 /// - A request with a budget is preceded by a reservation of it; no token is handed out before that is
 /// durable, but for what an overdraft allows.
 /// - The end of a turn is handed out when the turn is durable.
+/// - A request of a workspace with a quota is sent with a permit that is still valid at that moment, each
+/// time that it may run.
 #pragma once
 
 #include "masticcourse/gateway/gateway_request.hpp"
 #include "masticcourse/gateway/overdraft.hpp"
+#include "masticcourse/gateway/quota/workspace_quotas.hpp"
 #include "masticcourse/gateway/route_table.hpp"
 #include "masticcourse/gateway/turn_store.hpp"
 #include "masticcourse/net/http_server.hpp"
@@ -34,6 +37,7 @@
     program_spending& spending;
     turn_store& turns;
     overdraft& overdrafts;
+    workspace_quotas& quotas;
     const row_store& store;
     delay_function delay;
     clock_function clock;
--- a/include/masticcourse/gateway/route_table.hpp
+++ b/include/masticcourse/gateway/route_table.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "masticcourse/core/ids.hpp"
+#include "masticcourse/gateway/access/workspace_directory.hpp"
 #include "masticcourse/gateway/time.hpp"
 
 #include <cstddef>
@@ -58,6 +59,8 @@
     bool resumable = false;
     /// The longest pause between two events with which a stream still has its full worth.
     milliseconds event_gap{};
+    /// Callers need no key.
+    bool open_to_all = false;
 
     /// Whether a request may run more than once.
     [[nodiscard]] bool repeatable() const
@@ -101,6 +104,7 @@
     config_version version = 0;
     std::vector<route> routes;
     std::vector<routed_service> services;
+    workspace_directory workspaces;
     caller_limits limits;
 
     /// @return the route of that host with the longest prefix that begins @a path, or null
--- a/include/masticcourse/gateway/time.hpp
+++ b/include/masticcourse/gateway/time.hpp
@@ -23,4 +23,7 @@
     return time_point{std::chrono::duration_cast<duration>(elapsed)};
 }
 
+/// @return the monotonic time of this VM, which also passes while the VM is suspended
+[[nodiscard]] time_point awake_now();
+
 } // namespace masticcourse::gateway
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -55,12 +55,13 @@
     store_back = 3202,
     store_relayed = 3203,
     registry_read = 3204,
-    overdraft_buckets_changed = 3205,
+    buckets_changed = 3205,
     peer_up = 4001,
     peer_lost = 4002,
     peer_silent = 4003,
     peer_restarted = 4004,
     collector_failed = 4005,
+    quota_holder_failed = 4006,
     target_available = 5001,
     target_lost = 5003,
     target_fence_raised = 5004,
@@ -213,8 +214,9 @@
         "The registry of targets was read whole: at the start, or because the store dropped its history.",
         "None."},
     event_row{
-        event_id::overdraft_buckets_changed, "overdraft_buckets_changed", event_severity::info,
-        "This gateway took buckets, or gave them up: it allows overdrafts to the programs of those `held`.",
+        event_id::buckets_changed, "buckets_changed", event_severity::info,
+        "This gateway took buckets of a `table`, or gave them up: those `held` are its own to give out from, "
+        "overdrafts of programs or portions of quotas.",
         "None."},
     event_row{event_id::peer_up, "peer_up", event_severity::info, "A connection to a peer is up.", "None."},
     event_row{event_id::peer_lost, "peer_lost", event_severity::info, "A connection to a peer closed.",
@@ -229,6 +231,11 @@
         "The gateway that collects a partition's commits did not answer, or lacks the store (`why`); its "
         "sender turns to the next in rank and leaves it out for a while.",
         "Look at that gateway if it recurs."},
+    event_row{
+        event_id::quota_holder_failed, "quota_holder_failed", event_severity::warning,
+        "The gateway that holds a slice of a workspace's quota did not answer, or holds it no more (`why`); "
+        "the other slices are asked meanwhile.",
+        "Look at that gateway if it recurs."},
     event_row{event_id::target_available, "target_available", event_severity::info, "A target takes work.",
               "None."},
     event_row{event_id::target_lost, "target_lost", event_severity::warning,
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -1,6 +1,8 @@
 // A request from its arrival until a target is chosen.
 #include "forwarded_request.hpp"
 
+#include "masticcourse/gateway/access/access_control.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,10 @@
         refuse(refusal_reason::no_route, ran_state::no, "no route for " + m_request.host);
         return;
     }
+    if (!admit_caller())
+    {
+        return;
+    }
     m_deadline = std::min(m_deadline, m_started + m_route->timeout);
     set_deadline();
     m_exchange->on_closed(
@@ -42,6 +48,17 @@
                milliseconds{0});
         return;
     }
+    if (m_limited != nullptr)
+    {
+        // Looked at before anything else is done for the request.
+        draw_permit(&forwarded_request::begin);
+        return;
+    }
+    begin();
+}
+
+void forwarded_request::begin()
+{
     if (streams())
     {
         begin_progress();
@@ -56,6 +73,91 @@
     }
 }
 
+void forwarded_request::draw_permit(void (forwarded_request::*step)())
+{
+    const auto on_result = [self = shared_from_this(), step](const quota_result& result)
+    {
+        if (self->m_finished)
+        {
+            return;
+        }
+        if (const auto* const refusal = std::get_if<quota_refusal>(&result))
+        {
+            self->refuse_over_quota(*refusal);
+            return;
+        }
+        self->m_permit = std::get<quota_permit>(result);
+        (self.get()->*step)();
+    };
+    m_services.quotas.draw(*m_limited, starts_program() ? quota_need::start : quota_need::other, on_result);
+}
+
+bool forwarded_request::starts_program() const
+{
+    return is_kept() && m_request.program && !previous_turn();
+}
+
+bool forwarded_request::has_permit() const
+{
+    return m_limited == nullptr || (m_permit && m_services.quotas.valid(*m_permit));
+}
+
+void forwarded_request::refuse_over_quota(const quota_refusal& refusal)
+{
+    const auto ran = m_may_have_run ? ran_state::unknown : ran_state::no;
+    if (refusal.used_up)
+    {
+        refuse(refusal_reason::over_quota, ran,
+               starts_program() ? "the quota holds no further program" : "the quota is used up",
+               refusal.retry_after);
+        return;
+    }
+    refuse(refusal_reason::quota_undecided, ran, "no holder of the quota answers", refusal.retry_after);
+}
+
+bool forwarded_request::admit_caller()
+{
+    // While the store is away, a newer configuration may be in force elsewhere.
+    const bool current = m_services.store.reachable();
+    const auto access = check_access(*m_config, *m_route, m_request.access_key, current);
+    m_request.access_key.clear();
+    switch (access.outcome)
+    {
+    case access_outcome::open:
+        return true;
+    case access_outcome::granted:
+        enter_workspace(*access.owner);
+        return true;
+    case access_outcome::unknown_key:
+        refuse(refusal_reason::unknown_key, ran_state::no, "the key opens no workspace");
+        return false;
+    case access_outcome::undecided:
+        break;
+    }
+    refuse(refusal_reason::key_undecided, ran_state::no, "the newest configuration can't be read",
+           after_store_away);
+    return false;
+}
+
+void forwarded_request::enter_workspace(const workspace& owner)
+{
+    m_request.workspace = owner.name;
+    m_limited = owner.quota ? &owner : nullptr;
+    if (auto& claim = m_request.program)
+    {
+        claim->program = in_workspace(owner.name, claim->program);
+        if (claim->previous)
+        {
+            claim->previous = in_workspace(owner.name, *claim->previous);
+        }
+    }
+}
+
+request_id forwarded_request::turn_id() const
+{
+    return in_workspace(m_request.workspace, m_request.id);
+}
+
 bool forwarded_request::has_budget() const
 {
     return streams() && m_request.program && m_request.program->budget;
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -38,6 +38,11 @@
     /// @name Before a target is chosen
     /// @{
     void set_deadline();
+    /// Lets the caller in, or refuses it.
+    [[nodiscard]] bool admit_caller();
+    /// From here on, what the request names belongs to its workspace.
+    void enter_workspace(const workspace& owner);
+    void begin();
     void start_turn();
     void reserve();
     void load_chain();
@@ -59,9 +64,21 @@
     [[nodiscard]] token_count tokens_per_event() const;
     /// @}
 
+    /// @name The workspace's quota
+    /// @{
+    /// Asks for a permit and then takes the step; refuses the request if there is none.
+    void draw_permit(void (forwarded_request::*step)());
+    void refuse_over_quota(const quota_refusal& refusal);
+    [[nodiscard]] bool has_permit() const;
+    /// Whether the request is the first of its program.
+    [[nodiscard]] bool starts_program() const;
+    /// @}
+
     /// @name Sending
     /// @{
+    /// Sends it to a target, as soon as the workspace's quota allows.
     void dispatch();
+    void dispatch_permitted();
     [[nodiscard]] const target* next_target();
     void send_to(const target_record& target);
     [[nodiscard]] std::string affinity() const;
@@ -121,6 +138,8 @@
     [[nodiscard]] failure_domain_name preferred_domain() const;
     [[nodiscard]] bool is_kept() const;
     [[nodiscard]] std::optional<request_id> previous_turn() const;
+    /// The id under which the turn is kept.
+    [[nodiscard]] request_id turn_id() const;
 
     forwarding_services& m_services;
     config_ptr m_config;
@@ -128,6 +147,9 @@
     std::shared_ptr<http_exchange> m_exchange;
     std::function<void(request_end)> m_on_end;
     const route* m_route = nullptr;
+    /// The workspace whose quota the request counts in; null if there is no limit.
+    const workspace* m_limited = nullptr;
+    std::optional<quota_permit> m_permit;
     time_point m_started;
     time_point m_deadline;
     bool m_finished = false;
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -26,6 +26,7 @@
     end_attempt(again ? target_verdict::broken : target_verdict::sound);
     if (again && may_try_again())
     {
+        m_permit.reset();
         dispatch();
         return;
     }
@@ -42,7 +43,7 @@
                      .input = m_request.body,
                      .output = m_progress->output(),
                      .domain = m_last_domain};
-    m_services.turns.keep(m_request.id, std::move(turn), m_deadline,
+    m_services.turns.keep(turn_id(), std::move(turn), m_deadline,
                           [self = shared_from_this()](bool kept)
                           {
                               self->m_kept = kept;
@@ -151,6 +152,7 @@
     const auto& program = m_request.program;
     log_event(end == request_end::answered ? event_id::request_answered : event_id::request_failed,
               {{"request", m_request.id.value},
+               {"workspace", m_request.workspace.empty() ? "-" : m_request.workspace.value},
                {"program", program ? program->program.value : "-"},
                {"route", m_route != nullptr ? m_route->name : "-"},
                {"config", std::to_string(m_config->version)},
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -75,6 +75,16 @@
 }
 
 void forwarded_request::dispatch()
+{
+    if (has_permit())
+    {
+        dispatch_permitted();
+        return;
+    }
+    draw_permit(&forwarded_request::dispatch);
+}
+
+void forwarded_request::dispatch_permitted()
 {
     if (time_left() <= milliseconds{0})
     {
@@ -261,6 +271,7 @@
     log_retry(why);
     end_attempt(target_verdict::broken);
     m_may_have_run = true;
+    m_permit.reset();
     const bool can_go_on = !m_progress || m_progress->can_go_on();
     if (m_route->repeatable() && can_go_on && may_try_again())
     {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,8 +74,10 @@
     collected_rows shared_rows;
     program_spending spending;
     turn_store turns;
-    overdraft_buckets buckets;
+    bucket_ownership overdraft_buckets;
     overdraft overdrafts;
+    bucket_ownership quota_buckets;
+    workspace_quotas quotas;
     forwarding_services services;
     table_follower config_rows;
     table_follower target_rows;
@@ -108,12 +110,20 @@
           monotonic_now),
       spending(shared_rows, commits, delay, monotonic_now),
       turns(shared_rows, commits, options.cache_bytes, options.row_bytes),
-      buckets(store, peers, {options.peer_address, random_life()}, delay, monotonic_now),
+      overdraft_buckets(overdraft_ownership_terms(), store, peers, {options.peer_address, random_life()},
+                        delay, monotonic_now, awake_now),
       overdrafts(
-          buckets,
+          overdraft_buckets,
           [this](const auto& address, auto message, auto on_answer)
           { to_peers.overdraft(address, std::move(message), std::move(on_answer)); },
           monotonic_now),
+      quota_buckets(quota_ownership_terms(), store, peers, {options.peer_address, random_life()}, delay,
+                    monotonic_now, awake_now),
+      quotas(
+          {.rule = options.quota}, quota_buckets,
+          [this](const auto& address, auto question, auto on_answer)
+          { to_peers.quota(address, std::move(question), std::move(on_answer)); },
+          delay, monotonic_now, awake_now, registry),
       services{.open = [this](auto request, auto on_chunk, auto on_reply)
                { return client.open_stream(std::move(request), std::move(on_chunk), std::move(on_reply)); },
                .protocol = protocol,
@@ -121,6 +131,7 @@
                .spending = spending,
                .turns = turns,
                .overdrafts = overdrafts,
+               .quotas = quotas,
                .store = store,
                .delay = delay,
                .clock = monotonic_now,
@@ -159,7 +170,7 @@
     }
     config_rows.start();
     target_rows.start();
-    buckets.start();
+    overdraft_buckets.start();
     sweep_often();
 }
 
@@ -234,6 +245,7 @@
     {
         return;
     }
+    quotas.set_config(config.current());
     const auto& limits = config.current()->limits;
     frontend->set_limits({.max_body = limits.max_body,
                           .max_header = limits.max_header,
@@ -326,7 +338,9 @@
     stopping_since = monotonic_now();
     sweep();
     frontend->announce_close();
-    buckets.leave([this](std::size_t bucket) { return overdrafts.idle(bucket); });
+    overdraft_buckets.leave([this](std::size_t bucket) { return overdrafts.idle(bucket); });
+    // Portions that are out lapse by themselves.
+    quota_buckets.leave([](std::size_t) { return true; });
     check_stopped();
 }
 
@@ -341,7 +355,7 @@
         frontend->stop_accepting();
     }
     // Buckets are given up while the store is there; without it nobody waits for that.
-    const bool gave_up = buckets.may_go() || !store.reachable();
+    const bool gave_up = (overdraft_buckets.may_go() && quota_buckets.may_go()) || !store.reachable();
     const bool idle = frontend->open_exchanges() == 0 && commits.pending() == 0 && gave_up;
     // Idle connections get the server's grace after `stop_accepting` for requests on their way.
     const bool settled = waited >= turn_away_time + http_limits{}.stop_grace + sweep_period;
@@ -393,4 +407,9 @@
     exchange->respond(detail::to_response(m_state->overdrafts.serve(request.body)));
 }
 
+void gateway::serve_quota(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+{
+    exchange->respond(detail::to_response(m_state->quotas.serve(request.body)));
+}
+
 } // namespace masticcourse::gateway
--- a/src/gateway/overdraft.cpp
+++ b/src/gateway/overdraft.cpp
@@ -5,6 +5,12 @@
 namespace masticcourse::gateway
 {
 
+ownership_terms overdraft_ownership_terms()
+{
+    // What a life that died had open is not known: its buckets stay its own until no program of then is left.
+    return {.table = "overdraft", .buckets = overdraft_bucket_count, .inherited_after = longest_program};
+}
+
 void overdraft::draw(const program_id& program, const request_id& request, token_count most,
                      draw_callback on_grant)
 {
--- a/src/gateway/overdraft_ledger.cpp
+++ b/src/gateway/overdraft_ledger.cpp
@@ -1,9 +1,8 @@
 #include "masticcourse/gateway/overdraft_ledger.hpp"
 
-#include "masticcourse/gateway/overdraft_buckets.hpp"
-
 #include <algorithm>
 #include <numeric>
+#include <xxhash.h>
 
 namespace masticcourse::gateway
 {
@@ -16,6 +15,13 @@
 
 } // namespace
 
+std::size_t overdraft_bucket_of(std::string_view program)
+{
+    // Seeded, so that buckets and partitions of the store do not fall together.
+    constexpr std::uint64_t seed = 0x0d;
+    return XXH3_64bits_withSeed(program.data(), program.size(), seed) % overdraft_bucket_count;
+}
+
 token_count overdraft_ledger::program_account::sum_without(const request_id& request) const
 {
     return std::accumulate(open.begin(), open.end(), token_count{0},
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -22,6 +22,8 @@
 
 /// How long the holder of an overdraft may take to answer: it asks nobody itself.
 constexpr milliseconds overdraft_limit{100};
+/// The same for the holder of a slice of a quota. The request waits meanwhile, and other slices are there.
+constexpr milliseconds quota_limit{100};
 
 /// How long a collector has lacked the store, in ms.
 const std::string lacked_for_header = "Lacked-Store-Ms";
@@ -106,6 +108,11 @@
         std::move(on_answer));
 }
 
+void peer_calls::quota(const std::string& address, std::string question, peer_callback on_answer)
+{
+    ask(make_request(address, gateway::quota_path, std::move(question)), quota_limit, std::move(on_answer));
+}
+
 http_response to_response(const collector_answer& answer)
 {
     switch (answer.outcome)
--- a/src/gateway/peer_calls.hpp
+++ b/src/gateway/peer_calls.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// What gateways ask of each other over HTTP: to collect commits, what they remember of rows, and overdrafts.
+/// What gateways ask of each other over HTTP: to collect commits, what they remember of rows, overdrafts,
+/// and portions of quotas.
 #pragma once
 
 #include "masticcourse/gateway/collected_rows.hpp"
@@ -22,6 +23,7 @@
     void collect(const std::string& address, std::string changes, collector_callback on_answer);
     void recall(const std::string& address, std::string query, peer_callback on_rows);
     void overdraft(const std::string& address, std::string message, peer_callback on_answer);
+    void quota(const std::string& address, std::string question, peer_callback on_answer);
 
   private:
     /// Asks for what does no harm if it is asked twice.
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -33,6 +33,14 @@
         return "no_configuration";
     case refusal_reason::no_route:
         return "no_route";
+    case refusal_reason::unknown_key:
+        return "unknown_key";
+    case refusal_reason::key_undecided:
+        return "key_undecided";
+    case refusal_reason::over_quota:
+        return "over_quota";
+    case refusal_reason::quota_undecided:
+        return "quota_undecided";
     case refusal_reason::no_such_turn:
         return "no_such_turn";
     case refusal_reason::not_resumable:
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -217,6 +217,7 @@
           .spending = spending,
           .turns = turns,
           .overdrafts = overdrafts,
+          .quotas = quotas,
           .store = store,
           .delay = time.delays(),
           .clock = time.clock()}
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -100,8 +100,24 @@
     gateway::program_spending spending{store, commits, time.delays(), time.clock()};
     gateway::turn_store turns{store, commits, 1'000'000, 10'000};
     gateway::peer_directory peers{{.address = "self"}};
-    gateway::overdraft_buckets buckets{store, peers, {"self", "1"}, time.delays(), time.clock()};
+    gateway::bucket_ownership buckets{gateway::overdraft_ownership_terms(),
+                                      store,
+                                      peers,
+                                      {"self", "1"},
+                                      time.delays(),
+                                      time.clock(),
+                                      time.clock()};
     gateway::overdraft overdrafts{buckets, nullptr, time.clock()};
+    gateway::bucket_ownership quota_buckets{gateway::quota_ownership_terms(),
+                                            store,
+                                            peers,
+                                            {"self", "1"},
+                                            time.delays(),
+                                            time.clock(),
+                                            time.clock()};
+    metrics_registry metrics;
+    gateway::workspace_quotas quotas{{.longest_wait = {}}, quota_buckets, nullptr, time.delays(),
+                                     time.clock(),         time.clock(),  metrics};
     gateway::target_table targets;
     plain_protocol protocol;
     std::vector<sent_ptr> sent;
--- /dev/null
+++ b/tests/support/quota_group.cpp
@@ -0,0 +1,218 @@
+#include "support/quota_group.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticcourse::testing
+{
+
+namespace
+{
+
+using gateway::milliseconds;
+using gateway::time_point;
+
+/// After that a gateway gives a message up.
+constexpr milliseconds message_limit{100};
+
+} // namespace
+
+bool keeps_rule(const std::vector<time_point>& sent, const gateway::request_quota& quota,
+                const gateway::quota_rule& rule)
+{
+    const auto window = std::chrono::duration<double>{rule.window}.count();
+    const auto most = (quota.rate * window + quota.burst) * (1 + rule.overage) + rule.slack;
+    auto first = sent.begin();
+    for (auto last = sent.begin(); last != sent.end(); ++last)
+    {
+        while (*last - *first > rule.window)
+        {
+            ++first;
+        }
+        if (static_cast<double>(std::distance(first, last) + 1) > most)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+quota_group::member::member(quota_group& owner, const std::string& member_address, const std::string& life)
+    : group(owner), address(member_address),
+      store(owner.rows, owner.delays_of(std::make_shared<member*>(this))), peers({.address = member_address}),
+      buckets(
+          gateway::quota_ownership_terms(), store, peers, {member_address, life},
+          owner.delays_of(std::make_shared<member*>(this)), [this] { return group.time.now() - slept; },
+          owner.time.clock()),
+      quotas(
+          {.rule = owner.rule, .policy = owner.m_policy}, buckets,
+          [this](const auto& to, auto bytes, auto on_answer) { group.call(address, to, bytes, on_answer); },
+          owner.delays_of(std::make_shared<member*>(this)), [this] { return group.time.now() - slept; },
+          owner.time.clock(), metrics)
+{
+}
+
+quota_group::quota_group(std::size_t count, const std::map<std::string, gateway::request_quota>& quotas,
+                         gateway::start_policy policy, milliseconds settling)
+    : m_policy(policy)
+{
+    set_quotas(quotas);
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        start("g" + std::to_string(n));
+    }
+    time.run(settling);
+}
+
+gateway::delay_function quota_group::delays_of(std::shared_ptr<member*> it)
+{
+    return [this, it](milliseconds after, const std::function<void()>& action)
+    {
+        const auto run = [this, it, action](const auto& self) -> void
+        {
+            const auto until = (*it)->frozen_until;
+            if (until > time.now())
+            {
+                const auto rest = std::chrono::ceil<milliseconds>(until - time.now());
+                time.delays()(rest, [self] { self(self); });
+                return;
+            }
+            action();
+        };
+        time.delays()(after, [run] { run(run); });
+    };
+}
+
+void quota_group::start(const std::string& address)
+{
+    stop(address);
+    auto& it = m_members[address] = std::make_unique<member>(*this, address, std::to_string(++m_lives));
+    list_peers();
+    it->quotas.set_config(m_config);
+}
+
+void quota_group::stop(const std::string& address)
+{
+    if (const auto it = m_members.find(address); it != m_members.end())
+    {
+        it->second->dead = true;
+        it->second->store.mode = store_mode::refusing;
+        m_dead.push_back(std::move(it->second));
+        m_members.erase(it);
+        list_peers();
+    }
+}
+
+void quota_group::freeze(const std::string& address, milliseconds span)
+{
+    auto& it = at(address);
+    it.frozen_until = time.now() + span;
+    it.slept += span;
+}
+
+void quota_group::set_quotas(const std::map<std::string, gateway::request_quota>& quotas)
+{
+    std::vector<gateway::workspace> workspaces;
+    for (const auto& [name, quota] : quotas)
+    {
+        workspaces.push_back({.name = {name}, .keys = {"key of " + name}, .quota = quota});
+    }
+    gateway::gateway_config config{.version = ++m_version};
+    config.workspaces = gateway::workspace_directory{std::move(workspaces)};
+    m_config = std::make_shared<const gateway::gateway_config>(std::move(config));
+    std::ranges::for_each(m_members, [this](const auto& it) { it.second->quotas.set_config(m_config); });
+}
+
+void quota_group::request(const std::string& address, const std::string& workspace, gateway::quota_need need,
+                          milliseconds work)
+{
+    auto* const it = &at(address);
+    if (it->frozen_until > time.now())
+    {
+        return;
+    }
+    const auto* const owner = m_config->workspaces.find({workspace});
+    it->quotas.draw(*owner, need,
+                    [this, it, workspace, work](const gateway::quota_result& result)
+                    {
+                        if (const auto* const refusal = std::get_if<gateway::quota_refusal>(&result))
+                        {
+                            refused[workspace].push_back(*refusal);
+                            return;
+                        }
+                        const auto permit = std::get<gateway::quota_permit>(result);
+                        time.delays()(work,
+                                      [this, it, workspace, permit]
+                                      {
+                                          if (!it->dead && it->quotas.valid(permit))
+                                          {
+                                              sent[workspace].push_back(time.now());
+                                          }
+                                      });
+                    });
+}
+
+std::vector<std::string> quota_group::addresses() const
+{
+    std::vector<std::string> all;
+    std::ranges::transform(m_members, std::back_inserter(all), [](const auto& it) { return it.first; });
+    return all;
+}
+
+bool quota_group::lost()
+{
+    return lose_each > 0 && messages % lose_each == 0;
+}
+
+void quota_group::call(const std::string& from, const std::string& to, const std::string& bytes,
+                       const gateway::peer_callback& on_answer)
+{
+    ++messages;
+    auto* const sender = &at(from);
+    const auto answered = std::make_shared<bool>(false);
+    const auto answer = [answered, sender, on_answer](const std::optional<std::string>& text)
+    {
+        if (!std::exchange(*answered, true) && !sender->dead)
+        {
+            on_answer(text);
+        }
+    };
+    delays_of(std::make_shared<member*>(sender))(message_limit, [answer] { answer(std::nullopt); });
+    if (lost() || sender->cut)
+    {
+        return;
+    }
+    const bool answer_lost = lose_each > 0 && messages % lose_each == 1;
+    time.delays()(way,
+                  [this, to, bytes, sender, answer, answer_lost]
+                  {
+                      const auto it = m_members.find(to);
+                      if (it == m_members.end() || it->second->cut)
+                      {
+                          return;
+                      }
+                      // A frozen gateway reads the message when it wakes.
+                      auto* const holder = it->second.get();
+                      delays_of(std::make_shared<member*>(holder))(
+                          milliseconds{0},
+                          [this, holder, bytes, sender, answer, answer_lost]
+                          {
+                              const auto text = holder->dead ? std::nullopt : holder->quotas.serve(bytes);
+                              if (text && !answer_lost)
+                              {
+                                  delays_of(std::make_shared<member*>(sender))(way, [answer, text]
+                                                                               { answer(text); });
+                              }
+                          });
+                  });
+}
+
+void quota_group::list_peers()
+{
+    std::vector<gateway::peer> list;
+    std::ranges::transform(m_members, std::back_inserter(list),
+                           [](const auto& it) { return gateway::peer{.address = it.first}; });
+    std::ranges::for_each(m_members, [&](const auto& it) { it.second->peers.set(list); });
+}
+
+} // namespace masticcourse::testing
--- /dev/null
+++ b/tests/support/quota_group.hpp
@@ -0,0 +1,101 @@
+/// @file
+/// Gateways of one site that share workspaces' quotas, in virtual time: messages take a while and are lost,
+/// gateways freeze, are cut off and start again.
+#pragma once
+
+#include "support/memory_rows.hpp"
+#include "support/virtual_time.hpp"
+
+#include "masticcourse/gateway/quota/workspace_quotas.hpp"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticcourse::testing
+{
+
+/// @return whether over any span of the rule's window no more was sent than the rule allows
+/// @param sent in order of time
+[[nodiscard]] bool keeps_rule(const std::vector<gateway::time_point>& sent,
+                              const gateway::request_quota& quota, const gateway::quota_rule& rule);
+
+class quota_group
+{
+  public:
+    struct member
+    {
+        member(quota_group& owner, const std::string& member_address, const std::string& life);
+
+        quota_group& group;
+        std::string address;
+        /// Set while it is frozen: nothing that is due happens before.
+        gateway::time_point frozen_until{};
+        /// How long it has been frozen so far: its steady clock stands still meanwhile.
+        gateway::duration slept{};
+        memory_store store;
+        gateway::peer_directory peers;
+        gateway::bucket_ownership buckets;
+        metrics_registry metrics;
+        gateway::workspace_quotas quotas;
+        /// No message of it arrives, and none comes to it.
+        bool cut = false;
+        bool dead = false;
+    };
+
+    /// @param quotas by workspace; an empty one has no limit
+    quota_group(std::size_t count, const std::map<std::string, gateway::request_quota>& quotas,
+                gateway::start_policy policy = gateway::start_policy::paid_ahead,
+                gateway::milliseconds settling = gateway::seconds{20});
+
+    /// Starts a life on a VM; one that ran there is dead from then on.
+    void start(const std::string& address);
+    /// Ends the life on a VM, if there is one.
+    void stop(const std::string& address);
+    void freeze(const std::string& address, gateway::milliseconds span);
+    void set_quotas(const std::map<std::string, gateway::request_quota>& quotas);
+
+    /// A request comes to a gateway; it is sent as soon as a permit is there, if that is still valid after
+    /// @a work.
+    void request(const std::string& address, const std::string& workspace,
+                 gateway::quota_need need = gateway::quota_need::other, gateway::milliseconds work = {});
+
+    /// @return the gateways, dead ones left out
+    [[nodiscard]] std::vector<std::string> addresses() const;
+    [[nodiscard]] member& at(const std::string& address)
+    {
+        return *m_members.at(address);
+    }
+
+    virtual_time time;
+    row_table rows;
+    gateway::quota_rule rule{.window = gateway::seconds{5}, .overage = 0.1, .slack = 20};
+    /// Of a message between gateways, one way.
+    gateway::milliseconds way{1};
+    /// Every so manyth message is lost; 0 loses none.
+    std::size_t lose_each = 0;
+    std::size_t messages = 0;
+    /// When requests of a workspace were sent.
+    std::map<std::string, std::vector<gateway::time_point>> sent;
+    std::map<std::string, std::vector<gateway::quota_refusal>> refused;
+
+  private:
+    void call(const std::string& from, const std::string& to, const std::string& bytes,
+              const gateway::peer_callback& on_answer);
+    [[nodiscard]] bool lost();
+    [[nodiscard]] gateway::delay_function delays_of(std::shared_ptr<member*> it);
+    void list_peers();
+
+    gateway::start_policy m_policy;
+    gateway::config_ptr m_config;
+    std::map<std::string, std::unique_ptr<member>> m_members;
+    /// Their timers are still planned: they stay, unreachable.
+    std::vector<std::unique_ptr<member>> m_dead;
+    std::size_t m_lives = 0;
+    config_version m_version = 0;
+};
+
+} // namespace masticcourse::testing
--- /dev/null
+++ b/tests/unit/test_gateway_access.cpp
@@ -0,0 +1,210 @@
+// Who may send what: keys, workspaces, and that what belongs to one is never another's.
+#include "support/forwarding_world.hpp"
+
+#include "masticcourse/gateway/access/access_control.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+using namespace masticcourse;
+using namespace masticcourse::gateway;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+gateway_config with_workspaces(gateway_config config)
+{
+    config.workspaces =
+        workspace_directory{{{.name = {"alpha"}, .keys = {"a1", "a2"}},
+                             {.name = {"beta"}, .keys = {"b1"}, .quota = request_quota{40, 40}}}};
+    return config;
+}
+
+/// A world in which two workspaces have keys.
+struct keyed_world : forwarding_world
+{
+    keyed_world()
+    {
+        config = std::make_shared<const gateway_config>(with_workspaces(*config));
+        quotas.set_config(config);
+        time.run(10s);
+    }
+
+    gateway_request turn_of(const std::string& key, const std::string& id, const std::string& previous = "")
+    {
+        auto request = make_turn(id, previous);
+        request.access_key = key;
+        return request;
+    }
+
+    std::shared_ptr<caller_view> play(const std::string& key, const std::string& id,
+                                      const std::string& previous = "")
+    {
+        auto view = send(turn_of(key, id, previous));
+        time.run(100ms);
+        const auto target = last();
+        target->begin(200);
+        target->event("e of " + id);
+        target->end(200);
+        time.run(100ms);
+        return view;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a key opens its workspace; without one, or with another, nothing is open but open routes")
+{
+    gateway_config config;
+    route closed;
+    route open;
+    open.open_to_all = true;
+    CHECK(check_access(config, closed, "", true).outcome == access_outcome::open);
+    config = with_workspaces(config);
+    struct row
+    {
+        const route& way;
+        const char* key;
+        bool current;
+        access_outcome outcome;
+        const char* owner;
+    };
+    const std::array table{
+        row{closed, "a1", true, access_outcome::granted, "alpha"},
+        row{closed, "a2", false, access_outcome::granted, "alpha"},
+        row{closed, "b1", true, access_outcome::granted, "beta"},
+        row{closed, "x", true, access_outcome::unknown_key, ""},
+        // A newer configuration may hold it.
+        row{closed, "x", false, access_outcome::undecided, ""},
+        row{closed, "", false, access_outcome::unknown_key, ""},
+        row{open, "", true, access_outcome::open, ""},
+        row{open, "x", true, access_outcome::open, ""},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.key);
+        const auto decision = check_access(config, it.way, it.key, it.current);
+        CHECK(decision.outcome == it.outcome);
+        CHECK((decision.owner != nullptr ? decision.owner->name.value : "") == it.owner);
+    }
+}
+
+TEST_CASE("a request without a known key is refused before anything is done for it")
+{
+    keyed_world world;
+    for (const auto* key : {"", "x"})
+    {
+        auto request = world.make("lookup", "r");
+        request.access_key = key;
+        const auto view = world.send(request);
+        CHECK(body_of(*view) == "unknown_key");
+    }
+    world.store.says_reachable = false;
+    auto request = world.make("lookup", "r");
+    request.access_key = "x";
+    const auto view = world.send(request);
+    CHECK(body_of(*view) == "key_undecided");
+    CHECK(find_header(view->response->headers, "retry-after"));
+    CHECK(world.sent.empty());
+}
+
+TEST_CASE("turns and budgets are a workspace's own, whatever ids callers choose")
+{
+    keyed_world world;
+    CHECK(world.play("a1", "t-1")->ended);
+    // The other key of the workspace goes on from it.
+    CHECK(world.play("a2", "t-2", "t-1")->ended);
+    CHECK(world.last()->request.body == "body of t-1;e of t-1\nbody of t-2;");
+    const auto forged = world.send(world.turn_of("b1", "t-3", "t-1"));
+    world.time.run(200ms);
+    CHECK(body_of(*forged) == "no_such_turn");
+    // The same ids in another workspace are other turns of another program.
+    CHECK(world.play("b1", "t-1")->ended);
+    CHECK(world.play("b1", "t-4", "t-1")->ended);
+    CHECK(world.last()->request.body == "body of t-1;e of t-1\nbody of t-4;");
+    CHECK(in_workspace({""}, request_id{"t"}).value == "t");
+    CHECK(in_workspace({"w"}, request_id{"t"}) != in_workspace({"w2"}, request_id{"t"}));
+}
+
+TEST_CASE("turns kept before there were workspaces stay where they are for callers without one")
+{
+    keyed_world world;
+    const auto keyed = world.config;
+    forwarding_world plain;
+    world.config = plain.config;
+    CHECK(world.play("", "old")->ended);
+    CHECK(world.play("", "next", "old")->ended);
+    world.config = keyed;
+    const auto view = world.send(world.turn_of("a1", "other", "old"));
+    world.time.run(200ms);
+    CHECK(body_of(*view) == "no_such_turn");
+}
+
+TEST_CASE("beyond its quota a workspace's requests are refused at once, others' are not")
+{
+    keyed_world world;
+    std::size_t refused = 0;
+    std::shared_ptr<caller_view> last;
+    for (int n = 0; n < 200; ++n)
+    {
+        auto request = world.make("order", "r" + std::to_string(n));
+        request.access_key = "b1";
+        const auto view = world.send(request);
+        world.time.run(1ms);
+        if (view->response)
+        {
+            ++refused;
+            last = view;
+        }
+    }
+    CHECK(refused > 100);
+    REQUIRE(last);
+    CHECK(body_of(*last) == "over_quota");
+    CHECK(find_header(last->response->headers, "retry-after"));
+    CHECK(world.sent.size() == 200 - refused);
+    auto request = world.make("order", "other");
+    request.access_key = "a1";
+    std::ignore = world.send(request);
+    CHECK(world.sent.size() == 200 - refused + 1);
+}
+
+TEST_CASE("a permit is drawn anew if it lapsed before the request is sent, and for each further run")
+{
+    keyed_world world;
+    SUBCASE("lapsed")
+    {
+        // Its budget holds just this turn, so it waits until the reservation is written.
+        world.store.latency = 1'500ms;
+        auto tight = world.make_turn("t-1", "", 100);
+        tight.access_key = "b1";
+        const auto view = world.send(tight);
+        for (int n = 0; n < 100; ++n)
+        {
+            auto other = world.make("order", "r" + std::to_string(n));
+            other.access_key = "b1";
+            std::ignore = world.send(other);
+            world.time.run(15ms);
+        }
+        const auto before = world.sent.size();
+        auto other = world.make("order", "last");
+        other.access_key = "b1";
+        std::ignore = world.send(other);
+        world.time.run(10ms);
+        CHECK(world.sent.size() == before);
+        CHECK(body_of(*view) == "over_quota");
+    }
+    SUBCASE("a second run")
+    {
+        auto request = world.make("lookup", "r");
+        request.access_key = "b1";
+        std::ignore = world.send(request);
+        REQUIRE(world.sent.size() == 1);
+        world.last()->fail(http_failure::broken);
+        CHECK(world.sent.size() == 2);
+    }
+}
--- a/tests/unit/test_gateway_overdraft.cpp
+++ b/tests/unit/test_gateway_overdraft.cpp
@@ -36,7 +36,8 @@
     {
         member(gateway_group& group, const std::string& address, const std::string& life)
             : store(group.rows, group.time.delays()), peers({.address = address}),
-              buckets(store, peers, {address, life}, group.time.delays(), group.time.clock()),
+              buckets(overdraft_ownership_terms(), store, peers, {address, life}, group.time.delays(),
+                      group.time.clock(), group.time.clock()),
               overdrafts(
                   buckets,
                   [&group](const auto& to, auto message, auto on_answer)
@@ -48,7 +49,7 @@
 
         memory_store store;
         peer_directory peers;
-        overdraft_buckets buckets;
+        bucket_ownership buckets;
         overdraft overdrafts;
     };
 
@@ -166,12 +167,12 @@
 
 TEST_CASE("the row of buckets there and back, and nothing that is none")
 {
-    bucket_table buckets(overdraft_bucket_count);
-    buckets[3] = gateway_life{"10.0.0.1:7380", "17"};
-    CHECK(decode_buckets(encode_buckets(buckets)) == buckets);
+    ownership_row row{.buckets = bucket_table(overdraft_bucket_count)};
+    row.buckets[3] = gateway_life{"10.0.0.1:7380", "17"};
+    CHECK(decode_ownership(encode_ownership(row), overdraft_bucket_count) == row);
     for (const auto* text : {"", "[]", "{}", "[1]", "null"})
     {
-        CHECK_FALSE(decode_buckets(text));
+        CHECK_FALSE(decode_ownership(text, overdraft_bucket_count));
     }
     const overdraft_message message{overdraft_step::settle, {"p"}, {"r"}, 7};
     const auto read = decode_overdraft(encode(message));
--- /dev/null
+++ b/tests/unit/test_gateway_quota.cpp
@@ -0,0 +1,460 @@
+// Quotas of workspaces over all gateways: never more than the rule allows over any span of its window,
+// whatever fails, and little less; and who is served when a workspace floods.
+#include "support/forwarding_world.hpp"
+#include "support/quota_group.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace masticcourse;
+using namespace masticcourse::gateway;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr quota_rule usual_rule{.window = 5s, .overage = 0.1, .slack = 20};
+
+/// Sends @a rate requests a second for @a span, spread evenly over the gateways named.
+void load(quota_group& group, const std::vector<std::string>& at, const std::string& workspace, double rate,
+          seconds span, quota_need need = quota_need::other)
+{
+    const auto count = static_cast<std::size_t>(rate * static_cast<double>(span.count()));
+    const auto pause = duration{span} / static_cast<duration::rep>(count);
+    auto due = group.time.now();
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        group.request(at[n % at.size()], workspace, need);
+        due += pause;
+        group.time.run(std::chrono::floor<milliseconds>(due - group.time.now()));
+    }
+}
+
+slice_demand waiting(std::uint32_t starts, std::uint32_t others)
+{
+    return {.waiting = {.starts = starts, .others = others}};
+}
+
+} // namespace
+
+TEST_CASE("slices together keep the rule, portions that are used late included")
+{
+    struct row
+    {
+        request_quota quota;
+        quota_rule rule;
+        std::size_t slices;
+    };
+    const std::array table{
+        row{{400, 400}, usual_rule, 4},     row{{27, 27}, usual_rule, 4},
+        row{{3, 3}, usual_rule, 4},         row{{2, 0}, usual_rule, 4},
+        row{{0.5, 1}, {.window = 5s}, 1},   row{{1'000, 0}, {.window = 5s}, 1},
+        row{{400, 400}, {.window = 1s}, 4}, row{{10, 2}, {.window = 5s, .slack = 1}, 2},
+        row{{1, 1}, {.window = 100ms}, 1},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.quota.rate);
+        CAPTURE(it.quota.burst);
+        const auto terms = terms_of(it.quota, it.rule);
+        CHECK(terms.count == it.slices);
+        CHECK(terms.burst >= 1);
+        CHECK(terms.portion_life >= 100ms);
+        const auto count = static_cast<double>(terms.count);
+        const auto window = std::chrono::duration<double>{it.rule.window}.count();
+        const auto life = std::chrono::duration<double>{terms.portion_life}.count();
+        const auto most = count * (terms.rate * (window + life) + terms.burst);
+        const auto allowed =
+            (it.quota.rate * window + it.quota.burst) * (1 + it.rule.overage) + it.rule.slack;
+        // Less than one request at once can't be handed out.
+        CHECK(most <= std::max(allowed, 1.0) + 1e-9);
+        CHECK(count * terms.rate <= it.quota.rate + 1e-9);
+    }
+}
+
+TEST_CASE("a slice starts empty, fills at its rate up to its burst, and says when there is room")
+{
+    const slice_terms terms{.count = 4, .rate = 10, .burst = 5, .portion_life = 500ms};
+    time_point now{1'000s};
+    quota_slice slice{now};
+    auto grant = slice.grant(waiting(0, 3), terms, now);
+    CHECK(grant.granted.others == 0);
+    CHECK(grant.others_after == 100ms);
+    now += 250ms;
+    grant = slice.grant(waiting(0, 3), terms, now);
+    CHECK(grant.granted.others == 2);
+    CHECK(grant.others_after == 50ms);
+    now += 60s;
+    CHECK(slice.grant(waiting(0, 100), terms, now).granted.others == 5);
+}
+
+TEST_CASE("requests are granted ahead only while there is plenty")
+{
+    const slice_terms terms{.count = 1, .rate = 10, .burst = 100, .portion_life = 500ms};
+    time_point now{1'000s};
+    quota_slice slice{now};
+    now += 60s;
+    const slice_demand demand{.waiting = {.others = 10}, .ahead = 30};
+    CHECK(slice.grant(demand, terms, now).granted.others == 40);
+    CHECK(slice.grant(demand, terms, now).granted.others == 10);
+    CHECK(slice.grant(demand, terms, now).granted.others == 10);
+}
+
+// Load pattern: a flood of first requests of programs.
+TEST_CASE("as many programs begin as the slice can carry to their end, and those under way go first")
+{
+    const slice_terms terms{.count = 1, .rate = 100, .burst = 100, .portion_life = 500ms};
+    time_point now{1'000s};
+    quota_slice slice{now};
+    now += 60s;
+    // Programs of ten requests each, for a while.
+    for (int n = 0; n < 200; ++n)
+    {
+        now += 200ms;
+        REQUIRE(slice.grant(waiting(1, 9), terms, now).granted == request_counts{1, 9});
+    }
+    now += 10s;
+    const auto flood = slice.grant(waiting(1'000, 0), terms, now);
+    CHECK(flood.granted.starts >= 8);
+    CHECK(flood.granted.starts <= 12);
+    CHECK(flood.starts_after > 0ms);
+    // Their later requests are all served, whatever else comes.
+    const auto later = slice.grant(waiting(1'000, 80), terms, now + 100ms);
+    CHECK(later.granted.others == 80);
+    CHECK(later.granted.starts <= 1);
+
+    quota_slice plain{now, start_policy::as_they_come};
+    now += 60s;
+    CHECK(plain.grant(waiting(1'000, 0), terms, now).granted.starts == 100);
+    CHECK(plain.grant(waiting(0, 90), terms, now).granted.others == 0);
+}
+
+TEST_CASE("questions and answers there and back, and nothing that is none")
+{
+    const slice_question question{.slice = {{"w"}, 3}, .demand = {.waiting = {2, 5}, .ahead = 7}};
+    const auto read = decode_slice_question(encode(question));
+    REQUIRE(read);
+    CHECK(read->slice == question.slice);
+    CHECK(read->demand.waiting == question.demand.waiting);
+    CHECK(read->demand.ahead == 7);
+    const slice_answer answer = slice_grant{.granted = {1, 2}, .starts_after = 30ms, .others_after = 40ms};
+    CHECK(decode_slice_answer(encode(answer)) == answer);
+    CHECK(decode_slice_answer(encode(slice_answer{not_holder{}})) == slice_answer{not_holder{}});
+    for (const auto* text : {"", "7", R"(["w",-1,0,0,0])", R"([1,1,1,1,1])", R"(["w",0,0,0])",
+                             R"(["w",0,0,0,1.5])", R"([1,2,3])", R"([1,2,3,-4])", R"({"a":1})"})
+    {
+        CAPTURE(text);
+        std::string bytes;
+        nlohmann::json::to_cbor(nlohmann::json::parse(text, nullptr, false), bytes);
+        CHECK_FALSE(decode_slice_question(bytes));
+        CHECK_FALSE(decode_slice_answer(bytes));
+        CHECK_FALSE(decode_slice_question(text));
+    }
+    rc::check("any bytes",
+              [](const std::string& bytes)
+              {
+                  std::ignore = decode_slice_question(bytes);
+                  std::ignore = decode_slice_answer(bytes);
+              });
+}
+
+TEST_CASE("what is usual is let through at once, wherever it comes in, at most one message a request")
+{
+    struct row
+    {
+        std::size_t gateways;
+        std::size_t used;
+    };
+    for (const auto& it :
+         {row{1, 1}, row{6, 6}, row{26, 1}, row{26, 2}, row{26, 26}, row{127, 127}, row{400, 3}})
+    {
+        CAPTURE(it.gateways);
+        CAPTURE(it.used);
+        quota_group group(it.gateways, {{"w", {40, 40}}});
+        auto at = group.addresses();
+        at.resize(it.used);
+        const auto before = group.messages;
+        load(group, at, "w", 25, 10s);
+        group.time.run(1s);
+        CHECK(group.sent["w"].size() == 250);
+        CHECK(group.refused["w"].empty());
+        CHECK(group.messages - before <= 250);
+    }
+}
+
+TEST_CASE("beyond the quota, nearly as much is let through as one counter for all would")
+{
+    struct row
+    {
+        std::size_t gateways;
+        std::size_t used;
+    };
+    for (const auto& it :
+         {row{1, 1}, row{6, 6}, row{26, 1}, row{26, 2}, row{26, 26}, row{127, 127}, row{400, 400}})
+    {
+        CAPTURE(it.gateways);
+        CAPTURE(it.used);
+        quota_group group(it.gateways, {{"w", {40, 40}}, {"other", {40, 40}}});
+        auto at = group.addresses();
+        at.resize(it.used);
+        load(group, at, "w", 200, 20s);
+        const auto sent = group.sent["w"].size();
+        CHECK(keeps_rule(group.sent["w"], {40, 40}, usual_rule));
+        // An exact counter lets 40 * 20 + 40 through.
+        CHECK(static_cast<double>(sent) >= 0.9 * 840);
+        CHECK(std::ranges::all_of(group.refused["w"],
+                                  [](const auto& one) { return one.used_up && one.retry_after > 0ms; }));
+        // Another workspace is not touched.
+        load(group, at, "other", 25, 2s);
+        group.time.run(1s);
+        CHECK(group.sent["other"].size() == 50);
+    }
+}
+
+TEST_CASE("with a holder dead, frozen or cut off, the other slices carry what is usual")
+{
+    quota_group group(26, {{"w", {40, 40}}});
+    const auto holder = group.at("g0").buckets.holder_of(quota_bucket_of({{"w"}, 0}));
+    REQUIRE(holder);
+    auto at = group.addresses();
+    std::erase(at, *holder);
+    at.resize(3);
+    SUBCASE("dead")
+    {
+        group.stop(*holder);
+    }
+    SUBCASE("frozen")
+    {
+        group.freeze(*holder, 4s);
+    }
+    SUBCASE("cut off")
+    {
+        group.at(*holder).cut = true;
+    }
+    load(group, at, "w", 25, 4s);
+    group.time.run(1s);
+    CHECK(group.sent["w"].size() == 100);
+    // One that is gone for good leaves its slice to another.
+    group.time.run(60s);
+    if (!group.at(at[0]).buckets.holder_of(quota_bucket_of({{"w"}, 0})))
+    {
+        FAIL("nobody holds the slice");
+    }
+}
+
+TEST_CASE(
+    "a slice whose holder is gone for good is another's after the lease, and a frozen holder stops by itself")
+{
+    quota_group group(6, {{"w", {40, 40}}});
+    const auto bucket = quota_bucket_of({{"w"}, 0});
+    const auto holder = *group.at("g0").buckets.holder_of(bucket);
+    REQUIRE(group.at(holder).buckets.holds(bucket));
+    SUBCASE("gone")
+    {
+        group.stop(holder);
+        group.time.run(10s);
+        CHECK(group.at(group.addresses()[0]).buckets.holder_of(bucket) == holder);
+        group.time.run(60s);
+        const auto next = *group.at(group.addresses()[0]).buckets.holder_of(bucket);
+        CHECK(next != holder);
+        CHECK(group.at(next).buckets.holds(bucket));
+    }
+    SUBCASE("without the store")
+    {
+        group.at(holder).store.mode = store_mode::silent;
+        group.time.run(10s);
+        CHECK(group.at(holder).buckets.holds(bucket));
+        group.time.run(20s);
+        CHECK_FALSE(group.at(holder).buckets.holds(bucket));
+    }
+    SUBCASE("frozen for long")
+    {
+        group.freeze(holder, 100s);
+        group.time.run(99s);
+        CHECK_FALSE(group.at(holder).buckets.holds(bucket));
+        group.time.run(10s);
+        const auto holders = std::ranges::count_if(group.addresses(), [&](const auto& it)
+                                                   { return group.at(it).buckets.holds(bucket); });
+        CHECK(holders == 1);
+    }
+}
+
+TEST_CASE("the next life on a VM goes on with its slices at once, from nothing")
+{
+    quota_group group(6, {{"w", {40, 40}}});
+    const auto bucket = quota_bucket_of({{"w"}, 0});
+    const auto holder = *group.at("g0").buckets.holder_of(bucket);
+    load(group, {holder}, "w", 200, 2s);
+    group.start(holder);
+    group.time.run(1s);
+    CHECK(group.at(holder).buckets.holds(bucket));
+    load(group, {holder}, "w", 200, 5s);
+    CHECK(keeps_rule(group.sent["w"], {40, 40}, usual_rule));
+}
+
+TEST_CASE("a gateway that comes back takes all that its life before held, also beyond its share")
+{
+    quota_group group(2, {{"w", {40, 40}}});
+    for (int n = 2; n < 8; ++n)
+    {
+        group.start("g" + std::to_string(n));
+    }
+    group.time.run(10s);
+    group.start("g0");
+    group.time.run(2s);
+    for (std::size_t bucket = 0; bucket < quota_bucket_count; ++bucket)
+    {
+        const auto holders = std::ranges::count_if(group.addresses(), [&](const auto& it)
+                                                   { return group.at(it).buckets.holds(bucket); });
+        CHECK(holders == 1);
+    }
+}
+
+// Load pattern: a program calls many tools at once, more than its workspace has saved up.
+TEST_CASE("a burst of a program under way waits for room, a new program is told at once when to come back")
+{
+    quota_group group(6, {{"w", {40, 40}}});
+    const auto at = group.addresses();
+    // What is saved up is used up.
+    load(group, at, "w", 200, 2s);
+    group.time.run(1'500ms);
+    group.sent["w"].clear();
+    group.refused["w"].clear();
+    for (int n = 0; n < 30; ++n)
+    {
+        group.request(at[static_cast<std::size_t>(n) % 2], "w");
+    }
+    group.time.run(2s);
+    CHECK(group.sent["w"].size() >= 28);
+    CHECK(group.refused["w"].empty());
+    // New programs are begun or refused before anybody would notice a wait.
+    group.sent["w"].clear();
+    for (int n = 0; n < 200; ++n)
+    {
+        group.request(at[0], "w", quota_need::start);
+    }
+    group.time.run(50ms);
+    CHECK(group.sent["w"].size() + group.refused["w"].size() == 200);
+    CHECK_FALSE(group.refused["w"].empty());
+    group.refused["w"].clear();
+    group.time.run(2s);
+    // Nobody waits for what can't come in time.
+    for (int n = 0; n < 1'000; ++n)
+    {
+        group.request(at[0], "w");
+    }
+    group.time.run(50ms);
+    // What is saved up goes on, and a second's rate waits.
+    CHECK(group.refused["w"].size() >= 1'000 - 64 - 40 - 1);
+    CHECK(keeps_rule(group.sent["w"], {40, 40}, usual_rule));
+}
+
+TEST_CASE("requests wait for holders that were all killed and are just starting again")
+{
+    quota_group group(6, {{"w", {40, 40}}});
+    for (const auto& it : group.addresses())
+    {
+        group.start(it);
+    }
+    group.time.run(200ms);
+    load(group, group.addresses(), "w", 25, 2s);
+    group.time.run(1s);
+    // They start from nothing, so a few are refused that come before there is room.
+    CHECK(group.sent["w"].size() >= 45);
+}
+
+TEST_CASE("without any holder a request is refused as undecided, not as over the quota")
+{
+    quota_group group(1, {{"w", {40, 40}}}, start_policy::paid_ahead, 0s);
+    group.request("g0", "w");
+    group.request("g0", "w", quota_need::start);
+    group.time.run(2s);
+    REQUIRE(group.refused["w"].size() == 2);
+    CHECK_FALSE(group.refused["w"][0].used_up);
+    CHECK(group.refused["w"][0].retry_after > 0ms);
+}
+
+TEST_CASE("a rate that goes down binds at once, one that ends binds nothing")
+{
+    quota_group group(6, {{"w", {40, 40}}});
+    const auto at = group.addresses();
+    load(group, at, "w", 200, 5s);
+    group.set_quotas({{"w", {10, 10}}});
+    group.time.run(5s);
+    group.sent["w"].clear();
+    load(group, at, "w", 200, 10s);
+    CHECK(keeps_rule(group.sent["w"], {10, 10}, usual_rule));
+    CHECK(group.sent["w"].size() >= 80);
+}
+
+TEST_CASE("under kills, freezes, cuts, lost messages and outages, no window holds more than the rule allows")
+{
+    const std::map<std::string, request_quota> quotas{
+        {"large", {120, 120}}, {"small", {8, 8}}, {"flat", {20, 0}}};
+    rc::check("windows hold",
+              [&quotas](const std::uint32_t seed)
+              {
+                  std::mt19937 random{seed};
+                  const auto pick = [&random](std::size_t n) {
+                      return std::uniform_int_distribution<std::size_t>{0, n - 1}(random);
+                  };
+                  quota_group group(2 + pick(6), quotas);
+                  group.lose_each = pick(3) == 0 ? 7 : 0;
+                  const std::array names{"large", "small", "flat"};
+                  for (int step = 0; step < 400; ++step)
+                  {
+                      const auto all = group.addresses();
+                      const auto& one = all[pick(all.size())];
+                      switch (pick(24))
+                      {
+                      case 0:
+                          group.start(one);
+                          break;
+                      case 1:
+                          group.freeze(one, milliseconds{500 + 500 * pick(80)});
+                          break;
+                      case 2:
+                          group.at(one).cut = !group.at(one).cut;
+                          break;
+                      case 3:
+                          group.at(one).store.mode =
+                              std::array{store_mode::good, store_mode::good, store_mode::silent,
+                                         store_mode::refusing, store_mode::answers_lost}[pick(5)];
+                          break;
+                      case 4:
+                          group.start("new" + std::to_string(pick(3)));
+                          break;
+                      case 5:
+                          if (all.size() > 2)
+                          {
+                              group.stop(one);
+                          }
+                          break;
+                      case 6:
+                          group.time.run(milliseconds{1'000 * (1 + pick(10))});
+                          break;
+                      default:
+                          for (std::size_t n = 0; n < 40; ++n)
+                          {
+                              const auto need = pick(4) == 0 ? quota_need::start : quota_need::other;
+                              group.request(one, names[pick(3)], need, milliseconds{pick(2) * pick(2'000)});
+                              group.time.run(milliseconds{pick(4)});
+                          }
+                      }
+                  }
+                  group.time.run(5s);
+                  for (const auto& [name, quota] : quotas)
+                  {
+                      RC_ASSERT(keeps_rule(group.sent[name], quota, group.rule));
+                  }
+              });
+}
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -75,6 +75,10 @@
 memory_mb = 130
 cores = 0.5
 stop_grace_s = 8.5
+[quota]
+window_s = 5
+overage = 0.1
+slack = 20
 )";
 
 } // namespace
@@ -120,6 +124,29 @@
     CHECK(sent.body == "whole body");
 }
 
+TEST_CASE(
+    "a key stays here, and a target is told the workspace that the system knows, whatever the caller says")
+{
+    for (const auto* key_header : {"X-Api-Key", "x-api-key", "X-API-KEY"})
+    {
+        CAPTURE(key_header);
+        const std::vector<http_header> headers{{key_header, "secret"},
+                                               {"Connection", "X-Api-Key, Masticcourse-Tenant"},
+                                               {"masticcourse-tenant", "forged"}};
+        auto request = decode(headers);
+        CHECK(request.access_key == "secret");
+        request.workspace = {"hule"};
+        const gateway::target_record target{.id = {"i-1"}, .address = "10.0.0.1:80"};
+        const auto sent = platform_protocol{}.encode(request, "", target, 1s);
+        CHECK(std::ranges::none_of(sent.headers, [](const auto& it) { return it.value == "secret"; }));
+        CHECK(find_header(sent.headers, "Masticcourse-Tenant") == "hule");
+        CHECK(std::ranges::count(sent.headers, std::string{"Masticcourse-Tenant"}, &http_header::name) == 1);
+        const auto open = forwarded(headers);
+        CHECK_FALSE(find_header(open.headers, "Masticcourse-Tenant"));
+        CHECK(std::ranges::none_of(open.headers, [](const auto& it) { return it.value == "secret"; }));
+    }
+}
+
 TEST_CASE("what a request says of its program is read, and bad ids are refused")
 {
     const auto turn = decode({{"Masticcourse-Program-Id", "3fa81c"},
@@ -261,6 +288,65 @@
     }
 }
 
+TEST_CASE("workspaces are read; what is wrong with one is named without its keys")
+{
+    const auto with = [](const std::string& workspaces)
+    {
+        auto text = good_config;
+        text.replace(0, 1, R"({"tenants":)" + workspaces + ",");
+        return *decode_config(make_row("config", text));
+    };
+    const auto good = with(R"([{"name":"w","apiKeys":["k1","k2"],"priority":1,"ratePerS":40.5,"burst":7},
+                              {"name":"free","apiKeys":[],"ratePerS":0}])");
+    const auto& workspaces = std::get<gateway::gateway_config>(good).workspaces;
+    REQUIRE(workspaces.all().size() == 2);
+    const auto* const owner = workspaces.find_by_key("k2");
+    REQUIRE(owner != nullptr);
+    CHECK(owner->name.value == "w");
+    CHECK(owner->priority == 1);
+    CHECK(owner->quota == gateway::request_quota{40.5, 7});
+    CHECK_FALSE(workspaces.find({"free"})->quota);
+    CHECK(workspaces.find_by_key("k3") == nullptr);
+    CHECK(workspaces.find_by_key("") == nullptr);
+    CHECK_FALSE(std::get<gateway::gateway_config>(*decode_config(make_row("config", good_config)))
+                    .workspaces.has_quotas());
+
+    struct row
+    {
+        const char* workspaces;
+        const char* path;
+    };
+    constexpr std::array table{
+        row{R"([{"name":"w","apiKeys":["secret"]},{"name":"v","apiKeys":["secret"]}])",
+            "tenants[1].apiKeys[0]"},
+        row{R"([{"name":"w","apiKeys":["secret","secret"]}])", "tenants[0].apiKeys[1]"},
+        row{R"([{"name":"w","apiKeys":["secret",""]}])", "tenants[0].apiKeys[1]"},
+        row{R"([{"name":"w","apiKeys":["secret",7]}])", "tenants[0].apiKeys[1]"},
+        row{R"([{"name":"w","apiKeys":"secret"}])", "tenants[0].apiKeys"},
+        row{R"([{"apiKeys":["secret"]}])", "tenants[0].name"},
+        row{R"([{"name":"","apiKeys":["secret"]}])", "tenants[0].name"},
+        row{R"([{"name":"a b","apiKeys":["secret"]}])", "tenants[0].name"},
+        row{R"([{"name":"w"},{"name":"w","apiKeys":["secret"]}])", "tenants[1].name"},
+        row{R"([{"name":"w","apiKeys":["secret"],"ratePerS":-1}])", "tenants[0].ratePerS"},
+        row{R"([{"name":"w","apiKeys":["secret"],"ratePerS":"9"}])", "tenants[0].ratePerS"},
+        row{R"([{"name":"w","apiKeys":["secret"],"burst":-0.5}])", "tenants[0].burst"},
+        row{R"([{"name":"w","apiKeys":["secret"],"priority":"x"}])", "tenants[0].priority"},
+        row{R"([7])", "tenants[0]"},
+        row{R"({"name":"w","apiKeys":["secret"]})", "tenants"},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.workspaces);
+        const auto bad = with(it.workspaces);
+        const auto* const fault = std::get_if<gateway::row_fault>(&bad);
+        REQUIRE(fault != nullptr);
+        CHECK(fault->why.starts_with(std::string{it.path} + " "));
+        CHECK(fault->why.find("secret") == std::string::npos);
+    }
+    const auto cut_short = *decode_config(make_row("config", R"({"tenants":[{"apiKeys":["secret)"));
+    CHECK(std::get<gateway::row_fault>(cut_short).why.find("secret") == std::string::npos);
+}
+
 TEST_CASE("an entry of a target is read whole or not at all")
 {
     const auto good = nlohmann::json::parse(good_entry);
@@ -430,6 +516,11 @@
     REQUIRE(std::holds_alternative<gateway_settings>(good));
     CHECK(std::get<gateway_settings>(good).stop_grace == 8'500ms);
     CHECK(std::get<gateway_settings>(good).store == "127.0.0.1:5");
+    const gateway::quota_rule rule{.window = 5s, .overage = 0.1, .slack = 20};
+    CHECK(std::get<gateway_settings>(good).quota == rule);
+    // A platform without quotas does not state their rule.
+    const auto without = parse_gateway_settings(good_settings.substr(0, good_settings.find("[quota]")));
+    CHECK(std::get<gateway_settings>(without).quota == gateway::quota_rule{});
 
     struct row
     {
@@ -443,6 +534,9 @@
         row{"row_bytes = 65536", "", "store.row_bytes"},
         row{"memory_mb = 130", "memory_mb = \"130\"", "limits.memory_mb"},
         row{"stop_grace_s = 8.5", "stop_grace_s = -1", "limits.stop_grace_s"},
+        row{"window_s = 5", "window_s = 0", "quota.window_s"},
+        row{"overage = 0.1", "overage = -1", "quota.overage"},
+        row{"slack = 20", "slack = \"20\"", "quota.slack"},
         row{"[limits]", "[limits", "(file)"},
     };
     for (const auto& it : table)
