What is kept from new programs counts from when a slice came to its gateway

Change: the share is of what the slice can have saved up since it came.

Ruled out: that the quota is handed out short: the flooding workspace's requests ran at a steady 145 a second.

--- a/include/masticcourse/gateway/quota/quota_slice.hpp
+++ b/include/masticcourse/gateway/quota/quota_slice.hpp
@@ -115,8 +115,9 @@
 class quota_slice
 {
   public:
-    explicit quota_slice(time_point now, start_policy policy = start_policy::paid_ahead)
-        : m_policy(policy), m_requests(now), m_starts(now), m_size(now)
+    /// @param since when the slice came to this gateway
+    explicit quota_slice(time_point since, start_policy policy = start_policy::paid_ahead)
+        : m_policy(policy), m_since(since), m_requests(since), m_starts(since), m_size(since)
     {
     }
 
@@ -124,12 +125,13 @@
 
   private:
     [[nodiscard]] std::uint32_t grant_others(const slice_demand& demand, const slice_terms& terms);
-    [[nodiscard]] std::uint32_t grant_starts(std::uint32_t waiting, const slice_terms& terms);
+    [[nodiscard]] std::uint32_t grant_starts(std::uint32_t waiting, const slice_terms& terms, time_point now);
     /// @return what is kept for programs under way
-    [[nodiscard]] double kept_from_starts(const slice_terms& terms) const;
-    [[nodiscard]] milliseconds until_next_start(const slice_terms& terms) const;
+    [[nodiscard]] double kept_from_starts(const slice_terms& terms, time_point now) const;
+    [[nodiscard]] milliseconds until_next_start(const slice_terms& terms, time_point now) const;
 
     start_policy m_policy;
+    time_point m_since;
     token_bucket m_requests;
     /// What programs pay for when they begin.
     token_bucket m_starts;
--- a/src/gateway/quota/quota_slice.cpp
+++ b/src/gateway/quota/quota_slice.cpp
@@ -65,14 +65,16 @@
     return static_cast<std::uint32_t>(waiting + ahead);
 }
 
-double quota_slice::kept_from_starts(const slice_terms& terms) const
+double quota_slice::kept_from_starts(const slice_terms& terms, time_point now) const
 {
-    return m_policy == start_policy::paid_ahead ? terms.burst * starts_from : 0.0;
+    // A slice that changed hands lately can't have saved up more than this.
+    const auto saved = std::min(terms.burst, terms.rate * real_seconds{now - m_since}.count());
+    return m_policy == start_policy::paid_ahead ? saved * starts_from : 0.0;
 }
 
-std::uint32_t quota_slice::grant_starts(std::uint32_t waiting, const slice_terms& terms)
+std::uint32_t quota_slice::grant_starts(std::uint32_t waiting, const slice_terms& terms, time_point now)
 {
-    const auto room = std::max(0.0, std::floor(m_requests.level() - kept_from_starts(terms)));
+    const auto room = std::max(0.0, std::floor(m_requests.level() - kept_from_starts(terms, now)));
     const auto most = static_cast<std::uint32_t>(std::min<double>(waiting, room));
     if (m_policy == start_policy::as_they_come)
     {
@@ -96,7 +98,7 @@
     // Programs under way come first: work has been done for them.
     answer.granted.others = grant_others(demand, terms);
     m_requests.take(answer.granted.others);
-    answer.granted.starts = grant_starts(demand.waiting.starts, terms);
+    answer.granted.starts = grant_starts(demand.waiting.starts, terms, now);
     m_requests.take(answer.granted.starts);
     m_size.record(answer.granted, now);
 
@@ -106,14 +108,14 @@
     }
     if (answer.granted.starts < demand.waiting.starts)
     {
-        answer.starts_after = until_next_start(terms);
+        answer.starts_after = until_next_start(terms, now);
     }
     return answer;
 }
 
-milliseconds quota_slice::until_next_start(const slice_terms& terms) const
+milliseconds quota_slice::until_next_start(const slice_terms& terms, time_point now) const
 {
-    const auto room = token_bucket::until(m_requests.level(), 1 + kept_from_starts(terms), terms.rate);
+    const auto room = token_bucket::until(m_requests.level(), 1 + kept_from_starts(terms, now), terms.rate);
     const bool paid = m_policy == start_policy::paid_ahead;
     const auto paid_off = paid ? token_bucket::until(m_starts.level(), 0, terms.rate) : milliseconds{0};
     return std::max({room, paid_off, milliseconds{1}});
--- a/tests/support/quota_group.cpp
+++ b/tests/support/quota_group.cpp
@@ -113,10 +113,11 @@
 void quota_group::set_quotas(const std::map<std::string, gateway::request_quota>& quotas)
 {
     std::vector<gateway::workspace> workspaces;
-    for (const auto& [name, quota] : quotas)
-    {
-        workspaces.push_back({.name = {name}, .keys = {"key of " + name}, .quota = quota});
-    }
+    std::ranges::transform(quotas, std::back_inserter(workspaces),
+                           [](const auto& it) {
+                               return gateway::workspace{
+                                   .name = {it.first}, .keys = {"key of " + it.first}, .quota = it.second};
+                           });
     gateway::gateway_config config{.version = ++m_version};
     config.workspaces = gateway::workspace_directory{std::move(workspaces)};
     m_config = std::make_shared<const gateway::gateway_config>(std::move(config));
