--- a/src/gateway/quota/workspace_quotas.cpp
+++ b/src/gateway/quota/workspace_quotas.cpp
@@ -290,8 +290,9 @@
         const bool waits = one.need == quota_need::other || !room;
         return waits && room.value_or(now + holder_pause) <= one.until;
     };
-    auto refused_from = std::ranges::stable_partition(it.waiting, can_wait).begin();
-    refused_from = std::min(refused_from, it.waiting.begin() + most_waiting(limit));
+    const auto waits_until = std::ranges::stable_partition(it.waiting, can_wait).begin();
+    const auto kept = std::min(waits_until - it.waiting.begin(), most_waiting(limit));
+    const auto refused_from = it.waiting.begin() + kept;
     const std::vector<waiting_request> refused{refused_from, it.waiting.end()};
     it.waiting.erase(refused_from, it.waiting.end());
     if (!it.waiting.empty())
