--- a/tests/unit/test_gateway_quota.cpp
+++ b/tests/unit/test_gateway_quota.cpp
@@ -319,6 +319,23 @@
     }
 }
 
+TEST_CASE("a permit that lapsed while its request was prepared is not used")
+{
+    quota_group group(6, {{"w", {40, 40}}});
+    group.request("g0", "w", quota_need::other, 700ms);
+    group.time.run(2s);
+    CHECK(group.sent["w"].empty());
+    group.request("g0", "w", quota_need::other, 100ms);
+    group.time.run(2s);
+    CHECK(group.sent["w"].size() == 1);
+    // Nor is what was drawn ahead.
+    constexpr time_point now{1'000s};
+    portion_list portions;
+    portions.add(5, now + 500ms);
+    CHECK(portions.take(now + 499ms));
+    CHECK_FALSE(portions.take(now + 500ms));
+}
+
 // Load pattern: a program calls many tools at once, more than its workspace has saved up.
 TEST_CASE("a burst of a program under way waits for room, a new program is told at once when to come back")
 {
--- a/tools/regression.py
+++ b/tools/regression.py
@@ -23,6 +23,7 @@
     "pfcc-depot-grown": "further-grown/pfcc-depot-grown.toml",
     "avv-lineside-grown": "grown/avv-lineside-grown.toml",
     "uprs-sluzby-grown": "grown/uprs-sluzby-grown.toml",
+    "avv-lineside-now-grown": "shifted/avv-lineside-now-grown.toml",
 }
 DAY = re.compile(r"^((?:quiet|trouble|scale)-\d+)\s+\S+\s+\S+\s+(-?[\d.]+)", re.M)
 # How far a mean may lie below the recorded one.
