--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -127,23 +127,32 @@
 TEST_CASE(
     "a key stays here, and a target is told the workspace that the system knows, whatever the caller says")
 {
-    for (const auto* key_header : {"X-Api-Key", "x-api-key", "X-API-KEY"})
+    struct row
+    {
+        const char* key_header;
+        const char* connection;
+    };
+    constexpr std::array table{
+        row{"X-Api-Key", "keep-alive"},
+        row{"x-api-key", "keep-alive"},
+        row{"X-API-KEY", "X-Api-Key, Masticcourse-Tenant"},
+    };
+    for (const auto& it : table)
     {
-        CAPTURE(key_header);
-        const std::vector<http_header> headers{{key_header, "secret"},
-                                               {"Connection", "X-Api-Key, Masticcourse-Tenant"},
-                                               {"masticcourse-tenant", "forged"}};
+        CAPTURE(it.key_header);
+        const std::vector<http_header> headers{
+            {it.key_header, "secret"}, {"Connection", it.connection}, {"masticcourse-tenant", "forged"}};
         auto request = decode(headers);
         CHECK(request.access_key == "secret");
         request.workspace = {"hule"};
         const gateway::target_record target{.id = {"i-1"}, .address = "10.0.0.1:80"};
         const auto sent = platform_protocol{}.encode(request, "", target, 1s);
-        CHECK(std::ranges::none_of(sent.headers, [](const auto& it) { return it.value == "secret"; }));
+        CHECK(std::ranges::none_of(sent.headers, [](const auto& one) { return one.value == "secret"; }));
         CHECK(find_header(sent.headers, "Masticcourse-Tenant") == "hule");
         CHECK(std::ranges::count(sent.headers, std::string{"Masticcourse-Tenant"}, &http_header::name) == 1);
         const auto open = forwarded(headers);
         CHECK_FALSE(find_header(open.headers, "Masticcourse-Tenant"));
-        CHECK(std::ranges::none_of(open.headers, [](const auto& it) { return it.value == "secret"; }));
+        CHECK(std::ranges::none_of(open.headers, [](const auto& one) { return one.value == "secret"; }));
     }
 }
 
