The fault soak gives each port out once

The log of that gateway says 'can't listen on 127.0.0.1:27377: Address already in use', and two settings files of the run name 27377, as one gateway's readiness and another's metrics: the soak drew it twice, since a drawn port is not listened on yet and looks free.

Ruled out: another program on the port; all addresses of the run were compared.

Change: ports are drawn without replacement.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -29,16 +29,20 @@
 LISTEN_PORTS = range(15000, 32000)
 
 
+# Each is given out once: a port that is not listened on yet looks free.
+UNUSED_PORTS = random.sample(LISTEN_PORTS, len(LISTEN_PORTS))
+
+
 def free_ports(count):
     ports = []
     while len(ports) < count:
-        port = random.choice(LISTEN_PORTS)
+        port = UNUSED_PORTS.pop()
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
                 ports.append(port)
             except OSError:
-                continue  # In use by others: another one is drawn.
+                continue  # In use by others: another one is taken.
     return ports
 
 
