What a flood asks of the holders of a quota does not grow with the gateways

Cause: a slice without room was asked again by each gateway after 50 ms, by all gateways at once.

Ruled out: promising each asker a time of its own at the slice's rate: gateways that were promised late times would refuse for seconds after a short burst.

Change: the pause grows by 2 ms for each gateway, so a slice is asked at most 500 times a second, four slices 20,000 times in ten seconds. At 26 gateways it is 52 instead of 50 ms. The three places that pace by the number of gateways (list, buckets, quotas) use one function, peer_directory::period.

--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -43,6 +43,12 @@
         return m_others.size();
     }
 
+    /// Paces what every gateway does at one place, so that the load there does not grow with their number.
+    /// @param least       the period on a small site
+    /// @param per_gateway the part of the period that each gateway gets for itself
+    /// @return how often each of them may do it
+    [[nodiscard]] milliseconds period(milliseconds least, milliseconds per_gateway) const;
+
     /// @param preferred comes first if it is among them
     /// @return other gateways that answered when last asked, in random order, at most @a most
     [[nodiscard]] std::vector<std::string> choose(std::size_t most, time_point now,
--- a/include/masticcourse/gateway/quota/workspace_quotas.hpp
+++ b/include/masticcourse/gateway/quota/workspace_quotas.hpp
@@ -4,8 +4,9 @@
 ///
 /// - A portion counts from before it was asked for, by this gateway's own clock, and lapses: a gateway that
 /// is frozen or cut off stops by itself. No two clocks are compared.
-/// - What is asked for ahead is bounded by what came lately, so the messages are at most one for each
-/// request, however many gateways there are.
+/// - What is asked for ahead is bounded by what came lately, so while there is room the messages are at most
+/// one for each request. A slice without room is asked again after a time that grows with the number of
+/// gateways, so a flood costs its holder the same however many gateways it comes through.
 #pragma once
 
 #include "masticcourse/gateway/bucket_ownership.hpp"
@@ -58,8 +59,9 @@
   public:
     /// @param clock       of slices held here
     /// @param awake_clock also runs while the VM is suspended; of portions
-    workspace_quotas(quota_options options, bucket_ownership& buckets, peer_call call, delay_function delay,
-                     clock_function clock, clock_function awake_clock, metrics_registry& metrics);
+    workspace_quotas(quota_options options, bucket_ownership& buckets, const peer_directory& peers,
+                     peer_call call, delay_function delay, clock_function clock, clock_function awake_clock,
+                     metrics_registry& metrics);
 
     void set_config(config_ptr config);
 
@@ -147,6 +149,7 @@
 
     quota_options m_options;
     bucket_ownership& m_buckets;
+    const peer_directory& m_peers;
     peer_call m_call;
     delay_function m_delay;
     clock_function m_clock;
--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -119,8 +119,7 @@
 
 milliseconds bucket_ownership::turn_time(milliseconds least) const
 {
-    const auto gateways = static_cast<milliseconds::rep>(m_peers.size() + 1);
-    return std::max(least, gateways * turn_per_gateway);
+    return m_peers.period(least, turn_per_gateway);
 }
 
 milliseconds bucket_ownership::random_pause(milliseconds least, milliseconds most)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -120,7 +120,7 @@
       quota_buckets(quota_ownership_terms(), store, peers, {options.peer_address, random_life()}, delay,
                     monotonic_now, awake_now),
       quotas(
-          {.rule = options.quota}, quota_buckets,
+          {.rule = options.quota}, quota_buckets, peers,
           [this](const auto& address, auto question, auto on_answer)
           { to_peers.quota(address, std::move(question), std::move(on_answer)); },
           delay, monotonic_now, awake_now, registry),
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -50,6 +50,12 @@
     m_others = std::move(peers);
 }
 
+milliseconds peer_directory::period(milliseconds least, milliseconds per_gateway) const
+{
+    const auto gateways = static_cast<milliseconds::rep>(m_others.size() + 1);
+    return std::max(least, gateways * per_gateway);
+}
+
 bool peer_directory::silent(const std::string& address, time_point now) const
 {
     const auto it = m_avoided.find(address);
--- a/src/gateway/peer_list.cpp
+++ b/src/gateway/peer_list.cpp
@@ -70,9 +70,7 @@
                       {
                           take_peers(reply.rows);
                       }
-                      const auto gateways = static_cast<milliseconds::rep>(m_peers.size() + 1);
-                      m_delay(std::max(peer_period, gateways * reading_per_gateway),
-                              [this] { read_peers(); });
+                      m_delay(m_peers.period(peer_period, reading_per_gateway), [this] { read_peers(); });
                   });
 }
 
--- a/src/gateway/quota/workspace_quotas.cpp
+++ b/src/gateway/quota/workspace_quotas.cpp
@@ -24,8 +24,10 @@
 constexpr milliseconds holder_pause{100};
 /// When to come back if no holder could be asked: one that was killed is back by then, or another is asked.
 constexpr milliseconds after_no_holder{500};
-/// A slice without room is left alone for so long at least.
+/// A slice without room is left alone for so long at least, and longer the more gateways may ask it: what its
+/// holder is asked in a flood does not grow with them.
 constexpr milliseconds least_pause{50};
+constexpr milliseconds pause_per_gateway{2};
 
 std::uint64_t hash_of(std::string_view text)
 {
@@ -55,11 +57,13 @@
     return hash_of(it.workspace.value) + it.index;
 }
 
-workspace_quotas::workspace_quotas(quota_options options, bucket_ownership& buckets, peer_call call,
-                                   delay_function delay, clock_function clock, clock_function awake_clock,
+workspace_quotas::workspace_quotas(quota_options options, bucket_ownership& buckets,
+                                   const peer_directory& peers, peer_call call, delay_function delay,
+                                   clock_function clock, clock_function awake_clock,
                                    metrics_registry& metrics)
-    : m_options(options), m_buckets(buckets), m_call(std::move(call)), m_delay(std::move(delay)),
-      m_clock(std::move(clock)), m_awake_clock(std::move(awake_clock)), m_metrics(metrics)
+    : m_options(options), m_buckets(buckets), m_peers(peers), m_call(std::move(call)),
+      m_delay(std::move(delay)), m_clock(std::move(clock)), m_awake_clock(std::move(awake_clock)),
+      m_metrics(metrics)
 {
 }
 
@@ -260,7 +264,8 @@
         {
             if (grant->granted.of(need) < question.demand.waiting.of(need))
             {
-                const auto wait = std::max(grant->after(need), least_pause);
+                const auto wait =
+                    std::max(grant->after(need), m_peers.period(least_pause, pause_per_gateway));
                 it.pauses.pause(question.slice.index, need, m_awake_clock() + wait);
             }
         }
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -116,8 +116,8 @@
                                             time.clock(),
                                             time.clock()};
     metrics_registry metrics;
-    gateway::workspace_quotas quotas{{.longest_wait = {}}, quota_buckets, nullptr, time.delays(),
-                                     time.clock(),         time.clock(),  metrics};
+    gateway::workspace_quotas quotas{{.longest_wait = {}}, quota_buckets, peers,        nullptr,
+                                     time.delays(),        time.clock(),  time.clock(), metrics};
     gateway::target_table targets;
     plain_protocol protocol;
     std::vector<sent_ptr> sent;
--- a/tests/support/quota_group.cpp
+++ b/tests/support/quota_group.cpp
@@ -45,7 +45,7 @@
           owner.delays_of(std::make_shared<member*>(this)), [this] { return group.time.now() - slept; },
           owner.time.clock()),
       quotas(
-          {.rule = owner.rule, .policy = owner.m_policy}, buckets,
+          {.rule = owner.rule, .policy = owner.m_policy}, buckets, peers,
           [this](const auto& to, auto bytes, auto on_answer) { group.call(address, to, bytes, on_answer); },
           owner.delays_of(std::make_shared<member*>(this)), [this] { return group.time.now() - slept; },
           owner.time.clock(), metrics)
--- a/tests/unit/test_gateway_quota.cpp
+++ b/tests/unit/test_gateway_quota.cpp
@@ -220,6 +220,23 @@
     }
 }
 
+// Load pattern: a flood of one workspace comes in through all gateways, and at each some wait for room.
+TEST_CASE("what a flood asks of the holders does not grow with the gateways that it comes through")
+{
+    for (const std::size_t gateways : {10U, 100U, 400U})
+    {
+        CAPTURE(gateways);
+        quota_group group(gateways, {{"w", {40, 40}}});
+        const auto at = group.addresses();
+        load(group, at, "w", 400, 2s);
+        const auto before = group.messages;
+        load(group, at, "w", 400, 10s);
+        // Four slices, each asked five hundred times a second.
+        CHECK(group.messages - before <= 4 * 500 * 10);
+        CHECK(keeps_rule(group.sent["w"], {40, 40}, usual_rule));
+    }
+}
+
 TEST_CASE("with a holder dead, frozen or cut off, the other slices carry what is usual")
 {
     quota_group group(26, {{"w", {40, 40}}});
