After reading the change once more: one reader of messages, one pace, state that follows from other state gone

No behaviour changes; no test loses an assertion. - quota_messages wrote CBOR arrays and their reader again, which commit_codec had: both use cbor_messages. - bucket_ownership kept 'own' beside 'held since': the second says it. A held slice kept its 'since' beside the slice's own. - A question counted those who wait twice for each slice it looked at: once now. - A permit was given back in two places after a run that may have happened: where the attempt ends, now. - Two limits of one value for holders: one. token_bucket::until took the bucket's own level as an argument. - Tests: one maker of ownerships, one type of a table that stood twice, no pointer to a pointer.

--- a/include/masticcourse/gateway/bucket_ownership.hpp
+++ b/include/masticcourse/gateway/bucket_ownership.hpp
@@ -5,9 +5,8 @@
 /// - A bucket is taken and given up under the row's version only, so no two lives hold one at a time, however
 ///   long one of them slept or was cut off.
 /// - Where a bucket may change hands without its holder, it is held under a lease: the holder renews it in
-/// the
-///   row and stops by itself when it could not; others take it once they have seen no renewal for longer.
-///   Each side looks at its own clock only.
+///   the row and stops by itself when it could not; others take it once they have seen no renewal for
+///   longer. Each side looks at its own clock only.
 /// - Looks and tries are spread over a time that grows with the number of gateways: otherwise hundreds that
 ///   start together would keep the row, and the partition that it lies in, full of conflicts.
 #pragma once
@@ -98,10 +97,10 @@
     /// @return whether this life holds the bucket and may use it: it has not begun to give it up, and its
     /// lease is valid
     [[nodiscard]] bool holds(std::size_t bucket) const;
-    /// @return when this life took the bucket: what it knew of it from an earlier time is void
+    /// @return when this life took a bucket that is its own: what it knew of it from an earlier time is void
     [[nodiscard]] time_point held_since(std::size_t bucket) const
     {
-        return m_held_since[bucket];
+        return m_held_since[bucket].value();
     }
     /// @return where the holder of a bucket is reached, as far as it is known
     [[nodiscard]] std::optional<std::string> holder_of(std::size_t bucket) const;
@@ -157,8 +156,8 @@
     ownership_row m_row;
     row_version m_version = 0;
     row_fault_log m_faults;
-    std::vector<bool> m_own;
-    std::vector<time_point> m_held_since;
+    /// Empty for buckets that are not this life's.
+    std::vector<std::optional<time_point>> m_held_since;
     std::map<std::string, seen_renewal> m_seen;
     /// The lease is valid until then.
     time_point m_valid_until{};
--- a/include/masticcourse/gateway/quota/quota_slice.hpp
+++ b/include/masticcourse/gateway/quota/quota_slice.hpp
@@ -80,7 +80,7 @@
         return m_level;
     }
     /// @return how long until the level is @a tokens
-    [[nodiscard]] static milliseconds until(double level, double tokens, double rate);
+    [[nodiscard]] milliseconds until(double tokens, double rate) const;
 
   private:
     double m_level = 0;
@@ -123,6 +123,11 @@
 
     [[nodiscard]] slice_grant grant(const slice_demand& demand, const slice_terms& terms, time_point now);
 
+    [[nodiscard]] time_point since() const
+    {
+        return m_since;
+    }
+
   private:
     [[nodiscard]] std::uint32_t grant_others(const slice_demand& demand, const slice_terms& terms);
     [[nodiscard]] std::uint32_t grant_starts(std::uint32_t waiting, const slice_terms& terms, time_point now);
--- a/include/masticcourse/gateway/quota/workspace_quotas.hpp
+++ b/include/masticcourse/gateway/quota/workspace_quotas.hpp
@@ -104,18 +104,13 @@
         /// The slices are asked again when one has room.
         bool retry_planned = false;
     };
-    struct held_slice
-    {
-        quota_slice slice;
-        /// Since when its bucket has been held.
-        time_point since;
-    };
     struct slice_hash
     {
         std::size_t operator()(const slice_name& it) const noexcept;
     };
 
-    [[nodiscard]] portion_list& portions(account& it, quota_need need);
+    [[nodiscard]] static portion_list& portions(account& it, quota_need need);
+    [[nodiscard]] static request_counts count_waiting(const account& it);
     /// Serves those who wait from what has been drawn.
     void serve_waiting(account& it);
     /// Asks one slice after the other until nobody waits, or none has room.
@@ -128,7 +123,9 @@
     /// @return the next question for a slice that may have room for some who wait, or nothing
     [[nodiscard]] std::optional<slice_question> next_question(const workspace_id& name, const account& it,
                                                               const slice_terms& terms) const;
-    [[nodiscard]] request_counts waiting_for(const account& it, std::size_t slice) const;
+    /// @return those of @a waiting that the slice may have room for
+    [[nodiscard]] request_counts not_paused(const account& it, std::size_t slice,
+                                            const request_counts& waiting) const;
     /// No slice has room now: those who can't wait for it are refused, and for the others the slices are
     /// asked again when one has.
     void wait_for_room(const workspace_id& name, account& it, const slice_terms& limit);
@@ -157,7 +154,7 @@
     metrics_registry& m_metrics;
     config_ptr m_config;
     std::unordered_map<workspace_id, account> m_accounts;
-    std::unordered_map<slice_name, held_slice, slice_hash> m_slices;
+    std::unordered_map<slice_name, quota_slice, slice_hash> m_slices;
     /// Holders that did not answer, and until when they are left out.
     std::unordered_map<std::string, time_point> m_silent_until;
 };
--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -103,8 +103,7 @@
                                    clock_function awake_clock)
     : m_terms(std::move(terms)), m_store(store), m_peers(peers), m_self(std::move(self)),
       m_delay(std::move(delay)), m_clock(std::move(clock)), m_awake_clock(std::move(awake_clock)),
-      m_started(m_clock()), m_row{.buckets = bucket_table(m_terms.buckets)}, m_own(m_terms.buckets),
-      m_held_since(m_terms.buckets)
+      m_started(m_clock()), m_row{.buckets = bucket_table(m_terms.buckets)}, m_held_since(m_terms.buckets)
 {
 }
 
@@ -240,14 +239,11 @@
 
 void bucket_ownership::note_own()
 {
-    for (std::size_t bucket = 0; bucket < m_own.size(); ++bucket)
+    const auto now = m_clock();
+    for (std::size_t bucket = 0; bucket < m_held_since.size(); ++bucket)
     {
-        const bool own = is_own(bucket);
-        if (own && !m_own[bucket])
-        {
-            m_held_since[bucket] = m_clock();
-        }
-        m_own[bucket] = own;
+        auto& since = m_held_since[bucket];
+        since = is_own(bucket) ? std::optional{since.value_or(now)} : std::nullopt;
     }
 }
 
--- a/src/gateway/commit_codec.cpp
+++ b/src/gateway/commit_codec.cpp
@@ -1,5 +1,7 @@
 // How changes, their results, remembered rows and overdrafts travel between gateways: CBOR, arrays in a fixed
 // order.
+#include "cbor_messages.hpp"
+
 #include "masticcourse/gateway/collected_rows.hpp"
 #include "masticcourse/gateway/commit_router.hpp"
 #include "masticcourse/gateway/overdraft.hpp"
@@ -16,6 +18,10 @@
 namespace
 {
 
+using detail::read_array;
+using detail::read_one;
+using detail::to_bytes;
+using detail::to_whole;
 using nlohmann::json;
 
 json to_json(const std::string& bytes)
@@ -84,16 +90,6 @@
         {static_cast<int>(it.outcome), it.version, it.current ? to_json(*it.current) : json{}});
 }
 
-/// @throws std::invalid_argument unless it is a whole number
-std::int64_t to_whole(const json& it)
-{
-    if (!it.is_number_integer())
-    {
-        throw std::invalid_argument("no whole number");
-    }
-    return it.get<std::int64_t>();
-}
-
 /// @param last the greatest value of the enumeration
 /// @throws std::out_of_range for a number that names none of its values
 template <typename Enum>
@@ -118,41 +114,6 @@
     return result;
 }
 
-std::string to_bytes(const json& document)
-{
-    std::string bytes;
-    json::to_cbor(document, bytes);
-    return bytes;
-}
-
-/// Reads an array of what @a read makes of one element; nothing if any of it is not as it should be.
-template <typename Read>
-auto read_array(const std::string& bytes, Read read) -> std::optional<std::vector<decltype(read(json{}))>>
-{
-    try
-    {
-        std::vector<decltype(read(json{}))> found;
-        for (const auto& it : json::from_cbor(bytes))
-        {
-            found.push_back(read(it));
-        }
-        return found;
-    }
-    catch (const std::exception&)
-    {
-        // The sender is told that nothing was read, and writes by itself.
-        return std::nullopt;
-    }
-}
-
-/// Reads an array of exactly one element.
-template <typename Read>
-auto read_one(const std::string& bytes, Read read) -> std::optional<decltype(read(json{}))>
-{
-    auto found = read_array(bytes, read);
-    return found && found->size() == 1 ? std::optional{std::move(found->front())} : std::nullopt;
-}
-
 } // namespace
 
 std::string encode_query(const row_query& query)
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -133,9 +133,9 @@
     void take_later(milliseconds wait, void (forwarded_request::*step)());
     /// Whether it may generate tokens only within a program's budget.
     [[nodiscard]] bool has_budget() const;
-    /// Whether what is said in it is kept for the turns after it.
     /// @return the failure domain whose targets are chosen first; empty if none is
     [[nodiscard]] failure_domain_name preferred_domain() const;
+    /// Whether what is said in it is kept for the turns after it.
     [[nodiscard]] bool is_kept() const;
     [[nodiscard]] std::optional<request_id> previous_turn() const;
     /// The id under which the turn is kept.
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -26,7 +26,6 @@
     end_attempt(again ? target_verdict::broken : target_verdict::sound);
     if (again && may_try_again())
     {
-        m_permit.reset();
         dispatch();
         return;
     }
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -184,6 +184,11 @@
         m_services.targets.end(m_target->life(), verdict, m_services.clock());
         m_target.reset();
     }
+    if (verdict == target_verdict::broken)
+    {
+        // The request may have run on its permit: another run needs another one.
+        m_permit.reset();
+    }
     // Closing the connection tells a target that is still at work to stop.
     if (const auto upstream = std::exchange(m_upstream, nullptr))
     {
@@ -271,7 +276,6 @@
     log_retry(why);
     end_attempt(target_verdict::broken);
     m_may_have_run = true;
-    m_permit.reset();
     const bool can_go_on = !m_progress || m_progress->can_go_on();
     if (m_route->repeatable() && can_go_on && may_try_again())
     {
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -20,10 +20,9 @@
 /// How long a collector may take to say what it remembers: the store, which is asked then, is not far.
 constexpr milliseconds recall_limit{100};
 
-/// How long the holder of an overdraft may take to answer: it asks nobody itself.
-constexpr milliseconds overdraft_limit{100};
-/// The same for the holder of a slice of a quota. The request waits meanwhile, and other slices are there.
-constexpr milliseconds quota_limit{100};
+/// How long the holder of an overdraft, or of a slice of a quota, may take to answer: it asks nobody itself,
+/// and the request waits meanwhile.
+constexpr milliseconds holder_limit{100};
 
 /// How long a collector has lacked the store, in ms.
 const std::string lacked_for_header = "Lacked-Store-Ms";
@@ -104,13 +103,13 @@
 
 void peer_calls::overdraft(const std::string& address, std::string message, peer_callback on_answer)
 {
-    ask(make_request(address, gateway::overdraft_path, std::move(message)), overdraft_limit,
+    ask(make_request(address, gateway::overdraft_path, std::move(message)), holder_limit,
         std::move(on_answer));
 }
 
 void peer_calls::quota(const std::string& address, std::string question, peer_callback on_answer)
 {
-    ask(make_request(address, gateway::quota_path, std::move(question)), quota_limit, std::move(on_answer));
+    ask(make_request(address, gateway::quota_path, std::move(question)), holder_limit, std::move(on_answer));
 }
 
 http_response to_response(const collector_answer& answer)
--- a/src/gateway/quota/quota_messages.cpp
+++ b/src/gateway/quota/quota_messages.cpp
@@ -1,8 +1,9 @@
 #include "masticcourse/gateway/quota/quota_messages.hpp"
 
-#include <algorithm>
+#include "../cbor_messages.hpp"
+
 #include <cstdint>
-#include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace masticcourse::gateway
 {
@@ -10,32 +11,52 @@
 namespace
 {
 
+using detail::read_document;
+using detail::to_bytes;
 using nlohmann::json;
 
-std::string to_bytes(const json& document)
+/// @throws std::invalid_argument unless it is an array of that size
+void expect_array(const json& it, std::size_t size)
+{
+    if (!it.is_array() || it.size() != size)
+    {
+        throw std::invalid_argument("no such array");
+    }
+}
+
+/// @throws std::invalid_argument unless it is a count
+std::uint32_t to_count(const json& it)
 {
-    std::string bytes;
-    json::to_cbor(document, bytes);
-    return bytes;
+    if (!it.is_number_unsigned())
+    {
+        throw std::invalid_argument("no count");
+    }
+    return it.get<std::uint32_t>();
 }
 
-/// @return the array that @a bytes are, if it has as many members
-std::optional<json> to_array(const std::string& bytes, std::size_t members)
+milliseconds to_wait(const json& it)
 {
-    auto document = json::from_cbor(bytes, true, false);
-    return document.is_array() && document.size() == members ? std::optional{std::move(document)}
-                                                             : std::nullopt;
+    return milliseconds{to_count(it)};
 }
 
-bool all_counts(const json& array, std::size_t from)
+slice_question to_question(const json& it)
 {
-    return std::all_of(array.begin() + static_cast<std::ptrdiff_t>(from), array.end(),
-                       [](const json& it) { return it.is_number_unsigned(); });
+    expect_array(it, 5);
+    return {.slice = {.workspace = {it.at(0).get<std::string>()}, .index = to_count(it.at(1))},
+            .demand = {.waiting = {.starts = to_count(it.at(2)), .others = to_count(it.at(3))},
+                       .ahead = to_count(it.at(4))}};
 }
 
-milliseconds to_wait(const json& it)
+slice_answer to_answer(const json& it)
 {
-    return milliseconds{it.get<milliseconds::rep>()};
+    if (it.is_array() && it.empty())
+    {
+        return not_holder{};
+    }
+    expect_array(it, 4);
+    return slice_grant{.granted = {.starts = to_count(it.at(0)), .others = to_count(it.at(1))},
+                       .starts_after = to_wait(it.at(2)),
+                       .others_after = to_wait(it.at(3))};
 }
 
 } // namespace
@@ -49,14 +70,7 @@
 
 std::optional<slice_question> decode_slice_question(const std::string& bytes)
 {
-    const auto array = to_array(bytes, 5);
-    if (!array || !array->at(0).is_string() || !all_counts(*array, 1))
-    {
-        return std::nullopt;
-    }
-    const auto count = [&array](std::size_t n) { return array->at(n).get<std::uint32_t>(); };
-    return slice_question{.slice = {.workspace = {array->at(0).get<std::string>()}, .index = count(1)},
-                          .demand = {.waiting = {.starts = count(2), .others = count(3)}, .ahead = count(4)}};
+    return read_document(bytes, to_question);
 }
 
 std::string encode(const slice_answer& answer)
@@ -72,19 +86,7 @@
 
 std::optional<slice_answer> decode_slice_answer(const std::string& bytes)
 {
-    if (to_array(bytes, 0))
-    {
-        return not_holder{};
-    }
-    const auto array = to_array(bytes, 4);
-    if (!array || !all_counts(*array, 0))
-    {
-        return std::nullopt;
-    }
-    return slice_grant{
-        .granted = {.starts = array->at(0).get<std::uint32_t>(), .others = array->at(1).get<std::uint32_t>()},
-        .starts_after = to_wait(array->at(2)),
-        .others_after = to_wait(array->at(3))};
+    return read_document(bytes, to_answer);
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/quota/quota_slice.cpp
+++ b/src/gateway/quota/quota_slice.cpp
@@ -32,14 +32,14 @@
     m_level = std::min(most, m_level + rate * std::max(0.0, elapsed));
 }
 
-milliseconds token_bucket::until(double level, double tokens, double rate)
+milliseconds token_bucket::until(double tokens, double rate) const
 {
-    if (level >= tokens)
+    if (m_level >= tokens)
     {
         return milliseconds{0};
     }
     constexpr real_seconds longest{60};
-    const auto wait = rate > 0 ? real_seconds{(tokens - level) / rate} : longest;
+    const auto wait = rate > 0 ? real_seconds{(tokens - m_level) / rate} : longest;
     return std::chrono::ceil<milliseconds>(std::min(wait, longest));
 }
 
@@ -104,7 +104,7 @@
 
     if (answer.granted.others < demand.waiting.others)
     {
-        answer.others_after = token_bucket::until(m_requests.level(), 1, terms.rate);
+        answer.others_after = m_requests.until(1, terms.rate);
     }
     if (answer.granted.starts < demand.waiting.starts)
     {
@@ -115,9 +115,9 @@
 
 milliseconds quota_slice::until_next_start(const slice_terms& terms, time_point now) const
 {
-    const auto room = token_bucket::until(m_requests.level(), 1 + kept_from_starts(terms, now), terms.rate);
+    const auto room = m_requests.until(1 + kept_from_starts(terms, now), terms.rate);
     const bool paid = m_policy == start_policy::paid_ahead;
-    const auto paid_off = paid ? token_bucket::until(m_starts.level(), 0, terms.rate) : milliseconds{0};
+    const auto paid_off = paid ? m_starts.until(0, terms.rate) : milliseconds{0};
     return std::max({room, paid_off, milliseconds{1}});
 }
 
--- a/src/gateway/quota/workspace_quotas.cpp
+++ b/src/gateway/quota/workspace_quotas.cpp
@@ -160,30 +160,32 @@
 std::optional<slice_question> workspace_quotas::next_question(const workspace_id& name, const account& it,
                                                               const slice_terms& terms) const
 {
-    const auto slices = order(name, it, terms.count);
-    const auto fits = [&](std::size_t n) {
-        return reachable({name, n}) && waiting_for(it, n) != request_counts{};
-    };
-    const auto slice = std::ranges::find_if(slices, fits);
-    if (slice == slices.end())
+    const auto waiting = count_waiting(it);
+    for (const auto slice : order(name, it, terms.count))
     {
-        return std::nullopt;
+        const auto asked = not_paused(it, slice, waiting);
+        if (asked != request_counts{} && reachable({name, slice}))
+        {
+            const auto ahead = asked.others > 0 ? it.demand.expected(ahead_span, m_awake_clock()) : 0;
+            return slice_question{.slice = {name, slice}, .demand = {.waiting = asked, .ahead = ahead}};
+        }
     }
-    const auto now = m_awake_clock();
-    const auto waiting = waiting_for(it, *slice);
-    const auto ahead = waiting.others > 0 ? it.demand.expected(ahead_span, now) : 0;
-    return slice_question{.slice = {name, *slice}, .demand = {.waiting = waiting, .ahead = ahead}};
+    return std::nullopt;
 }
 
-request_counts workspace_quotas::waiting_for(const account& it, std::size_t slice) const
+request_counts workspace_quotas::count_waiting(const account& it)
+{
+    const auto starts = std::ranges::count(it.waiting, quota_need::start, &waiting_request::need);
+    return {.starts = static_cast<std::uint32_t>(starts),
+            .others = static_cast<std::uint32_t>(it.waiting.size()) - static_cast<std::uint32_t>(starts)};
+}
+
+request_counts workspace_quotas::not_paused(const account& it, std::size_t slice,
+                                            const request_counts& waiting) const
 {
     const auto now = m_awake_clock();
     const auto count = [&](quota_need need)
-    {
-        return it.pauses.paused(slice, need, now)
-                   ? 0U
-                   : static_cast<std::uint32_t>(std::ranges::count(it.waiting, need, &waiting_request::need));
-    };
+    { return it.pauses.paused(slice, need, now) ? 0U : waiting.of(need); };
     return {.starts = count(quota_need::start), .others = count(quota_need::other)};
 }
 
@@ -362,14 +364,13 @@
         return not_holder{};
     }
     const auto since = m_buckets.held_since(bucket);
-    const held_slice fresh{.slice = quota_slice{since, m_options.policy}, .since = since};
-    auto& held = m_slices.try_emplace(question.slice, fresh).first->second;
-    if (held.since != since)
+    auto& slice = m_slices.try_emplace(question.slice, since, m_options.policy).first->second;
+    if (slice.since() != since)
     {
         // Another gateway has handed out from it meanwhile.
-        held = fresh;
+        slice = quota_slice{since, m_options.policy};
     }
-    return held.slice.grant(question.demand, *limit, m_clock());
+    return slice.grant(question.demand, *limit, m_clock());
 }
 
 std::optional<std::string> workspace_quotas::serve(const std::string& bytes)
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -100,21 +100,9 @@
     gateway::program_spending spending{store, commits, time.delays(), time.clock()};
     gateway::turn_store turns{store, commits, 1'000'000, 10'000};
     gateway::peer_directory peers{{.address = "self"}};
-    gateway::bucket_ownership buckets{gateway::overdraft_ownership_terms(),
-                                      store,
-                                      peers,
-                                      {"self", "1"},
-                                      time.delays(),
-                                      time.clock(),
-                                      time.clock()};
+    gateway::bucket_ownership buckets = make_ownership(gateway::overdraft_ownership_terms());
     gateway::overdraft overdrafts{buckets, nullptr, time.clock()};
-    gateway::bucket_ownership quota_buckets{gateway::quota_ownership_terms(),
-                                            store,
-                                            peers,
-                                            {"self", "1"},
-                                            time.delays(),
-                                            time.clock(),
-                                            time.clock()};
+    gateway::bucket_ownership quota_buckets = make_ownership(gateway::quota_ownership_terms());
     metrics_registry metrics;
     gateway::workspace_quotas quotas{{.longest_wait = {}}, quota_buckets, peers,        nullptr,
                                      time.delays(),        time.clock(),  time.clock(), metrics};
@@ -124,6 +112,12 @@
     std::vector<gateway::request_end> ends;
     gateway::config_ptr config;
     gateway::forwarding_services services;
+
+  private:
+    [[nodiscard]] gateway::bucket_ownership make_ownership(gateway::ownership_terms terms)
+    {
+        return {std::move(terms), store, peers, {"self", "1"}, time.delays(), time.clock(), time.clock()};
+    }
 };
 
 } // namespace masticcourse::testing
--- a/tests/support/quota_group.cpp
+++ b/tests/support/quota_group.cpp
@@ -38,17 +38,15 @@
 }
 
 quota_group::member::member(quota_group& owner, const std::string& member_address, const std::string& life)
-    : group(owner), address(member_address),
-      store(owner.rows, owner.delays_of(std::make_shared<member*>(this))), peers({.address = member_address}),
+    : group(owner), address(member_address), store(owner.rows, owner.delays_of(*this)),
+      peers({.address = member_address}),
       buckets(
-          gateway::quota_ownership_terms(), store, peers, {member_address, life},
-          owner.delays_of(std::make_shared<member*>(this)), [this] { return group.time.now() - slept; },
-          owner.time.clock()),
+          gateway::quota_ownership_terms(), store, peers, {member_address, life}, owner.delays_of(*this),
+          [this] { return group.time.now() - slept; }, owner.time.clock()),
       quotas(
           {.rule = owner.rule, .policy = owner.m_policy}, buckets, peers,
           [this](const auto& to, auto bytes, auto on_answer) { group.call(address, to, bytes, on_answer); },
-          owner.delays_of(std::make_shared<member*>(this)), [this] { return group.time.now() - slept; },
-          owner.time.clock(), metrics)
+          owner.delays_of(*this), [this] { return group.time.now() - slept; }, owner.time.clock(), metrics)
 {
 }
 
@@ -64,13 +62,13 @@
     time.run(settling);
 }
 
-gateway::delay_function quota_group::delays_of(std::shared_ptr<member*> it)
+gateway::delay_function quota_group::delays_of(const member& it)
 {
-    return [this, it](milliseconds after, const std::function<void()>& action)
+    return [this, &it](milliseconds after, const std::function<void()>& action)
     {
-        const auto run = [this, it, action](const auto& self) -> void
+        const auto run = [this, &it, action](const auto& self) -> void
         {
-            const auto until = (*it)->frozen_until;
+            const auto until = it.frozen_until;
             if (until > time.now())
             {
                 const auto rest = std::chrono::ceil<milliseconds>(until - time.now());
@@ -178,7 +176,7 @@
             on_answer(text);
         }
     };
-    delays_of(std::make_shared<member*>(sender))(message_limit, [answer] { answer(std::nullopt); });
+    delays_of (*sender)(message_limit, [answer] { answer(std::nullopt); });
     if (lost() || sender->cut)
     {
         return;
@@ -194,17 +192,16 @@
                       }
                       // A frozen gateway reads the message when it wakes.
                       auto* const holder = it->second.get();
-                      delays_of(std::make_shared<member*>(holder))(
-                          milliseconds{0},
-                          [this, holder, bytes, sender, answer, answer_lost]
-                          {
-                              const auto text = holder->dead ? std::nullopt : holder->quotas.serve(bytes);
-                              if (text && !answer_lost)
-                              {
-                                  delays_of(std::make_shared<member*>(sender))(way, [answer, text]
-                                                                               { answer(text); });
-                              }
-                          });
+                      delays_of (*holder)(milliseconds{0},
+                                          [this, holder, bytes, sender, answer, answer_lost]
+                                          {
+                                              const auto text =
+                                                  holder->dead ? std::nullopt : holder->quotas.serve(bytes);
+                                              if (text && !answer_lost)
+                                              {
+                                                  delays_of (*sender)(way, [answer, text] { answer(text); });
+                                              }
+                                          });
                   });
 }
 
--- a/tests/support/quota_group.hpp
+++ b/tests/support/quota_group.hpp
@@ -86,7 +86,8 @@
     void call(const std::string& from, const std::string& to, const std::string& bytes,
               const gateway::peer_callback& on_answer);
     [[nodiscard]] bool lost();
-    [[nodiscard]] gateway::delay_function delays_of(std::shared_ptr<member*> it);
+    /// Members are never moved or destroyed before the group is.
+    [[nodiscard]] gateway::delay_function delays_of(const member& it);
     void list_peers();
 
     gateway::start_policy m_policy;
--- a/tests/unit/test_gateway_quota.cpp
+++ b/tests/unit/test_gateway_quota.cpp
@@ -39,6 +39,13 @@
     }
 }
 
+/// Through how many of the gateways a workspace's callers come.
+struct callers
+{
+    std::size_t gateways;
+    std::size_t used;
+};
+
 slice_demand waiting(std::uint32_t starts, std::uint32_t others)
 {
     return {.waiting = {.starts = starts, .others = others}};
@@ -169,13 +176,8 @@
 
 TEST_CASE("what is usual is let through at once, wherever it comes in, at most one message a request")
 {
-    struct row
-    {
-        std::size_t gateways;
-        std::size_t used;
-    };
-    for (const auto& it :
-         {row{1, 1}, row{6, 6}, row{26, 1}, row{26, 2}, row{26, 26}, row{127, 127}, row{400, 3}})
+    for (const auto& it : {callers{1, 1}, callers{6, 6}, callers{26, 1}, callers{26, 2}, callers{26, 26},
+                           callers{127, 127}, callers{400, 3}})
     {
         CAPTURE(it.gateways);
         CAPTURE(it.used);
@@ -193,13 +195,8 @@
 
 TEST_CASE("beyond the quota, nearly as much is let through as one counter for all would")
 {
-    struct row
-    {
-        std::size_t gateways;
-        std::size_t used;
-    };
-    for (const auto& it :
-         {row{1, 1}, row{6, 6}, row{26, 1}, row{26, 2}, row{26, 26}, row{127, 127}, row{400, 400}})
+    for (const auto& it : {callers{1, 1}, callers{6, 6}, callers{26, 1}, callers{26, 2}, callers{26, 26},
+                           callers{127, 127}, callers{400, 400}})
     {
         CAPTURE(it.gateways);
         CAPTURE(it.used);
