What is said of keys is true of relayed rows too

Asked of each message between gateways whether a key can be found in it: one, the operator's row that a peer reads for a gateway without the store. The comment and the pages said none. No code changes.

--- a/include/masticcourse/gateway/access/workspace_directory.hpp
+++ b/include/masticcourse/gateway/access/workspace_directory.hpp
@@ -29,7 +29,7 @@
 struct workspace
 {
     workspace_id name;
-    /// Any of them opens the workspace. They stand in no log, metric or message.
+    /// Any of them opens the workspace. They stand in no log, metric or error.
     std::vector<std::string> keys;
     /// Goes before that of the route; 0 is the most urgent.
     std::optional<std::uint32_t> priority;
