VMs with little processor time take no buckets while there are others

What they hold for others adds to their own callers' load.

Ruled out: cuts and kills (none then), the link (30 Mbit/s, not near it).

Change: a gateway takes a share of the buckets, of quotas and of overdrafts, only if it has the processor time that collecting asks for, or nobody has.

--- a/include/masticcourse/gateway/bucket_ownership.hpp
+++ b/include/masticcourse/gateway/bucket_ownership.hpp
@@ -7,6 +7,7 @@
 /// - Where a bucket may change hands without its holder, it is held under a lease: the holder renews it in
 ///   the row and stops by itself when it could not; others take it once they have seen no renewal for
 ///   longer. Each side looks at its own clock only.
+/// - VMs with little processor time take no buckets while there are others.
 /// - Looks and tries are spread over a time that grows with the number of gateways: otherwise hundreds that
 ///   start together would keep the row, and the partition that it lies in, full of conflicts.
 #pragma once
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -43,6 +43,12 @@
         return m_others.size();
     }
 
+    /// @return how many gateways have the processor time to do work for others, this one included if it is
+    /// one of them; all of them if none has
+    [[nodiscard]] std::size_t helpers() const;
+    /// Whether this gateway is one of them.
+    [[nodiscard]] bool is_helper() const;
+
     /// Paces what every gateway does at one place, so that the load there does not grow with their number.
     /// @param least       the period on a small site
     /// @param per_gateway the part of the period that each gateway gets for itself
@@ -78,6 +84,8 @@
     void forget_storeless();
 
   private:
+    [[nodiscard]] std::size_t strong_gateways() const;
+
     struct avoidance
     {
         /// Silences in a row.
--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -268,8 +268,9 @@
 
 std::size_t bucket_ownership::fair_share() const
 {
-    const auto gateways = m_peers.size() + 1;
-    return (m_terms.buckets + gateways - 1) / gateways;
+    // Requests wait for a holder's answer, so it must have the time to give it.
+    const auto helpers = m_peers.helpers();
+    return m_peers.is_helper() ? (m_terms.buckets + helpers - 1) / helpers : 0;
 }
 
 bool bucket_ownership::inherits(const gateway_life& holder) const
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -28,8 +28,14 @@
 /// How long a silent gateway that is asked again may take to answer before others ask it too.
 constexpr milliseconds trial_time{1'000};
 
-/// With less processor time a VM collects only if none has more: it could not keep up with a partition.
-constexpr double least_collector_cores = 0.15;
+/// With less processor time a VM collects, or holds what others ask for, only if none has more: it could not
+/// keep up with them.
+constexpr double least_helper_cores = 0.15;
+
+bool is_strong(const peer& it)
+{
+    return it.cores >= least_helper_cores;
+}
 
 /// Weighted rendezvous hashing: each peer is chosen in proportion to its weight, and only the partitions of a
 /// peer that leaves move (Schindelhauer and Schomaker, 2005).
@@ -50,6 +56,22 @@
     m_others = std::move(peers);
 }
 
+std::size_t peer_directory::strong_gateways() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_others, is_strong)) + (is_strong(m_self) ? 1 : 0);
+}
+
+std::size_t peer_directory::helpers() const
+{
+    const auto strong = strong_gateways();
+    return strong > 0 ? strong : m_others.size() + 1;
+}
+
+bool peer_directory::is_helper() const
+{
+    return is_strong(m_self) || strong_gateways() == 0;
+}
+
 milliseconds peer_directory::period(milliseconds least, milliseconds per_gateway) const
 {
     const auto gateways = static_cast<milliseconds::rep>(m_others.size() + 1);
@@ -102,7 +124,7 @@
                                                     bool self_avoided) const
 {
     const auto rank = [partition](const peer& it, bool is_last) {
-        return std::tuple{!is_last, it.cores >= least_collector_cores, score(it, partition)};
+        return std::tuple{!is_last, is_strong(it), score(it, partition)};
     };
     const peer* best = &m_self;
     auto best_rank = rank(m_self, self_avoided);
--- a/tests/support/quota_group.cpp
+++ b/tests/support/quota_group.cpp
@@ -37,16 +37,18 @@
     return true;
 }
 
-quota_group::member::member(quota_group& owner, const std::string& member_address, const std::string& life)
+quota_group::member::member(quota_group& owner, const std::string& member_address, const std::string& life,
+                            double member_cores)
     : group(owner), address(member_address), store(owner.rows, owner.delays_of(*this)),
-      peers({.address = member_address}),
+      peers({.address = member_address, .cores = member_cores}),
       buckets(
           gateway::quota_ownership_terms(), store, peers, {member_address, life}, owner.delays_of(*this),
           [this] { return group.time.now() - slept; }, owner.time.clock()),
       quotas(
           {.rule = owner.rule, .policy = owner.m_policy}, buckets, peers,
           [this](const auto& to, auto bytes, auto on_answer) { group.call(address, to, bytes, on_answer); },
-          owner.delays_of(*this), [this] { return group.time.now() - slept; }, owner.time.clock(), metrics)
+          owner.delays_of(*this), [this] { return group.time.now() - slept; }, owner.time.clock(), metrics),
+      cores(member_cores)
 {
 }
 
@@ -81,10 +83,11 @@
     };
 }
 
-void quota_group::start(const std::string& address)
+void quota_group::start(const std::string& address, double cores)
 {
     stop(address);
-    auto& it = m_members[address] = std::make_unique<member>(*this, address, std::to_string(++m_lives));
+    auto& it = m_members[address] =
+        std::make_unique<member>(*this, address, std::to_string(++m_lives), cores);
     list_peers();
     it->quotas.set_config(m_config);
 }
@@ -209,7 +212,8 @@
 {
     std::vector<gateway::peer> list;
     std::ranges::transform(m_members, std::back_inserter(list),
-                           [](const auto& it) { return gateway::peer{.address = it.first}; });
+                           [](const auto& it)
+                           { return gateway::peer{.address = it.first, .cores = it.second->cores}; });
     std::ranges::for_each(m_members, [&](const auto& it) { it.second->peers.set(list); });
 }
 
--- a/tests/support/quota_group.hpp
+++ b/tests/support/quota_group.hpp
@@ -28,7 +28,7 @@
   public:
     struct member
     {
-        member(quota_group& owner, const std::string& member_address, const std::string& life);
+        member(quota_group& owner, const std::string& member_address, const std::string& life, double cores);
 
         quota_group& group;
         std::string address;
@@ -41,6 +41,7 @@
         gateway::bucket_ownership buckets;
         metrics_registry metrics;
         gateway::workspace_quotas quotas;
+        double cores = 1;
         /// No message of it arrives, and none comes to it.
         bool cut = false;
         bool dead = false;
@@ -52,7 +53,7 @@
                 gateway::milliseconds settling = gateway::seconds{20});
 
     /// Starts a life on a VM; one that ran there is dead from then on.
-    void start(const std::string& address);
+    void start(const std::string& address, double cores = 1);
     /// Ends the life on a VM, if there is one.
     void stop(const std::string& address);
     void freeze(const std::string& address, gateway::milliseconds span);
--- a/tests/unit/test_gateway_quota.cpp
+++ b/tests/unit/test_gateway_quota.cpp
@@ -234,6 +234,40 @@
     }
 }
 
+// Load pattern: a burst at VMs with little processor time, which have enough to do with their own callers.
+TEST_CASE("VMs with little processor time hold no slices while there are others")
+{
+    constexpr double little = 0.09;
+    quota_group group(0, {{"w", {40, 40}}});
+    for (int n = 0; n < 8; ++n)
+    {
+        group.start("weak" + std::to_string(n), little);
+    }
+    SUBCASE("others are there")
+    {
+        group.start("strong0");
+        group.start("strong1");
+        group.time.run(20s);
+        for (std::size_t bucket = 0; bucket < quota_bucket_count; ++bucket)
+        {
+            const auto holder = group.at("weak0").buckets.holder_of(bucket);
+            REQUIRE(holder);
+            CHECK(holder->starts_with("strong"));
+        }
+    }
+    SUBCASE("nobody else is there")
+    {
+        group.time.run(20s);
+        for (std::size_t bucket = 0; bucket < quota_bucket_count; ++bucket)
+        {
+            CHECK(group.at("weak0").buckets.holder_of(bucket));
+        }
+    }
+    load(group, {"weak0", "weak1"}, "w", 25, 2s);
+    group.time.run(1s);
+    CHECK(group.sent["w"].size() == 50);
+}
+
 TEST_CASE("with a holder dead, frozen or cut off, the other slices carry what is usual")
 {
     quota_group group(26, {{"w", {40, 40}}});
