Holders of buckets renew their leases in time, however many gateways there are

Cause: a holder renews its lease when it looks at the ownership row, which it does every 20 ms x N, at 25 s beyond the lease of 20 s at 1,250 gateways. The lease lapses between two looks and its slices refuse requests; the law holds only below some 800 gateways. Found by reading, shown by the test at 1,250 and 2,500 gateways. Change: a gateway that holds a bucket looks five times per lease. Holders are limited by the number of buckets, so the load on the row still does not grow with the gateways: 64 holders, 16 reads a second.

--- a/include/masticcourse/gateway/bucket_ownership.hpp
+++ b/include/masticcourse/gateway/bucket_ownership.hpp
@@ -120,6 +120,7 @@
         time_point since;
     };
 
+    [[nodiscard]] bool holds_any_bucket() const;
     /// Reads the row and writes the changes that this incarnation wants.
     void reconcile();
     /// Schedules the next call of `reconcile`, replacing any call scheduled before.
--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -32,6 +32,9 @@
 
 /// A lease is renewed after half of its duration, which leaves time to retry a failed renewal several times.
 constexpr int renewals_per_lease = 2;
+/// A holder looks at the row at least this many times per duration of its lease, however many gateways there
+/// are. The number of holders is limited by the number of buckets.
+constexpr int polls_per_lease = 5;
 
 nlohmann::json to_json(const bucket_table& buckets)
 {
@@ -141,7 +144,11 @@
         schedule_reconcile(until_initial_write + random_delay(milliseconds{0}, scaled_interval(min_backoff)));
         return;
     }
-    const auto interval = scaled_interval(min_poll_interval);
+    auto interval = scaled_interval(min_poll_interval);
+    if (m_terms.lease && holds_any_bucket())
+    {
+        interval = std::min<milliseconds>(interval, m_terms.lease->duration / polls_per_lease);
+    }
     // Jitter keeps gateways that start together from reading at the same time.
     schedule_reconcile(random_delay(interval * 3 / 4, interval * 5 / 4));
 }
@@ -165,6 +172,11 @@
     return m_row.buckets[bucket] == m_self;
 }
 
+bool bucket_ownership::holds_any_bucket() const
+{
+    return std::ranges::find(m_row.buckets, std::optional{m_self}) != m_row.buckets.end();
+}
+
 bool bucket_ownership::may_use(std::size_t bucket) const
 {
     const bool leaving = m_is_bucket_idle && m_store.reachable();
@@ -351,8 +363,8 @@
     {
         return false;
     }
-    const bool holder = std::ranges::count(m_row.buckets, std::optional{m_self}) > 0;
-    return holder && m_lease_expiry - m_boottime_clock() < m_terms.lease->duration / renewals_per_lease;
+    return holds_any_bucket() &&
+           m_lease_expiry - m_boottime_clock() < m_terms.lease->duration / renewals_per_lease;
 }
 
 void bucket_ownership::add_renewal(ownership_row& next) const
--- a/tests/unit/test_gateway_quota.cpp
+++ b/tests/unit/test_gateway_quota.cpp
@@ -337,6 +337,40 @@
     }
 }
 
+// Load pattern: a large fleet, whose gateways look at the ownership row less often the more of them there
+// are.
+TEST_CASE("a holder renews its lease in time, however many gateways there are")
+{
+    for (const int gateways : {10, 400, 1'250, 2'500})
+    {
+        CAPTURE(gateways);
+        virtual_time time;
+        row_table rows;
+        memory_store store{rows, time.delays()};
+        peer_directory peers{{.address = "holder"}};
+        std::vector<peer> others;
+        for (int n = 1; n < gateways; ++n)
+        {
+            others.push_back({.address = "g" + std::to_string(n)});
+        }
+        peers.set(others);
+        bucket_ownership buckets{quota_ownership_terms(), store,        peers,       {"holder", "1"},
+                                 time.delays(),           time.clock(), time.clock()};
+        buckets.start();
+        const auto holds = [&buckets] { return buckets.may_use(0); };
+        for (int waited = 0; waited < 200 && !holds(); ++waited)
+        {
+            time.run(1s);
+        }
+        REQUIRE(holds());
+        for (int second = 0; second < 120; ++second)
+        {
+            time.run(1s);
+            CHECK(holds());
+        }
+    }
+}
+
 TEST_CASE("the next incarnation on a VM takes over its slices immediately, and they start empty")
 {
     quota_group group(6, {{"w", {40, 40}}});
