A gateway prefers its own few among equally loaded targets

Cause: ties between idle targets were broken by the request, so that each gateway spread its requests over all targets of its domain. Change: ties are broken by a hash of gateway and target. A gateway uses more targets only as its requests overlap; the law is gateways x overlap instead of requests. Test at 25, 100 and 400 gateways and targets. Ruled out: a fixed subset, which does not widen by itself.

--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -42,6 +42,8 @@
     delay_function delay;
     clock_function clock;
     failure_domain_name own_domain;
+    /// Name of this gateway's VM.
+    std::string own_name;
 };
 
 /// How a request ended, for metrics and logs.
--- a/include/masticcourse/gateway/target_choice.hpp
+++ b/include/masticcourse/gateway/target_choice.hpp
@@ -5,7 +5,8 @@
 /// all targets, each gateway would open connections to nearly every target for a few requests each, and most
 /// prompts and responses would cross failure domains. Preferring the local failure domain needs connections
 /// between only a fraction of the pairs; if the targets of a domain are busy or lost, its requests go to the
-/// other domains.
+/// other domains. Among equally loaded targets each gateway prefers its own few, for the same reason: it uses
+/// more of them only as its requests overlap.
 #pragma once
 
 #include "masticcourse/gateway/target_table.hpp"
@@ -27,8 +28,9 @@
     failure_domain_name preferred_domain;
     /// Targets that this request has already been sent to.
     std::span<const target_id> tried;
-    /// Number of the request, different for each one; breaks ties.
-    std::uint64_t sequence = 0;
+    /// Name of the choosing gateway. It ranks equally loaded targets, so that a gateway reuses its
+    /// connections while different gateways prefer different targets.
+    std::string_view chooser;
 };
 
 /// Selects a target. With an affinity key: by rendezvous hashing over the targets that are not much busier
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -72,7 +72,7 @@
     const selection_criteria query{.affinity = key,
                                    .preferred_domain = preferred_domain(),
                                    .tried = m_tried_targets,
-                                   .sequence = std::hash<request_id>{}(m_request.id)};
+                                   .chooser = m_services.own_name};
     return choose_target(candidates, query, m_services.clock());
 }
 
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -37,13 +37,8 @@
 const target* choose_least_loaded(const std::vector<const target*>& targets,
                                   const selection_criteria& criteria, time_point now)
 {
-    // Ties are broken by a hash of the request number, so that requests are spread over equally loaded
-    // targets.
-    const auto rank = [&](const target* it)
-    {
-        const auto& id = it->record.id.value;
-        return std::pair{effective_utilization(*it, criteria, now),
-                         XXH3_64bits_withSeed(id.data(), id.size(), criteria.sequence)};
+    const auto rank = [&](const target* it) {
+        return std::pair{effective_utilization(*it, criteria, now), rendezvous_weight(criteria.chooser, *it)};
     };
     return *std::ranges::min_element(targets, {}, rank);
 }
--- a/tests/unit/test_gateway_targets.cpp
+++ b/tests/unit/test_gateway_targets.cpp
@@ -208,14 +208,12 @@
     auto table = make_table(2);
     table.begin({{"t0"}});
     table.end({{"t0"}}, health_signal::unreachable, start);
-    for (std::uint64_t n = 0; n < 20; ++n)
-    {
-        CHECK(choose(table, {.sequence = n}) == "t1");
-    }
     std::map<std::string, int> later;
-    for (std::uint64_t n = 0; n < 20; ++n)
+    for (int n = 0; n < 20; ++n)
     {
-        ++later[choose(table, {.sequence = n}, start + 5s)];
+        const auto chooser = "gateway " + std::to_string(n);
+        CHECK(choose(table, {.chooser = chooser}) == "t1");
+        ++later[choose(table, {.chooser = chooser}, start + 5s)];
     }
     CHECK(later.size() == 2);
     table.end({{"t1"}}, health_signal::unreachable, start);
@@ -362,6 +360,46 @@
     CHECK(std::ranges::all_of(counts, [](const auto& it) { return it.second > programs / 8; }));
 }
 
+// Load pattern: many gateways with a request per second each, and as many targets. With requests spread over
+// all targets, nearly each one needed a new connection.
+TEST_CASE("a gateway uses few targets while its requests hardly overlap, and all gateways together use all")
+{
+    constexpr int requests = 100;
+    for (const int gateways : {25, 100, 400})
+    {
+        CAPTURE(gateways);
+        const auto table = make_multi_domain_table(gateways);
+        std::map<std::string, int> load;
+        for (int n = 0; n < gateways; ++n)
+        {
+            const auto chooser = "gateway " + std::to_string(n);
+            const auto domain = "d" + std::to_string(n % 5);
+            auto own_view = table;
+            std::map<std::string, int> used;
+            std::vector<std::string> running;
+            for (int request = 0; request < requests; ++request)
+            {
+                const auto chosen = choose(own_view, {.preferred_domain = {domain}, .chooser = chooser});
+                ++used[chosen];
+                ++load[chosen];
+                own_view.begin({{chosen}});
+                running.push_back(chosen);
+                // Up to three requests run at the same time.
+                if (running.size() == 3)
+                {
+                    own_view.end({{running.front()}}, health_signal::healthy, start);
+                    running.erase(running.begin());
+                }
+            }
+            CHECK(used.size() <= 3);
+        }
+        // Half of the targets at least, none with more than a few times the mean.
+        CHECK(load.size() >= static_cast<std::size_t>(gateways) / 2);
+        const auto most = std::ranges::max_element(load, {}, [](const auto& it) { return it.second; });
+        CHECK(most->second <= 8 * requests);
+    }
+}
+
 TEST_CASE("if one engine of the own domain is left, programs use it up to the affinity slack only")
 {
     auto table = make_multi_domain_table(50);
