Gateways follow the store's tables through a tree of gateways

Cause: each gateway followed the configuration and the targets in the store and read the whole list of gateways: reads grew with gateways x changes, and the bytes of the list with the square of the fleet over a period that had to grow with it (12.5 s at 625). Change: three gateways of each failure domain follow the store, each other one follows a gateway that ranks higher (at most eight follow one). Waiting gateways are answered whenever their source has heard from the store, so the age of what is known does not grow with the depth. Replies state that age; stale or silent sources are passed over, then the store is asked at a rate that all gateways share. The list of gateways is followed the same way, its entries lie in a partition for each failure domain, and a starting gateway reads 64 of them. Probes of the store while it is away are bounded for all gateways together. Tests at 40, 120 and 360 gateways: a start of all, rest, a release, half killed, silent gateways, an outage.

--- a/include/masticcourse/gateway/collected_rows.hpp
+++ b/include/masticcourse/gateway/collected_rows.hpp
@@ -42,6 +42,8 @@
     /// If the query accepts cached rows, replies from the collector's cache, provided that the row at the
     /// start of the range is cached. Otherwise queries the store.
     void query(const row_query& query, query_callback on_reply) override;
+    void list_partitions(const std::string& table, partitions_callback on_reply) override;
+    void check_path() override;
     void follow(const std::string& table, row_version version, milliseconds wait,
                 feed_callback on_reply) override;
     [[nodiscard]] bool reachable() const override;
--- /dev/null
+++ b/include/masticcourse/gateway/feed/feed_messages.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// Messages with which a gateway follows a table through another gateway.
+#pragma once
+
+#include "masticcourse/gateway/row_store.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+struct relay_request
+{
+    std::string table;
+    /// The version up to which the sender has read the table; 0 if it has not.
+    row_version after = 0;
+    /// How long the receiver may wait for news before it replies.
+    milliseconds wait{};
+};
+
+struct relay_reply
+{
+    /// Whether `rows` is the whole table instead of the changes since the requested version.
+    bool snapshot = false;
+    std::vector<stored_row> rows;
+    /// The version up to which the sender has read the table; 0 if it has not.
+    row_version version = 0;
+    /// Time since the store confirmed that there were no changes after `version`.
+    milliseconds age{};
+    /// Time since the sender, or the gateway that it follows, last failed to reach the store.
+    milliseconds since_failure{};
+};
+
+/// @name Wire format between gateways: CBOR arrays with a fixed order of elements
+/// @{
+[[nodiscard]] std::string encode(const relay_request& request);
+/// @return `std::nullopt` if @a bytes is not a valid request
+[[nodiscard]] std::optional<relay_request> decode_relay_request(const std::string& bytes);
+[[nodiscard]] std::string encode(const relay_reply& reply);
+/// @param table the table that the rows belong to
+/// @return `std::nullopt` if @a bytes is not a valid reply
+[[nodiscard]] std::optional<relay_reply> decode_relay_reply(const std::string& bytes,
+                                                            const std::string& table);
+/// @}
+
+} // namespace masticcourse::gateway
--- /dev/null
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -0,0 +1,129 @@
+/// @file
+/// Follows one table of the store, either in the store itself or through another gateway, and passes its
+/// changes on to the gateways that follow it through this one.
+///
+/// - A gateway that waits for changes gets a reply whenever its source has heard from the store, changes or
+///   not. So what any gateway knows is hardly older than what the roots know, however deep the tree is.
+/// - Each reply states how old the sender's knowledge is. If it is too old, or there is no reply, the next
+///   source is asked, and then the store. The gateways share the rate of these calls to the store.
+/// - Rows carry versions and older ones are ignored, so that a change of the source never sets a row back.
+#pragma once
+
+#include "masticcourse/gateway/commit_queue.hpp"
+#include "masticcourse/gateway/feed/feed_messages.hpp"
+#include "masticcourse/gateway/feed/table_mirror.hpp"
+#include "masticcourse/gateway/peer_directory.hpp"
+#include "masticcourse/gateway/row_store.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+struct follower_callbacks
+{
+    /// Called with a consistent snapshot of the table.
+    std::function<void(const std::vector<stored_row>&)> on_snapshot;
+    /// Called for each row that was changed or removed.
+    std::function<void(const stored_row&)> on_change;
+};
+
+struct followed_table
+{
+    std::string name;
+    /// Time from a change until the next changes are asked for: changes that come in quick succession are
+    /// passed on together.
+    milliseconds min_interval{};
+    /// Whether the rows are in several partitions; otherwise all are in the one with the empty name.
+    bool partitioned = false;
+};
+
+/// What a follower reads from and which clocks it uses. The references must outlive the follower.
+struct feed_context
+{
+    row_store& store;
+    peer_directory& peers;
+    /// Sends a relay_request to another gateway.
+    peer_call relay;
+    delay_function delay;
+    clock_function clock;
+    /// Clock that also advances while the VM is suspended; ages are measured with it.
+    clock_function boottime_clock;
+};
+
+class table_follower
+{
+  public:
+    using reply_callback = std::function<void(const relay_reply&)>;
+
+    table_follower(feed_context context, followed_table table, follower_callbacks callbacks);
+
+    void start();
+
+    /// @return whether a snapshot has been read since start()
+    [[nodiscard]] bool loaded() const
+    {
+        return m_loaded;
+    }
+
+    /// @return the time since this gateway, or the one that it follows, last failed to reach the store
+    [[nodiscard]] duration time_since_failure() const;
+
+    /// Replies to a gateway that follows the table through this one: at once if there are changes, otherwise
+    /// when the store has been heard from.
+    void serve(const relay_request& request, reply_callback on_reply);
+
+  private:
+    struct waiting_peer
+    {
+        row_version after = 0;
+        reply_callback on_reply;
+    };
+
+    void follow();
+    void follow_later(milliseconds delay);
+    void follow_peer(const std::string& address);
+    void on_relayed(const std::string& address, const std::optional<std::string>& bytes);
+    void on_stale_source();
+    void follow_store();
+    void on_feed(const feed_reply& reply);
+    void read();
+    void read_partitions(std::vector<std::string> partitions, query_reply so_far);
+    void on_store_failed();
+    void load(const std::vector<stored_row>& rows, row_version version);
+    /// @return whether any row was applied
+    bool apply(const std::vector<stored_row>& rows, row_version version);
+    /// Records that the store had no changes after m_version at @a at, and replies to the waiting gateways.
+    void confirm(time_point at);
+    void reply_to_all();
+    [[nodiscard]] relay_reply reply_after(row_version after) const;
+    [[nodiscard]] milliseconds random_part_of(milliseconds interval);
+
+    feed_context m_context;
+    followed_table m_table;
+    follower_callbacks m_callbacks;
+    table_mirror m_mirror;
+    row_version m_version = 0;
+    bool m_loaded = false;
+    /// When the store was last known to have no changes after m_version; boot time.
+    std::optional<time_point> m_confirmed_at;
+    /// When the source last failed to reach the store, by its own account; boot time.
+    std::optional<time_point> m_source_failed_at;
+    /// The store is followed until this time, although there are sources.
+    time_point m_store_until{};
+    /// Earliest time for the next call to the store while there are sources.
+    time_point m_next_store_call{};
+    bool m_store_failing = false;
+    milliseconds m_retry_delay{};
+    std::map<std::uint64_t, waiting_peer> m_waiting;
+    std::uint64_t m_last_waiting = 0;
+    std::minstd_rand m_random{std::random_device{}()};
+};
+
+} // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -4,11 +4,11 @@
 /// io_context.
 #pragma once
 
+#include "masticcourse/gateway/feed/table_follower.hpp"
 #include "masticcourse/gateway/gateway_request.hpp"
 #include "masticcourse/gateway/peer_directory.hpp"
 #include "masticcourse/gateway/quota/quota_terms.hpp"
 #include "masticcourse/gateway/request_forwarding.hpp"
-#include "masticcourse/gateway/table_follower.hpp"
 #include "masticcourse/net/http_server.hpp"
 #include "masticcourse/telemetry/metrics.hpp"
 
@@ -28,6 +28,10 @@
 
 struct gateway_options
 {
+    /// Name of the VM, by which gateways list each other.
+    std::string node;
+    /// CPU allotment, in cores.
+    double cores = 1;
     /// Listen address for callers, "ip:port".
     std::string frontend_address;
     /// Listen address for the load balancer's readiness probe.
@@ -106,6 +110,11 @@
     /// Handles a peer's request to quota_path.
     void serve_quota(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
 
+    /// Path at which peers follow tables through this gateway.
+    static constexpr const char* feed_path = "/feed";
+    /// Handles a peer's request to feed_path.
+    void serve_feed(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+
   private:
     struct state;
     std::unique_ptr<state> m_state;
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -3,6 +3,8 @@
 /// partition.
 #pragma once
 
+#include "masticcourse/gateway/feed/feed_tree.hpp"
+#include "masticcourse/gateway/peer.hpp"
 #include "masticcourse/gateway/time.hpp"
 
 #include <cstdint>
@@ -22,18 +24,10 @@
 /// Sends an encoded message to a peer.
 using peer_call = std::function<void(const std::string& address, std::string bytes, peer_callback)>;
 
-struct peer
-{
-    /// "ip:port"
-    std::string address;
-    /// CPU allotment in cores; weights the share of work that it does for other gateways.
-    double cores = 1;
-};
-
 class peer_directory
 {
   public:
-    explicit peer_directory(peer self) : m_self(std::move(self)) {}
+    explicit peer_directory(peer self) : m_self(std::move(self)), m_feed_tree(m_self) {}
 
     /// Replaces the list of peers; the entry of this gateway is ignored.
     void set(std::vector<peer> peers);
@@ -55,7 +49,8 @@
     /// @param minimum     the interval at small sites
     /// @param per_gateway interval per gateway, multiplied by their number
     /// @return the interval at which each gateway may perform the operation
-    [[nodiscard]] milliseconds scaled_interval(milliseconds minimum, milliseconds per_gateway) const;
+    [[nodiscard]] milliseconds scaled_interval(milliseconds minimum,
+                                               std::chrono::microseconds per_gateway) const;
 
     /// @param preferred address that comes first if it is among the chosen ones
     /// @return at most @a max_count other gateways that are not excluded, in random order
@@ -75,6 +70,9 @@
     [[nodiscard]] std::optional<std::string> collector_ignoring_store(std::string_view partition,
                                                                       time_point now) const;
 
+    /// @return the gateway through which this one follows tables; nothing if it follows them in the store
+    [[nodiscard]] std::optional<std::string> feed_source(time_point now) const;
+
     void answered(const std::string& address);
     /// Records that a peer did not respond. It is excluded for a time that grows with consecutive failures.
     void failed(const std::string& address, time_point now);
@@ -109,6 +107,7 @@
 
     peer m_self;
     std::vector<peer> m_others;
+    feed_tree m_feed_tree;
     std::unordered_map<std::string, exclusion> m_exclusions;
     std::minstd_rand m_random{std::random_device{}()};
 };
--- a/include/masticcourse/gateway/row_store.hpp
+++ b/include/masticcourse/gateway/row_store.hpp
@@ -86,6 +86,17 @@
     /// Whether rows cached by a gateway are acceptable: set if the rows never change, or are changed only by
     /// transactions that are conditional on their version.
     bool allow_cached = false;
+    /// Maximum number of rows; 0 means all.
+    std::size_t limit = 0;
+};
+
+struct partitions_reply
+{
+    /// False if the store could not be reached; the other fields are not meaningful then.
+    bool answered = false;
+    std::vector<std::string> partitions;
+    /// The store version that the partitions were listed at.
+    row_version version = 0;
 };
 
 struct query_reply
@@ -120,6 +131,7 @@
 using transaction_callback = std::function<void(transaction_reply)>;
 using query_callback = std::function<void(query_reply)>;
 using feed_callback = std::function<void(feed_reply)>;
+using partitions_callback = std::function<void(partitions_reply)>;
 
 /// A client of the store. The callback of each call is invoked exactly once, on the gateway's thread.
 class row_store
@@ -137,10 +149,16 @@
     /// Reads all rows that match a query, sorted by key.
     virtual void query(const row_query& query, query_callback on_reply) = 0;
 
+    /// Lists the partitions of a table that contain rows.
+    virtual void list_partitions(const std::string& table, partitions_callback on_reply) = 0;
+
     /// Waits up to @a wait for changes of a table after @a version, in any partition.
     virtual void follow(const std::string& table, row_version version, milliseconds wait,
                         feed_callback on_reply) = 0;
 
+    /// Verifies soon that the direct path to the store works.
+    virtual void check_path() = 0;
+
     /// @return whether the store can currently be reached, directly or through a peer
     [[nodiscard]] virtual bool reachable() const = 0;
 
--- a/include/masticcourse/gateway/store_path.hpp
+++ b/include/masticcourse/gateway/store_path.hpp
@@ -58,8 +58,19 @@
     /// @param probe whether it was a probe; a probe without a response marks the direct path as down
     void on_direct(hop_result result, milliseconds took, time_point now, bool probe);
 
+    /// Requests a probe although no call has failed.
+    void request_probe()
+    {
+        m_probe_requested = true;
+    }
+
+    /// @param interval minimum time between two probes
     /// @return whether a probe is due now; if so, it is recorded as sent
-    [[nodiscard]] bool begin_probe(time_point now);
+    [[nodiscard]] bool begin_probe(time_point now, milliseconds interval = min_probe_interval);
+
+    /// Time between two probes where few gateways probe, and so the maximum delay until a recovered direct
+    /// path is used again.
+    static constexpr milliseconds min_probe_interval{250};
     /// @}
 
     /// Records that none of the peers tried could reach the store.
--- a/src/gateway/collected_rows.cpp
+++ b/src/gateway/collected_rows.cpp
@@ -57,6 +57,16 @@
     on_reply({.answered = true, .rows = std::move(rows), .from_cache = true});
 }
 
+void collected_rows::list_partitions(const std::string& table, partitions_callback on_reply)
+{
+    m_store.list_partitions(table, std::move(on_reply));
+}
+
+void collected_rows::check_path()
+{
+    m_store.check_path();
+}
+
 void collected_rows::follow(const std::string& table, row_version version, milliseconds wait,
                             feed_callback on_reply)
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,10 +3,12 @@
 #include "peer_calls.hpp"
 
 #include "masticcourse/gateway/io_delay.hpp"
+#include "masticcourse/gateway/peer_list.hpp"
 #include "masticcourse/gateway/row_fault_log.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <random>
 #include <utility>
 
@@ -21,6 +23,9 @@
 constexpr milliseconds vanished_entry_grace{2'000};
 /// Interval between sweeps of the tables for expired entries.
 constexpr milliseconds sweep_period{100};
+/// Shortest time between two updates of the configuration and of the targets: far below the time in which a
+/// leaving target must be left alone, long enough that the changes of a site that starts share messages.
+constexpr milliseconds table_update_interval{50};
 /// Time until the load balancer stops sending callers here: two readiness probes one second apart, plus
 /// network latency.
 constexpr milliseconds readiness_propagation_time{2'500};
@@ -55,6 +60,8 @@
     void apply_target_snapshot(const std::vector<stored_row>& rows);
     /// @return whether the row holds a usable target
     bool put_target(const stored_row& row);
+    /// Replies to a peer that follows a table through this gateway.
+    void serve_feed(const std::string& bytes, const std::shared_ptr<http_exchange>& exchange);
     [[nodiscard]] milliseconds removal_grace() const;
     [[nodiscard]] bool ready() const;
     void sweep();
@@ -83,6 +90,8 @@
     bucket_ownership quota_buckets;
     workspace_quotas quotas;
     forwarding_services services;
+    feed_context feeds;
+    peer_list gateways;
     table_follower config_rows;
     table_follower target_rows;
     std::unique_ptr<http_server> frontend;
@@ -140,12 +149,21 @@
                .store = store,
                .delay = delay,
                .clock = monotonic_now,
-               .own_domain = options.own_domain},
-      config_rows(store, decoders.config_table, delay,
+               .own_domain = options.own_domain,
+               .own_name = options.node},
+      feeds{.store = store,
+            .peers = peers,
+            .relay = [this](const auto& address, auto request, auto on_reply)
+            { peer_client.feed(address, std::move(request), std::move(on_reply)); },
+            .delay = delay,
+            .clock = monotonic_now,
+            .boottime_clock = boottime_now},
+      gateways(feeds, options.node, {options.peer_address, options.cores, options.own_domain}),
+      config_rows(feeds, {.name = decoders.config_table, .min_interval = table_update_interval},
                   {.on_snapshot = [this](const auto& rows)
                    { std::ranges::for_each(rows, [this](const auto& it) { apply_config_row(it); }); },
                    .on_change = [this](const auto& row) { apply_config_row(row); }}),
-      target_rows(store, decoders.target_table, delay,
+      target_rows(feeds, {.name = decoders.target_table, .min_interval = table_update_interval},
                   {.on_snapshot = [this](const auto& rows) { apply_target_snapshot(rows); },
                    .on_change = [this](const auto& row) { apply_target_row(row); }})
 {
@@ -173,8 +191,12 @@
             [this](const http_request&, const auto& exchange)
             { exchange->respond({.content_type = "text/plain; version=0.0.4", .body = registry.render()}); });
     }
-    config_rows.start();
-    target_rows.start();
+    gateways.start(
+        [this]
+        {
+            config_rows.start();
+            target_rows.start();
+        });
     overdraft_buckets.start();
     schedule_sweep();
 }
@@ -226,7 +248,7 @@
 {
     // Measured from the store's return, not from when the entry vanished: an entry that vanishes later than
     // that was deregistered, and requests still sent to it would arrive after it has stopped serving.
-    const auto since_return = std::chrono::floor<milliseconds>(store.time_since_failure());
+    const auto since_return = std::chrono::floor<milliseconds>(target_rows.time_since_failure());
     return std::max(milliseconds{0}, vanished_entry_grace - since_return);
 }
 
@@ -343,6 +365,7 @@
     on_stopped = std::move(callback);
     stopping_since = monotonic_now();
     sweep();
+    gateways.leave();
     frontend->announce_close();
     overdraft_buckets.leave([this](std::size_t bucket) { return overdrafts.idle(bucket); });
     // Permits granted to peers expire by themselves.
@@ -350,6 +373,23 @@
     check_stopped();
 }
 
+void gateway::state::serve_feed(const std::string& bytes, const std::shared_ptr<http_exchange>& exchange)
+{
+    const auto request = decode_relay_request(bytes);
+    const std::array followers{std::pair{std::string{peer_list::table_name}, &gateways.table()},
+                               std::pair{decoders.config_table, &config_rows},
+                               std::pair{decoders.target_table, &target_rows}};
+    const auto is_requested = [&request](const auto& it) { return request && it.first == request->table; };
+    const auto it = std::ranges::find_if(followers, is_requested);
+    if (it == followers.end())
+    {
+        exchange->respond(detail::to_response(std::nullopt));
+        return;
+    }
+    it->second->serve(*request, [exchange](const relay_reply& reply)
+                      { exchange->respond(detail::to_response(std::optional{encode(reply)})); });
+}
+
 void gateway::state::check_stopped()
 {
     const auto waited = monotonic_now() - *stopping_since;
@@ -414,6 +454,11 @@
     exchange->respond(detail::to_response(m_state->overdrafts.serve(request.body)));
 }
 
+void gateway::serve_feed(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+{
+    m_state->serve_feed(request.body, exchange);
+}
+
 void gateway::serve_quota(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
     exchange->respond(detail::to_response(m_state->quotas.handle_peer_request(request.body)));
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -3,6 +3,7 @@
 #include "masticcourse/gateway/gateway.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <string>
 #include <utility>
@@ -25,6 +26,11 @@
 /// the caller's request waits meanwhile.
 constexpr milliseconds holder_timeout{100};
 
+/// Timeout of a call that waits for changes of a table; the receiver replies within a second.
+constexpr milliseconds feed_call_timeout{1'300};
+/// The latency between gateways is about a millisecond.
+constexpr milliseconds max_connect_timeout{150};
+
 /// Header: for how long the collector has been unable to reach the store, in ms.
 const std::string unreachable_for_header = "Lacked-Store-Ms";
 
@@ -79,7 +85,7 @@
 void peer_calls::send_idempotent(http_client_request request, milliseconds timeout, peer_callback on_reply)
 {
     request.timeout = timeout;
-    request.connect_timeout = timeout;
+    request.connect_timeout = std::min(timeout, max_connect_timeout);
     request.idempotent = true;
     m_client.send(std::move(request),
                   [on_reply = std::move(on_reply)](http_client_reply reply)
@@ -109,6 +115,12 @@
                     std::move(on_reply));
 }
 
+void peer_calls::feed(const std::string& address, std::string request, peer_callback on_reply)
+{
+    send_idempotent(make_request(address, gateway::feed_path, std::move(request)), feed_call_timeout,
+                    std::move(on_reply));
+}
+
 void peer_calls::quota(const std::string& address, std::string request, peer_callback on_reply)
 {
     send_idempotent(make_request(address, gateway::quota_path, std::move(request)), holder_timeout,
--- a/src/gateway/peer_calls.hpp
+++ b/src/gateway/peer_calls.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// HTTP calls between gateways: forwarded commits, queries of cached rows, overdrafts and quota permits.
+/// HTTP calls between gateways: forwarded commits, queries of cached rows, table feeds, overdrafts and
+/// quota permits.
 #pragma once
 
 #include "masticcourse/gateway/collected_rows.hpp"
@@ -22,6 +23,7 @@
     void collect(const std::string& address, std::string changes, collector_callback on_reply);
     void query_rows(const std::string& address, std::string query, peer_callback on_rows);
     void overdraft(const std::string& address, std::string message, peer_callback on_reply);
+    void feed(const std::string& address, std::string request, peer_callback on_reply);
     void quota(const std::string& address, std::string request, peer_callback on_reply);
 
   private:
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -1,11 +1,8 @@
 #include "masticcourse/gateway/peer_directory.hpp"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <tuple>
 #include <utility>
-#include <xxhash.h>
 
 namespace masticcourse::gateway
 {
@@ -29,32 +26,13 @@
 /// Time that an unresponsive gateway has to reply to a probe before further requests are sent to it.
 constexpr milliseconds probe_timeout{1'000};
 
-/// A VM with less CPU collects commits, or holds state that other gateways request, only if no VM has more,
-/// because it could not keep up with their requests.
-constexpr double min_eligible_cores = 0.15;
-
-bool has_min_cores(const peer& it)
-{
-    return it.cores >= min_eligible_cores;
-}
-
-/// Weighted rendezvous hashing (Schindelhauer and Schomaker, 2005): peers are selected in proportion to their
-/// weights, and when a peer leaves, only its partitions are reassigned.
-double score(const peer& it, std::string_view partition)
-{
-    const auto seed = XXH3_64bits(partition.data(), partition.size());
-    const auto hash = XXH3_64bits_withSeed(it.address.data(), it.address.size(), seed);
-    const double unit = (static_cast<double>(hash) + 1) /
-                        (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
-    return -it.cores / std::log(unit);
-}
-
 } // namespace
 
 void peer_directory::set(std::vector<peer> peers)
 {
     std::erase_if(peers, [this](const peer& it) { return it.address == m_self.address; });
     m_others = std::move(peers);
+    m_feed_tree.set(m_others);
 }
 
 std::size_t peer_directory::gateways_with_min_cores() const
@@ -74,10 +52,18 @@
     return has_min_cores(m_self) || gateways_with_min_cores() == 0;
 }
 
-milliseconds peer_directory::scaled_interval(milliseconds minimum, milliseconds per_gateway) const
+milliseconds peer_directory::scaled_interval(milliseconds minimum,
+                                             std::chrono::microseconds per_gateway) const
 {
     const auto gateways = static_cast<milliseconds::rep>(m_others.size() + 1);
-    return std::max(minimum, gateways * per_gateway);
+    return std::max(minimum, std::chrono::ceil<milliseconds>(gateways * per_gateway));
+}
+
+std::optional<std::string> peer_directory::feed_source(time_point now) const
+{
+    const auto& sources = m_feed_tree.sources();
+    const auto it = std::ranges::find_if(sources, [&](const auto& one) { return !unresponsive(one, now); });
+    return it != sources.end() ? std::optional{*it} : std::nullopt;
 }
 
 bool peer_directory::unresponsive(const std::string& address, time_point now) const
@@ -130,7 +116,7 @@
                                                           bool rank_self_last) const
 {
     const auto rank = [partition](const peer& it, bool is_last) {
-        return std::tuple{!is_last, has_min_cores(it), score(it, partition)};
+        return std::tuple{!is_last, has_min_cores(it), rendezvous_score(it, partition)};
     };
     const peer* best = &m_self;
     auto best_rank = rank(m_self, rank_self_last);
--- a/src/gateway/peer_list.cpp
+++ b/src/gateway/peer_list.cpp
@@ -1,7 +1,9 @@
 #include "masticcourse/gateway/peer_list.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <sstream>
+#include <unordered_set>
 #include <utility>
 
 namespace masticcourse::gateway
@@ -10,31 +12,60 @@
 namespace
 {
 
-/// Table of gateways: maps a node name to "ip:port" and the CPU allotment in cores.
-const std::string peer_table = "gateways";
-/// Minimum interval between reads of the peer list, and thus the delay until a new peer is discovered.
-constexpr milliseconds min_read_interval{3'000};
-/// Every gateway reads the entries of all. The read interval grows by this much per gateway once it exceeds
-/// the minimum, which limits all gateways together to 50 reads per second, so that the rows that the store
-/// returns grow only linearly with the number of gateways.
-constexpr milliseconds read_interval_per_gateway{20};
+/// Interval at which changes of the list are read, and at which expired entries are looked for.
+constexpr milliseconds read_interval{1'000};
+constexpr milliseconds expiry_interval{3'000};
+/// Delay between the arrival of changes and their application, which costs a sort of the list.
+constexpr milliseconds update_delay{20};
 /// Interval at which a gateway refreshes its entry, and the age at which an entry that was not refreshed
 /// expires: a gateway that is gone is removed from the list after two missed refreshes.
 constexpr milliseconds announce_interval{10'000};
 constexpr milliseconds entry_ttl{25'000};
+/// Delay before a failed refresh is repeated.
+constexpr milliseconds announce_retry_delay{3'000};
+/// Number of gateways that a starting gateway reads from the store; it gets the others through one of them.
+constexpr std::size_t first_peers = 64;
+/// A starting gateway that finds none to follow reads again after this delay, at most this often: the others
+/// may have started in the same moment, and if all of them followed the list in the store, each would read
+/// all of it.
+constexpr milliseconds first_read_interval{300};
+constexpr int max_first_reads = 4;
+
+/// @return nothing if the row names no gateway
+std::optional<peer> to_peer(const stored_row& row)
+{
+    std::istringstream text{row.value};
+    peer it;
+    text >> it.address >> it.cores;
+    if (!text)
+    {
+        return std::nullopt;
+    }
+    text >> std::ws;
+    // An entry of a gateway that does not state its failure domain yet ends here.
+    std::getline(text, it.domain.value);
+    return it;
+}
+
 } // namespace
 
-peer_list::peer_list(row_store& store, peer_directory& peers, std::string node, peer self,
-                     delay_function delay, clock_function clock)
-    : m_store(store), m_peers(peers), m_node(std::move(node)), m_self(std::move(self)),
-      m_delay(std::move(delay)), m_clock(std::move(clock))
+peer_list::peer_list(const feed_context& context, std::string node, peer self)
+    : m_context(context), m_node(std::move(node)), m_self(std::move(self)),
+      m_table(context, {.name = table_name, .min_interval = read_interval, .partitioned = true},
+              {.on_snapshot = [this](const auto& rows) { load(rows); },
+               .on_change =
+                   [this](const auto& row)
+               {
+                   apply(row);
+                   schedule_update();
+               }})
 {
 }
 
-void peer_list::start()
+void peer_list::start(std::function<void()> on_first_read)
 {
     announce();
-    read_peers();
+    read_first_peers(max_first_reads, on_first_read);
 }
 
 void peer_list::leave()
@@ -45,57 +76,109 @@
 
 void peer_list::announce()
 {
-    std::ostringstream entry;
+    std::ostringstream text;
     if (!m_leaving)
     {
-        entry << m_self.address << ' ' << m_self.cores;
+        text << m_self.address << ' ' << m_self.cores << ' ' << m_self.domain.value;
     }
-    const row_transaction transaction{.puts = {{{peer_table, m_node}, entry.str()}}};
-    m_store.transact(transaction,
-                     [this](const transaction_reply& reply)
-                     {
-                         const bool done = reply.outcome == store_outcome::done;
-                         if (!done || !m_leaving)
-                         {
-                             m_delay(done ? announce_interval : min_read_interval, [this] { announce(); });
-                         }
-                     });
+    const row_transaction transaction{.partition = m_self.domain.value,
+                                      .puts = {{{table_name, m_node}, text.str()}}};
+    m_context.store.transact(transaction,
+                             [this](const transaction_reply& reply)
+                             {
+                                 const bool done = reply.outcome == store_outcome::done;
+                                 if (!done || !m_leaving)
+                                 {
+                                     m_context.delay(
+                                         jittered(done ? announce_interval : announce_retry_delay),
+                                         [this] { announce(); });
+                                 }
+                             });
 }
 
-void peer_list::read_peers()
+void peer_list::read_first_peers(int reads_left, const std::function<void()>& on_first_read)
 {
-    m_store.query({.table = peer_table},
-                  [this](const query_reply& reply)
-                  {
-                      if (reply.answered)
-                      {
-                          update_peers(reply.rows);
-                      }
-                      m_delay(m_peers.scaled_interval(min_read_interval, read_interval_per_gateway),
-                              [this] { read_peers(); });
-                  });
+    m_context.store.query({.table = table_name, .partition = m_self.domain.value, .limit = first_peers},
+                          [this, reads_left, on_first_read](const query_reply& reply)
+                          {
+                              std::ranges::for_each(reply.rows, [this](const auto& it) { apply(it); });
+                              update_peers();
+                              if (on_first_read)
+                              {
+                                  on_first_read();
+                              }
+                              if (m_context.peers.feed_source(m_context.clock()) || reads_left <= 1)
+                              {
+                                  m_table.start();
+                                  update_periodically();
+                                  return;
+                              }
+                              m_context.delay(first_read_interval,
+                                              [this, reads_left] { read_first_peers(reads_left - 1, {}); });
+                          });
 }
 
-void peer_list::update_peers(const std::vector<stored_row>& rows)
+void peer_list::apply(const stored_row& row)
 {
-    const auto now = m_clock();
-    std::vector<peer> peers;
+    auto gateway = row.removed ? std::nullopt : to_peer(row);
+    if (!gateway)
+    {
+        m_entries.erase(row.name.key);
+        return;
+    }
+    auto& known = m_entries[row.name.key];
+    if (known.version != row.version)
+    {
+        known = {std::move(*gateway), row.version, m_context.clock()};
+    }
+}
+
+void peer_list::load(const std::vector<stored_row>& rows)
+{
+    std::unordered_set<std::string> present;
     for (const auto& it : rows)
     {
-        auto& seen = m_last_changes[it.name.key];
-        if (seen.version != it.version)
-        {
-            seen = {it.version, now};
-        }
-        std::istringstream entry{it.value};
-        peer peer;
-        entry >> peer.address >> peer.cores;
-        if (entry && now - seen.at < entry_ttl)
+        present.insert(it.name.key);
+        apply(it);
+    }
+    std::erase_if(m_entries, [&present](const auto& it) { return !present.contains(it.first); });
+    update_peers();
+}
+
+void peer_list::schedule_update()
+{
+    if (!std::exchange(m_update_scheduled, true))
+    {
+        m_context.delay(update_delay, [this] { update_peers(); });
+    }
+}
+
+void peer_list::update_peers()
+{
+    m_update_scheduled = false;
+    const auto now = m_context.clock();
+    std::vector<peer> peers;
+    for (const auto& [node, it] : m_entries)
+    {
+        if (now - it.seen_at < entry_ttl)
         {
-            peers.push_back(std::move(peer));
+            peers.push_back(it.gateway);
         }
     }
-    m_peers.set(std::move(peers));
+    m_context.peers.set(std::move(peers));
+}
+
+void peer_list::update_periodically()
+{
+    update_peers();
+    m_context.delay(expiry_interval, [this] { update_periodically(); });
+}
+
+milliseconds peer_list::jittered(milliseconds interval)
+{
+    // All gateways of a site may have started, or lost the store, in the same moment.
+    return milliseconds{std::uniform_int_distribution<milliseconds::rep>{interval.count() * 4 / 5,
+                                                                         interval.count()}(m_random)};
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/store_path.cpp
+++ b/src/gateway/store_path.cpp
@@ -22,8 +22,6 @@
 /// Number of consecutive rate-limited calls after which the direct path is taken to be down: a store that is
 /// merely busy accepts some calls of each gateway.
 constexpr std::uint32_t max_consecutive_rate_limited = 5;
-/// Time between two probes, and so the maximum delay until a recovered direct path is used again.
-constexpr milliseconds probe_period{250};
 
 } // namespace
 
@@ -80,9 +78,9 @@
                     milliseconds{static_cast<milliseconds::rep>(m_mean_latency_ms * hedge_factor)});
 }
 
-bool store_path::begin_probe(time_point now)
+bool store_path::begin_probe(time_point now, milliseconds interval)
 {
-    const bool due = (m_direct_path_down_since || m_probe_requested) && now >= m_last_probe + probe_period;
+    const bool due = (m_direct_path_down_since || m_probe_requested) && now >= m_last_probe + interval;
     if (due)
     {
         m_last_probe = now;
--- a/standins/table_service.cpp
+++ b/standins/table_service.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 namespace masticcourse::standins
@@ -126,6 +127,10 @@
     {
         get(request, *exchange);
     }
+    else if (path == "/rows-parts")
+    {
+        list_partitions(request, *exchange);
+    }
     else if (path == "/rows-feed")
     {
         feed(request, exchange);
@@ -177,6 +182,21 @@
     exchange.respond({.status = preconditions_met ? ok : conflict, .body = response.dump()});
 }
 
+void table_service::list_partitions(const http_request& request, http_exchange& exchange)
+{
+    const auto table = query_parameter(request, "table");
+    std::set<std::string> partitions;
+    for (const auto& [id, content] : m_rows)
+    {
+        if (id.table == table)
+        {
+            partitions.insert(id.partition);
+        }
+    }
+    const json response{{"parts", partitions}, {"hasMore", false}, {"ver", m_version}, {"nowMs", 0}};
+    exchange.respond({.body = response.dump()});
+}
+
 void table_service::get(const http_request& request, http_exchange& exchange)
 {
     const auto table = query_parameter(request, "table");
--- a/standins/table_service.hpp
+++ b/standins/table_service.hpp
@@ -82,6 +82,7 @@
     void handle_request(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
     void transact(const http_request& request, http_exchange& exchange);
     void get(const http_request& request, http_exchange& exchange);
+    void list_partitions(const http_request& request, http_exchange& exchange);
     void feed(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
     bool respond_to_feed(const pending_feed& feed, bool expired);
     void respond_to_feeds();
--- /dev/null
+++ b/tests/support/feed_fleet.hpp
@@ -0,0 +1,154 @@
+/// @file
+/// Simulation, in virtual time, of many gateways that follow the tables of one store, whose calls are counted
+/// and whose rates are limited as a platform states them.
+#pragma once
+
+#include "support/memory_rows.hpp"
+#include "support/virtual_time.hpp"
+
+#include "masticcourse/gateway/peer_list.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticcourse::testing
+{
+
+/// Calls per second that a store accepts; calls beyond that are refused.
+struct store_rates
+{
+    std::size_t reads = 16'000;
+    std::size_t writes = 3'200;
+    /// Transactions per second of one partition, one after another. They wait for a second at most.
+    std::size_t partition_writes = 150;
+};
+
+struct store_usage
+{
+    std::size_t reads = 0;
+    std::size_t writes = 0;
+    /// Calls beyond the rates.
+    std::size_t refused = 0;
+    /// Rows in the replies to reads.
+    std::size_t rows = 0;
+
+    friend store_usage operator-(const store_usage& a, const store_usage& b)
+    {
+        return {a.reads - b.reads, a.writes - b.writes, a.refused - b.refused, a.rows - b.rows};
+    }
+};
+
+/// A table service with rate limits and a change feed that waits, shared by all gateways.
+class rated_store
+{
+  public:
+    explicit rated_store(virtual_time& time) : m_time(time) {}
+
+    void transact(const gateway::row_transaction& transaction, gateway::transaction_callback on_reply);
+    void query(const gateway::row_query& query, gateway::query_callback on_reply);
+    void list_partitions(const std::string& table, gateway::partitions_callback on_reply);
+    void follow(const std::string& table, gateway::row_version version, gateway::milliseconds wait,
+                gateway::feed_callback on_reply);
+
+    /// Writes as the operator or a target does: not counted and not limited.
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
+
+    store_rates rates;
+    store_usage usage;
+
+  private:
+    struct waiting_feed
+    {
+        std::string table;
+        gateway::row_version version = 0;
+        gateway::feed_callback on_reply;
+        /// Destroyed with the entry, so that its timer knows whether it still waits.
+        std::shared_ptr<bool> waits = std::make_shared<bool>(true);
+    };
+
+    /// @return whether the call is within the rate
+    bool count(std::size_t& counter, std::map<std::int64_t, std::size_t>& by_second, std::size_t rate);
+    bool count_read()
+    {
+        return count(usage.reads, m_reads, rates.reads);
+    }
+    void wake_feeds(const std::string& table);
+    [[nodiscard]] gateway::feed_reply changes(const std::string& table, gateway::row_version version);
+
+    virtual_time& m_time;
+    row_table m_rows;
+    std::map<std::int64_t, std::size_t> m_reads;
+    std::map<std::int64_t, std::size_t> m_writes;
+    /// When a partition has executed the transactions that wait for it.
+    std::map<std::string, gateway::time_point> m_partition_free_at;
+    std::list<waiting_feed> m_feeds;
+};
+
+class feed_fleet
+{
+  public:
+    /// The tables that all gateways follow besides the list of gateways.
+    static constexpr const char* config_table = "op";
+    static constexpr const char* target_table = "servers";
+
+    class member;
+
+    feed_fleet(std::size_t gateways, std::size_t failure_domains);
+    ~feed_fleet();
+    feed_fleet(const feed_fleet&) = delete;
+    feed_fleet(feed_fleet&&) = delete;
+    feed_fleet& operator=(const feed_fleet&) = delete;
+    feed_fleet& operator=(feed_fleet&&) = delete;
+
+    /// Adds a gateway, which starts within 300 ms.
+    void add(const std::string& address, const std::string& failure_domain);
+    /// The gateways selected by @a share no longer answer; their connections stay silent.
+    void freeze(double share);
+    /// The gateways selected by @a share are killed and start again after @a downtime.
+    void restart(double share, gateway::milliseconds downtime);
+    /// The store refuses all calls of all gateways, or accepts them again.
+    void set_store_available(bool available);
+
+    [[nodiscard]] std::size_t running() const;
+    /// @return the number of running gateways that know the row with this value
+    [[nodiscard]] std::size_t knowing(const std::string& table, const std::string& key,
+                                      const std::string& value) const;
+    /// @return the largest number of gateways known to a running one, itself included, and the smallest
+    [[nodiscard]] std::pair<std::size_t, std::size_t> list_sizes() const;
+    /// @return whether any gateway has ever applied an older row after a newer one
+    [[nodiscard]] bool went_back() const
+    {
+        return m_went_back;
+    }
+    /// @return the largest number of requests that one gateway has served to others since the last call
+    [[nodiscard]] std::size_t take_most_served();
+
+    virtual_time time;
+    rated_store store;
+    std::size_t messages = 0;
+
+  private:
+    friend class member;
+    class store_port;
+
+    void relay(member& from, const std::string& to, const std::string& bytes,
+               const gateway::peer_callback& on_reply);
+    [[nodiscard]] std::vector<member*> choose(double share);
+
+    std::map<std::string, std::unique_ptr<member>> m_members;
+    /// Stopped members stay allocated because timers still refer to them.
+    std::vector<std::unique_ptr<member>> m_stopped;
+    bool m_store_available = true;
+    bool m_went_back = false;
+    std::minstd_rand m_random{7};
+};
+
+} // namespace masticcourse::testing
--- a/tests/support/memory_rows.cpp
+++ b/tests/support/memory_rows.cpp
@@ -46,7 +46,8 @@
         const bool matches = location.partition == query.partition && location.name.table == query.table &&
                              location.name.key >= query.from &&
                              (query.to.empty() || location.name.key < query.to);
-        if (matches)
+        const bool enough = query.limit > 0 && reply.rows.size() >= query.limit;
+        if (matches && !enough)
         {
             reply.rows.push_back(row);
         }
@@ -58,8 +59,22 @@
                                                     gateway::row_version version) const
 {
     std::vector<gateway::stored_row> found;
-    std::ranges::copy_if(m_log, std::back_inserter(found),
-                         [&](const auto& it) { return it.name.table == table && it.version > version; });
+    const auto first = std::ranges::upper_bound(m_log, version, {}, &gateway::stored_row::version);
+    std::copy_if(first, m_log.end(), std::back_inserter(found),
+                 [&](const auto& it) { return it.name.table == table; });
+    return found;
+}
+
+std::vector<std::string> row_table::partitions(const std::string& table) const
+{
+    std::vector<std::string> found;
+    for (const auto& [location, row] : m_rows)
+    {
+        if (location.name.table == table && (found.empty() || found.back() != location.partition))
+        {
+            found.push_back(location.partition);
+        }
+    }
     return found;
 }
 
@@ -109,6 +124,19 @@
             { on_reply(answered ? m_rows.read(query) : gateway::query_reply{.answered = false}); });
 }
 
+void memory_store::list_partitions(const std::string& table, gateway::partitions_callback on_reply)
+{
+    const bool answered = mode == store_mode::available || mode == store_mode::answers_lost;
+    m_delay(latency,
+            [this, answered, table, on_reply]
+            {
+                on_reply(answered ? gateway::partitions_reply{.answered = true,
+                                                              .partitions = m_rows.partitions(table),
+                                                              .version = m_rows.version()}
+                                  : gateway::partitions_reply{});
+            });
+}
+
 void memory_store::follow(const std::string& table, gateway::row_version version, gateway::milliseconds wait,
                           gateway::feed_callback on_reply)
 {
--- a/tests/support/memory_rows.hpp
+++ b/tests/support/memory_rows.hpp
@@ -33,6 +33,7 @@
     /// @return the changes of @a table after @a version, in order
     [[nodiscard]] std::vector<gateway::stored_row> changes(const std::string& table,
                                                            gateway::row_version version) const;
+    [[nodiscard]] std::vector<std::string> partitions(const std::string& table) const;
     void remove(const std::string& table, const std::string& key);
     [[nodiscard]] gateway::row_version version() const
     {
@@ -66,6 +67,8 @@
     void transact(const gateway::row_transaction& transaction,
                   gateway::transaction_callback on_reply) override;
     void query(const gateway::row_query& query, gateway::query_callback on_reply) override;
+    void list_partitions(const std::string& table, gateway::partitions_callback on_reply) override;
+    void check_path() override {}
     void follow(const std::string& table, gateway::row_version version, gateway::milliseconds wait,
                 gateway::feed_callback on_reply) override;
     [[nodiscard]] bool reachable() const override;
--- a/tests/unit/test_gateway_loopback.cpp
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -6,7 +6,6 @@
 
 #include "masticcourse/gateway/gateway.hpp"
 #include "masticcourse/gateway/io_delay.hpp"
-#include "masticcourse/gateway/peer_list.hpp"
 
 #include "net_fixture.hpp"
 #include "platform_target.hpp"
@@ -63,13 +62,12 @@
 {
     gateway_process(const std::string& store_address, const std::string& node)
         : callers(free_address(threads.context())), readiness(free_address(threads.context())),
-          peer_address(free_address(threads.context())), peers({peer_address, 1}),
+          peer_address(free_address(threads.context())), peers({peer_address, 1, {"here"}}),
           store(threads.context(), {store_address, peer_address}, peers,
                 gateway::make_io_delay(threads.context()), metrics),
-          list(store, peers, node, {peer_address, 1}, gateway::make_io_delay(threads.context()),
-               gateway::monotonic_now),
           gateway(threads.context(),
-                  {.frontend_address = callers,
+                  {.node = node,
+                   .frontend_address = callers,
                    .readiness_address = readiness,
                    .readiness_path = "/readyz",
                    .peer_address = peer_address,
@@ -79,20 +77,21 @@
                    .stop_grace = 8s},
                   protocol, store, peers, platform::make_table_decoders(), metrics)
     {
-        boost::asio::post(threads.context(),
-                          [this]
-                          {
-                              store.serve(gateway::gateway::commit_path,
-                                          [this](const auto& request, const auto& exchange)
-                                          { gateway.serve_commits(request, exchange); });
-                              store.serve(gateway::gateway::overdraft_path,
-                                          [this](const auto& request, const auto& exchange)
-                                          { gateway.serve_overdraft(request, exchange); });
-                              store.start();
-                              list.start();
-                              gateway.start();
-                              started = true;
-                          });
+        boost::asio::post(
+            threads.context(),
+            [this]
+            {
+                store.serve(gateway::gateway::commit_path, [this](const auto& request, const auto& exchange)
+                            { gateway.serve_commits(request, exchange); });
+                store.serve(gateway::gateway::overdraft_path,
+                            [this](const auto& request, const auto& exchange)
+                            { gateway.serve_overdraft(request, exchange); });
+                store.serve(gateway::gateway::feed_path, [this](const auto& request, const auto& exchange)
+                            { gateway.serve_feed(request, exchange); });
+                store.start();
+                gateway.start();
+                started = true;
+            });
     }
     gateway_process(const gateway_process&) = delete;
     gateway_process(gateway_process&&) = delete;
@@ -112,7 +111,6 @@
     gateway::peer_directory peers;
     platform::platform_protocol protocol;
     platform::row_store_client store;
-    gateway::peer_list list;
     gateway::gateway gateway;
 };
 
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -344,7 +344,13 @@
     {
         member(virtual_time& time, row_table& rows, const std::string& name)
             : directory({name, 1}), store(rows, time.delays()),
-              list(store, directory, name, {name, 1}, time.delays(), time.clock())
+              list({.store = store,
+                    .peers = directory,
+                    .relay = [](const auto&, const auto&, const auto& on_reply) { on_reply(std::nullopt); },
+                    .delay = time.delays(),
+                    .clock = time.clock(),
+                    .boottime_clock = time.clock()},
+                   name, {name, 1})
         {
         }
         peer_directory directory;
