--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -90,7 +90,7 @@
     void follow_later(milliseconds delay);
     void follow_peer(const std::string& address);
     void on_relayed(const std::string& address, const std::optional<std::string>& bytes);
-    void on_stale_source();
+    void on_stale_source(const std::string& address, milliseconds age);
     void follow_store();
     void on_feed(const feed_reply& reply);
     void read();
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -63,6 +63,7 @@
     peer_restarted = 4004,
     collector_failed = 4005,
     quota_holder_failed = 4006,
+    feed_source_failed = 4007,
     target_available = 5001,
     target_lost = 5003,
     target_fence_raised = 5004,
@@ -241,6 +242,11 @@
         "The gateway that holds a slice of a workspace's quota did not answer, or holds it no more (`why`); "
         "the other slices are asked meanwhile.",
         "Look at that gateway if it recurs."},
+    event_definition{event_id::feed_source_failed, "feed_source_failed", event_severity::warning,
+                     "The gateway through which this one follows a table did not answer, or what it knows is "
+                     "out of date (`why`); "
+                     "another one or the store is followed meanwhile.",
+                     "Look at that gateway if it recurs."},
     event_definition{event_id::target_available, "target_available", event_severity::info,
                      "A target takes work.", "None."},
     event_definition{event_id::target_lost, "target_lost", event_severity::warning,
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/gateway/feed/table_follower.hpp"
 
+#include "masticcourse/telemetry/log.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -92,6 +94,8 @@
     if (!reply)
     {
         m_context.peers.failed(address, m_context.clock());
+        log_event(event_id::feed_source_failed,
+                  {{"source", address}, {"table", m_table.name}, {"why", "no reply"}});
         follow();
         return;
     }
@@ -112,7 +116,7 @@
     }
     if (reply->age > max_source_age || !m_loaded)
     {
-        on_stale_source();
+        on_stale_source(address, reply->age);
         return;
     }
     if (reply->version >= version_before)
@@ -122,7 +126,7 @@
     follow_later(reply->rows.empty() ? milliseconds{0} : m_table.min_interval);
 }
 
-void table_follower::on_stale_source()
+void table_follower::on_stale_source(const std::string& address, milliseconds age)
 {
     const auto now = m_context.clock();
     if (now < m_next_store_call)
@@ -134,6 +138,10 @@
         m_context.peers.scaled_interval(min_fallback_interval, fallback_interval_per_gateway);
     m_next_store_call = now + interval / 2 + random_part_of(interval / 2);
     m_store_until = now + source_avoidance;
+    log_event(event_id::feed_source_failed, {{"source", address},
+                                             {"table", m_table.name},
+                                             {"why", "out of date"},
+                                             {"age_ms", std::to_string(age.count())}});
     follow();
 }
 
