A gateway that follows tables through others notices an outage, and does not infer one from its source's own path

Cause, found by reading: a follower makes hardly any calls of its own, so it would notice an outage of the store only by its first failing requests; and the age of the last failure that it took over included the source's own direct path, so below a root that the store turns away vanished targets were kept for two seconds more by gateways in touch. Change: sources pass on when the table could last be reached by no way at all; a reply that is late or tells of such a failure makes the gateway look for a way to the store itself; an idle path is probed, at a rate that all gateways share. A pause after changes counts toward the next wait, so that confirmations stay a second apart.

--- a/include/masticcourse/gateway/feed/feed_messages.hpp
+++ b/include/masticcourse/gateway/feed/feed_messages.hpp
@@ -29,7 +29,8 @@
     row_version version = 0;
     /// Time since the store confirmed that there were no changes after `version`.
     milliseconds age{};
-    /// Time since the sender, or the gateway that it follows, last failed to reach the store.
+    /// Time since the sender, or a gateway that it follows, last had no way to the table: neither directly
+    /// nor through a peer.
     milliseconds since_failure{};
 };
 
--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -72,8 +72,11 @@
         return m_loaded;
     }
 
-    /// @return the time since this gateway, or the one that it follows, last failed to reach the store
+    /// @return the time since this gateway last failed to reach the store, or the gateways that it follows
+    /// had no way to it
     [[nodiscard]] duration time_since_failure() const;
+    /// @return whether the table has been read but not been confirmed for longer than any call takes
+    [[nodiscard]] bool out_of_date() const;
 
     /// Replies to a gateway that follows the table through this one: at once if there are changes, otherwise
     /// when the store has been heard from.
@@ -88,6 +91,8 @@
 
     void follow();
     void follow_later(milliseconds delay);
+    /// @return how long a call may wait so that the pause before it does not delay the next confirmation
+    [[nodiscard]] milliseconds wait_after_pause(milliseconds wait) const;
     void follow_peer(const std::string& address);
     void on_relayed(const std::string& address, const std::optional<std::string>& bytes);
     void on_stale_source(const std::string& address, milliseconds age);
@@ -102,6 +107,7 @@
     /// Records that the store had no changes after m_version at @a at, and replies to the waiting gateways.
     void confirm(time_point at);
     void reply_to_all();
+    [[nodiscard]] duration time_since_feed_failure() const;
     [[nodiscard]] relay_reply reply_after(row_version after) const;
     [[nodiscard]] milliseconds random_part_of(milliseconds interval);
 
@@ -113,14 +119,16 @@
     bool m_loaded = false;
     /// When the store was last known to have no changes after m_version; boot time.
     std::optional<time_point> m_confirmed_at;
-    /// When the source last failed to reach the store, by its own account; boot time.
-    std::optional<time_point> m_source_failed_at;
+    /// When this gateway, or by its account the source, last had no way to the table; boot time.
+    std::optional<time_point> m_feed_failed_at;
     /// The store is followed until this time, although there are sources.
     time_point m_store_until{};
     /// Earliest time for the next call to the store while there are sources.
     time_point m_next_store_call{};
     bool m_store_failing = false;
     milliseconds m_retry_delay{};
+    /// The pause before the current call.
+    milliseconds m_pause{};
     std::map<std::uint64_t, waiting_peer> m_waiting;
     std::uint64_t m_last_waiting = 0;
     std::minstd_rand m_random{std::random_device{}()};
--- a/include/masticcourse/gateway/row_store.hpp
+++ b/include/masticcourse/gateway/row_store.hpp
@@ -156,7 +156,7 @@
     virtual void follow(const std::string& table, row_version version, milliseconds wait,
                         feed_callback on_reply) = 0;
 
-    /// Verifies soon that the direct path to the store works.
+    /// Finds out whether there is a way to the store, directly or through a peer.
     virtual void check_path() = 0;
 
     /// @return whether the store can currently be reached, directly or through a peer
--- a/include/masticcourse/gateway/store_path.hpp
+++ b/include/masticcourse/gateway/store_path.hpp
@@ -28,6 +28,15 @@
     no_response,
 };
 
+/// Times between probes of the direct path. Where many gateways probe, longer ones bound the load of all.
+struct probe_intervals
+{
+    /// While the path is down, and so the maximum delay until it is used again.
+    milliseconds while_down{250};
+    /// Without any call: a gateway that makes few calls finds out in time that its path is down.
+    milliseconds while_idle{2'000};
+};
+
 class store_path
 {
   public:
@@ -58,19 +67,9 @@
     /// @param probe whether it was a probe; a probe without a response marks the direct path as down
     void on_direct(hop_result result, milliseconds took, time_point now, bool probe);
 
-    /// Requests a probe although no call has failed.
-    void request_probe()
-    {
-        m_probe_requested = true;
-    }
-
-    /// @param interval minimum time between two probes
+    /// @param intervals when to probe
     /// @return whether a probe is due now; if so, it is recorded as sent
-    [[nodiscard]] bool begin_probe(time_point now, milliseconds interval = min_probe_interval);
-
-    /// Time between two probes where few gateways probe, and so the maximum delay until a recovered direct
-    /// path is used again.
-    static constexpr milliseconds min_probe_interval{250};
+    [[nodiscard]] bool begin_probe(time_point now, const probe_intervals& intervals = {});
     /// @}
 
     /// Records that none of the peers tried could reach the store.
@@ -101,6 +100,8 @@
     milliseconds m_call_timeout{400};
     double m_mean_latency_ms = 20;
     time_point m_last_probe{};
+    /// The last result of a direct call.
+    std::optional<time_point> m_last_result;
     std::optional<time_point> m_last_failure;
 };
 
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -15,6 +15,12 @@
 /// How long one call waits for changes. A longer wait lets an unresponsive connection hide changes for
 /// longer, a shorter one costs more calls.
 constexpr milliseconds feed_timeout{1'000};
+/// How long a source may wait before it replies: longer than feed_timeout, so that it replies earlier only if
+/// the roots hear from the store in time.
+constexpr milliseconds relay_timeout{1'250};
+/// Knowledge older than this means that a root has not heard from the store in time, so this gateway finds
+/// out whether it can reach the store itself.
+constexpr milliseconds late_confirmation{1'150};
 /// Knowledge older than this means that the source has lost its own source: it is confirmed once per
 /// feed_timeout, and one call may fail in between.
 constexpr milliseconds max_source_age{2'000};
@@ -78,12 +84,19 @@
 
 void table_follower::follow_later(milliseconds delay)
 {
+    m_pause = delay;
     m_context.delay(delay, [this] { follow(); });
 }
 
+milliseconds table_follower::wait_after_pause(milliseconds wait) const
+{
+    return std::max(milliseconds{0}, wait - m_pause);
+}
+
 void table_follower::follow_peer(const std::string& address)
 {
-    const relay_request request{.table = m_table.name, .after = m_version, .wait = feed_timeout};
+    const relay_request request{
+        .table = m_table.name, .after = m_version, .wait = wait_after_pause(relay_timeout)};
     m_context.relay(address, encode(request),
                     [this, address](const std::optional<std::string>& bytes) { on_relayed(address, bytes); });
 }
@@ -100,8 +113,9 @@
         return;
     }
     m_context.peers.answered(address);
-    m_source_failed_at = m_context.boottime_clock() - reply->since_failure;
-    if (reply->since_failure < recent_failure)
+    m_feed_failed_at = m_context.boottime_clock() - reply->since_failure;
+    const bool late = reply->version > 0 && reply->age > late_confirmation;
+    if (reply->since_failure < recent_failure || late)
     {
         m_context.store.check_path();
     }
@@ -147,7 +161,7 @@
 
 void table_follower::follow_store()
 {
-    m_context.store.follow(m_table.name, m_version, feed_timeout,
+    m_context.store.follow(m_table.name, m_version, wait_after_pause(feed_timeout),
                            [this](const feed_reply& reply) { on_feed(reply); });
 }
 
@@ -225,6 +239,7 @@
 void table_follower::on_store_failed()
 {
     m_store_until = {};
+    m_feed_failed_at = m_context.boottime_clock();
     if (!std::exchange(m_store_failing, true))
     {
         // The followers learn at once that the store may be away.
@@ -266,10 +281,19 @@
     reply_to_all();
 }
 
+duration table_follower::time_since_feed_failure() const
+{
+    return m_feed_failed_at ? m_context.boottime_clock() - *m_feed_failed_at : duration{unknown_age};
+}
+
 duration table_follower::time_since_failure() const
 {
-    const auto own = m_context.store.time_since_failure();
-    return m_source_failed_at ? std::min(own, m_context.boottime_clock() - *m_source_failed_at) : own;
+    return std::min(m_context.store.time_since_failure(), time_since_feed_failure());
+}
+
+bool table_follower::out_of_date() const
+{
+    return m_confirmed_at && m_context.boottime_clock() - *m_confirmed_at > max_source_age;
 }
 
 void table_follower::serve(const relay_request& request, reply_callback on_reply)
@@ -281,7 +305,7 @@
     }
     const auto id = ++m_last_waiting;
     m_waiting.emplace(id, waiting_peer{request.after, std::move(on_reply)});
-    m_context.delay(std::min(request.wait, m_loaded ? feed_timeout : initial_read_time),
+    m_context.delay(std::min(request.wait, m_loaded ? relay_timeout : initial_read_time),
                     [this, id]
                     {
                         if (const auto it = m_waiting.extract(id))
@@ -306,7 +330,7 @@
     {
         reply.age = to_milliseconds(m_context.boottime_clock() - *m_confirmed_at);
     }
-    reply.since_failure = m_store_failing ? milliseconds{0} : to_milliseconds(time_since_failure());
+    reply.since_failure = to_milliseconds(time_since_feed_failure());
     if (!m_loaded)
     {
         return reply;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -341,7 +341,8 @@
 void gateway::state::sweep()
 {
     const auto now = monotonic_now();
-    if (!store.reachable() && last_sweep)
+    const bool registry_unreachable = !store.reachable() || target_rows.out_of_date();
+    if (registry_unreachable && last_sweep)
     {
         targets.extend_grace(now - *last_sweep);
     }
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -26,8 +26,8 @@
 /// the caller's request waits meanwhile.
 constexpr milliseconds holder_timeout{100};
 
-/// Timeout of a call that waits for changes of a table; the receiver replies within a second.
-constexpr milliseconds feed_call_timeout{1'300};
+/// Timeout of a call that waits for changes of a table; the receiver replies within 1.25 s.
+constexpr milliseconds feed_call_timeout{1'600};
 /// The latency between gateways is about a millisecond.
 constexpr milliseconds max_connect_timeout{150};
 
--- a/src/gateway/store_path.cpp
+++ b/src/gateway/store_path.cpp
@@ -27,6 +27,7 @@
 
 void store_path::on_direct(hop_result result, milliseconds took, time_point now, bool probe)
 {
+    m_last_result = now;
     m_consecutive_rate_limited = result == hop_result::rate_limited ? m_consecutive_rate_limited + 1 : 0;
     switch (result)
     {
@@ -78,9 +79,11 @@
                     milliseconds{static_cast<milliseconds::rep>(m_mean_latency_ms * hedge_factor)});
 }
 
-bool store_path::begin_probe(time_point now, milliseconds interval)
+bool store_path::begin_probe(time_point now, const probe_intervals& intervals)
 {
-    const bool due = (m_direct_path_down_since || m_probe_requested) && now >= m_last_probe + interval;
+    const bool wanted = m_direct_path_down_since || m_probe_requested;
+    const bool idle = m_last_result && now >= std::max(*m_last_result, m_last_probe) + intervals.while_idle;
+    const bool due = (wanted && now >= m_last_probe + intervals.while_down) || idle;
     if (due)
     {
         m_last_probe = now;
--- a/tests/unit/test_gateway_store_path.cpp
+++ b/tests/unit/test_gateway_store_path.cpp
@@ -37,6 +37,19 @@
     CHECK_FALSE(path.direct());
 }
 
+TEST_CASE("a path without calls is probed after a while; calls and probes put it off")
+{
+    store_path path;
+    const probe_intervals intervals{.while_down = 250ms, .while_idle = 5s};
+    CHECK_FALSE(path.begin_probe(start, intervals));
+    path.on_direct(hop_result::answered, 5ms, start, false);
+    CHECK_FALSE(path.begin_probe(start + 4s, intervals));
+    path.on_direct(hop_result::answered, 5ms, start + 4s, false);
+    CHECK_FALSE(path.begin_probe(start + 6s, intervals));
+    CHECK(path.begin_probe(start + 9s, intervals));
+    CHECK_FALSE(path.begin_probe(start + 10s, intervals));
+}
+
 TEST_CASE("the call timeout grows up to a limit while the store is slow, and shrinks when it is fast again")
 {
     store_path path;
