A reply to a feed does not bring back a gateway that lacks the store; one copy of the CBOR checks

Cause, found by reading: a reply from the gateway that tables are followed through erased what was known of it, among that that it had refused commits because it lacks the store; a collector among the sources was asked again each second. Change: peer_directory::responded lifts only what a missing response brought. The checks of arrays and unsigned integers stood in two files.

--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -73,7 +73,10 @@
     /// @return the gateway through which this one follows tables; nothing if it follows them in the store
     [[nodiscard]] std::optional<std::string> feed_source(time_point now) const;
 
+    /// Records that a peer did its work: it responds and reaches the store.
     void answered(const std::string& address);
+    /// Records that a peer responded, which says nothing about whether it reaches the store.
+    void responded(const std::string& address);
     /// Records that a peer did not respond. It is excluded for a time that grows with consecutive failures.
     void failed(const std::string& address, time_point now);
     /// Called when a request is sent to a peer. If the peer failed before and has not responded since, it is
--- a/src/gateway/cbor_messages.hpp
+++ b/src/gateway/cbor_messages.hpp
@@ -3,6 +3,7 @@
 /// discarded as a whole, because the sender may run another version.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <nlohmann/json.hpp>
@@ -32,6 +33,26 @@
     return it.get<std::int64_t>();
 }
 
+/// @throws std::invalid_argument unless the value is an array of the given size
+inline void require_array(const nlohmann::json& it, std::size_t size)
+{
+    if (!it.is_array() || it.size() != size)
+    {
+        throw std::invalid_argument("not an array of the expected size");
+    }
+}
+
+/// @throws std::invalid_argument unless the value is an unsigned integer
+template <typename Unsigned>
+[[nodiscard]] Unsigned to_unsigned(const nlohmann::json& it)
+{
+    if (!it.is_number_unsigned())
+    {
+        throw std::invalid_argument("not an unsigned integer");
+    }
+    return it.get<Unsigned>();
+}
+
 /// @return the result of @a read for the document; nothing if it throws or @a bytes is not valid CBOR
 template <typename Read>
 [[nodiscard]] auto decode_cbor(const std::string& bytes, Read read)
--- a/src/gateway/feed/feed_messages.cpp
+++ b/src/gateway/feed/feed_messages.cpp
@@ -2,7 +2,7 @@
 
 #include "../cbor_messages.hpp"
 
-#include <stdexcept>
+#include <cstdint>
 #include <utility>
 
 namespace masticcourse::gateway
@@ -13,30 +13,13 @@
 
 using detail::decode_cbor;
 using detail::encode_cbor;
+using detail::require_array;
+using detail::to_unsigned;
 using nlohmann::json;
 
-/// @throws std::invalid_argument unless it is an array of the given size
-void require_array(const json& it, std::size_t size)
-{
-    if (!it.is_array() || it.size() != size)
-    {
-        throw std::invalid_argument("not an array of the expected size");
-    }
-}
-
-/// @throws std::invalid_argument unless it is an unsigned integer
-row_version to_version(const json& it)
-{
-    if (!it.is_number_unsigned())
-    {
-        throw std::invalid_argument("not an unsigned integer");
-    }
-    return it.get<row_version>();
-}
-
 milliseconds to_duration(const json& it)
 {
-    return milliseconds{static_cast<milliseconds::rep>(to_version(it))};
+    return milliseconds{to_unsigned<std::uint32_t>(it)};
 }
 
 json to_json(const stored_row& row)
@@ -52,7 +35,7 @@
     const auto& value = it.at(1).get_binary();
     return {.name = {table, it.at(0).get<std::string>()},
             .value = {value.begin(), value.end()},
-            .version = to_version(it.at(2)),
+            .version = to_unsigned<row_version>(it.at(2)),
             .removed = it.at(3).get<bool>()};
 }
 
@@ -70,7 +53,7 @@
                        {
                            require_array(it, 3);
                            return relay_request{.table = it.at(0).get<std::string>(),
-                                                .after = to_version(it.at(1)),
+                                                .after = to_unsigned<row_version>(it.at(1)),
                                                 .wait = to_duration(it.at(2))};
                        });
 }
@@ -93,7 +76,7 @@
                        {
                            require_array(it, 5);
                            relay_reply reply{.snapshot = it.at(0).get<bool>(),
-                                             .version = to_version(it.at(2)),
+                                             .version = to_unsigned<row_version>(it.at(2)),
                                              .age = to_duration(it.at(3)),
                                              .since_failure = to_duration(it.at(4))};
                            for (const auto& row : it.at(1))
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -112,7 +112,7 @@
         follow();
         return;
     }
-    m_context.peers.answered(address);
+    m_context.peers.responded(address);
     m_feed_failed_at = m_context.boottime_clock() - reply->since_failure;
     const bool late = reply->version > 0 && reply->age > late_confirmation;
     if (reply->since_failure < recent_failure || late)
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -137,6 +137,15 @@
     m_exclusions.erase(address);
 }
 
+void peer_directory::responded(const std::string& address)
+{
+    if (const auto it = m_exclusions.find(address); it != m_exclusions.end())
+    {
+        it->second.failures = 0;
+        it->second.unresponsive_until = {};
+    }
+}
+
 void peer_directory::mark_store_unreachable(const std::string& address, time_point now,
                                             duration unreachable_for)
 {
--- a/src/gateway/quota/quota_messages.cpp
+++ b/src/gateway/quota/quota_messages.cpp
@@ -3,7 +3,6 @@
 #include "../cbor_messages.hpp"
 
 #include <cstdint>
-#include <stdexcept>
 
 namespace masticcourse::gateway
 {
@@ -13,25 +12,12 @@
 
 using detail::decode_cbor;
 using detail::encode_cbor;
+using detail::require_array;
 using nlohmann::json;
 
-/// @throws std::invalid_argument unless it is an array of the given size
-void require_array(const json& it, std::size_t size)
-{
-    if (!it.is_array() || it.size() != size)
-    {
-        throw std::invalid_argument("not an array of the expected size");
-    }
-}
-
-/// @throws std::invalid_argument unless it is an unsigned integer
 std::uint32_t to_count(const json& it)
 {
-    if (!it.is_number_unsigned())
-    {
-        throw std::invalid_argument("not an unsigned integer");
-    }
-    return it.get<std::uint32_t>();
+    return detail::to_unsigned<std::uint32_t>(it);
 }
 
 milliseconds to_duration(const json& it)
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -254,6 +254,22 @@
     CHECK(directory.choose(5, start + 300ms).size() == 1);
 }
 
+TEST_CASE("a response that says nothing about the store does not bring back a gateway that cannot reach it")
+{
+    const auto peers = make_peers(2);
+    peer_directory directory{peers[0]};
+    directory.set(peers);
+    const auto& other = peers[1].address;
+    directory.mark_store_unreachable(other, start, 4s);
+    directory.responded(other);
+    CHECK(directory.choose(5, start + 1s).empty());
+    directory.answered(other);
+    CHECK(directory.choose(5, start + 1s).size() == 1);
+    directory.failed(other, start);
+    directory.responded(other);
+    CHECK(directory.choose(5, start + 1s).size() == 1);
+}
+
 TEST_CASE("the changes of many gateways share few transactions through a collector")
 {
     router_world world{40};
