--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -510,6 +510,21 @@
         CHECK_FALSE(decode_page(text));
     }
 
+    CHECK(encode(gateway::row_query{.table = "my", .partition = "p7", .limit = 64}).target ==
+          "/rows-get?table=my&part=p7&limit=64");
+    CHECK(encode_list_partitions("my", "").target == "/rows-parts?table=my");
+    CHECK(encode_list_partitions("my", "p 7").target == "/rows-parts?table=my&after=p%207");
+    const auto partitions = decode_partitions(R"({"parts":["","p7"],"hasMore":true,"ver":530})");
+    REQUIRE(partitions);
+    CHECK(partitions->partitions == std::vector<std::string>{"", "p7"});
+    CHECK(partitions->has_more);
+    CHECK(partitions->version == 530);
+    CHECK(decode_partitions(R"({"parts":[]})")->version == 0);
+    for (const auto* text : {"", "[]", "{}", R"({"parts":"p7"})", R"({"parts":[7]})"})
+    {
+        CHECK_FALSE(decode_partitions(text));
+    }
+
     using gateway::store_outcome;
     CHECK(decode_transaction({200, R"({"ver":412})"}).version == 412);
     const auto conflict =
