--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -17,8 +17,8 @@
 
 /// Delay before the first read of the row.
 constexpr milliseconds initial_poll_delay{300};
-/// Delay before the row is created. The peer list is read every three seconds, so by then gateways that start
-/// together know each other and none takes all buckets.
+/// Delay before the row is created: gateways that start together should know each other by then, so that none
+/// takes all buckets.
 constexpr milliseconds initial_write_delay{4'000};
 /// Mean interval between two reads on a small site. A released bucket stays free for up to about this long.
 constexpr milliseconds min_poll_interval{2'000};
