Random numbers of the gateway's modules come from outside, and tests set their seed

Change: each gets a seed from its creator; a gateway draws one at its start and derives the others. No check changed; the rigs hand the seed on.

--- a/include/masticcourse/gateway/bucket_ownership.hpp
+++ b/include/masticcourse/gateway/bucket_ownership.hpp
@@ -82,7 +82,7 @@
     /// of a lease
     bucket_ownership(ownership_terms terms, row_store& store, const peer_directory& peers,
                      gateway_incarnation self, delay_function delay, clock_function clock,
-                     clock_function boottime_clock);
+                     clock_function boottime_clock, random_seed seed);
 
     /// Starts to take a share of the buckets. Further calls have no effect.
     void start();
@@ -176,7 +176,7 @@
     bool m_release_attempted = false;
     /// Id of the last scheduled call of `reconcile`; earlier ones are ignored.
     std::uint64_t m_reconcile_id = 0;
-    std::minstd_rand m_random{std::random_device{}()};
+    std::minstd_rand m_random;
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -7,6 +7,7 @@
 /// share transactions.
 #pragma once
 
+#include "masticcourse/gateway/random.hpp"
 #include "masticcourse/gateway/row_cache.hpp"
 #include "masticcourse/gateway/row_store.hpp"
 
@@ -72,7 +73,7 @@
     /// @param cache_bytes capacity of the cache of rows as last written or read. Versions only increase, so a
     /// condition on a version older than the cached one is known to fail. Other gateways read from this
     /// cache.
-    commit_queue(row_store& store, delay_function delay, clock_function clock,
+    commit_queue(row_store& store, delay_function delay, clock_function clock, random_seed seed,
                  std::size_t cache_bytes = default_cache_bytes);
 
     void submit(const std::string& partition, row_change change, change_callback on_result) override;
@@ -127,7 +128,7 @@
     std::unordered_map<std::string, partition_queue> m_queues;
     row_cache m_cached_rows;
     std::size_t m_pending = 0;
-    std::minstd_rand m_random{std::random_device{}()};
+    std::minstd_rand m_random;
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -55,6 +55,8 @@
     clock_function clock;
     /// Clock that also advances while the VM is suspended; ages are measured with it.
     clock_function boottime_clock;
+    /// Each component that is created from the context derives its own seed.
+    random_seed seed;
 };
 
 class table_follower
@@ -131,7 +133,7 @@
     milliseconds m_pause{};
     std::map<std::uint64_t, waiting_peer> m_waiting;
     std::uint64_t m_last_waiting = 0;
-    std::minstd_rand m_random{std::random_device{}()};
+    std::minstd_rand m_random;
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -5,6 +5,7 @@
 
 #include "masticcourse/gateway/feed/feed_tree.hpp"
 #include "masticcourse/gateway/peer.hpp"
+#include "masticcourse/gateway/random.hpp"
 #include "masticcourse/gateway/time.hpp"
 
 #include <cstdint>
@@ -27,7 +28,10 @@
 class peer_directory
 {
   public:
-    explicit peer_directory(peer self) : m_self(std::move(self)), m_feed_tree(m_self) {}
+    peer_directory(peer self, random_seed seed)
+        : m_self(std::move(self)), m_feed_tree(m_self), m_random(seed.value)
+    {
+    }
 
     /// Replaces the list of peers; the entry of this gateway is ignored.
     void set(std::vector<peer> peers);
@@ -112,7 +116,7 @@
     std::vector<peer> m_others;
     feed_tree m_feed_tree;
     std::unordered_map<std::string, exclusion> m_exclusions;
-    std::minstd_rand m_random{std::random_device{}()};
+    std::minstd_rand m_random;
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/peer_list.hpp
+++ b/include/masticcourse/gateway/peer_list.hpp
@@ -65,7 +65,7 @@
     table_follower m_table;
     bool m_leaving = false;
     bool m_update_scheduled = false;
-    std::minstd_rand m_random{std::random_device{}()};
+    std::minstd_rand m_random;
 };
 
 } // namespace masticcourse::gateway
--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -103,10 +103,11 @@
 
 bucket_ownership::bucket_ownership(ownership_terms terms, row_store& store, const peer_directory& peers,
                                    gateway_incarnation self, delay_function delay, clock_function clock,
-                                   clock_function boottime_clock)
+                                   clock_function boottime_clock, random_seed seed)
     : m_terms(std::move(terms)), m_store(store), m_peers(peers), m_self(std::move(self)),
       m_delay(std::move(delay)), m_clock(std::move(clock)), m_boottime_clock(std::move(boottime_clock)),
-      m_started(m_clock()), m_row{.buckets = bucket_table(m_terms.buckets)}, m_held_since(m_terms.buckets)
+      m_started(m_clock()), m_row{.buckets = bucket_table(m_terms.buckets)}, m_held_since(m_terms.buckets),
+      m_random(seed.value)
 {
 }
 
--- a/src/gateway/commit_queue.cpp
+++ b/src/gateway/commit_queue.cpp
@@ -67,9 +67,10 @@
 
 } // namespace
 
-commit_queue::commit_queue(row_store& store, delay_function delay, clock_function clock,
+commit_queue::commit_queue(row_store& store, delay_function delay, clock_function clock, random_seed seed,
                            std::size_t cache_bytes)
-    : m_store(store), m_delay(std::move(delay)), m_clock(std::move(clock)), m_cached_rows(cache_bytes)
+    : m_store(store), m_delay(std::move(delay)), m_clock(std::move(clock)), m_cached_rows(cache_bytes),
+      m_random(seed.value)
 {
 }
 
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -54,7 +54,7 @@
 
 table_follower::table_follower(feed_context context, followed_table table, follower_callbacks callbacks)
     : m_context(std::move(context)), m_table(std::move(table)), m_callbacks(std::move(callbacks)),
-      m_retry_delay(initial_retry_delay)
+      m_retry_delay(initial_retry_delay), m_random(derive_seed(m_context.seed, m_table.name).value)
 {
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,6 +73,7 @@
     const gateway_protocol& protocol;
     row_store& store;
     peer_directory& peers;
+    random_seed seed;
     table_decoders decoders;
     metrics_registry& registry;
     delay_function delay;
@@ -109,9 +110,10 @@
                       const gateway_protocol& request_protocol, row_store& table_store,
                       peer_directory& directory, table_decoders row_decoders, metrics_registry& metrics)
     : context(io), options(std::move(given_options)), protocol(request_protocol), store(table_store),
-      peers(directory), decoders(std::move(row_decoders)), registry(metrics), delay(make_io_delay(context)),
-      client(context), peer_client(context),
-      local_commits(store, delay, monotonic_now, options.cache_bytes / row_cache_divisor),
+      peers(directory), seed(make_random_seed()), decoders(std::move(row_decoders)), registry(metrics),
+      delay(make_io_delay(context)), client(context), peer_client(context),
+      local_commits(store, delay, monotonic_now, derive_seed(seed, "commits"),
+                    options.cache_bytes / row_cache_divisor),
       commits(
           local_commits, store, peers,
           [this](const auto& address, auto bytes, auto on_reply)
@@ -125,14 +127,15 @@
       spending(shared_rows, commits, delay, monotonic_now),
       turns(shared_rows, commits, options.cache_bytes, options.row_bytes),
       overdraft_buckets(overdraft_ownership_terms(), store, peers,
-                        {options.peer_address, random_incarnation()}, delay, monotonic_now, boottime_now),
+                        {options.peer_address, random_incarnation()}, delay, monotonic_now, boottime_now,
+                        derive_seed(seed, "overdraft buckets")),
       overdrafts(
           overdraft_buckets,
           [this](const auto& address, auto message, auto on_reply)
           { peer_client.overdraft(address, std::move(message), std::move(on_reply)); },
           monotonic_now),
       quota_buckets(quota_ownership_terms(), store, peers, {options.peer_address, random_incarnation()},
-                    delay, monotonic_now, boottime_now),
+                    delay, monotonic_now, boottime_now, derive_seed(seed, "quota buckets")),
       quotas(
           {.rule = options.quota}, quota_buckets, peers,
           [this](const auto& address, auto request, auto on_reply)
@@ -157,7 +160,8 @@
             { peer_client.feed(address, std::move(request), std::move(on_reply)); },
             .delay = delay,
             .clock = monotonic_now,
-            .boottime_clock = boottime_now},
+            .boottime_clock = boottime_now,
+            .seed = seed},
       gateways(feeds, options.node, {options.peer_address, options.cores, options.own_domain}),
       config_rows(feeds, {.name = decoders.config_table, .min_interval = table_update_interval},
                   {.on_snapshot = [this](const auto& rows)
--- a/src/gateway/peer_list.cpp
+++ b/src/gateway/peer_list.cpp
@@ -58,7 +58,8 @@
                {
                    apply(row);
                    schedule_update();
-               }})
+               }}),
+      m_random(derive_seed(context.seed, m_node).value)
 {
 }
 
--- a/tests/support/feed_fleet.cpp
+++ b/tests/support/feed_fleet.cpp
@@ -1,4 +1,5 @@
 #include "support/feed_fleet.hpp"
+#include "support/test_seed.hpp"
 
 #include <algorithm>
 #include <set>
@@ -267,7 +268,7 @@
   public:
     member(feed_fleet& owner, const std::string& own_address, const std::string& failure_domain)
         : fleet(owner), address(own_address), domain(failure_domain), store(owner, stopped),
-          peers({own_address, 1, {failure_domain}}),
+          peers({own_address, 1, {failure_domain}}, derive_seed(test_seed(), own_address)),
           feeds{.store = store,
                 .peers = peers,
                 .relay = [this](const auto& to, const auto& bytes, const auto& on_reply)
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "support/memory_rows.hpp"
+#include "support/test_seed.hpp"
 #include "support/virtual_time.hpp"
 
 #include "masticcourse/gateway/request_forwarding.hpp"
@@ -99,10 +100,10 @@
     virtual_time time;
     row_table rows;
     memory_store store{rows, time.delays()};
-    gateway::commit_queue commits{store, time.delays(), time.clock()};
+    gateway::commit_queue commits{store, time.delays(), time.clock(), test_seed()};
     gateway::program_spending spending{store, commits, time.delays(), time.clock()};
     gateway::turn_store turns{store, commits, 1'000'000, 10'000};
-    gateway::peer_directory peers{{.address = "self"}};
+    gateway::peer_directory peers{{.address = "self"}, test_seed()};
     gateway::bucket_ownership buckets = make_ownership(gateway::overdraft_ownership_terms());
     gateway::overdraft overdrafts{buckets, nullptr, time.clock()};
     gateway::bucket_ownership quota_buckets = make_ownership(gateway::quota_ownership_terms());
@@ -119,7 +120,8 @@
   private:
     [[nodiscard]] gateway::bucket_ownership make_ownership(gateway::ownership_terms terms)
     {
-        return {std::move(terms), store, peers, {"self", "1"}, time.delays(), time.clock(), time.clock()};
+        return {std::move(terms), store,        peers,        {"self", "1"},
+                time.delays(),    time.clock(), time.clock(), test_seed()};
     }
 };
 
--- a/tests/support/quota_group.cpp
+++ b/tests/support/quota_group.cpp
@@ -1,4 +1,5 @@
 #include "support/quota_group.hpp"
+#include "support/test_seed.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -40,10 +41,11 @@
 quota_group::member::member(quota_group& owner, const std::string& member_address,
                             const std::string& incarnation, double member_cores)
     : group(owner), address(member_address), store(owner.rows, owner.delays_for(*this)),
-      peers({.address = member_address, .cores = member_cores}),
+      peers({.address = member_address, .cores = member_cores}, derive_seed(test_seed(), incarnation)),
       buckets(
           gateway::quota_ownership_terms(), store, peers, {member_address, incarnation},
-          owner.delays_for(*this), [this] { return group.time.now() - frozen_total; }, owner.time.clock()),
+          owner.delays_for(*this), [this] { return group.time.now() - frozen_total; }, owner.time.clock(),
+          derive_seed(test_seed(), incarnation)),
       quotas(
           {.rule = owner.rule, .policy = owner.m_policy}, buckets, peers,
           [this](const auto& to, auto bytes, auto on_reply) { group.call(*this, to, bytes, on_reply); },
--- a/tests/unit/test_gateway_collected_rows.cpp
+++ b/tests/unit/test_gateway_collected_rows.cpp
@@ -6,6 +6,7 @@
 #include "masticcourse/gateway/turn_store.hpp"
 
 #include "support/memory_rows.hpp"
+#include "support/test_seed.hpp"
 #include "support/virtual_time.hpp"
 
 #include <doctest/doctest.h>
@@ -34,8 +35,9 @@
     struct member
     {
         member(peer_read_world& world, const std::string& address)
-            : peers({address, 1}), store(world.rows, world.time.delays()),
-              local_commits(store, world.time.delays(), world.time.clock()),
+            : peers({address, 1}, derive_seed(test_seed(), address)), store(world.rows, world.time.delays()),
+              local_commits(store, world.time.delays(), world.time.clock(),
+                            derive_seed(test_seed(), address)),
               commits(
                   local_commits, store, peers,
                   [&world](const auto& to, const auto& bytes, const auto& on_reply)
--- a/tests/unit/test_gateway_commits.cpp
+++ b/tests/unit/test_gateway_commits.cpp
@@ -2,6 +2,7 @@
 #include "masticcourse/gateway/commit_queue.hpp"
 
 #include "support/memory_rows.hpp"
+#include "support/test_seed.hpp"
 #include "support/virtual_time.hpp"
 
 #include <doctest/doctest.h>
@@ -24,7 +25,7 @@
     virtual_time time;
     row_table rows;
     memory_store store{rows, time.delays()};
-    commit_queue commits{store, time.delays(), time.clock()};
+    commit_queue commits{store, time.delays(), time.clock(), test_seed()};
     std::vector<change_result> results;
 
     void put(const std::string& key, std::optional<row_version> expected = std::nullopt,
--- a/tests/unit/test_gateway_loopback.cpp
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -1,5 +1,7 @@
 // Complete gateways on loopback against stand-ins of the platform: the main use case, store faults, store
 // access through a peer, graceful shutdown.
+#include "support/test_seed.hpp"
+
 #include "request_codec.hpp"
 #include "row_codec.hpp"
 #include "row_store_client.hpp"
@@ -62,7 +64,7 @@
 {
     gateway_process(const std::string& store_address, const std::string& node)
         : callers(free_address(threads.context())), readiness(free_address(threads.context())),
-          peer_address(free_address(threads.context())), peers({peer_address, 1, {"here"}}),
+          peer_address(free_address(threads.context())), peers({peer_address, 1, {"here"}}, test_seed()),
           store(threads.context(), {store_address, peer_address}, peers,
                 gateway::make_io_delay(threads.context()), metrics),
           gateway(threads.context(),
--- a/tests/unit/test_gateway_overdraft.cpp
+++ b/tests/unit/test_gateway_overdraft.cpp
@@ -2,6 +2,7 @@
 // any combination of gateways, lost messages and restarts.
 #include "support/forwarding_world.hpp"
 #include "support/memory_rows.hpp"
+#include "support/test_seed.hpp"
 #include "support/virtual_time.hpp"
 
 #include "masticcourse/gateway/overdraft.hpp"
@@ -35,9 +36,10 @@
     struct member
     {
         member(gateway_group& group, const std::string& address, const std::string& incarnation)
-            : store(group.rows, group.time.delays()), peers({.address = address}),
+            : store(group.rows, group.time.delays()),
+              peers({.address = address}, derive_seed(test_seed(), incarnation)),
               buckets(overdraft_ownership_terms(), store, peers, {address, incarnation}, group.time.delays(),
-                      group.time.clock(), group.time.clock()),
+                      group.time.clock(), group.time.clock(), derive_seed(test_seed(), incarnation)),
               overdrafts(
                   buckets,
                   [&group](const auto& to, auto message, auto on_reply)
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -4,6 +4,7 @@
 #include "masticcourse/gateway/peer_list.hpp"
 
 #include "support/memory_rows.hpp"
+#include "support/test_seed.hpp"
 #include "support/virtual_time.hpp"
 
 #include <doctest/doctest.h>
@@ -42,8 +43,9 @@
     struct member
     {
         member(router_world& world, const peer& self)
-            : peers(self), store(world.rows, world.time.delays()),
-              local_commits(store, world.time.delays(), world.time.clock()),
+            : peers(self, derive_seed(test_seed(), self.address)), store(world.rows, world.time.delays()),
+              local_commits(store, world.time.delays(), world.time.clock(),
+                            derive_seed(test_seed(), self.address)),
               router(
                   local_commits, store, peers,
                   [&world](const std::string& to, std::string bytes, collector_callback on_reply)
@@ -180,7 +182,7 @@
         std::string named;
         for (const auto& self : peers)
         {
-            peer_directory directory{self};
+            peer_directory directory{self, test_seed()};
             directory.set(peers);
             const auto collector = directory.collector_of(partition, start).value_or(self.address);
             CHECK((named.empty() || named == collector));
@@ -209,13 +211,13 @@
         const auto partition = "p" + std::to_string(n);
         for (const auto& self : peers)
         {
-            peer_directory directory{self};
+            peer_directory directory{self, test_seed()};
             directory.set(peers);
             const auto collector = directory.collector_of(partition, start).value_or(self.address);
             CHECK((collector == peers[8].address || collector == peers[9].address));
         }
     }
-    peer_directory alone{peers[0]};
+    peer_directory alone{peers[0], test_seed()};
     alone.set({peers[0], peers[1]});
     CHECK(alone.collector_of("p", start).value_or(peers[0].address) != peers[9].address);
 }
@@ -223,7 +225,7 @@
 TEST_CASE("an unresponsive gateway is excluded, longer with each failure, until it replies")
 {
     const auto peers = make_peers(2);
-    peer_directory directory{peers[0]};
+    peer_directory directory{peers[0], test_seed()};
     directory.set(peers);
     const auto& other = peers[1].address;
     CHECK(directory.choose(5, start) == std::vector{other});
@@ -243,7 +245,7 @@
 TEST_CASE("a gateway that cannot reach the store is excluded briefly, however often it reports this")
 {
     const auto peers = make_peers(2);
-    peer_directory directory{peers[0]};
+    peer_directory directory{peers[0], test_seed()};
     directory.set(peers);
     const auto& other = peers[1].address;
     for (int n = 0; n < 10; ++n)
@@ -257,7 +259,7 @@
 TEST_CASE("a response that says nothing about the store does not bring back a gateway that cannot reach it")
 {
     const auto peers = make_peers(2);
-    peer_directory directory{peers[0]};
+    peer_directory directory{peers[0], test_seed()};
     directory.set(peers);
     const auto& other = peers[1].address;
     directory.mark_store_unreachable(other, start, 4s);
@@ -359,13 +361,14 @@
     struct member
     {
         member(virtual_time& time, row_table& rows, const std::string& name)
-            : directory({name, 1}), store(rows, time.delays()),
+            : directory({name, 1}, derive_seed(test_seed(), name)), store(rows, time.delays()),
               list({.store = store,
                     .peers = directory,
                     .relay = [](const auto&, const auto&, const auto& on_reply) { on_reply(std::nullopt); },
                     .delay = time.delays(),
                     .clock = time.clock(),
-                    .boottime_clock = time.clock()},
+                    .boottime_clock = time.clock(),
+                    .seed = derive_seed(test_seed(), name)},
                    name, {name, 1})
         {
         }
@@ -504,7 +507,7 @@
 TEST_CASE("a gateway that cannot reach the store collects only if no other gateway can")
 {
     const auto peers = make_peers(5);
-    peer_directory directory{peers[0]};
+    peer_directory directory{peers[0], test_seed()};
     directory.set(peers);
     for (int n = 0; n < 100; ++n)
     {
@@ -529,7 +532,7 @@
     const auto peers = make_peers(2);
     for (const auto& it : {row{0ms, 300ms}, row{1s, 500ms}, row{60s, 2'400ms}})
     {
-        peer_directory directory{peers[0]};
+        peer_directory directory{peers[0], test_seed()};
         directory.set(peers);
         directory.mark_store_unreachable(peers[1].address, start, it.unreachable_for);
         CHECK(directory.choose(1, start + it.excluded_for - 1ms).empty());
@@ -540,7 +543,7 @@
 TEST_CASE("an unresponsive gateway is probed with one request, and excluded until it replies")
 {
     const auto peers = make_peers(2);
-    peer_directory directory{peers[0]};
+    peer_directory directory{peers[0], test_seed()};
     directory.set(peers);
     const auto& other = peers[1].address;
     directory.failed(other, start);
@@ -577,7 +580,7 @@
 TEST_CASE("the peer that last relayed a call is tried first, as long as it can reach the store")
 {
     const auto peers = make_peers(50);
-    peer_directory directory{peers[0]};
+    peer_directory directory{peers[0], test_seed()};
     directory.set(peers);
     const auto& relay = peers[7].address;
     CHECK(directory.choose(3, start, relay).front() == relay);
--- a/tests/unit/test_gateway_quota.cpp
+++ b/tests/unit/test_gateway_quota.cpp
@@ -2,6 +2,7 @@
 // than that is admitted; also which requests are admitted when a workspace floods.
 #include "support/forwarding_world.hpp"
 #include "support/quota_group.hpp"
+#include "support/test_seed.hpp"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -387,15 +388,15 @@
         virtual_time time;
         row_table rows;
         memory_store store{rows, time.delays()};
-        peer_directory peers{{.address = "holder"}};
+        peer_directory peers{{.address = "holder"}, test_seed()};
         std::vector<peer> others;
         for (int n = 1; n < gateways; ++n)
         {
             others.push_back({.address = "g" + std::to_string(n)});
         }
         peers.set(others);
-        bucket_ownership buckets{quota_ownership_terms(), store,        peers,       {"holder", "1"},
-                                 time.delays(),           time.clock(), time.clock()};
+        bucket_ownership buckets{quota_ownership_terms(), store,        peers,        {"holder", "1"},
+                                 time.delays(),           time.clock(), time.clock(), test_seed()};
         buckets.start();
         const auto holds = [&buckets] { return buckets.may_use(0); };
         for (int waited = 0; waited < 200 && !holds(); ++waited)
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -3,6 +3,7 @@
 #include "masticcourse/gateway/program_spending.hpp"
 
 #include "support/memory_rows.hpp"
+#include "support/test_seed.hpp"
 #include "support/virtual_time.hpp"
 
 #include <doctest/doctest.h>
@@ -28,7 +29,8 @@
 struct gateway_member
 {
     gateway_member(row_table& rows, virtual_time& time, const std::string& address, const member_call& call)
-        : store(rows, time.delays()), peers({address, 1}), queue(store, time.delays(), time.clock()),
+        : store(rows, time.delays()), peers({address, 1}, derive_seed(test_seed(), address)),
+          queue(store, time.delays(), time.clock(), derive_seed(test_seed(), address)),
           commits(queue, store, peers, call, time.delays(), time.clock()),
           spending(store, commits, time.delays(), time.clock())
     {
--- a/tests/unit/test_gateway_turns.cpp
+++ b/tests/unit/test_gateway_turns.cpp
@@ -2,6 +2,7 @@
 #include "masticcourse/gateway/turn_store.hpp"
 
 #include "support/memory_rows.hpp"
+#include "support/test_seed.hpp"
 #include "support/virtual_time.hpp"
 
 #include <doctest/doctest.h>
@@ -26,7 +27,7 @@
     virtual_time time;
     row_table rows;
     memory_store store{rows, time.delays()};
-    commit_queue commits{store, time.delays(), time.clock()};
+    commit_queue commits{store, time.delays(), time.clock(), test_seed()};
     turn_store writer{store, commits, cache_bytes, row_bytes};
     turn_store reader{store, commits, cache_bytes, row_bytes};
 
--- a/tests/unit/test_row_store_client.cpp
+++ b/tests/unit/test_row_store_client.cpp
@@ -1,4 +1,6 @@
 // The client for the platform's store, tested against the stand-in with an unresponsive or unreachable store.
+#include "support/test_seed.hpp"
+
 #include "row_store_client.hpp"
 
 #include "masticcourse/gateway/io_delay.hpp"
@@ -28,8 +30,9 @@
 struct client_fixture
 {
     client_fixture()
-        : peers({"127.0.0.1:1", 1}), client(threads.context(), {loopback(store.port()), "127.0.0.1:0"}, peers,
-                                            gateway::make_io_delay(threads.context()), metrics)
+        : peers({"127.0.0.1:1", 1}, test_seed()),
+          client(threads.context(), {loopback(store.port()), "127.0.0.1:0"}, peers,
+                 gateway::make_io_delay(threads.context()), metrics)
     {
     }
     client_fixture(const client_fixture&) = delete;
