The order of a gateway's incarnations stands in the row of buckets, and no two of them use one bucket

What callers could see: an incarnation that outlives the start of its successor granted the overdraft of the same programs as the successor, and the bucket's holder changed every second or two (unit.test_gateway_overdraft.known_red). Cause: `inherits` took any other incarnation at the address for an earlier one, its successor too; and a holder that was paused or cut off used buckets that the row gave to another. The rig's stopped incarnation goes on with its store, and still does. Change: an incarnation claims the buckets of earlier ones in the row and waits from then on. Who was in the row and finds a later incarnation there has been replaced for good. A holder of overdraft buckets that has not read the row for 45 s stops by its own clock; the successor waits 45 s longer than the ten minutes that programs may need. Elsewhere: quota buckets inherit by the same function. A replaced incarnation stops when it reads the row and never takes a slice back; the overlap until then is a gap in design/quotas.md, since a killed gateway's slices must not be missing for a whole lease. Ruled out: ending the incarnation in the rig, which hides the fault.

--- a/include/masticcourse/gateway/bucket_ownership.hpp
+++ b/include/masticcourse/gateway/bucket_ownership.hpp
@@ -2,8 +2,13 @@
 /// Exclusive ownership of a fixed number of buckets, for grants that only one gateway may make at a time. One
 /// row in the store names the gateway incarnation that holds each bucket.
 ///
-/// - Buckets are taken and released by compare-and-set on the row version only, so no two incarnations hold a
-///   bucket at a time, however long one of them was suspended or partitioned.
+/// - Buckets are taken and released by compare-and-set on the row version only, so the row never names two
+///   incarnations for a bucket, however long one of them was suspended or partitioned.
+/// - An incarnation inherits the buckets of earlier ones on its VM. First it claims them in the row: whoever
+/// was
+///   in the row before under the same address and reads the claim has been replaced. It uses no bucket any
+///   more, and never takes one again. A holder that cannot read the row stops by itself before the delay
+///   after a claim is over (see `ownership_terms::max_row_age`).
 /// - Where a bucket may be taken over without its holder's consent, it is held under a lease. The holder
 ///   renews the lease in the row, and stops using the bucket if the lease expires; others take the bucket
 ///   over after a longer time without an observed renewal. Each side uses its own clock only.
@@ -47,6 +52,8 @@
     bucket_table buckets;
     /// Number of lease renewals by incarnation.
     std::map<std::string, std::uint64_t> renewals;
+    /// By address, the incarnation that is going to inherit the buckets of the earlier ones there.
+    std::map<std::string, std::string> claims;
 
     friend bool operator==(const ownership_row&, const ownership_row&) = default;
 };
@@ -69,8 +76,13 @@
     /// The table that contains the row.
     std::string table;
     std::size_t buckets = 0;
-    /// How long an incarnation must run before it may take the buckets of earlier ones on its VM.
+    /// How long its claim must be in the row before an incarnation takes the buckets of earlier ones on its
+    /// VM.
     seconds inheritance_delay{};
+    /// The holder stops using its buckets this long after it sent the last successful call that showed it the
+    /// row. It must be shorter than the inheritance delay by the time for which what it granted may be in
+    /// use.
+    std::optional<seconds> max_row_age;
     /// Without a lease, a bucket belongs to its holder until a later incarnation on the same VM inherits it.
     std::optional<lease_terms> lease;
 };
@@ -79,7 +91,7 @@
 {
   public:
     /// @param boottime_clock clock that also advances while the VM is suspended; used for the holder's side
-    /// of a lease
+    /// of a lease and for the age of the row
     bucket_ownership(ownership_terms terms, row_store& store, const peer_directory& peers,
                      gateway_incarnation self, delay_function delay, clock_function clock,
                      clock_function boottime_clock, random_seed seed);
@@ -98,8 +110,8 @@
     }
     /// @return whether the row names this incarnation as the holder
     [[nodiscard]] bool is_holder(std::size_t bucket) const;
-    /// @return whether this incarnation is the holder and may use the bucket: it has not started to release
-    /// it, and its lease is valid
+    /// @return whether this incarnation is the holder and may use the bucket: it has neither been replaced
+    /// nor started to release it, and its lease and its view of the row are valid
     [[nodiscard]] bool may_use(std::size_t bucket) const;
     /// @return when this incarnation became the holder of a bucket that it holds; state from an earlier time
     /// as the holder is invalid
@@ -125,7 +137,22 @@
     void reconcile();
     /// Schedules the next call of `reconcile`, replacing any call scheduled before.
     void schedule_reconcile(milliseconds delay);
-    void apply_row(const std::optional<stored_row>& row);
+    /// @param sent_at when the call that returned the row was sent
+    void apply_row(const std::optional<stored_row>& row, time_point sent_at);
+    /// Adopts the row as read or written, and what follows from it.
+    void set_row(ownership_row row, row_version version, time_point sent_at);
+    /// Updates whether this incarnation is known to the row, and whether another one has replaced it.
+    void update_succession();
+    /// Updates since when the row has had this incarnation's claim.
+    void update_claim();
+    [[nodiscard]] bool is_claimant() const;
+    /// Whether another incarnation on this VM holds a bucket.
+    [[nodiscard]] bool predecessors_hold(const ownership_row& row) const;
+    /// Claims the buckets of earlier incarnations, or removes a claim that has been met.
+    void update_claim_in(ownership_row& next) const;
+    /// @return how long a holder may use its buckets without renewing its lease, or without reading the row;
+    /// empty if there is no limit, or no bucket is held
+    [[nodiscard]] std::optional<seconds> max_unconfirmed_use() const;
     /// Updates since when each bucket is held.
     void update_held_since();
     /// Records when the renewal count of each holder last changed.
@@ -146,8 +173,7 @@
     void schedule_poll();
     /// Schedules a retry after a failed write.
     void schedule_retry();
-    /// Whether @a holder is an earlier incarnation on this VM, and this one has run for the inheritance
-    /// delay.
+    /// Whether @a holder is an earlier incarnation on this VM, and this one may take its buckets.
     [[nodiscard]] bool inherits(const gateway_incarnation& holder) const;
     [[nodiscard]] bool can_take(const std::optional<gateway_incarnation>& holder) const;
     void write(const ownership_row& next);
@@ -169,6 +195,13 @@
     std::vector<std::optional<time_point>> m_held_since;
     std::map<std::string, observed_renewal> m_observed_renewals;
     time_point m_lease_expiry{};
+    /// When the last successful call was sent that showed the row; boot time.
+    time_point m_row_confirmed_at{};
+    std::optional<time_point> m_claimed_since;
+    /// The row has named this incarnation as a holder or a claimant.
+    bool m_known_to_row = false;
+    /// A later incarnation on this VM is in the row.
+    bool m_replaced = false;
     /// Set once this incarnation is leaving.
     std::function<bool(std::size_t)> m_is_bucket_idle;
     /// A release was sent to the store. It may take effect at any later time, so no bucket is used any more,
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -57,6 +57,7 @@
     store_relayed = 3203,
     registry_read = 3204,
     buckets_changed = 3205,
+    buckets_lost = 3206,
     peer_up = 4001,
     peer_lost = 4002,
     peer_silent = 4003,
@@ -223,6 +224,11 @@
         "This gateway took buckets of a `table`, or gave them up: those `held` are its own to give out from, "
         "overdrafts of programs or portions of quotas.",
         "None."},
+    event_definition{event_id::buckets_lost, "buckets_lost", event_severity::warning,
+                     "A later process with this gateway's address is in the row of a `table`'s buckets: this "
+                     "one uses none any "
+                     "more and takes none again.",
+                     "End this process, if it is still running: its successor serves in its place."},
     event_definition{event_id::peer_up, "peer_up", event_severity::info, "A connection to a peer is up.",
                      "None."},
     event_definition{event_id::peer_lost, "peer_lost", event_severity::info, "A connection to a peer closed.",
--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -32,9 +32,9 @@
 
 /// A lease is renewed after half of its duration, which leaves time to retry a failed renewal several times.
 constexpr int renewals_per_lease = 2;
-/// A holder looks at the row at least this many times per duration of its lease, however many gateways there
-/// are. The number of holders is limited by the number of buckets.
-constexpr int polls_per_lease = 5;
+/// A holder looks at the row at least this many times in the time for which it may use its buckets without a
+/// renewal or a look, however many gateways there are. The number of holders is limited by that of buckets.
+constexpr int polls_per_unconfirmed_use = 5;
 
 nlohmann::json to_json(const bucket_table& buckets)
 {
@@ -72,32 +72,44 @@
 std::string encode_ownership(const ownership_row& row)
 {
     auto buckets = to_json(row.buckets);
-    // Rows without lease renewals are encoded as a plain array.
-    return row.renewals.empty() ? buckets.dump()
-                                : nlohmann::json{{"buckets", buckets}, {"renewals", row.renewals}}.dump();
+    if (row.renewals.empty() && row.claims.empty())
+    {
+        return buckets.dump();
+    }
+    nlohmann::json document{{"buckets", buckets}, {"renewals", row.renewals}};
+    if (!row.claims.empty())
+    {
+        document["claims"] = row.claims;
+    }
+    return document.dump();
 }
 
 std::optional<ownership_row> decode_ownership(const std::string& text, std::size_t buckets)
 {
     const auto document = nlohmann::json::parse(text, nullptr, false);
-    const bool leased = document.is_object() && document.contains("buckets") && document.contains("renewals");
-    auto table = to_buckets(leased ? document["buckets"] : document, buckets);
+    // Rows without renewals and claims are plain arrays.
+    const bool whole = document.is_object() && document.contains("buckets") && document.contains("renewals");
+    auto table = to_buckets(whole ? document["buckets"] : document, buckets);
     if (!table)
     {
         return std::nullopt;
     }
     ownership_row row{.buckets = std::move(*table)};
-    if (leased)
+    if (!whole)
     {
-        const auto& counts = document["renewals"];
-        const bool valid = counts.is_object() && std::ranges::all_of(counts, [](const auto& it)
-                                                                     { return it.is_number_unsigned(); });
-        if (!valid)
-        {
-            return std::nullopt;
-        }
-        row.renewals = counts.get<std::map<std::string, std::uint64_t>>();
+        return row;
+    }
+    const auto& counts = document["renewals"];
+    const auto claims = document.value("claims", nlohmann::json::object());
+    const bool valid = counts.is_object() && claims.is_object() &&
+                       std::ranges::all_of(counts, [](const auto& it) { return it.is_number_unsigned(); }) &&
+                       std::ranges::all_of(claims, [](const auto& it) { return it.is_string(); });
+    if (!valid)
+    {
+        return std::nullopt;
     }
+    row.renewals = counts.get<std::map<std::string, std::uint64_t>>();
+    row.claims = claims.get<std::map<std::string, std::string>>();
     return row;
 }
 
@@ -146,9 +158,9 @@
         return;
     }
     auto interval = scaled_interval(min_poll_interval);
-    if (m_terms.lease && holds_any_bucket())
+    if (const auto limit = max_unconfirmed_use())
     {
-        interval = std::min<milliseconds>(interval, m_terms.lease->duration / polls_per_lease);
+        interval = std::min<milliseconds>(interval, *limit / polls_per_unconfirmed_use);
     }
     // Jitter keeps gateways that start together from reading at the same time.
     schedule_reconcile(random_delay(interval * 3 / 4, interval * 5 / 4));
@@ -181,8 +193,19 @@
 bool bucket_ownership::may_use(std::size_t bucket) const
 {
     const bool leaving = m_is_bucket_idle && m_store.reachable();
-    const bool valid = !m_terms.lease || m_boottime_clock() < m_lease_expiry;
-    return is_holder(bucket) && valid && !leaving && !m_release_attempted;
+    const auto now = m_boottime_clock();
+    const bool lease_valid = !m_terms.lease || now < m_lease_expiry;
+    const bool row_valid = !m_terms.max_row_age || now - m_row_confirmed_at < *m_terms.max_row_age;
+    return is_holder(bucket) && lease_valid && row_valid && !leaving && !m_release_attempted && !m_replaced;
+}
+
+std::optional<seconds> bucket_ownership::max_unconfirmed_use() const
+{
+    if (!holds_any_bucket())
+    {
+        return std::nullopt;
+    }
+    return m_terms.lease ? std::optional{m_terms.lease->duration} : m_terms.max_row_age;
 }
 
 std::optional<std::string> bucket_ownership::holder_of(std::size_t bucket) const
@@ -217,11 +240,12 @@
         return;
     }
     m_store.query({.table = m_terms.table},
-                  [this](const query_reply& reply)
+                  [this, sent_at = m_boottime_clock()](const query_reply& reply)
                   {
                       if (reply.answered)
                       {
-                          apply_row(reply.rows.empty() ? std::nullopt : std::optional{reply.rows.front()});
+                          apply_row(reply.rows.empty() ? std::nullopt : std::optional{reply.rows.front()},
+                                    sent_at);
                       }
                       const auto next = reply.answered ? desired_row() : std::nullopt;
                       if (next)
@@ -235,9 +259,13 @@
                   });
 }
 
-void bucket_ownership::apply_row(const std::optional<stored_row>& row)
+void bucket_ownership::apply_row(const std::optional<stored_row>& row, time_point sent_at)
 {
-    m_version = row ? row->version : 0;
+    if (sent_at < m_row_confirmed_at)
+    {
+        // A later call has been answered first.
+        return;
+    }
     const ownership_row empty{.buckets = bucket_table(m_terms.buckets)};
     auto read = row ? decode_ownership(row->value, m_terms.buckets) : std::optional{empty};
     if (!read)
@@ -246,11 +274,52 @@
         // While the row cannot be decoded, no gateway holds a bucket or takes one.
         read = ownership_row{.buckets = bucket_table(m_terms.buckets, gateway_incarnation{})};
     }
-    m_row = std::move(*read);
+    set_row(std::move(*read), row ? row->version : 0, sent_at);
+}
+
+void bucket_ownership::set_row(ownership_row row, row_version version, time_point sent_at)
+{
+    m_row = std::move(row);
+    m_version = version;
+    m_row_confirmed_at = sent_at;
+    update_succession();
+    update_claim();
     update_held_since();
     update_observed_renewals();
 }
 
+bool bucket_ownership::is_claimant() const
+{
+    const auto it = m_row.claims.find(m_self.address);
+    return it != m_row.claims.end() && it->second == m_self.incarnation;
+}
+
+bool bucket_ownership::predecessors_hold(const ownership_row& row) const
+{
+    return std::ranges::any_of(
+        row.buckets, [this](const auto& it)
+        { return it && it->address == m_self.address && it->incarnation != m_self.incarnation; });
+}
+
+void bucket_ownership::update_succession()
+{
+    const bool others_known = m_row.claims.contains(m_self.address) || predecessors_hold(m_row);
+    // Whoever comes after an incarnation that is in the row replaces it there; before a claim has been met,
+    // the buckets of earlier incarnations are there as well.
+    if (m_known_to_row && others_known && !is_claimant() && !std::exchange(m_replaced, true))
+    {
+        log_event(
+            event_id::buckets_lost,
+            {{"table", m_terms.table}, {"address", m_self.address}, {"incarnation", m_self.incarnation}});
+    }
+    m_known_to_row = m_known_to_row || is_claimant() || holds_any_bucket();
+}
+
+void bucket_ownership::update_claim()
+{
+    m_claimed_since = is_claimant() ? std::optional{m_claimed_since.value_or(m_clock())} : std::nullopt;
+}
+
 void bucket_ownership::update_held_since()
 {
     const auto now = m_clock();
@@ -291,7 +360,8 @@
 bool bucket_ownership::inherits(const gateway_incarnation& holder) const
 {
     const bool predecessor = holder.address == m_self.address && holder.incarnation != m_self.incarnation;
-    return predecessor && m_clock() - m_started >= m_terms.inheritance_delay;
+    const bool claimed = m_claimed_since && m_clock() - *m_claimed_since >= m_terms.inheritance_delay;
+    return predecessor && (claimed || m_terms.inheritance_delay == seconds{0});
 }
 
 bool bucket_ownership::can_take(const std::optional<gateway_incarnation>& holder) const
@@ -309,12 +379,13 @@
 
 std::optional<ownership_row> bucket_ownership::desired_row() const
 {
-    if (!m_is_bucket_idle && m_version == 0 && m_clock() - m_started < initial_write_delay)
+    const bool too_early = m_version == 0 && m_clock() - m_started < initial_write_delay;
+    if (!m_is_bucket_idle && (too_early || m_replaced))
     {
         return std::nullopt;
     }
     auto next = m_is_bucket_idle ? row_without_idle_buckets() : row_with_fair_share();
-    const bool changed = next.buckets != m_row.buckets;
+    const bool changed = next != m_row;
     if (!changed && !renewal_due())
     {
         return std::nullopt;
@@ -355,9 +426,22 @@
             ++held;
         }
     }
+    update_claim_in(next);
     return next;
 }
 
+void bucket_ownership::update_claim_in(ownership_row& next) const
+{
+    if (predecessors_hold(next))
+    {
+        next.claims[m_self.address] = m_self.incarnation;
+    }
+    else
+    {
+        next.claims.erase(m_self.address);
+    }
+}
+
 bool bucket_ownership::renewal_due() const
 {
     if (!m_terms.lease || m_is_bucket_idle)
@@ -405,10 +489,7 @@
         return;
     }
     const bool changed = next.buckets != m_row.buckets;
-    m_row = next;
-    m_version = reply.version;
-    update_held_since();
-    update_observed_renewals();
+    set_row(next, reply.version, sent_at);
     if (m_terms.lease)
     {
         m_lease_expiry = sent_at + m_terms.lease->duration;
--- a/src/gateway/overdraft.cpp
+++ b/src/gateway/overdraft.cpp
@@ -5,12 +5,23 @@
 namespace masticcourse::gateway
 {
 
+namespace
+{
+
+/// How long a holder grants overdrafts in an outage of the store, which it can't tell from being cut off
+/// while a later incarnation on its VM claims the buckets.
+constexpr seconds max_row_age{45};
+
+} // namespace
+
 ownership_terms overdraft_ownership_terms()
 {
-    // The overdrafts outstanding at a crashed holder are unknown, so its buckets are not taken over until all
-    // programs of that time must have ended.
-    return {
-        .table = "overdraft", .buckets = overdraft_bucket_count, .inheritance_delay = max_program_idle_time};
+    // What an earlier holder granted is unknown, so its buckets are not taken over until it has stopped to
+    // grant and all programs of that time must have ended.
+    return {.table = "overdraft",
+            .buckets = overdraft_bucket_count,
+            .inheritance_delay = max_row_age + max_program_idle_time,
+            .max_row_age = max_row_age};
 }
 
 void overdraft::draw(const program_id& program, const request_id& request, token_count max_tokens,
