Holders of buckets retry a write in time, however many gateways there are

What callers saw: requests within a workspace's quota were refused or waited, since the lease of a slice had lapsed at its holder; gateways asked the other slices in its place, and a flood cost more messages than allowed (unit.test_gateway_quota.known_red). Cause: renewals of 64 holders meet conflicts in their one row, and the pause before a retry grew with the gateways, 8 s at 400 and 50 s at 2,500, against a lease of 20 s renewed from its half on. Change: a holder retries within a twentieth of the time for which it may use its buckets. There are at most as many holders as buckets.

--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -35,6 +35,9 @@
 /// A holder looks at the row at least this many times in the time for which it may use its buckets without a
 /// renewal or a look, however many gateways there are. The number of holders is limited by that of buckets.
 constexpr int polls_per_unconfirmed_use = 5;
+/// The same for retries after conflicts and failures: a renewal is due after half of the lease at the
+/// earliest, and several of them may meet conflicts.
+constexpr int retries_per_unconfirmed_use = 20;
 
 nlohmann::json to_json(const bucket_table& buckets)
 {
@@ -168,7 +171,12 @@
 
 void bucket_ownership::schedule_retry()
 {
-    schedule_reconcile(random_delay(milliseconds{1}, scaled_interval(min_backoff)));
+    auto backoff = scaled_interval(min_backoff);
+    if (const auto limit = max_unconfirmed_use())
+    {
+        backoff = std::min<milliseconds>(backoff, *limit / retries_per_unconfirmed_use);
+    }
+    schedule_reconcile(random_delay(milliseconds{1}, backoff));
 }
 
 void bucket_ownership::leave(std::function<bool(std::size_t)> is_bucket_idle)
--- a/tests/unit/test_gateway_buckets.cpp
+++ b/tests/unit/test_gateway_buckets.cpp
@@ -207,6 +207,49 @@
     }
 }
 
+// Load pattern: all slices of a large fleet are held, and their holders renew their leases in the one row.
+// The conflicts of their writes must not make a lease lapse: gateways would ask the other slices in its
+// place.
+TEST_CASE("conflicts between holders make no lease lapse, however many gateways there are")
+{
+    for (const int gateways : {100, 400, 2'500})
+    {
+        CAPTURE(gateways);
+        ownership_group group(quota_ownership_terms(), test_seed());
+        std::vector<peer> all;
+        for (int n = 0; n < gateways; ++n)
+        {
+            all.push_back({.address = "g" + std::to_string(n)});
+        }
+        for (std::size_t n = 0; n < quota_bucket_count; ++n)
+        {
+            group.start("g" + std::to_string(n));
+        }
+        std::ranges::for_each(group.members(), [&all](const auto& it) { it->peers.set(all); });
+        const auto unused = [&group]
+        {
+            std::size_t count = 0;
+            for (std::size_t bucket = 0; bucket < quota_bucket_count; ++bucket)
+            {
+                count += group.users(bucket).empty() ? 1 : 0;
+            }
+            return count;
+        };
+        for (int waited = 0; waited < 1'000 && unused() > 0; ++waited)
+        {
+            group.time.run(1s);
+        }
+        REQUIRE(unused() == 0);
+        std::size_t lapses = 0;
+        for (int step = 0; step < 1'000; ++step)
+        {
+            group.time.run(200ms);
+            lapses += unused();
+        }
+        CHECK(lapses == 0);
+    }
+}
+
 TEST_CASE("with random starts, ends, freezes and cuts no two incarnations may use an overdraft bucket")
 {
     CHECK(rc::check("buckets have one user",
