A wait for changes that hung is not repeated in full at silent peers

Cause of what is mended: a direct wait that hangs is given up after 1.5 s and was sent to a peer with its whole wait, and to a second one, 1.5 s each.

--- a/tests/unit/test_row_store_client.cpp
+++ b/tests/unit/test_row_store_client.cpp
@@ -78,6 +78,11 @@
                 [this, n](const http_request&, const auto& exchange)
                 {
                     ++request_count;
+                    if (silent)
+                    {
+                        m_unanswered.push_back(exchange);
+                        return;
+                    }
                     const bool relays = n == relaying_peer;
                     exchange->respond(
                         relays ? http_response{.body = R"({"rows":[],"ver":1,"nowMs":1,"hasMore":false})",
@@ -108,9 +113,12 @@
     std::atomic<int> request_count = 0;
     /// The index of the peer that relays calls; -1 if there is none.
     std::atomic<int> relaying_peer = -1;
+    /// Peers accept calls and never reply.
+    std::atomic<bool> silent = false;
 
   private:
     io_threads m_threads{1};
+    std::vector<std::shared_ptr<http_exchange>> m_unanswered;
     std::vector<std::unique_ptr<http_server>> m_servers;
 };
 
@@ -168,6 +176,23 @@
     CHECK(std::chrono::steady_clock::now() - start_time < 3s);
 }
 
+// Regression: a wait for changes that hung was repeated for its whole length at each of two peers, which hung
+// as well: 4.5 s without a change of the configuration, which must arrive within 3 s.
+TEST_CASE("a wait for changes that hangs is not repeated in full at peers that are silent as well")
+{
+    peer_group group{3};
+    group.silent = true;
+    client_fixture fixture;
+    fixture.peers.set(group.list());
+    fixture.store.set_fault(standins::table_fault::unresponsive);
+    const auto start_time = std::chrono::steady_clock::now();
+    const auto reply =
+        fixture.wait_for<gateway::feed_reply>([&](auto done) { fixture.client.follow("t", 0, 1s, done); });
+    CHECK(reply.outcome == gateway::feed_outcome::failed);
+    CHECK(group.request_count == 2);
+    CHECK(std::chrono::steady_clock::now() - start_time < 3s);
+}
+
 TEST_CASE("the client reports existing rows, removals, and versions whose history the store has discarded")
 {
     client_fixture fixture;
