A claim on buckets survives a gateway of an older build that drops it

Cause, by reading: a gateway of the build before writes the row of buckets without claims. The claimant then saw its predecessor's buckets and no claim of its own, and took itself for replaced. Change: whoever the row named at this address before it named this incarnation is a predecessor, any other one a successor. The event names the successor. Test: "an incarnation whose claim was removed by a gateway that does not know claims makes it again".

--- a/include/masticcourse/gateway/bucket_ownership.hpp
+++ b/include/masticcourse/gateway/bucket_ownership.hpp
@@ -4,11 +4,10 @@
 ///
 /// - Buckets are taken and released by compare-and-set on the row version only, so the row never names two
 ///   incarnations for a bucket, however long one of them was suspended or partitioned.
-/// - An incarnation inherits the buckets of earlier ones on its VM. First it claims them in the row: whoever
-/// was
-///   in the row before under the same address and reads the claim has been replaced. It uses no bucket any
-///   more, and never takes one again. A holder that cannot read the row stops by itself before the delay
-///   after a claim is over (see `ownership_terms::max_row_age`).
+/// - An incarnation inherits the buckets of earlier ones on its VM. First it claims them in the row. One that
+///   was in the row before, and finds a later incarnation there under its address, has been replaced: it uses
+///   no bucket any more, and never takes one again. A holder that cannot read the row stops by itself before
+///   the delay after a claim is over (see `ownership_terms::max_row_age`).
 /// - Where a bucket may be taken over without its holder's consent, it is held under a lease. The holder
 ///   renews the lease in the row, and stops using the bucket if the lease expires; others take the bucket
 ///   over after a longer time without an observed renewal. Each side uses its own clock only.
@@ -26,6 +25,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -146,6 +146,8 @@
     /// Updates since when the row has had this incarnation's claim.
     void update_claim();
     [[nodiscard]] bool is_claimant() const;
+    /// @return the other incarnations at this address that hold a bucket or claim those of others
+    [[nodiscard]] std::set<std::string> others_at_address() const;
     /// Whether another incarnation on this VM holds a bucket.
     [[nodiscard]] bool predecessors_hold(const ownership_row& row) const;
     /// Claims the buckets of earlier incarnations, or removes a claim that has been met.
@@ -200,6 +202,8 @@
     std::optional<time_point> m_claimed_since;
     /// The row has named this incarnation as a holder or a claimant.
     bool m_known_to_row = false;
+    /// The incarnations at this address that the row named before it named this one.
+    std::set<std::string> m_predecessors;
     /// A later incarnation on this VM is in the row.
     bool m_replaced = false;
     /// Set once this incarnation is leaving.
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -225,9 +225,8 @@
         "overdrafts of programs or portions of quotas.",
         "None."},
     event_definition{event_id::buckets_lost, "buckets_lost", event_severity::warning,
-                     "A later process with this gateway's address is in the row of a `table`'s buckets: this "
-                     "one uses none any "
-                     "more and takes none again.",
+                     "A later process with this gateway's address, `successor`, is in the row of a `table`'s "
+                     "buckets: this one uses none any more and takes none again.",
                      "End this process, if it is still running: its successor serves in its place."},
     event_definition{event_id::peer_up, "peer_up", event_severity::info, "A connection to a peer is up.",
                      "None."},
--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -311,18 +311,41 @@
 
 void bucket_ownership::update_succession()
 {
-    const bool others_known = m_row.claims.contains(m_self.address) || predecessors_hold(m_row);
-    // Whoever comes after an incarnation that is in the row replaces it there; before a claim has been met,
-    // the buckets of earlier incarnations are there as well.
-    if (m_known_to_row && others_known && !is_claimant() && !std::exchange(m_replaced, true))
+    for (const auto& it : others_at_address())
     {
-        log_event(
-            event_id::buckets_lost,
-            {{"table", m_terms.table}, {"address", m_self.address}, {"incarnation", m_self.incarnation}});
+        if (!m_known_to_row)
+        {
+            m_predecessors.insert(it);
+        }
+        else if (!m_predecessors.contains(it) && !std::exchange(m_replaced, true))
+        {
+            log_event(event_id::buckets_lost, {{"table", m_terms.table},
+                                               {"address", m_self.address},
+                                               {"incarnation", m_self.incarnation},
+                                               {"successor", it}});
+        }
     }
     m_known_to_row = m_known_to_row || is_claimant() || holds_any_bucket();
 }
 
+std::set<std::string> bucket_ownership::others_at_address() const
+{
+    std::set<std::string> others;
+    for (const auto& it : m_row.buckets)
+    {
+        if (it && it->address == m_self.address)
+        {
+            others.insert(it->incarnation);
+        }
+    }
+    if (const auto it = m_row.claims.find(m_self.address); it != m_row.claims.end())
+    {
+        others.insert(it->second);
+    }
+    others.erase(m_self.incarnation);
+    return others;
+}
+
 void bucket_ownership::update_claim()
 {
     m_claimed_since = is_claimant() ? std::optional{m_claimed_since.value_or(m_clock())} : std::nullopt;
--- a/tests/unit/test_gateway_buckets.cpp
+++ b/tests/unit/test_gateway_buckets.cpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -126,6 +127,26 @@
     }
 }
 
+TEST_CASE("an incarnation whose claim was removed by a gateway that does not know claims makes it again")
+{
+    ownership_group group(overdraft_ownership_terms(), test_seed());
+    auto& old = group.start("g0");
+    group.time.run(20s);
+    ownership_group::kill(old);
+    auto& successor = group.start("g0");
+    group.time.run(300s);
+    const auto row = group.rows.read({.table = "overdraft"}).rows.front();
+    auto decoded = decode_ownership(row.value, overdraft_bucket_count);
+    REQUIRE(decoded);
+    REQUIRE(decoded->claims.size() == 1);
+    decoded->claims.clear();
+    std::ignore = group.rows.apply({.puts = {{row.name, encode_ownership(*decoded)}}});
+    group.time.run(600s);
+    CHECK(group.users(0).empty());
+    group.time.run(100s);
+    CHECK(group.only_user(0, successor));
+}
+
 TEST_CASE(
     "an incarnation waits from its claim on, not from its start, before it takes a predecessor's buckets")
 {
@@ -217,6 +238,7 @@
         CAPTURE(gateways);
         ownership_group group(quota_ownership_terms(), test_seed());
         std::vector<peer> all;
+        all.reserve(static_cast<std::size_t>(gateways));
         for (int n = 0; n < gateways; ++n)
         {
             all.push_back({.address = "g" + std::to_string(n)});
