--- a/include/masticcourse/gateway/bucket_ownership.hpp
+++ b/include/masticcourse/gateway/bucket_ownership.hpp
@@ -17,51 +17,23 @@
 #pragma once
 
 #include "masticcourse/gateway/commit_queue.hpp"
+#include "masticcourse/gateway/ownership_row.hpp"
 #include "masticcourse/gateway/peer_directory.hpp"
 #include "masticcourse/gateway/row_fault_log.hpp"
 #include "masticcourse/gateway/row_store.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace masticcourse::gateway
 {
 
-/// One run of a gateway process.
-struct gateway_incarnation
-{
-    /// Address for peers; the same for all incarnations on one VM.
-    std::string address;
-    /// Unique for each start of the process.
-    std::string incarnation;
-
-    friend bool operator==(const gateway_incarnation&, const gateway_incarnation&) = default;
-};
-
-/// The holder of each bucket; empty for a free bucket.
-using bucket_table = std::vector<std::optional<gateway_incarnation>>;
-
-struct ownership_row
-{
-    bucket_table buckets;
-    /// Number of lease renewals by incarnation.
-    std::map<std::string, std::uint64_t> renewals;
-    /// By address, the incarnation that is going to inherit the buckets of the earlier ones there.
-    std::map<std::string, std::string> claims;
-
-    friend bool operator==(const ownership_row&, const ownership_row&) = default;
-};
-
-[[nodiscard]] std::string encode_ownership(const ownership_row& row);
-/// @return empty if @a text is not a valid ownership row with @a buckets buckets
-[[nodiscard]] std::optional<ownership_row> decode_ownership(const std::string& text, std::size_t buckets);
-
 /// Conditions under which a bucket is taken over from a holder that has not released it.
 struct lease_terms
 {
@@ -146,10 +118,8 @@
     /// Updates since when the row has had this incarnation's claim.
     void update_claim();
     [[nodiscard]] bool is_claimant() const;
-    /// @return the other incarnations at this address that hold a bucket or claim those of others
-    [[nodiscard]] std::set<std::string> others_at_address() const;
-    /// Whether another incarnation on this VM holds a bucket.
-    [[nodiscard]] bool predecessors_hold(const ownership_row& row) const;
+    /// @return the other incarnations at this address that hold a bucket
+    [[nodiscard]] std::set<std::string> other_holders_here(const ownership_row& row) const;
     /// Claims the buckets of earlier incarnations, or removes a claim that has been met.
     void update_claim_in(ownership_row& next) const;
     /// @return how long a holder may use its buckets without renewing its lease, or without reading the row;
--- a/src/gateway/bucket_ownership.cpp
+++ b/src/gateway/bucket_ownership.cpp
@@ -3,8 +3,6 @@
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
 namespace masticcourse::gateway
@@ -39,83 +37,8 @@
 /// earliest, and several of them may meet conflicts.
 constexpr int retries_per_unconfirmed_use = 20;
 
-nlohmann::json to_json(const bucket_table& buckets)
-{
-    nlohmann::json list = nlohmann::json::array();
-    for (const auto& it : buckets)
-    {
-        list.push_back(it ? nlohmann::json{it->address, it->incarnation} : nlohmann::json{});
-    }
-    return list;
-}
-
-std::optional<bucket_table> to_buckets(const nlohmann::json& list, std::size_t count)
-{
-    if (!list.is_array() || list.size() != count)
-    {
-        return std::nullopt;
-    }
-    bucket_table buckets;
-    for (const auto& it : list)
-    {
-        const bool held = it.is_array() && it.size() == 2 && it[0].is_string() && it[1].is_string();
-        if (!held && !it.is_null())
-        {
-            return std::nullopt;
-        }
-        buckets.push_back(
-            held ? std::optional{gateway_incarnation{it[0].get<std::string>(), it[1].get<std::string>()}}
-                 : std::nullopt);
-    }
-    return buckets;
-}
-
 } // namespace
 
-std::string encode_ownership(const ownership_row& row)
-{
-    auto buckets = to_json(row.buckets);
-    if (row.renewals.empty() && row.claims.empty())
-    {
-        return buckets.dump();
-    }
-    nlohmann::json document{{"buckets", buckets}, {"renewals", row.renewals}};
-    if (!row.claims.empty())
-    {
-        document["claims"] = row.claims;
-    }
-    return document.dump();
-}
-
-std::optional<ownership_row> decode_ownership(const std::string& text, std::size_t buckets)
-{
-    const auto document = nlohmann::json::parse(text, nullptr, false);
-    // Rows without renewals and claims are plain arrays.
-    const bool whole = document.is_object() && document.contains("buckets") && document.contains("renewals");
-    auto table = to_buckets(whole ? document["buckets"] : document, buckets);
-    if (!table)
-    {
-        return std::nullopt;
-    }
-    ownership_row row{.buckets = std::move(*table)};
-    if (!whole)
-    {
-        return row;
-    }
-    const auto& counts = document["renewals"];
-    const auto claims = document.value("claims", nlohmann::json::object());
-    const bool valid = counts.is_object() && claims.is_object() &&
-                       std::ranges::all_of(counts, [](const auto& it) { return it.is_number_unsigned(); }) &&
-                       std::ranges::all_of(claims, [](const auto& it) { return it.is_string(); });
-    if (!valid)
-    {
-        return std::nullopt;
-    }
-    row.renewals = counts.get<std::map<std::string, std::uint64_t>>();
-    row.claims = claims.get<std::map<std::string, std::string>>();
-    return row;
-}
-
 bucket_ownership::bucket_ownership(ownership_terms terms, row_store& store, const peer_directory& peers,
                                    gateway_incarnation self, delay_function delay, clock_function clock,
                                    clock_function boottime_clock, random_seed seed)
@@ -302,16 +225,28 @@
     return it != m_row.claims.end() && it->second == m_self.incarnation;
 }
 
-bool bucket_ownership::predecessors_hold(const ownership_row& row) const
+std::set<std::string> bucket_ownership::other_holders_here(const ownership_row& row) const
 {
-    return std::ranges::any_of(
-        row.buckets, [this](const auto& it)
-        { return it && it->address == m_self.address && it->incarnation != m_self.incarnation; });
+    std::set<std::string> others;
+    for (const auto& it : row.buckets)
+    {
+        if (it && it->address == m_self.address && it->incarnation != m_self.incarnation)
+        {
+            others.insert(it->incarnation);
+        }
+    }
+    return others;
 }
 
 void bucket_ownership::update_succession()
 {
-    for (const auto& it : others_at_address())
+    auto others = other_holders_here(m_row);
+    const auto claim = m_row.claims.find(m_self.address);
+    if (claim != m_row.claims.end() && !is_claimant())
+    {
+        others.insert(claim->second);
+    }
+    for (const auto& it : others)
     {
         if (!m_known_to_row)
         {
@@ -328,24 +263,6 @@
     m_known_to_row = m_known_to_row || is_claimant() || holds_any_bucket();
 }
 
-std::set<std::string> bucket_ownership::others_at_address() const
-{
-    std::set<std::string> others;
-    for (const auto& it : m_row.buckets)
-    {
-        if (it && it->address == m_self.address)
-        {
-            others.insert(it->incarnation);
-        }
-    }
-    if (const auto it = m_row.claims.find(m_self.address); it != m_row.claims.end())
-    {
-        others.insert(it->second);
-    }
-    others.erase(m_self.incarnation);
-    return others;
-}
-
 void bucket_ownership::update_claim()
 {
     m_claimed_since = is_claimant() ? std::optional{m_claimed_since.value_or(m_clock())} : std::nullopt;
@@ -463,13 +380,13 @@
 
 void bucket_ownership::update_claim_in(ownership_row& next) const
 {
-    if (predecessors_hold(next))
+    if (other_holders_here(next).empty())
     {
-        next.claims[m_self.address] = m_self.incarnation;
+        next.claims.erase(m_self.address);
     }
     else
     {
-        next.claims.erase(m_self.address);
+        next.claims[m_self.address] = m_self.incarnation;
     }
 }
 
--- a/tests/unit/test_gateway_buckets.cpp
+++ b/tests/unit/test_gateway_buckets.cpp
@@ -87,6 +87,22 @@
 
 } // namespace
 
+TEST_CASE("a row with claims round-trips, and one with malformed claims is rejected")
+{
+    ownership_row row{.buckets = bucket_table(2)};
+    row.buckets[1] = gateway_incarnation{"g0", "1"};
+    row.claims["g0"] = "2";
+    CHECK(decode_ownership(encode_ownership(row), 2) == row);
+    row.renewals["1"] = 7;
+    CHECK(decode_ownership(encode_ownership(row), 2) == row);
+    for (const auto* claims : {"null", "[]", "1", R"({"g0":2})", R"({"g0":null})"})
+    {
+        CAPTURE(claims);
+        const auto text = R"({"buckets":[null,null],"renewals":{},"claims":)" + std::string{claims} + "}";
+        CHECK_FALSE(decode_ownership(text, 2));
+    }
+}
+
 TEST_CASE(
     "at no moment may two incarnations on one VM use an overdraft bucket, whatever the earlier one does")
 {
