--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -34,6 +34,32 @@
     token_count max_tokens = 0;
     /// The turn that this one continues.
     std::optional<request_id> previous_turn;
+    /// The line of turns that this request belongs to. The main line of a program has the program's id, the
+    /// lines of its sub-agents have others.
+    std::string session;
+    /// Time until the program should be finished; negative if it is late already.
+    std::optional<milliseconds> time_left;
+};
+
+/// A part of a prompt. Requests whose prompts start with the same parts share the engine's cache of them.
+struct prompt_part
+{
+    std::string id;
+    token_count tokens = 0;
+
+    friend bool operator==(const prompt_part&, const prompt_part&) = default;
+};
+
+/// Size of a request to a model engine.
+struct generation_request
+{
+    token_count prompt_tokens = 0;
+    /// Maximum number of generated tokens.
+    token_count max_output = 0;
+    /// The caller's estimate of the generated tokens. The median is right, single estimates may be far off.
+    std::optional<token_count> output_hint;
+    /// Parts of the prompt in order. The last one belongs to the session and grows from turn to turn.
+    std::vector<prompt_part> prompt;
 };
 
 /// One request from a caller. A caller's retry is a separate request.
@@ -55,6 +81,8 @@
     /// Id of the last event that the caller received of an interrupted stream; the response resumes after it.
     std::optional<std::string> last_event_id;
     std::optional<program_context> program;
+    /// Set on requests to model engines.
+    std::optional<generation_request> generation;
     /// The caller's credential; empty if it sent none.
     std::string access_key;
     /// Set once the access key has been resolved to a workspace.
--- a/include/masticcourse/gateway/target_table.hpp
+++ b/include/masticcourse/gateway/target_table.hpp
@@ -59,6 +59,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Time that work takes at the target at this moment, relative to the usual time; nothing if the target
+    /// does not report it.
+    std::optional<double> time_factor;
 };
 
 /// What the outcome of a request says about the health of its target.
