--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -51,6 +51,7 @@
     milliseconds stop_grace{};
     /// How far a workspace's requests may exceed its quota.
     quota_rule quota;
+    scheduling_options scheduling;
 };
 
 /// Why a row could not be decoded.
@@ -110,6 +111,11 @@
     /// Handles a peer's request to quota_path.
     void serve_quota(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
 
+    /// Path at which peers exchange the load of targets with this gateway.
+    static constexpr const char* load_path = "/load";
+    /// Handles a peer's request to load_path.
+    void serve_load_digest(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+
     /// Path at which peers follow tables through this gateway.
     static constexpr const char* feed_path = "/feed";
     /// Handles a peer's request to feed_path.
--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -7,12 +7,15 @@
 /// - The end of a turn is sent to the caller once the turn is durable.
 /// - A request of a workspace with a quota is sent only with a permit that is valid at that moment. Each
 /// possible execution needs its own permit.
+/// - While a scheduled service is short of room, requests are held back before their first attempt, or
+/// refused.
 #pragma once
 
 #include "masticcourse/gateway/gateway_request.hpp"
 #include "masticcourse/gateway/overdraft.hpp"
 #include "masticcourse/gateway/quota/workspace_quotas.hpp"
 #include "masticcourse/gateway/route_table.hpp"
+#include "masticcourse/gateway/scheduling/request_scheduler.hpp"
 #include "masticcourse/gateway/turn_store.hpp"
 #include "masticcourse/net/http_server.hpp"
 
@@ -34,6 +37,7 @@
     open_stream_function open_stream;
     const gateway_protocol& protocol;
     target_table& targets;
+    request_scheduler& scheduler;
     program_spending& spending;
     turn_store& turns;
     overdraft& overdrafts;
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -69,6 +69,8 @@
     target_lost = 5003,
     target_fence_raised = 5004,
     stale_order_refused = 5005,
+    target_ejected = 5006,
+    target_readmitted = 5007,
     engine_reconciled = 5103,
     lease_lapsed = 5105,
     orphan_freed = 5106,
@@ -261,6 +263,13 @@
     event_definition{event_id::stale_order_refused, "stale_order_refused", event_severity::warning,
                      "A target process refused an order of an older epoch.",
                      "Expected once after a takeover."},
+    event_definition{
+        event_id::target_ejected, "target_ejected", event_severity::warning,
+        "A target fails more requests than its peers, or takes far longer (`why`): requests avoid it "
+        "for `period_ms`, then single ones probe it.",
+        "Look at that target if it recurs."},
+    event_definition{event_id::target_readmitted, "target_readmitted", event_severity::info,
+                     "A target that was ejected works again and gets requests like its peers.", "None."},
     event_definition{event_id::engine_reconciled, "engine_reconciled", event_severity::info,
                      "The engine's full listing was compared with what was known.", "None."},
     event_definition{event_id::lease_lapsed, "lease_lapsed", event_severity::info,
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -80,6 +80,15 @@
     /// Sends the request to a target as soon as the workspace's quota allows.
     void dispatch();
     void dispatch_with_permit();
+    /// Asks for admission before the first attempt.
+    /// @return whether the request may be sent now; otherwise it is held back or has been refused
+    [[nodiscard]] bool is_admitted();
+    void on_released(const std::optional<not_admitted>& refusal);
+    void refuse_for_room(const not_admitted& refusal);
+    [[nodiscard]] const service_name& service() const;
+    [[nodiscard]] scheduled_request scheduling() const;
+    /// Reports a complete response to the scheduler.
+    void record_performance();
     [[nodiscard]] const target* choose_next_target();
     void send_to(const target_record& target);
     [[nodiscard]] std::string affinity_key() const;
@@ -184,6 +193,19 @@
     /// Id of the current attempt; callbacks of earlier attempts are ignored.
     std::uint64_t m_attempt_id = 0;
     std::optional<target_response_head> m_response_head;
+    time_point m_attempt_started{};
+    /// Arrival of the attempt's first event.
+    std::optional<time_point> m_first_event_time;
+    /// Events of earlier attempts.
+    std::size_t m_events_before_attempt = 0;
+    /// @}
+
+    /// @name Admission
+    /// @{
+    /// The first attempt may be sent, or has been.
+    bool m_admitted = false;
+    /// Set while the request is held back.
+    std::optional<held_request> m_held;
     /// @}
 
     /// @name Stream
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -23,6 +23,10 @@
 void forwarded_request::on_complete_response(http_client_reply reply)
 {
     const bool retry = m_route->repeatable() && is_server_error(m_response_head->status);
+    if (m_response_head->success())
+    {
+        record_performance();
+    }
     end_attempt(retry ? health_signal::failed : health_signal::healthy);
     if (retry && can_retry())
     {
@@ -136,6 +140,10 @@
     m_finished = true;
     log_outcome(outcome, detail);
     end_attempt(health_signal::none);
+    if (m_held)
+    {
+        m_services.scheduler.cancel(*m_held);
+    }
     settle_budget();
     m_exchange.reset();
     m_chain = {};
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -65,15 +65,77 @@
 
 const target* forwarded_request::choose_next_target()
 {
-    const auto& program = m_request.program;
-    const auto& share_key = program ? program->program.value : m_request.id.value;
-    const auto candidates = m_services.targets.candidates(choose_service(*m_route, share_key));
+    const auto candidates = m_services.targets.candidates(service());
     const auto key = affinity_key();
     const selection_criteria query{.affinity = key,
                                    .preferred_domain = preferred_domain(),
                                    .tried = m_tried_targets,
                                    .chooser = m_services.own_name};
-    return choose_target(candidates, query, m_services.clock());
+    const auto now = m_services.clock();
+    return m_services.scheduler.schedules(service(), now)
+               ? m_services.scheduler.choose(scheduling(), candidates, query, now)
+               : choose_target(candidates, query, now);
+}
+
+const service_name& forwarded_request::service() const
+{
+    const auto& program = m_request.program;
+    return choose_service(*m_route, program ? program->program.value : m_request.id.value);
+}
+
+scheduled_request forwarded_request::scheduling() const
+{
+    return {.request = m_request, .matched_route = *m_route, .service = service(), .deadline = m_deadline};
+}
+
+bool forwarded_request::is_admitted()
+{
+    if (m_admitted)
+    {
+        return true;
+    }
+    const auto on_release = [weak = weak_from_this()](const std::optional<not_admitted>& refusal)
+    {
+        if (const auto self = weak.lock())
+        {
+            self->on_released(refusal);
+        }
+    };
+    const auto result = m_services.scheduler.admit(scheduling(), on_release);
+    if (const auto* const refusal = std::get_if<not_admitted>(&result))
+    {
+        refuse_for_room(*refusal);
+    }
+    else if (const auto* const held = std::get_if<held_request>(&result))
+    {
+        m_held = *held;
+    }
+    else
+    {
+        m_admitted = true;
+    }
+    return m_admitted;
+}
+
+void forwarded_request::on_released(const std::optional<not_admitted>& refusal)
+{
+    m_held.reset();
+    if (m_finished)
+    {
+        return;
+    }
+    if (refusal)
+    {
+        refuse_for_room(*refusal);
+        return;
+    }
+    m_admitted = true;
+    dispatch();
+}
+
+void forwarded_request::refuse_for_room(const not_admitted& refusal)
+{
+    refuse(refusal_reason::targets_full, ran_state::no, refusal.reason, refusal.retry_after);
 }
 
 void forwarded_request::dispatch()
@@ -93,6 +155,10 @@
         on_deadline();
         return;
     }
+    if (!is_admitted())
+    {
+        return;
+    }
     const auto* const chosen = choose_next_target();
     if (chosen == nullptr)
     {
@@ -127,8 +193,11 @@
     m_tried_targets.push_back(target.id);
     m_last_domain = target.domain;
     m_response_head.reset();
+    m_attempt_started = m_services.clock();
+    m_first_event_time.reset();
     if (m_progress)
     {
+        m_events_before_attempt = m_progress->event_count();
         m_progress->begin_attempt();
     }
     if (!has_streamed_events())
@@ -137,6 +206,7 @@
         m_pending_output.clear();
     }
     m_services.targets.begin(target.instance());
+    m_services.scheduler.on_sent(scheduling(), target.instance());
 
     const auto attempt = m_attempt_id;
     auto request =
@@ -174,6 +244,7 @@
     if (m_response_head->load)
     {
         m_services.targets.report(m_target->instance(), *m_response_head->load, m_services.clock());
+        m_services.scheduler.on_report(m_target->service, m_target->instance(), *m_response_head->load);
     }
     if (!m_stream_head && is_stream() && m_response_head->success() && m_response_head->authentic)
     {
@@ -185,8 +256,9 @@
 {
     if (m_target)
     {
-        m_services.targets.end(m_target->instance(), signal, m_services.clock());
-        m_target.reset();
+        const auto ended = *std::exchange(m_target, std::nullopt);
+        m_services.targets.end(ended.instance(), signal, m_services.clock());
+        m_services.scheduler.on_attempt_ended(ended.service, ended.instance(), signal);
     }
     if (signal == health_signal::failed)
     {
@@ -200,6 +272,29 @@
     }
 }
 
+void forwarded_request::record_performance()
+{
+    const auto now = m_services.clock();
+    if (!is_stream())
+    {
+        m_services.scheduler.on_response_complete(scheduling(), m_target->instance(),
+                                                  now - m_attempt_started);
+        return;
+    }
+    const auto events = m_progress->event_count() - m_events_before_attempt;
+    if (!m_first_event_time || events == 0)
+    {
+        return;
+    }
+    const auto output = static_cast<token_count>(events) * tokens_per_event();
+    const stream_sample sample{.first_event = *m_first_event_time - m_attempt_started,
+                               .output_time = m_last_chunk_time - *m_first_event_time,
+                               .output_tokens = output - tokens_per_event(),
+                               .time_factor =
+                                   m_response_head->load ? m_response_head->load->time_factor : std::nullopt};
+    m_services.scheduler.on_stream_complete(scheduling(), m_target->instance(), sample, output);
+}
+
 void forwarded_request::on_reply(http_client_reply reply)
 {
     m_upstream.reset();
--- a/src/gateway/forwarded_request_stream.cpp
+++ b/src/gateway/forwarded_request_stream.cpp
@@ -46,6 +46,10 @@
         return;
     }
     m_last_chunk_time = m_services.clock();
+    if (!m_first_event_time)
+    {
+        m_first_event_time = m_last_chunk_time;
+    }
     const bool had_events = has_streamed_events();
     const auto text = m_progress->feed(chunk);
     if (!text)
@@ -69,6 +73,7 @@
 {
     m_pending_output += m_progress->take_remainder();
     m_stream_complete = true;
+    record_performance();
     end_attempt(health_signal::healthy);
     if (is_retained())
     {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,6 +90,7 @@
     overdraft overdrafts;
     bucket_ownership quota_buckets;
     workspace_quotas quotas;
+    request_scheduler scheduler;
     forwarding_services services;
     feed_context feeds;
     peer_list gateways;
@@ -141,10 +142,22 @@
           [this](const auto& address, auto request, auto on_reply)
           { peer_client.quota(address, std::move(request), std::move(on_reply)); },
           delay, monotonic_now, boottime_now, registry),
+      scheduler({.options = options.scheduling,
+                 .targets = targets,
+                 .peers = peers,
+                 .send_digest = [this](const auto& address, auto digest, auto on_reply)
+                 { peer_client.load_digest(address, std::move(digest), std::move(on_reply)); },
+                 .delay = delay,
+                 .clock = monotonic_now,
+                 .seed = derive_seed(seed, "scheduler"),
+                 .self = options.peer_address,
+                 .incarnation = random_incarnation(),
+                 .metrics = registry}),
       services{.open_stream = [this](auto request, auto on_chunk, auto on_reply)
                { return client.open_stream(std::move(request), std::move(on_chunk), std::move(on_reply)); },
                .protocol = protocol,
                .targets = targets,
+               .scheduler = scheduler,
                .spending = spending,
                .turns = turns,
                .overdrafts = overdrafts,
@@ -278,6 +291,7 @@
         return;
     }
     quotas.set_config(config.current());
+    scheduler.set_config(config.current());
     const auto& limits = config.current()->limits;
     frontend->set_limits({.max_body = limits.max_body,
                           .max_header = limits.max_header,
@@ -352,6 +366,7 @@
     }
     last_sweep = now;
     targets.expire(now);
+    scheduler.sweep(now);
     spending.evict_idle(now);
     overdrafts.evict_idle();
     if (ready() != was_ready)
@@ -464,6 +479,11 @@
     m_state->serve_feed(request.body, exchange);
 }
 
+void gateway::serve_load_digest(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+{
+    exchange->respond(detail::to_response(m_state->scheduler.serve_digest(request.body)));
+}
+
 void gateway::serve_quota(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
 {
     exchange->respond(detail::to_response(m_state->quotas.handle_peer_request(request.body)));
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -26,6 +26,9 @@
 /// the caller's request waits meanwhile.
 constexpr milliseconds holder_timeout{100};
 
+/// Timeout of a load digest. Its reply is out of date after a few exchange intervals of 200 ms.
+constexpr milliseconds load_digest_timeout{300};
+
 /// Timeout of a call that waits for changes of a table; the receiver replies within 1.25 s.
 constexpr milliseconds feed_call_timeout{1'600};
 /// The latency between gateways is about a millisecond.
@@ -127,6 +130,12 @@
                     std::move(on_reply));
 }
 
+void peer_calls::load_digest(const std::string& address, std::string digest, peer_callback on_reply)
+{
+    send_idempotent(make_request(address, gateway::load_path, std::move(digest)), load_digest_timeout,
+                    std::move(on_reply));
+}
+
 http_response to_response(const collector_reply& reply)
 {
     switch (reply.outcome)
--- a/src/gateway/peer_calls.hpp
+++ b/src/gateway/peer_calls.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// HTTP calls between gateways: forwarded commits, queries of cached rows, table feeds, overdrafts and
-/// quota permits.
+/// HTTP calls between gateways: forwarded commits, queries of cached rows, table feeds, overdrafts, quota
+/// permits and load digests.
 #pragma once
 
 #include "masticcourse/gateway/collected_rows.hpp"
@@ -25,6 +25,7 @@
     void overdraft(const std::string& address, std::string message, peer_callback on_reply);
     void feed(const std::string& address, std::string request, peer_callback on_reply);
     void quota(const std::string& address, std::string request, peer_callback on_reply);
+    void load_digest(const std::string& address, std::string digest, peer_callback on_reply);
 
   private:
     /// Sends a request that may safely be repeated.
--- /dev/null
+++ b/src/gateway/scheduling/request_scheduler.cpp
@@ -0,0 +1,490 @@
+#include "masticcourse/gateway/scheduling/request_scheduler.hpp"
+
+#include "masticcourse/telemetry/log.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Requests that a target may have beyond its slots, so that the next one is there when a slot becomes free:
+/// requests end every few tens of milliseconds, and one takes a few milliseconds to reach its target.
+constexpr double extra_requests_per_target = 1.0;
+/// Interval between evaluations of the outliers. Ejecting a target within a second is early enough.
+constexpr milliseconds evaluation_interval{250};
+/// Additional time of a request to a target in another failure domain: a connection that is rarely used often
+/// has to be opened again, which takes two round trips of a millisecond and some work of the target.
+constexpr duration cross_domain_time = 4ms;
+/// Time to prefill one token at a typical engine, which reads 100 to 200 tokens in a millisecond.
+constexpr duration prefill_token_time = 8us;
+
+/// @name Durations assumed until requests have been observed
+/// @{
+constexpr duration default_first_event = 25ms;
+constexpr duration default_output_token = 3ms;
+constexpr duration default_response = 100ms;
+/// @}
+
+/// Weight of a new observation in the average output of a service's requests.
+constexpr double output_weight = 0.02;
+
+/// Programs and prompt parts that are remembered. A gateway serves some tens of programs a second, each for a
+/// few seconds.
+constexpr std::size_t max_programs = 4'096;
+constexpr std::size_t max_prompt_parts = 4'096;
+
+duration or_default(duration value, duration fallback)
+{
+    return value > duration::zero() ? value : fallback;
+}
+
+duration scaled(duration time, double factor)
+{
+    return std::chrono::duration_cast<duration>(time * factor);
+}
+
+bool is_success(health_signal signal)
+{
+    return signal == health_signal::healthy;
+}
+
+bool is_failure(health_signal signal)
+{
+    return signal == health_signal::failed || signal == health_signal::unreachable;
+}
+
+} // namespace
+
+request_scheduler::request_scheduler(dependencies services)
+    : m_services(std::move(services)), m_exchange({.peers = m_services.peers,
+                                                   .send = m_services.send_digest,
+                                                   .delay = m_services.delay,
+                                                   .clock = m_services.clock,
+                                                   .local = [this] { return collect_usage(); },
+                                                   .on_update = [this] { apply_external_usage(); },
+                                                   .self = m_services.self,
+                                                   .incarnation = m_services.incarnation,
+                                                   .metrics = m_services.metrics,
+                                                   .seed = derive_seed(m_services.seed, "load exchange")}),
+      m_programs(max_programs), m_prompts(max_prompt_parts)
+{
+}
+
+void request_scheduler::set_config(config_ptr config)
+{
+    m_config = std::move(config);
+    for (const auto& it : m_config->services)
+    {
+        auto& state = m_states[it.name];
+        state.has_engines = it.engine.has_value();
+        if (m_services.options.admission && state.has_engines && !state.admission)
+        {
+            state.admission.emplace(admission_options{}, derive_seed(m_services.seed, it.name.value));
+        }
+    }
+}
+
+request_scheduler::service_state* request_scheduler::find(const service_name& service)
+{
+    const auto it = m_states.find(service);
+    return it != m_states.end() ? &it->second : nullptr;
+}
+
+const request_scheduler::service_state* request_scheduler::find(const service_name& service) const
+{
+    const auto it = m_states.find(service);
+    return it != m_states.end() ? &it->second : nullptr;
+}
+
+bool request_scheduler::schedules(const service_name& service, time_point now) const
+{
+    const auto* const state = find(service);
+    return state != nullptr && (m_services.options.admission || state->performance.reports_time_factors(now));
+}
+
+void request_scheduler::sweep(time_point now)
+{
+    const auto is_scheduled = [&](const auto& it) { return schedules(it.first, now); };
+    m_exchange.set_enabled(std::ranges::any_of(m_states, is_scheduled));
+    const bool evaluate = now >= m_next_evaluation;
+    if (evaluate)
+    {
+        m_next_evaluation = now + evaluation_interval;
+    }
+    for (auto& [name, state] : m_states)
+    {
+        if (!schedules(name, now))
+        {
+            continue;
+        }
+        if (evaluate)
+        {
+            evaluate_outliers(name, state, now);
+            state.performance.retain(m_services.targets);
+        }
+        release(name, state, now);
+    }
+}
+
+double request_scheduler::load_of(const target& it, time_point now) const
+{
+    const auto known_here = it.load(now);
+    if (!m_exchange.fresh(now))
+    {
+        return known_here;
+    }
+    const auto* const external = m_exchange.find(it.record.instance(), now);
+    return std::max(known_here,
+                    static_cast<double>(it.in_flight + (external != nullptr ? external->in_flight : 0)));
+}
+
+placement_costs request_scheduler::costs_of(const service_state& state) const
+{
+    const auto profile = state.performance.profile();
+    return {.first_event =
+                state.has_engines ? or_default(profile.first_event, default_first_event) : duration::zero(),
+            .prefill_token = prefill_token_time,
+            .output_token = or_default(profile.output_token, default_output_token),
+            .response = state.has_engines ? duration::zero() : or_default(profile.response, default_response),
+            .cross_domain = cross_domain_time};
+}
+
+placement_request request_scheduler::placement_of(const scheduled_request& request,
+                                                  const service_state& state) const
+{
+    const auto& generation = request.request.generation;
+    if (!generation || !state.has_engines)
+    {
+        return {};
+    }
+    return {.prompt_tokens = generation->prompt_tokens,
+            .expected_output = state.performance.expected_output(
+                request.matched_route.name, generation->output_hint, generation->max_output)};
+}
+
+const target* request_scheduler::choose(const scheduled_request& request,
+                                        std::span<const target* const> candidates,
+                                        const selection_criteria& criteria, time_point now)
+{
+    auto* const state = find(request.service);
+    const auto& generation = request.request.generation;
+    std::vector<target_estimate> estimates;
+    estimates.reserve(candidates.size());
+    const auto add_estimate = [&](const target* it)
+    {
+        const auto instance = it->record.instance();
+        const auto cached = generation ? m_prompts.cached_tokens(instance, generation->prompt, now) : 0;
+        estimates.push_back({.entry = it,
+                             .load = load_of(*it, now),
+                             .time_factor = state->performance.time_factor(instance, now),
+                             .cached_tokens = cached});
+    };
+    const auto is_untried = [&](const target* it)
+    { return std::ranges::find(criteria.tried, it->record.id) == criteria.tried.end(); };
+    const auto is_usable = [&](const target* it)
+    {
+        return is_untried(it) && it->backoff_until <= now &&
+               !state->outliers.ejected(it->record.instance(), now);
+    };
+    if (request.matched_route.repeatable() && criteria.tried.empty())
+    {
+        const auto wants_probe = [&](const target* it)
+        { return state->outliers.wants_probe(it->record.instance(), now); };
+        if (const auto it = std::ranges::find_if(candidates, wants_probe); it != candidates.end())
+        {
+            return *it;
+        }
+    }
+    std::ranges::for_each(candidates | std::views::filter(is_usable), add_estimate);
+    if (estimates.empty())
+    {
+        std::ranges::for_each(candidates | std::views::filter(is_untried), add_estimate);
+    }
+    auto placement = placement_of(request, *state);
+    placement.affinity = criteria.affinity;
+    placement.chooser = criteria.chooser;
+    placement.preferred_domain = criteria.preferred_domain;
+    const auto placed = choose_by_finish(estimates, placement, costs_of(*state));
+    return placed ? placed->entry : nullptr;
+}
+
+service_room request_scheduler::room_of(const service_name& name, const service_state& state,
+                                        time_point now) const
+{
+    const auto costs = costs_of(state);
+    service_room room{.others_waiting = m_exchange.others_waiting(name, now),
+                      .typical_duration =
+                          costs.first_event + scaled(costs.output_token, state.typical_output)};
+    for (const auto* it : m_services.targets.candidates(name))
+    {
+        if (it->backoff_until > now || state.outliers.ejected(it->record.instance(), now))
+        {
+            continue;
+        }
+        room.slots += it->record.slots;
+        room.free += std::max(0.0, it->record.slots + extra_requests_per_target - load_of(*it, now));
+    }
+    return room;
+}
+
+admission_request request_scheduler::admission_of(const scheduled_request& request,
+                                                  const service_state& state, time_point now) const
+{
+    const auto& source = request.request;
+    const auto& program = source.program;
+    const auto* const workspace = m_config->workspaces.find(source.workspace);
+    const bool is_main_line = program && program->session == program->program.value;
+    const auto costs = costs_of(state);
+    const auto placement = placement_of(request, state);
+    const bool has_priority = workspace != nullptr && workspace->priority;
+    return {.workspace = source.workspace,
+            .priority = has_priority ? *workspace->priority : request.matched_route.priority,
+            .under_way = !is_main_line || program->previous_turn || m_programs.contains(program->program),
+            .expected_duration = costs.first_event + costs.output_token * placement.expected_output,
+            .program_deadline =
+                program && program->time_left ? std::optional{now + *program->time_left} : std::nullopt,
+            .deadline = request.deadline};
+}
+
+admission_result request_scheduler::admit(const scheduled_request& request, admission_callback on_release)
+{
+    auto* const state = find(request.service);
+    if (state == nullptr || !state->admission)
+    {
+        return admitted{};
+    }
+    const auto now = m_services.clock();
+    const auto room = room_of(request.service, *state, now);
+    auto decision = state->admission->request(admission_of(request, *state, now), room, now);
+    if (const auto* const held = std::get_if<held_back>(&decision))
+    {
+        state->held.emplace(held->ticket, std::move(on_release));
+        return held_request{request.service, held->ticket};
+    }
+    if (auto* const refusal = std::get_if<not_admitted>(&decision))
+    {
+        return std::move(*refusal);
+    }
+    return admitted{};
+}
+
+void request_scheduler::cancel(const held_request& request)
+{
+    if (auto* const state = find(request.service); state != nullptr && state->held.erase(request.ticket) > 0)
+    {
+        state->admission->cancel(request.ticket);
+    }
+}
+
+void request_scheduler::finish_held(service_state& state, admission_ticket ticket,
+                                    const std::optional<not_admitted>& refusal)
+{
+    const auto node = state.held.extract(ticket);
+    if (!node.empty())
+    {
+        node.mapped()(refusal);
+    }
+}
+
+void request_scheduler::release(const service_name& name, service_state& state, time_point now)
+{
+    if (!state.admission || state.held.empty())
+    {
+        return;
+    }
+    auto room = room_of(name, state, now);
+    for (const auto& it : state.admission->expire(room, now))
+    {
+        finish_held(state, it.ticket, it.refusal);
+    }
+    while (const auto ticket = state.admission->next(room, now))
+    {
+        room.free -= 1;
+        finish_held(state, *ticket, std::nullopt);
+    }
+}
+
+void request_scheduler::on_sent(const scheduled_request& request, const target_instance& target)
+{
+    auto* const state = find(request.service);
+    const auto& program = request.request.program;
+    if (state == nullptr || !request.request.generation || !program)
+    {
+        return;
+    }
+    const auto now = m_services.clock();
+    m_prompts.record(target, request.request.generation->prompt, 0, now);
+    if (state->admission)
+    {
+        state->admission->record_turn(!m_programs.contains(program->program) && !program->previous_turn);
+    }
+    m_programs.record(program->program);
+}
+
+void request_scheduler::on_report(const service_name& service, const target_instance& target,
+                                  const target_load_report& report)
+{
+    auto* const state = find(service);
+    if (state == nullptr)
+    {
+        return;
+    }
+    const auto now = m_services.clock();
+    if (report.time_factor)
+    {
+        state->performance.report_time_factor(target, *report.time_factor, now);
+    }
+    m_reports[target.id] = {.target = target, .load = report, .received = now};
+}
+
+void request_scheduler::on_stream_complete(const scheduled_request& request, const target_instance& target,
+                                           const stream_sample& sample, token_count output)
+{
+    auto* const state = find(request.service);
+    const auto& generation = request.request.generation;
+    if (state == nullptr || !generation)
+    {
+        return;
+    }
+    const auto now = m_services.clock();
+    state->performance.record_stream(target, sample, now);
+    state->performance.record_output(request.matched_route.name,
+                                     generation->output_hint.value_or(generation->max_output), output);
+    state->typical_output += (static_cast<double>(output) - state->typical_output) * output_weight;
+    m_prompts.record(target, generation->prompt, output, now);
+}
+
+void request_scheduler::on_response_complete(const scheduled_request& request, const target_instance& target,
+                                             duration response_time)
+{
+    if (auto* const state = find(request.service))
+    {
+        state->performance.record_response(target, request.matched_route.name, response_time,
+                                           m_services.clock());
+    }
+}
+
+void request_scheduler::on_attempt_ended(const service_name& service, const target_instance& target,
+                                         health_signal signal)
+{
+    auto* const state = find(service);
+    const auto now = m_services.clock();
+    if (state == nullptr || !schedules(service, now))
+    {
+        return;
+    }
+    if (is_success(signal) || is_failure(signal))
+    {
+        const target_outcomes outcomes{.successes = is_success(signal) ? 1U : 0U,
+                                       .failures = is_failure(signal) ? 1U : 0U};
+        state->outliers.record(target, outcomes, now);
+        auto& unreported = m_unreported[target.id];
+        unreported.target = target;
+        unreported.outcomes.successes += outcomes.successes;
+        unreported.outcomes.failures += outcomes.failures;
+    }
+    if (state->admission)
+    {
+        state->admission->completed(now);
+        release(service, *state, now);
+    }
+}
+
+local_usage request_scheduler::collect_usage()
+{
+    const auto now = m_services.clock();
+    local_usage usage;
+    for (const auto& [name, state] : m_states)
+    {
+        if (!schedules(name, now))
+        {
+            continue;
+        }
+        for (const auto* it : m_services.targets.candidates(name))
+        {
+            usage.targets.push_back(usage_of(*it, now));
+        }
+        if (state.admission && state.admission->waiting() > 0)
+        {
+            usage.demand.push_back({name, static_cast<std::uint32_t>(state.admission->waiting())});
+        }
+    }
+    m_unreported.clear();
+    return usage;
+}
+
+target_usage request_scheduler::usage_of(const target& it, time_point now) const
+{
+    target_usage usage{.target = it.record.instance(), .in_flight = it.in_flight};
+    if (const auto found = m_unreported.find(it.record.id);
+        found != m_unreported.end() && found->second.target == usage.target)
+    {
+        usage.successes = found->second.outcomes.successes;
+        usage.failures = found->second.outcomes.failures;
+    }
+    if (const auto found = m_reports.find(it.record.id);
+        found != m_reports.end() && found->second.target == usage.target)
+    {
+        const auto age = std::chrono::floor<milliseconds>(now - found->second.received);
+        usage.report = aged_load_report{.load = found->second.load, .age = age};
+    }
+    return usage;
+}
+
+void request_scheduler::apply_external_usage()
+{
+    const auto now = m_services.clock();
+    for (auto& [name, state] : m_states)
+    {
+        if (!schedules(name, now))
+        {
+            continue;
+        }
+        for (const auto* it : m_services.targets.candidates(name))
+        {
+            const auto instance = it->record.instance();
+            const auto* const external = m_exchange.find(instance, now);
+            if (external == nullptr)
+            {
+                continue;
+            }
+            if (external->successes + external->failures > 0)
+            {
+                state.outliers.record(instance, {external->successes, external->failures}, now);
+            }
+            if (external->report && external->report->time_factor)
+            {
+                state.performance.report_time_factor(instance, *external->report->time_factor,
+                                                     external->reported_at);
+            }
+        }
+        release(name, state, now);
+    }
+}
+
+void request_scheduler::evaluate_outliers(const service_name& name, service_state& state, time_point now)
+{
+    const auto targets = m_services.targets.candidates(name);
+    std::vector<double> factors;
+    std::ranges::transform(targets, std::back_inserter(factors),
+                           [&](const target* it)
+                           { return state.performance.time_factor(it->record.instance(), now); });
+    for (const auto& it : state.outliers.evaluate(targets, factors, now))
+    {
+        log_event(it.ejected ? event_id::target_ejected : event_id::target_readmitted,
+                  {{"service", name.value},
+                   {"target", it.target.value},
+                   {"why", it.reason == ejection_reason::failures ? "failures" : "latency"},
+                   {"period_ms", std::to_string(it.period.count())}});
+    }
+}
+
+} // namespace masticcourse::gateway
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -94,6 +94,14 @@
     return config;
 }
 
+/// Decodes the time factor that a target reports; the fixture's targets report nothing else.
+std::optional<gateway::target_load_report> decode_load(const http_client_reply& reply)
+{
+    const auto factor = reply.header("time-factor");
+    return factor ? std::optional{gateway::target_load_report{.time_factor = std::stod(*factor)}}
+                  : std::nullopt;
+}
+
 http_client_reply head_of(int status, bool marked)
 {
     http_client_reply reply{.status = status};
@@ -182,7 +190,8 @@
     return {.status = reply.status,
             .not_executed = reply.header("not-run").has_value(),
             .instance_replaced = reply.status == 421,
-            .authentic = reply.header("mark").has_value()};
+            .authentic = reply.header("mark").has_value(),
+            .load = decode_load(reply)};
 }
 
 bool stub_protocol::is_response_to(const http_client_reply& /*reply*/,
@@ -202,8 +211,18 @@
     return response;
 }
 
-forwarding_fixture::forwarding_fixture()
-    : config(std::make_shared<const gateway::gateway_config>(make_config())),
+forwarding_fixture::forwarding_fixture(gateway::scheduling_options scheduling)
+    : scheduler({.options = scheduling,
+                 .targets = targets,
+                 .peers = peers,
+                 .send_digest = nullptr,
+                 .delay = time.delays(),
+                 .clock = time.clock(),
+                 .seed = test_seed(),
+                 .self = "self",
+                 .incarnation = "1",
+                 .metrics = metrics}),
+      config(std::make_shared<const gateway::gateway_config>(make_config())),
       services{
           .open_stream =
               [this](http_client_request request, http_chunk_callback on_chunk, http_reply_callback on_reply)
@@ -215,6 +234,7 @@
           },
           .protocol = protocol,
           .targets = targets,
+          .scheduler = scheduler,
           .spending = spending,
           .turns = turns,
           .overdrafts = overdrafts,
@@ -227,6 +247,7 @@
     {
         targets.put({.id = {id}, .service = {"s"}, .address = id, .slots = 4});
     }
+    scheduler.set_config(config);
 }
 
 gateway::gateway_request forwarding_fixture::make_request(const std::string& route,
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -74,7 +74,7 @@
 class forwarding_fixture
 {
   public:
-    forwarding_fixture();
+    explicit forwarding_fixture(gateway::scheduling_options scheduling = {});
 
     /// A request on one of the routes: "lookup" (idempotent), "order" (non-idempotent), "stream", "turn"
     /// (stored stream), "plan" (resumable stream).
@@ -111,6 +111,7 @@
     gateway::workspace_quotas quotas{{.max_wait = {}}, quota_buckets, peers,        nullptr,
                                      time.delays(),    time.clock(),  time.clock(), metrics};
     gateway::target_table targets;
+    gateway::request_scheduler scheduler;
     stub_protocol protocol;
     std::vector<upstream_request_ptr> sent;
     std::vector<gateway::request_outcome> outcomes;
