Gateway: admission control of a service and the order of waiting requests

Cause: requests are forwarded at once, so callers of many workspaces fill the targets and all programs end late. Change: ordered queue, decision about new programs, shares of free room, drain rate with Retry-After.

--- a/include/masticcourse/gateway/scheduling/admission_control.hpp
+++ b/include/masticcourse/gateway/scheduling/admission_control.hpp
@@ -6,89 +6,31 @@
 /// a little too late, and programs that can't end in time keep the targets from those that could.
 #pragma once
 
-#include "masticcourse/core/ids.hpp"
 #include "masticcourse/gateway/random.hpp"
-#include "masticcourse/gateway/time.hpp"
+#include "masticcourse/gateway/scheduling/admission_queue.hpp"
+#include "masticcourse/gateway/scheduling/admission_types.hpp"
+#include "masticcourse/gateway/scheduling/drain_rate.hpp"
+#include "masticcourse/gateway/scheduling/new_program_policy.hpp"
+#include "masticcourse/gateway/scheduling/room_share.hpp"
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 #include <random>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace masticcourse::gateway
 {
 
-/// Identifies a waiting request within one gateway.
-using admission_ticket = std::uint64_t;
-
-/// A request to a service under admission control.
-struct admission_request
-{
-    workspace_id workspace;
-    /// 0 is the most urgent.
-    std::uint32_t priority = 0;
-    /// Whether the program has run a turn before.
-    bool under_way = false;
-    /// Expected duration of the request at a target, without waiting.
-    duration expected_duration{};
-    /// When the program should be finished; the request has no such time if it belongs to no program.
-    std::optional<time_point> program_deadline;
-    /// When the caller gives up.
-    time_point deadline{};
-};
-
-/// The room of a service, over all gateways.
-struct service_room
-{
-    /// Requests that the targets run at once.
-    std::uint32_t slots = 0;
-    /// Requests that the targets could take now.
-    double free = 0;
-    /// Requests held back by other gateways.
-    std::uint32_t others_waiting = 0;
-    /// Typical duration of a request at a target, without waiting.
-    duration typical_duration{};
-};
-
-struct admitted
-{
-};
-
-/// The request waits; it is reported by next() or expired() later.
-struct held_back
-{
-    admission_ticket ticket = 0;
-};
-
-/// The request is refused. It has not run.
-struct not_admitted
-{
-    milliseconds retry_after{};
-    std::string reason;
-};
-
-using admission_decision = std::variant<admitted, held_back, not_admitted>;
-
-struct admission_options
-{
-    /// Maximum number of waiting requests for each slot of the service, and in total.
-    double queue_per_slot = 16;
-    std::size_t max_queue = 1'000;
-    milliseconds min_retry_after{100};
-    /// Callers wait for up to a third of their remaining time, about a second.
-    milliseconds max_retry_after{1'000};
-};
-
 /// Admission control of one service in one gateway.
 class admission_control
 {
   public:
     admission_control(admission_options options, random_seed seed);
 
-    /// Decides about a new request. It is admitted at once if there is room and nobody waits.
+    /// Decides about a new request. It is admitted at once if there is room and nobody waits; while only
+    /// other gateways hold requests back, if it is within this gateway's share of the room. If the queue is
+    /// full, a waiting request may be refused in its place, which expire() then reports.
     [[nodiscard]] admission_decision request(const admission_request& request, const service_room& room,
                                              time_point now);
 
@@ -103,7 +45,8 @@
         not_admitted refusal;
     };
 
-    /// Removes and returns the waiting requests that can no longer be served in time.
+    /// Removes and returns the waiting requests that can no longer be served in time, and those refused
+    /// because the queue is full. Called after request() and at intervals.
     [[nodiscard]] std::vector<expired_request> expire(const service_room& room, time_point now);
 
     /// Removes a waiting request whose caller has left.
@@ -112,10 +55,38 @@
     /// Records that an admitted request has ended, which frees a slot.
     void completed(time_point now);
 
-    /// Records the number of turns of a finished program, or the number so far.
+    /// Records a turn of a program, for the expected number of turns. Called once for each turn.
     void record_turn(bool first_turn);
 
     [[nodiscard]] std::size_t waiting() const;
+
+  private:
+    /// Why and by how many requests a request exceeds what can be served in time.
+    struct excess_load
+    {
+        double requests = 0;
+        std::string reason;
+    };
+
+    [[nodiscard]] bool admits_at_once(const service_room& room, time_point now);
+    [[nodiscard]] std::optional<excess_load> excess(const admission_request& request,
+                                                    const service_room& room, time_point now) const;
+    [[nodiscard]] double requests_ahead(const admission_request& request, const service_room& room,
+                                        time_point now) const;
+    [[nodiscard]] time_point start_by(const admission_request& request, time_point now) const;
+    [[nodiscard]] admission_decision hold_back(const admission_request& request, const service_room& room,
+                                               time_point now);
+    [[nodiscard]] not_admitted refuse(const excess_load& excess, const service_room& room);
+
+    admission_options m_options;
+    std::mt19937 m_random;
+    admission_queue m_queue;
+    room_share m_share;
+    turn_estimate m_turns;
+    drain_rate m_rate;
+    /// Refused because the queue was full, not yet reported.
+    std::vector<expired_request> m_dropped;
+    admission_ticket m_next_ticket = 1;
 };
 
 } // namespace masticcourse::gateway
--- /dev/null
+++ b/include/masticcourse/gateway/scheduling/admission_queue.hpp
@@ -0,0 +1,107 @@
+/// @file
+/// The waiting requests of one service in one gateway, in the order in which they are to be sent.
+///
+/// Load pattern: workspaces and programs compete for too little room. In order of arrival, a workspace that
+/// floods would delay all others, and programs would use room for turns after which they are still late.
+#pragma once
+
+#include "masticcourse/gateway/scheduling/admission_types.hpp"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+/// A request rises by one priority each time it has waited this long, so that it competes with the most
+/// urgent ones after at most @ref lowest_priority times this span.
+inline constexpr milliseconds priority_advantage{500};
+/// Priorities below this one count as this one.
+inline constexpr std::uint32_t lowest_priority = 3;
+/// Each time this many requests have been taken from the queue, the next one is the one that has waited
+/// longest. A request that finds n others waiting is thus taken after at most (n + 1) times this many. The
+/// share of room that is exempt from the order is the inverse; it must stay below the 5% by which a flood may
+/// reduce the service of others.
+inline constexpr std::uint32_t oldest_turn = 32;
+
+struct waiting_request
+{
+    admission_ticket ticket = 0;
+    admission_request request;
+    time_point arrived{};
+    /// A request that has not started by then is refused.
+    time_point start_by{};
+};
+
+/// Order: priority, then the workspace that has received the least service, then programs under way, then the
+/// least slack. Programs that can't end in time come after all others.
+class admission_queue
+{
+  public:
+    void push(waiting_request entry);
+
+    /// Removes and returns the request that is to be sent next, and charges its workspace for it. Requests
+    /// that are too late to start are not returned.
+    std::optional<waiting_request> pop(time_point now);
+
+    /// Removes and returns the last request in order, of the workspace that has most waiting.
+    std::optional<waiting_request> drop_last(time_point now);
+
+    /// Removes and returns the requests that are too late to start.
+    std::vector<waiting_request> expire(time_point now);
+
+    /// @return whether the request was waiting
+    bool remove(admission_ticket ticket);
+
+    /// Charges a workspace for a request that was sent without waiting.
+    void charge(const admission_request& request);
+
+    /// @return the number of waiting requests that are likely to be sent before a new one
+    [[nodiscard]] std::size_t ahead_of(const admission_request& request, time_point now) const;
+
+    /// @return the number of waiting requests that can still start in time
+    [[nodiscard]] std::size_t startable(time_point now) const;
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_waiting.size();
+    }
+
+  private:
+    /// Position of a request in the order; less is earlier.
+    struct position
+    {
+        std::uint32_t level = 0;
+        double served = 0;
+        bool new_program = false;
+        time_point latest_start{};
+        admission_ticket ticket = 0;
+
+        friend auto operator<=>(const position&, const position&) = default;
+    };
+    using iterator = std::vector<waiting_request>::iterator;
+
+    [[nodiscard]] position position_of(const waiting_request& entry, time_point now) const;
+    [[nodiscard]] iterator first_in_order(time_point now);
+    [[nodiscard]] iterator oldest(time_point now);
+    [[nodiscard]] double served(const workspace_id& workspace) const;
+    [[nodiscard]] std::unordered_map<workspace_id, std::size_t> waiting_by_workspace() const;
+    void add_service(const admission_request& request);
+    waiting_request extract(iterator it);
+
+    /// In order of arrival.
+    std::vector<waiting_request> m_waiting;
+    /// Service received by each workspace in milliseconds of expected duration, counted from a common start.
+    /// Workspaces without an entry, and idle ones below the floor, count as at the floor.
+    std::unordered_map<workspace_id, double> m_served;
+    /// Service of the workspace that was last next in order. An idle workspace is raised to it, so that being
+    /// idle earns no credit.
+    double m_served_floor = 0;
+    std::uint32_t m_since_oldest = 0;
+};
+
+} // namespace masticcourse::gateway
