Outlier detection: first version of the ejection of failing and slow targets

Outcomes are counted in a sliding window of buckets that are aligned across targets. A target is ejected if its failures are unlikely under the failure ratio of the others in the same time, or if it is several times slower than the median target for two seconds. policy/circuit_breaker is not reused: it opens only on its own count of consecutive failures, resets its period as soon as it closes, and sends its probes concurrently.

--- a/include/masticcourse/gateway/scheduling/outlier_detection.hpp
+++ b/include/masticcourse/gateway/scheduling/outlier_detection.hpp
@@ -5,11 +5,13 @@
 /// health check and registry entry are good. Each gateway would burn requests of its own to learn it.
 #pragma once
 
+#include "masticcourse/gateway/scheduling/outcome_window.hpp"
 #include "masticcourse/gateway/target_table.hpp"
 #include "masticcourse/gateway/time.hpp"
 
 #include <cstdint>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace masticcourse::gateway
@@ -31,31 +33,112 @@
     milliseconds period{};
 };
 
-/// Outcomes at one target within one interval, of this gateway or of all.
-struct target_outcomes
-{
-    std::uint32_t successes = 0;
-    std::uint32_t failures = 0;
-};
-
 /// Outlier detection over the targets of one service.
+///
+/// A target is ejected if it fails clearly more often than the others do in the same time, or if its work
+/// takes several times as long as theirs for a sustained time. At most a third of the targets are ejected.
+/// After its period an ejected target is half-open: it gets one probe at a time, returns after a few
+/// successes, and is ejected again for twice the period by a failure.
 class outlier_detection
 {
   public:
-    /// Records outcomes of requests, of this gateway or of others. Refusals because of load are not counted.
+    /// Records outcomes of requests, of this gateway or of others. Refusals because of load, draining targets
+    /// and requests that ended for reasons of the caller are not counted: the caller of record() leaves them
+    /// out. Outcomes of an earlier instance than the known one are ignored.
     void record(const target_instance& target, const target_outcomes& outcomes, time_point now);
+    /// Records outcomes that other gateways have seen, as record() does. The probe that this gateway has sent
+    /// remains pending.
+    void record_external(const target_instance& target, const target_outcomes& outcomes, time_point now);
 
-    /// Evaluates the targets; called at intervals.
+    /// Evaluates the targets; called several times a second. Targets that are not in @a targets are
+    /// forgotten.
     /// @param targets      the usable targets of the service
     /// @param time_factors duration of work relative to a typical target, in the order of @a targets
+    /// @return ejections and returns since the last call
     std::vector<ejection_change> evaluate(const std::vector<const target*>& targets,
                                           const std::vector<double>& time_factors, time_point now);
 
     /// @return whether requests avoid the target
     [[nodiscard]] bool ejected(const target_instance& target, time_point now) const;
     /// @return whether one request that may be repeated should be sent to an ejected target to see whether it
-    /// works again; true for one request at a time
+    /// works again; true for one request at a time. If its outcome isn't recorded within a time limit, the
+    /// next probe may be sent.
     [[nodiscard]] bool wants_probe(const target_instance& target, time_point now);
+    /// @return the number of ejected targets, as of the last evaluation
+    [[nodiscard]] std::size_t ejected_count() const;
+
+  private:
+    /// An ejection in progress.
+    struct ejection
+    {
+        ejection_reason reason = ejection_reason::failures;
+        /// Share of the target's work that is lost, between 0 and 1.
+        double severity = 0;
+        time_point half_open_at{};
+        /// Successes since it became half-open.
+        std::uint32_t successes = 0;
+        std::optional<time_point> probe_sent_at;
+    };
+
+    struct target_state
+    {
+        wall_time started{};
+        outcome_window window;
+        /// Failures without a success in between, and when the last one was recorded.
+        std::uint32_t failures_in_a_row = 0;
+        time_point last_failure{};
+        /// A failure was recorded since the last evaluation.
+        bool failed_again = false;
+        /// Since when its work takes several times as long as at the others.
+        std::optional<time_point> slow_since;
+        std::optional<ejection> current;
+        /// Period of the last ejection; zero if it has been healthy since.
+        milliseconds period{};
+        ejection_reason last_reason = ejection_reason::failures;
+        time_point returned_at{};
+        /// A change is to be reported by the next evaluation.
+        bool changed = false;
+        std::uint64_t evaluation = 0;
+    };
+
+    /// A usable target in an evaluation.
+    struct evaluated_target
+    {
+        const target_id* id = nullptr;
+        target_state* state = nullptr;
+        double time_factor = 1;
+        outcome_window::recent_sums outcomes{};
+    };
+
+    struct candidate
+    {
+        const evaluated_target* target = nullptr;
+        ejection_reason reason = ejection_reason::failures;
+        double severity = 0;
+    };
+
+    /// Outcomes of the targets of the service that other targets are compared with.
+    class peer_outcomes;
+
+    static void reset(target_state& state, wall_time started);
+    static void eject(target_state& state, ejection_reason reason, double severity, time_point now);
+    static void readmit(target_state& state, time_point now);
+    static void record_half_open(target_state& state, const target_outcomes& outcomes, time_point now);
+    static void record_closed(target_state& state, const target_outcomes& outcomes, time_point now);
+    static std::optional<double> failure_severity(const evaluated_target& target, const peer_outcomes& peers);
+    static std::optional<double> latency_severity(const evaluated_target& target, double median,
+                                                  time_point now);
+    static void finish_probes(const evaluated_target& target, double median, time_point now);
+    static void eject_worst(std::vector<candidate>& candidates, std::size_t room, time_point now);
+    static void readmit_excess(const std::vector<evaluated_target>& targets, time_point now);
+
+    [[nodiscard]] target_state* find_or_add(const target_instance& target);
+    [[nodiscard]] std::vector<evaluated_target> update_states(const std::vector<const target*>& targets,
+                                                              const std::vector<double>& time_factors,
+                                                              time_point now);
+
+    std::unordered_map<target_id, target_state> m_states;
+    std::uint64_t m_evaluation = 0;
 };
 
 } // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/scheduling/outlier_detection.cpp
@@ -0,0 +1,447 @@
+#include "masticcourse/gateway/scheduling/outlier_detection.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace masticcourse::gateway
+{
+
+namespace
+{
+
+/// A target that is alone in failing less than this share of its requests stays in use: retries cover them.
+constexpr double min_failure_ratio = 0.2;
+/// How many times the failure ratio of the others a target's ratio must be. A fault that all share, such as
+/// one of this gateway's network, raises both.
+constexpr double min_excess = 2;
+/// Evidence (log-likelihood ratio) that a target fails more often than the others, required for an ejection.
+/// By the Chernoff bound, at most one in e^12 = 160,000 series of outcomes of a target that fails as often as
+/// the others reaches it. Three failures in a row reach it if the others work.
+constexpr double min_evidence = 12;
+/// Failure ratio that a healthy target may have although no failure of the others was seen.
+constexpr double base_failure_ratio = 0.01;
+/// Weight of the prior of the others' failure ratio, as a number of outcomes and of failures among them.
+constexpr double prior_outcomes = 10;
+constexpr double prior_failures = 0.5;
+/// Failures in a row from which a target is regarded as down and is not among those compared with.
+constexpr std::uint32_t down_failures = 3;
+/// A series of failures in a row ends after this time without another one.
+constexpr seconds run_lifetime{10};
+
+/// Duration of work relative to the median target from which a target is an outlier. Targets differ by up to
+/// 1.7 times, and moments of 2.5 times are spread by ranking; sending to a target beyond this costs more than
+/// the slack of any program.
+constexpr double latency_threshold = 3;
+/// How long a target must be that slow: longer than three slow moments of 600 ms in a row.
+constexpr milliseconds min_slow_time{2'000};
+
+/// At most one in this many targets is ejected.
+constexpr std::size_t targets_per_ejection = 3;
+/// First period of ejection; it doubles with each ejection in a row.
+constexpr milliseconds base_period{1'000};
+constexpr milliseconds max_period{16'000};
+/// Time after its return in which a target must not be ejected for its period to begin anew. It is longer
+/// than the phases of targets that go down and up by turns.
+constexpr seconds healthy_time{10};
+/// Successes in the half-open state after which a target returns.
+constexpr std::uint32_t return_successes = 3;
+/// Time after which a probe without an outcome is regarded as lost. Such a probe is no failure, since it may
+/// never have been sent; a request that times out at the target is recorded as a failure by its caller.
+constexpr milliseconds probe_timeout{2'000};
+
+/// @return the evidence that outcomes with this failure ratio come from a higher one than @a expected
+double evidence(double ratio, double count, double expected)
+{
+    if (ratio <= expected)
+    {
+        return 0;
+    }
+    const auto from_failures = ratio * std::log(ratio / expected);
+    const auto from_successes = ratio < 1 ? (1 - ratio) * std::log((1 - ratio) / (1 - expected)) : 0.0;
+    return count * (from_failures + from_successes);
+}
+
+bool is_down(const outcome_window::recent_sums& outcomes)
+{
+    return std::ranges::any_of(outcomes, [](const target_outcomes& it)
+                               { return it.successes == 0 && it.failures >= down_failures; });
+}
+
+double median_of(std::vector<double> values)
+{
+    if (values.empty())
+    {
+        return 1;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::ranges::nth_element(values, middle);
+    return *middle;
+}
+
+/// @return whether outcomes at a target clearly differ from those at its @a peers in the same time
+bool fails_more_often(const target_outcomes& outcomes, const target_outcomes& peers)
+{
+    // Without a target that works there is nothing to compare with.
+    if (outcomes.failures < down_failures || peers.successes == 0)
+    {
+        return false;
+    }
+    const auto ratio = static_cast<double>(outcomes.failures) / outcomes.total();
+    const auto peer_ratio = static_cast<double>(peers.failures) / peers.total();
+    const auto estimate = (peers.failures + prior_failures) / (peers.total() + prior_outcomes);
+    const auto expected = std::max(base_failure_ratio, estimate);
+    return ratio >= min_failure_ratio && ratio >= peer_ratio * min_excess &&
+           evidence(ratio, outcomes.total(), expected) >= min_evidence;
+}
+
+} // namespace
+
+class outlier_detection::peer_outcomes
+{
+  public:
+    explicit peer_outcomes(const std::vector<evaluated_target>& targets)
+    {
+        std::size_t active = 0;
+        std::size_t down = 0;
+        for (const auto& it : targets)
+        {
+            active += it.outcomes.back().total() > 0 ? 1U : 0U;
+            down += is_down(it.outcomes) ? 1U : 0U;
+        }
+        // If most of the targets are down, the fault is a shared one.
+        m_excludes_down = down * 2 <= active;
+        for (const auto& it : targets)
+        {
+            if (includes(it))
+            {
+                add(it.outcomes);
+            }
+        }
+    }
+
+    /// @return the outcomes at the other targets over the newest @a buckets + 1 buckets
+    [[nodiscard]] target_outcomes excluding(const evaluated_target& target, std::size_t buckets) const
+    {
+        auto sum = m_sums.at(buckets);
+        if (includes(target))
+        {
+            sum.successes -= target.outcomes.at(buckets).successes;
+            sum.failures -= target.outcomes.at(buckets).failures;
+        }
+        return sum;
+    }
+
+  private:
+    [[nodiscard]] bool includes(const evaluated_target& target) const
+    {
+        return !target.state->current && !(m_excludes_down && is_down(target.outcomes));
+    }
+    void add(const outcome_window::recent_sums& outcomes)
+    {
+        for (std::size_t n = 0; n < outcomes.size(); ++n)
+        {
+            m_sums.at(n) += outcomes.at(n);
+        }
+    }
+
+    outcome_window::recent_sums m_sums{};
+    bool m_excludes_down = false;
+};
+
+void outlier_detection::reset(target_state& state, wall_time started)
+{
+    const bool changed = state.changed || state.current.has_value();
+    const auto reason = state.last_reason;
+    const auto evaluation = state.evaluation;
+    state = {};
+    state.started = started;
+    state.last_reason = reason;
+    state.evaluation = evaluation;
+    state.changed = changed;
+}
+
+void outlier_detection::eject(target_state& state, ejection_reason reason, double severity, time_point now)
+{
+    state.period =
+        state.period == milliseconds::zero() ? base_period : std::min(state.period * 2, max_period);
+    state.current = ejection{.reason = reason,
+                             .severity = severity,
+                             .half_open_at = now + state.period,
+                             .probe_sent_at = std::nullopt};
+    state.last_reason = reason;
+    state.changed = true;
+}
+
+void outlier_detection::readmit(target_state& state, time_point now)
+{
+    state.current.reset();
+    state.window = {};
+    state.failures_in_a_row = 0;
+    state.slow_since.reset();
+    state.returned_at = now;
+    state.changed = true;
+}
+
+outlier_detection::target_state* outlier_detection::find_or_add(const target_instance& target)
+{
+    const auto [it, added] = m_states.try_emplace(target.id);
+    auto& state = it->second;
+    if (added || target.started > state.started)
+    {
+        reset(state, target.started);
+    }
+    return target.started == state.started ? &state : nullptr;
+}
+
+void outlier_detection::record_closed(target_state& state, const target_outcomes& outcomes, time_point now)
+{
+    state.window.record(outcomes, now);
+    // The order of outcomes within a batch is unknown.
+    const bool interrupted = outcomes.successes > 0 || now - state.last_failure > run_lifetime;
+    const auto before = interrupted ? 0 : state.failures_in_a_row;
+    state.failures_in_a_row = outcomes.successes > 0 ? 0 : before + outcomes.failures;
+    if (outcomes.failures > 0)
+    {
+        state.last_failure = now;
+        state.failed_again = true;
+    }
+}
+
+void outlier_detection::record_half_open(target_state& state, const target_outcomes& outcomes, time_point now)
+{
+    if (outcomes.failures > 0)
+    {
+        eject(state, state.current->reason, state.current->severity, now);
+        return;
+    }
+    state.current->successes += outcomes.successes;
+}
+
+void outlier_detection::record_external(const target_instance& target, const target_outcomes& outcomes,
+                                        time_point now)
+{
+    auto* const state = outcomes.total() > 0 ? find_or_add(target) : nullptr;
+    if (state == nullptr)
+    {
+        return;
+    }
+    if (!state->current)
+    {
+        record_closed(*state, outcomes, now);
+    }
+    else if (now >= state->current->half_open_at)
+    {
+        record_half_open(*state, outcomes, now);
+    }
+    // Before that, outcomes belong to requests that were sent before the ejection.
+}
+
+void outlier_detection::record(const target_instance& target, const target_outcomes& outcomes, time_point now)
+{
+    record_external(target, outcomes, now);
+    const auto it = m_states.find(target.id);
+    const bool known = it != m_states.end() && it->second.started == target.started;
+    if (known && it->second.current && outcomes.total() > 0)
+    {
+        it->second.current->probe_sent_at.reset();
+    }
+}
+
+std::vector<outlier_detection::evaluated_target>
+outlier_detection::update_states(const std::vector<const target*>& targets,
+                                 const std::vector<double>& time_factors, time_point now)
+{
+    ++m_evaluation;
+    std::vector<evaluated_target> result;
+    result.reserve(targets.size());
+    for (std::size_t n = 0; n < targets.size(); ++n)
+    {
+        const auto& record = targets[n]->record;
+        auto& state = m_states[record.id];
+        if (state.started != record.started)
+        {
+            reset(state, record.started);
+        }
+        state.evaluation = m_evaluation;
+        const bool valid = n < time_factors.size() && std::isfinite(time_factors[n]);
+        result.push_back({.id = &record.id,
+                          .state = &state,
+                          .time_factor = valid ? time_factors[n] : 1.0,
+                          .outcomes = state.window.recent(now)});
+    }
+    std::erase_if(m_states, [this](const auto& it) { return it.second.evaluation != m_evaluation; });
+    return result;
+}
+
+std::optional<double> outlier_detection::failure_severity(const evaluated_target& target,
+                                                          const peer_outcomes& peers)
+{
+    const auto whole = outcome_window::bucket_count - 1;
+    // A run is older than the window of the others. It counts only when it has grown: after a fault that all
+    // shared, the others succeed again while the run is still there.
+    const bool failed_again = std::exchange(target.state->failed_again, false);
+    const target_outcomes run{.failures = target.state->failures_in_a_row};
+    if (failed_again && fails_more_often(run, peers.excluding(target, whole)))
+    {
+        return 1.0;
+    }
+    // Shorter intervals show a target that has just begun to fail.
+    std::optional<double> worst;
+    for (std::size_t n = 0; n < outcome_window::bucket_count; ++n)
+    {
+        const auto& outcomes = target.outcomes.at(n);
+        if (fails_more_often(outcomes, peers.excluding(target, n)))
+        {
+            worst = std::max(worst.value_or(0), static_cast<double>(outcomes.failures) / outcomes.total());
+        }
+    }
+    return worst;
+}
+
+std::optional<double> outlier_detection::latency_severity(const evaluated_target& target, double median,
+                                                          time_point now)
+{
+    auto& slow_since = target.state->slow_since;
+    if (target.time_factor < median * latency_threshold)
+    {
+        slow_since.reset();
+        return std::nullopt;
+    }
+    slow_since = slow_since.value_or(now);
+    const bool sustained = now - *slow_since >= min_slow_time;
+    return sustained ? std::optional{1 - median / target.time_factor} : std::nullopt;
+}
+
+void outlier_detection::finish_probes(const evaluated_target& target, double median, time_point now)
+{
+    auto& state = *target.state;
+    if (state.current->successes < return_successes)
+    {
+        return;
+    }
+    const bool is_slow = target.time_factor >= median * latency_threshold;
+    if (is_slow && state.current->reason == ejection_reason::latency)
+    {
+        eject(state, ejection_reason::latency, state.current->severity, now);
+        return;
+    }
+    readmit(state, now);
+}
+
+void outlier_detection::eject_worst(std::vector<candidate>& candidates, std::size_t room, time_point now)
+{
+    // Ties are resolved by id, so that gateways with the same view eject the same targets.
+    const auto worse = [](const candidate& a, const candidate& b)
+    { return a.severity != b.severity ? a.severity > b.severity : *a.target->id < *b.target->id; };
+    const auto count = std::min(room, candidates.size());
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
+    std::ranges::nth_element(candidates, end, worse);
+    std::for_each(candidates.begin(), end,
+                  [now](const candidate& it) { eject(*it.target->state, it.reason, it.severity, now); });
+}
+
+void outlier_detection::readmit_excess(const std::vector<evaluated_target>& targets, time_point now)
+{
+    std::vector<const evaluated_target*> ejected;
+    for (const auto& it : targets)
+    {
+        if (it.state->current)
+        {
+            ejected.push_back(&it);
+        }
+    }
+    const auto limit = targets.size() / targets_per_ejection;
+    if (ejected.size() <= limit)
+    {
+        return;
+    }
+    const auto end = ejected.begin() + static_cast<std::ptrdiff_t>(limit);
+    std::ranges::nth_element(ejected, end, std::ranges::greater{},
+                             [](const evaluated_target* it) { return it->state->current->severity; });
+    std::for_each(end, ejected.end(), [now](const evaluated_target* it) { readmit(*it->state, now); });
+}
+
+std::vector<ejection_change> outlier_detection::evaluate(const std::vector<const target*>& targets,
+                                                         const std::vector<double>& time_factors,
+                                                         time_point now)
+{
+    const auto evaluated = update_states(targets, time_factors, now);
+    std::vector<double> factors;
+    std::ranges::transform(evaluated, std::back_inserter(factors), &evaluated_target::time_factor);
+    const auto median = median_of(std::move(factors));
+    const peer_outcomes peers{evaluated};
+
+    std::vector<candidate> candidates;
+    for (const auto& it : evaluated)
+    {
+        auto& state = *it.state;
+        if (state.current)
+        {
+            finish_probes(it, median, now);
+            continue;
+        }
+        if (now - state.returned_at >= healthy_time)
+        {
+            state.period = {};
+        }
+        const auto slow = latency_severity(it, median, now);
+        if (const auto failing = failure_severity(it, peers))
+        {
+            candidates.push_back({&it, ejection_reason::failures, *failing});
+        }
+        else if (slow)
+        {
+            candidates.push_back({&it, ejection_reason::latency, *slow});
+        }
+    }
+    readmit_excess(evaluated, now);
+    const auto limit = targets.size() / targets_per_ejection;
+    eject_worst(candidates, limit - std::min(limit, ejected_count()), now);
+
+    std::vector<ejection_change> changes;
+    for (const auto& it : evaluated)
+    {
+        auto& state = *it.state;
+        if (std::exchange(state.changed, false))
+        {
+            const bool is_ejected = state.current.has_value();
+            changes.push_back({.target = *it.id,
+                               .ejected = is_ejected,
+                               .reason = state.last_reason,
+                               .period = is_ejected ? state.period : milliseconds{}});
+        }
+    }
+    return changes;
+}
+
+bool outlier_detection::ejected(const target_instance& target, time_point /*now*/) const
+{
+    const auto it = m_states.find(target.id);
+    return it != m_states.end() && it->second.started == target.started && it->second.current.has_value();
+}
+
+bool outlier_detection::wants_probe(const target_instance& target, time_point now)
+{
+    if (!ejected(target, now))
+    {
+        return false;
+    }
+    auto& current = *m_states.find(target.id)->second.current;
+    const bool pending = current.probe_sent_at && now - *current.probe_sent_at < probe_timeout;
+    if (now < current.half_open_at || pending || current.successes >= return_successes)
+    {
+        return false;
+    }
+    current.probe_sent_at = now;
+    return true;
+}
+
+std::size_t outlier_detection::ejected_count() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_states, [](const auto& it) { return it.second.current.has_value(); }));
+}
+
+} // namespace masticcourse::gateway
