--- a/include/masticcourse/gateway/scheduling/target_performance.hpp
+++ b/include/masticcourse/gateway/scheduling/target_performance.hpp
@@ -9,7 +9,10 @@
 #include "masticcourse/gateway/target_table.hpp"
 #include "masticcourse/gateway/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +44,61 @@
     std::optional<double> time_factor;
 };
 
+/// Exponentially weighted mean. The first samples have equal weights.
+class running_mean
+{
+  public:
+    /// @param min_gain least share of a sample of weight 1 in the mean
+    /// @param max_weight limit of weight()
+    constexpr running_mean(double min_gain, double max_weight)
+        : m_min_gain(min_gain), m_max_weight(max_weight)
+    {
+    }
+
+    void add(double value, double weight = 1);
+    /// Reduces the weight of the previous samples to a share of @a factor.
+    void fade(double factor)
+    {
+        m_weight *= factor;
+    }
+    [[nodiscard]] double mean() const
+    {
+        return m_mean;
+    }
+    /// @return the number of samples behind the mean; 0 if there is none
+    [[nodiscard]] double weight() const
+    {
+        return m_weight;
+    }
+
+  private:
+    double m_min_gain;
+    double m_max_weight;
+    double m_mean = 0;
+    double m_weight = 0;
+};
+
+/// Output length of one kind of request: a linear fit between the logarithms of the estimate and of the
+/// actual output. A hint that is often far off moves the expectation only as far as hints of this kind are
+/// worth.
+class output_length_model
+{
+  public:
+    void record(token_count estimate, token_count actual);
+    /// @param estimate 0 if unknown
+    /// @return 0 if unknown
+    [[nodiscard]] double expected(token_count estimate) const;
+
+  private:
+    static constexpr double min_gain = 0.02;
+    static constexpr double max_weight = 50;
+
+    running_mean m_estimate{min_gain, max_weight};
+    running_mean m_actual{min_gain, max_weight};
+    running_mean m_variance{min_gain, max_weight};
+    running_mean m_covariance{min_gain, max_weight};
+};
+
 /// Performance of the targets of one service.
 class target_performance
 {
@@ -69,8 +127,75 @@
     /// Forgets targets that are no longer in the registry.
     void retain(const target_table& targets);
 
+    /// @return how often the medians over all targets were computed
+    [[nodiscard]] std::size_t typical_updates() const
+    {
+        return m_typical_updates;
+    }
+    /// @return the number of targets with state
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_targets.size();
+    }
+
   private:
-    // State to be defined by the implementation.
+    /// Times are in milliseconds, divided by the time factor that the target reported.
+    struct target_state
+    {
+        static constexpr double min_gain = 0.15;
+        static constexpr double max_weight = 20;
+        static constexpr double min_report_gain = 0.05;
+
+        wall_time started{};
+        running_mean output_token{min_gain, max_weight};
+        running_mean first_event{min_gain, max_weight};
+        running_mean response{min_gain, max_weight};
+        /// Response time relative to the mean of its kind.
+        running_mean response_ratio{min_gain, max_weight};
+        time_point sampled_at{};
+        running_mean reported{min_report_gain, max_weight};
+        double last_reported = 1;
+        time_point reported_at{};
+    };
+
+    /// Medians over the targets, in milliseconds; 0 if unknown.
+    struct typical_target
+    {
+        double output_token = 0;
+        double first_event = 0;
+        double response = 0;
+        double response_ratio = 0;
+    };
+
+    struct kind_state
+    {
+        static constexpr double min_gain = 0.02;
+        static constexpr double max_weight = 50;
+
+        running_mean response{min_gain, max_weight};
+        output_length_model output;
+        std::uint64_t last_use = 0;
+    };
+
+    [[nodiscard]] const target_state* find(const target_instance& target) const;
+    /// @return the state of the instance; null if a later one is known or too many targets are
+    [[nodiscard]] target_state* find_or_add(const target_instance& target);
+    [[nodiscard]] kind_state& kind_of(std::string_view kind);
+    [[nodiscard]] double measured_factor(const target_state& state, time_point now) const;
+    void sampled(target_state& state, time_point now);
+    void update_typical(time_point now);
+    [[nodiscard]] double median(running_mean target_state::*value) const;
+
+    std::unordered_map<target_id, target_state> m_targets;
+    std::map<std::string, kind_state, std::less<>> m_kinds;
+    std::uint64_t m_kind_uses = 0;
+    typical_target m_typical;
+    time_point m_typical_at{};
+    std::uint64_t m_samples = 0;
+    /// Number of samples at the last update of m_typical.
+    std::uint64_t m_typical_samples = 0;
+    std::size_t m_typical_updates = 0;
+    std::optional<time_point> m_last_report;
 };
 
 } // namespace masticcourse::gateway
