--- a/include/masticcourse/gateway/scheduling/request_scheduler.hpp
+++ b/include/masticcourse/gateway/scheduling/request_scheduler.hpp
@@ -16,6 +16,7 @@
 #include "masticcourse/gateway/scheduling/target_performance.hpp"
 #include "masticcourse/gateway/scheduling/target_ranking.hpp"
 #include "masticcourse/gateway/target_choice.hpp"
+#include "masticcourse/telemetry/event.hpp"
 #include "masticcourse/telemetry/metrics.hpp"
 
 #include <functional>
@@ -127,12 +128,19 @@
     }
 
   private:
+    /// A request that is held back.
+    struct held_entry
+    {
+        admission_callback on_release;
+        time_point since{};
+    };
+
     struct service_state
     {
         target_performance performance;
         outlier_detection outliers;
         std::optional<admission_control> admission;
-        std::unordered_map<admission_ticket, admission_callback> held;
+        std::unordered_map<admission_ticket, held_entry> held;
         bool has_engines = false;
         /// Average output of a request, in tokens.
         double typical_output = 64;
@@ -169,6 +177,10 @@
                                                  time_point now) const;
     /// Sends requests that are held back while there is room, and refuses those that are too late.
     void release(const service_name& name, service_state& state, time_point now);
+    void count_decision(const char* decision) const;
+    /// Logs a decision with the room that it was based on.
+    void log_room(event_id event, const scheduled_request& request, const service_room& room,
+                  time_point now) const;
     void finish_held(service_state& state, admission_ticket ticket,
                      const std::optional<not_admitted>& refusal);
 
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -84,6 +84,7 @@
     config_invalid = 6006,
     call_retried = 7003,
     overload_refused = 7006,
+    request_held_back = 7007,
 };
 
 enum class event_severity : std::uint8_t
@@ -301,6 +302,10 @@
                      "An idempotent or provably unrun call goes to another target.", "None."},
     event_definition{event_id::overload_refused, "overload_refused", event_severity::warning,
                      "Work was refused at the edge, with a time to come back.", "Add targets if it lasts."},
+    event_definition{event_id::request_held_back, "request_held_back", event_severity::info,
+                     "A request waits at the gateway because its service is short of room: `free` of `slots` "
+                     "requests could be taken, `waiting` here and `others_waiting` elsewhere.",
+                     "Add targets if it lasts."},
 };
 
 /// @return the catalogue entry, or nullptr if the number is unknown
--- a/src/gateway/scheduling/request_scheduler.cpp
+++ b/src/gateway/scheduling/request_scheduler.cpp
@@ -266,16 +266,44 @@
     auto decision = state->admission->request(admission_of(request, *state, now), room, now);
     if (const auto* const held = std::get_if<held_back>(&decision))
     {
-        state->held.emplace(held->ticket, std::move(on_release));
+        log_room(event_id::request_held_back, request, room, now);
+        count_decision("held_back");
+        state->held.emplace(held->ticket, held_entry{std::move(on_release), now});
         return held_request{request.service, held->ticket};
     }
     if (auto* const refusal = std::get_if<not_admitted>(&decision))
     {
+        log_room(event_id::overload_refused, request, room, now);
+        count_decision("refused");
         return std::move(*refusal);
     }
+    count_decision("admitted");
     return admitted{};
 }
 
+void request_scheduler::count_decision(const char* decision) const
+{
+    m_services.metrics
+        .get_counter("masticcourse_admission_decisions_total",
+                     "Requests under admission control by decision.", {{"decision", decision}})
+        .add();
+}
+
+void request_scheduler::log_room(event_id event, const scheduled_request& request, const service_room& room,
+                                 time_point now) const
+{
+    const auto* const state = find(request.service);
+    const auto view_age = std::chrono::floor<milliseconds>(m_exchange.age(now));
+    log_event(event, {{"request", request.request.id.value},
+                      {"workspace", request.request.workspace.value},
+                      {"service", request.service.value},
+                      {"slots", std::to_string(room.slots)},
+                      {"free", std::to_string(room.free)},
+                      {"waiting", std::to_string(state->admission->waiting())},
+                      {"others_waiting", std::to_string(room.others_waiting)},
+                      {"view_age_ms", m_exchange.fresh(now) ? std::to_string(view_age.count()) : "-"}});
+}
+
 void request_scheduler::cancel(const held_request& request)
 {
     if (auto* const state = find(request.service); state != nullptr && state->held.erase(request.ticket) > 0)
@@ -288,10 +316,15 @@
                                     const std::optional<not_admitted>& refusal)
 {
     const auto node = state.held.extract(ticket);
-    if (!node.empty())
+    if (node.empty())
     {
-        node.mapped()(refusal);
+        return;
     }
+    m_services.metrics
+        .get_histogram("masticcourse_admission_wait_seconds", "Time for which requests were held back.",
+                       {{"end", refusal ? "refused" : "sent"}})
+        .record(m_services.clock() - node.mapped().since);
+    node.mapped().on_release(refusal);
 }
 
 void request_scheduler::release(const service_name& name, service_state& state, time_point now)
@@ -316,11 +349,11 @@
 {
     auto* const state = find(request.service);
     const auto& program = request.request.program;
-    if (state == nullptr || !request.request.generation || !program)
+    const auto now = m_services.clock();
+    if (!schedules(request.service, now) || !request.request.generation || !program)
     {
         return;
     }
-    const auto now = m_services.clock();
     m_prompts.record(target, request.request.generation->prompt, 0, now);
     if (state->admission)
     {
@@ -350,11 +383,11 @@
 {
     auto* const state = find(request.service);
     const auto& generation = request.request.generation;
-    if (state == nullptr || !generation)
+    const auto now = m_services.clock();
+    if (!schedules(request.service, now) || !generation)
     {
         return;
     }
-    const auto now = m_services.clock();
     state->performance.record_stream(target, sample, now);
     state->performance.record_output(request.matched_route.name,
                                      generation->output_hint.value_or(generation->max_output), output);
@@ -365,10 +398,11 @@
 void request_scheduler::on_response_complete(const scheduled_request& request, const target_instance& target,
                                              duration response_time)
 {
-    if (auto* const state = find(request.service))
+    const auto now = m_services.clock();
+    if (schedules(request.service, now))
     {
-        state->performance.record_response(target, request.matched_route.name, response_time,
-                                           m_services.clock());
+        find(request.service)
+            ->performance.record_response(target, request.matched_route.name, response_time, now);
     }
 }
 
@@ -479,6 +513,11 @@
                            { return state.performance.time_factor(it->record.instance(), now); });
     for (const auto& it : state.outliers.evaluate(targets, factors, now))
     {
+        m_services.metrics
+            .get_counter("masticcourse_target_ejections_total",
+                         "Targets that requests avoid, or no longer avoid.",
+                         {{"change", it.ejected ? "ejected" : "readmitted"}})
+            .add();
         log_event(it.ejected ? event_id::target_ejected : event_id::target_readmitted,
                   {{"service", name.value},
                    {"target", it.target.value},
