--- a/include/masticcourse/gateway/scheduling/target_ranking.hpp
+++ b/include/masticcourse/gateway/scheduling/target_ranking.hpp
@@ -40,6 +40,11 @@
     /// Name of the choosing gateway; ranks equally good targets if there is no affinity.
     std::string_view chooser;
     failure_domain_name preferred_domain;
+    /// Age of the loads in the estimates.
+    duration view_age{};
+    /// Requests that other gateways are expected to have sent to the candidates within that time. They are
+    /// assumed to be placed as this one is, so that gateways with the same view don't fill the same targets.
+    double unseen_requests = 0;
 };
 
 /// Durations at a typical target of the service.
@@ -53,6 +58,9 @@
     duration response{};
     /// Additional time of a request to another failure domain.
     duration cross_domain{};
+    /// Response to a typical request, without waiting, which is what the requests in a queue take; if zero,
+    /// they are assumed to be like the request to be placed.
+    duration typical_duration{};
 };
 
 struct placed_target
@@ -64,15 +72,17 @@
     duration expected_wait{};
 };
 
-/// @return the expected time until the target would start a new request
+/// @return the expected time until the target would start a new request; zero if it has a free slot
 [[nodiscard]] duration expected_wait(const target_estimate& it, const placement_request& request,
                                      const placement_costs& costs);
 /// @return the expected time until the target would complete a new request
 [[nodiscard]] duration expected_finish(const target_estimate& it, const placement_request& request,
                                        const placement_costs& costs);
 
-/// Chooses the target with the earliest expected finish. Targets whose finish differs by less than the
-/// uncertainty of the view are equally good.
+/// Chooses the target with the earliest expected finish, where prefill that another candidate would save
+/// costs more than its duration. Targets whose finish differs by less than the uncertainty of the view are
+/// equally good: those that have most of the prompt cached are preferred, then those in the preferred failure
+/// domain if the request has no affinity, and the rest is left to rendezvous hashing.
 /// @return nothing if there are no candidates
 [[nodiscard]] std::optional<placed_target> choose_by_finish(std::span<const target_estimate> candidates,
                                                             const placement_request& request,
--- a/include/masticcourse/policy/placement.hpp
+++ b/include/masticcourse/policy/placement.hpp
@@ -6,6 +6,7 @@
 #include "masticcourse/core/clock.hpp"
 #include "masticcourse/core/ids.hpp"
 #include "masticcourse/messages/peer_message.hpp"
+#include "masticcourse/policy/engine_costs.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -113,7 +114,7 @@
     /// Number of sequences in an engine's full batch; they share its decode rate.
     double batch_size = 16;
     /// Fraction by which each running sequence lengthens the decode steps of the others.
-    double batch_slowdown = 0.02;
+    double batch_slowdown = default_batch_slowdown;
     /// Maximum age of a report that is used to estimate the queue.
     core_duration report_lifetime = std::chrono::seconds{5};
 };
--- /dev/null
+++ b/src/gateway/rendezvous.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// Rendezvous hashing of targets: each key ranks the targets in an order of its own, which does not change
+/// for the others when a target joins or leaves.
+#pragma once
+
+#include "masticcourse/gateway/target_table.hpp"
+
+#include <cstdint>
+#include <string_view>
+#include <xxhash.h>
+
+namespace masticcourse::gateway
+{
+
+/// A key, hashed once for all targets that it is compared with.
+class rendezvous_key
+{
+  public:
+    explicit rendezvous_key(std::string_view key) : m_seed(XXH3_64bits(key.data(), key.size())) {}
+
+    /// @return the target's weight, uniformly distributed over all values; the key prefers the greatest one
+    [[nodiscard]] std::uint64_t weight(const target& it) const
+    {
+        const auto& id = it.record.id.value;
+        return XXH3_64bits_withSeed(id.data(), id.size(), m_seed);
+    }
+
+  private:
+    std::uint64_t m_seed;
+};
+
+[[nodiscard]] inline std::uint64_t rendezvous_weight(std::string_view key, const target& it)
+{
+    return rendezvous_key{key}.weight(it);
+}
+
+} // namespace masticcourse::gateway
--- a/src/gateway/target_choice.cpp
+++ b/src/gateway/target_choice.cpp
@@ -1,9 +1,10 @@
 #include "masticcourse/gateway/target_choice.hpp"
 
+#include "rendezvous.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
-#include <xxhash.h>
 
 namespace masticcourse::gateway
 {
@@ -21,12 +22,6 @@
 /// Added to the utilization of a target that is still warming up after its start, in batches.
 constexpr double warmup_penalty = 0.25;
 
-std::uint64_t rendezvous_weight(std::string_view key, const target& it)
-{
-    const auto seed = XXH3_64bits(key.data(), key.size());
-    return XXH3_64bits_withSeed(it.record.id.value.data(), it.record.id.value.size(), seed);
-}
-
 double effective_utilization(const target& it, const selection_criteria& criteria, time_point now)
 {
     const double cross_domain = it.record.domain == criteria.preferred_domain ? 0 : cross_domain_penalty;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -152,10 +152,8 @@
         const core_duration recompute_time =
             processing_time(m_longest_prefix.tokens - cached, prefill_rate(target, m_options));
         const core_duration base = expected_queue_delay(target, m_now, m_options) + decode_time(target);
-        const core_duration recompute_penalty =
-            to_core_duration(seconds{recompute_time} * (m_policy.recompute_weight - 1));
-        estimate result{
-            index, base + prefill, base + prefill + std::max(recompute_penalty, core_duration::zero()), {}};
+        const core_duration penalty = recompute_penalty(recompute_time, m_policy.recompute_weight);
+        estimate result{index, base + prefill, base + prefill + penalty, {}};
         consider_transfer(result, recompute_time);
         return result;
     }
@@ -166,7 +164,7 @@
         const std::uint32_t concurrent_calls = std::max(target.report.running, target.in_flight);
         const double rate = decode_rate(target, m_options) / m_options.batch_size;
         return to_core_duration(seconds{processing_time(m_query.expected_completion_tokens, rate)} *
-                                (1 + m_options.batch_slowdown * concurrent_calls));
+                                decode_step_factor(concurrent_calls, m_options.batch_slowdown));
     }
 
     /// Replaces recomputing the longest prefix by transferring it, where that is cheaper.
