--- a/include/masticcourse/gateway/scheduling/target_ranking.hpp
+++ b/include/masticcourse/gateway/scheduling/target_ranking.hpp
@@ -40,10 +40,12 @@
     /// Name of the choosing gateway; ranks equally good targets if there is no affinity.
     std::string_view chooser;
     failure_domain_name preferred_domain;
-    /// Age of the loads in the estimates.
+    /// Age of the view of other gateways' requests in the estimates; zero if it is exact. Other gateways are
+    /// assumed to have replaced the requests that have ended within that time, and to have placed them as
+    /// this request is placed, so that gateways with the same view don't fill the same targets.
     duration view_age{};
-    /// Requests that other gateways are expected to have sent to the candidates within that time. They are
-    /// assumed to be placed as this one is, so that gateways with the same view don't fill the same targets.
+    /// Requests that other gateways are expected to have sent to the candidates within that time, if more
+    /// than have ended.
     double unseen_requests = 0;
 };
 
--- a/src/gateway/rendezvous.hpp
+++ b/src/gateway/rendezvous.hpp
@@ -19,10 +19,11 @@
     explicit rendezvous_key(std::string_view key) : m_seed(XXH3_64bits(key.data(), key.size())) {}
 
     /// @return the target's weight, uniformly distributed over all values; the key prefers the greatest one
-    [[nodiscard]] std::uint64_t weight(const target& it) const
+    /// @param occurrence distinguishes several weights of the same target
+    [[nodiscard]] std::uint64_t weight(const target& it, std::uint32_t occurrence = 0) const
     {
         const auto& id = it.record.id.value;
-        return XXH3_64bits_withSeed(id.data(), id.size(), m_seed);
+        return XXH3_64bits_withSeed(id.data(), id.size(), m_seed + occurrence);
     }
 
   private:
--- a/src/gateway/scheduling/target_ranking.cpp
+++ b/src/gateway/scheduling/target_ranking.cpp
@@ -7,7 +7,6 @@
 #include <cmath>
 #include <cstdint>
 #include <functional>
-#include <limits>
 #include <numeric>
 #include <vector>
 
@@ -204,36 +203,9 @@
     }
 };
 
-/// Finds the cost up to which targets are filled if each of a number of requests goes to the best target.
-/// @param includes whether a target takes part
-template <typename Predicate>
-real_seconds cost_after(const std::vector<ranked_target>& targets, double requests, Predicate includes)
+bool any_target(const ranked_target& /*it*/)
 {
-    real_seconds low{std::numeric_limits<double>::max()};
-    double drain_rate = 0;
-    for (const auto& it : targets)
-    {
-        if (includes(it) && it.cost < low)
-        {
-            low = it.cost;
-            drain_rate = it.drain_rate;
-        }
-    }
-    if (requests <= 0 || drain_rate <= 0)
-    {
-        return low;
-    }
-    auto high = low + real_seconds{requests / drain_rate};
-    // Halving ten times gives a precision of a thousandth of the range.
-    for (int n = 0; n < 10; ++n)
-    {
-        const auto level = (low + high) / 2;
-        const double room =
-            std::transform_reduce(targets.begin(), targets.end(), 0.0, std::plus<>{},
-                                  [&](const auto& it) { return includes(it) ? it.room_below(level) : 0.0; });
-        (room < requests ? low : high) = level;
-    }
-    return high;
+    return true;
 }
 
 /// The choice for one request.
@@ -242,18 +214,14 @@
   public:
     finish_choice(std::span<const target_estimate> candidates, const placement_request& request,
                   const placement_costs& costs)
-        : m_candidates(candidates), m_request(request), m_model(request, costs),
-          m_completed_fraction(completed_fraction())
+        : m_candidates(candidates), m_request(request), m_model(request, costs)
     {
         rank();
     }
 
     [[nodiscard]] const target_estimate* choose()
     {
-        const auto best = cost_after(m_ranked, 0, [](const auto&) { return true; });
-        const auto level = cost_after(m_ranked, m_request.unseen_requests, [](const auto&) { return true; });
-        m_tolerance = std::max({best * finish_uncertainty, level - best, min_uncertainty});
-        m_limit = best + m_tolerance;
+        m_limit = cost_limit();
         std::erase_if(m_ranked, [this](const auto& it) { return it.cost > m_limit; });
         keep_cached();
         if (m_request.affinity.empty())
@@ -264,26 +232,14 @@
     }
 
   private:
-    /// @return the fraction of a target's typical duration that has passed since the view was made
-    [[nodiscard]] double passed_fraction(const target_estimate& it) const
+    /// @return the number of other gateways' requests at a target which have ended since the view was made.
+    /// This gateway's own requests are known exactly.
+    [[nodiscard]] double ended(const target_estimate& it) const
     {
         const auto typical = m_model.typical_duration(it);
-        return typical.count() > 0 ? std::clamp(m_request.view_age / typical, 0.0, 1.0) : 1;
-    }
-
-    /// @return the fraction of the requests which might have ended since the view was made that are assumed
-    /// to have ended. Without new requests the load is taken as it is.
-    [[nodiscard]] double completed_fraction() const
-    {
-        const double completed = std::transform_reduce(
-            m_candidates.begin(), m_candidates.end(), 0.0, std::plus<>{},
-            [this](const auto& it) { return m_model.running(it, it.load) * passed_fraction(it); });
-        return completed > 0 ? std::clamp(m_request.unseen_requests / completed, 0.0, 1.0) : 0;
-    }
-
-    [[nodiscard]] double current_load(const target_estimate& it) const
-    {
-        return it.load - m_model.running(it, it.load) * passed_fraction(it) * m_completed_fraction;
+        const double fraction = typical.count() > 0 ? std::min(m_request.view_age / typical, 1.0) : 1.0;
+        const double others = std::max(it.load - it.entry->in_flight, 0.0);
+        return std::min(others, m_model.running(it, it.load)) * std::max(fraction, 0.0);
     }
 
     void rank()
@@ -293,10 +249,13 @@
         {
             most_cached = std::max(most_cached, m_model.cached(it));
         }
+        double all_ended = 0;
         m_ranked.reserve(m_candidates.size());
         for (const auto& it : m_candidates)
         {
-            const double load = current_load(it);
+            const double ended_requests = ended(it);
+            const double load = it.load - ended_requests;
+            all_ended += ended_requests;
             const double slots = m_model.slots(it);
             const double typical = m_model.typical_duration(it).count();
             m_ranked.push_back({.estimate = &it,
@@ -307,15 +266,46 @@
                                 .cached = m_model.cached(it),
                                 .preferred_domain = m_model.in_preferred_domain(it)});
         }
-        m_total_slots = sum_of_slots([](const auto&) { return true; });
-        m_preferred_slots = sum_of_slots([](const auto& it) { return it.preferred_domain; });
+        // In steady state, as many requests arrive as end.
+        m_unseen_requests = std::max(m_request.unseen_requests, all_ended);
+        m_total_slots = sum_over(any_target, &ranked_target::slots);
+        m_preferred_slots = sum_over(&ranked_target::preferred_domain, &ranked_target::slots);
     }
 
-    template <typename Predicate>
-    [[nodiscard]] double sum_of_slots(Predicate includes) const
+    /// Adds up a value of the targets for which a predicate is true.
+    template <typename Predicate, typename Value>
+    [[nodiscard]] double sum_over(Predicate includes, Value value) const
     {
         return std::transform_reduce(m_ranked.begin(), m_ranked.end(), 0.0, std::plus<>{},
-                                     [&](const auto& it) { return includes(it) ? it.slots : 0.0; });
+                                     [&](const auto& it)
+                                     { return std::invoke(includes, it) ? std::invoke(value, it) : 0.0; });
+    }
+
+    template <typename Predicate>
+    [[nodiscard]] double room_below(real_seconds level, Predicate includes) const
+    {
+        return sum_over(includes, [level](const auto& it) { return it.room_below(level); });
+    }
+
+    /// @return the cost up to which targets are equally good: the least one plus the uncertainty, or more if
+    /// the unseen requests don't find room below that
+    [[nodiscard]] real_seconds cost_limit()
+    {
+        const auto& best = *std::ranges::min_element(m_ranked, {}, &ranked_target::cost);
+        m_tolerance = std::max(best.cost * finish_uncertainty, min_uncertainty);
+        auto low = best.cost + m_tolerance;
+        if (best.drain_rate <= 0 || room_below(low, any_target) >= m_unseen_requests)
+        {
+            return low;
+        }
+        auto high = low + real_seconds{m_unseen_requests / best.drain_rate};
+        // Halving ten times gives a precision of a thousandth of the range.
+        for (int n = 0; n < 10; ++n)
+        {
+            const auto level = (low + high) / 2;
+            (room_below(level, any_target) < m_unseen_requests ? low : high) = level;
+        }
+        return high;
     }
 
     /// Among equally good targets, only those that have most of the prompt cached remain, if there are any.
@@ -333,10 +323,9 @@
     /// unseen requests.
     void keep_preferred_domain()
     {
-        const auto is_preferred = [](const auto& it) { return it.preferred_domain; };
-        const double share = m_request.unseen_requests * m_preferred_slots / m_total_slots;
-        if (std::ranges::any_of(m_ranked, is_preferred) &&
-            cost_after(m_ranked, share, is_preferred) <= m_limit)
+        const auto is_preferred = std::mem_fn(&ranked_target::preferred_domain);
+        const double share = m_unseen_requests * m_preferred_slots / m_total_slots;
+        if (std::ranges::any_of(m_ranked, is_preferred) && room_below(m_limit, is_preferred) >= share)
         {
             std::erase_if(m_ranked, std::not_fn(is_preferred));
         }
@@ -351,21 +340,25 @@
         // shares, so that turns of one program meet at the same target; less towards the limit, so that small
         // differences between views change few choices.
         constexpr double slope = 2;
-        const double frequency = m_request.unseen_requests > 0
+        const double frequency = m_unseen_requests > 0
                                      ? it.room_below(m_limit)
                                      : std::min(1.0, slope * (m_limit - it.cost) / m_tolerance);
         return std::max(frequency, minimum);
     }
 
-    /// Weighted rendezvous hashing.
+    /// Weighted rendezvous hashing. Without affinity, a target counts as another one for each request that
+    /// the gateway has in flight there: one after another, requests use the same connection, and concurrent
+    /// ones spread.
     [[nodiscard]] const target_estimate* choose_by_rendezvous() const
     {
-        const rendezvous_key key{m_request.affinity.empty() ? m_request.chooser : m_request.affinity};
+        const bool by_gateway = m_request.affinity.empty();
+        const rendezvous_key key{by_gateway ? m_request.chooser : m_request.affinity};
         const auto score = [&](const ranked_target& it)
         {
+            const auto& entry = *it.estimate->entry;
+            const auto hash = key.weight(entry, by_gateway ? entry.in_flight : 0);
             // Maps the hash to the open interval from 0 to 1.
-            const double uniform =
-                std::ldexp(static_cast<double>(key.weight(*it.estimate->entry) >> 11U) + 0.5, -53);
+            const double uniform = std::ldexp(static_cast<double>(hash >> 11U) + 0.5, -53);
             return -frequency(it) / std::log(uniform);
         };
         return std::ranges::max_element(m_ranked, {}, score)->estimate;
@@ -374,8 +367,9 @@
     std::span<const target_estimate> m_candidates;
     const placement_request& m_request;
     finish_model m_model;
-    double m_completed_fraction;
     std::vector<ranked_target> m_ranked;
+    /// Requests that other gateways have sent to the candidates since the view was made.
+    double m_unseen_requests = 0;
     double m_total_slots = 0;
     double m_preferred_slots = 0;
     real_seconds m_tolerance{};
