Load exchange: messages, collector and the gateway's side

Gateways see targets only in responses to their own few requests. Each now sends its usage to one collector at intervals and receives the sum of the others. Digests and summaries carry the version of the last summary, so that the reply contains what is new to its receiver and a lost reply is made up for by the next one.

--- a/include/masticcourse/gateway/scheduling/load_exchange.hpp
+++ b/include/masticcourse/gateway/scheduling/load_exchange.hpp
@@ -8,12 +8,18 @@
 
 #include "masticcourse/gateway/commit_queue.hpp"
 #include "masticcourse/gateway/peer_directory.hpp"
+#include "masticcourse/gateway/random.hpp"
 #include "masticcourse/gateway/scheduling/load_collector.hpp"
 #include "masticcourse/gateway/scheduling/load_messages.hpp"
 #include "masticcourse/telemetry/metrics.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <optional>
+#include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace masticcourse::gateway
@@ -23,6 +29,7 @@
 struct external_usage
 {
     std::uint32_t in_flight = 0;
+    /// Responses and failures that the last reply added; each is in one reply only.
     std::uint32_t successes = 0;
     std::uint32_t failures = 0;
     std::optional<target_load_report> report;
@@ -55,6 +62,8 @@
         std::string self;
         std::string incarnation;
         metrics_registry& metrics;
+        /// Seed of the jitter of the interval.
+        random_seed seed;
     };
 
     explicit load_exchange(dependencies services);
@@ -76,6 +85,76 @@
     [[nodiscard]] std::uint32_t others_waiting(const service_name& service, time_point now) const;
     /// @return the number of gateways in the view, including this one; at least 1
     [[nodiscard]] std::uint32_t gateways(time_point now) const;
+
+  private:
+    /// What the collector was told of a target.
+    struct sent_usage
+    {
+        std::uint32_t in_flight = 0;
+        std::optional<time_point> reported_at;
+        /// The collector has replied to the last digest that contained it.
+        bool confirmed = true;
+        /// Sequence of the last digest for which the target was in the local usage.
+        std::uint64_t listed_in = 0;
+    };
+
+    struct outstanding_digest
+    {
+        std::string collector;
+        std::uint64_t sequence = 0;
+        time_point sent_at{};
+        std::vector<target_instance> targets;
+    };
+
+    struct load_metrics
+    {
+        counter& sent;
+        counter& failed;
+        counter& bytes;
+        latency_histogram& view_age;
+        gauge& gateways;
+    };
+
+    [[nodiscard]] milliseconds interval() const;
+    [[nodiscard]] duration view_lifetime() const;
+    [[nodiscard]] milliseconds random_part_of(milliseconds span);
+    void reset();
+    void schedule(milliseconds after);
+    void tick();
+    void send();
+    /// Records which collector is used.
+    void select(const std::string& collector);
+    [[nodiscard]] load_digest make_digest(const std::string& collector, time_point now);
+    /// @return the usages to be sent, which are recorded as sent
+    [[nodiscard]] std::vector<target_usage> changed_usages(std::vector<target_usage> targets, bool complete,
+                                                           time_point now);
+    void on_reply(std::uint64_t sequence, const std::optional<std::string>& bytes);
+    void on_summary(const load_summary& summary);
+    void on_failure(const char* why);
+    void update_view(const load_summary& summary, time_point now);
+
+    dependencies m_services;
+    load_metrics m_metrics;
+    std::minstd_rand m_random;
+    load_collector m_collector;
+    bool m_enabled = false;
+    /// Timers of earlier runs are ignored.
+    std::uint64_t m_run = 0;
+
+    std::string m_selected;
+    /// The collector that has confirmed the usages in m_sent.
+    std::string m_confirmed_by;
+    std::uint64_t m_received_version = 0;
+    bool m_needs_complete = true;
+    std::uint64_t m_sequence = 0;
+    std::optional<outstanding_digest> m_outstanding;
+    std::optional<time_point> m_last_sent_at;
+    std::unordered_map<target_instance, sent_usage, target_instance_hash> m_sent;
+
+    std::optional<time_point> m_view_at;
+    std::unordered_map<target_instance, external_usage, target_instance_hash> m_view;
+    std::unordered_map<service_name, std::uint32_t> m_others_waiting;
+    std::uint32_t m_gateways = 1;
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/scheduling/load_messages.hpp
+++ b/include/masticcourse/gateway/scheduling/load_messages.hpp
@@ -6,7 +6,9 @@
 #include "masticcourse/gateway/target_table.hpp"
 #include "masticcourse/gateway/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,6 +16,23 @@
 namespace masticcourse::gateway
 {
 
+/// Most targets in one message.
+inline constexpr std::size_t max_load_targets = 10'000;
+/// Most services in one message.
+inline constexpr std::size_t max_load_services = 1'000;
+/// Reports that are older are not passed on.
+inline constexpr milliseconds load_report_lifetime{1'000};
+
+struct target_instance_hash
+{
+    [[nodiscard]] std::size_t operator()(const target_instance& it) const noexcept
+    {
+        constexpr std::size_t multiplier = 0x9E3779B97F4A7C15;
+        return std::hash<target_id>{}(it.id) ^
+               (static_cast<std::size_t>(it.started.time_since_epoch().count()) * multiplier);
+    }
+};
+
 /// A load report of a target and its age. Clocks of different gateways are never compared.
 struct aged_load_report
 {
@@ -47,7 +66,8 @@
 };
 
 /// One gateway's state, sent to the collector. Contains the targets whose usage changed since the last digest
-/// that the collector has confirmed, or all targets in use if `complete` is set.
+/// that the collector has confirmed, or all targets in use if `complete` is set. The demand is always
+/// complete.
 struct load_digest
 {
     /// Address of the sender.
@@ -55,6 +75,8 @@
     /// Distinguishes the runs of a sender.
     std::string incarnation;
     std::uint64_t sequence = 0;
+    /// Version of the last summary that the sender has received from this collector; 0 if none.
+    std::uint64_t received_version = 0;
     bool complete = false;
     std::vector<target_usage> targets;
     std::vector<service_demand> demand;
@@ -62,7 +84,9 @@
     friend bool operator==(const load_digest&, const load_digest&) = default;
 };
 
-/// The collector's reply: the state of all gateways but the receiver.
+/// The collector's reply: the state of all gateways but the receiver. Contains the targets that changed since
+/// the version that the receiver has, or all targets in use if `complete` is set. The demand is always
+/// complete.
 struct load_summary
 {
     /// Distinguishes the runs of the collector; a new one needs a complete digest.
@@ -71,7 +95,11 @@
     std::uint32_t gateways = 0;
     /// The digest was not applied because it builds on one that the collector does not have.
     bool needs_complete = false;
-    /// Sums over the other gateways, with the newest report. Targets without an entry are not in use by them.
+    /// Version of the collector's state, to be sent with the next digest.
+    std::uint64_t version = 0;
+    bool complete = false;
+    /// Sums over the other gateways, with the newest report. A target that they no longer use has an entry
+    /// with zero. Successes and failures are those that the receiver was not told of before.
     std::vector<target_usage> targets;
     std::vector<service_demand> demand;
 
--- a/include/masticcourse/gateway/target_table.hpp
+++ b/include/masticcourse/gateway/target_table.hpp
@@ -62,6 +62,8 @@
     /// Time that work takes at the target at this moment, relative to the usual time; nothing if the target
     /// does not report it.
     std::optional<double> time_factor;
+
+    friend bool operator==(const target_load_report&, const target_load_report&) = default;
 };
 
 /// What the outcome of a request says about the health of its target.
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -65,6 +65,7 @@
     collector_failed = 4005,
     quota_holder_failed = 4006,
     feed_source_failed = 4007,
+    load_collector_failed = 4008,
     target_available = 5001,
     target_lost = 5003,
     target_fence_raised = 5004,
@@ -252,6 +253,11 @@
                      "out of date (`why`); "
                      "another one or the store is followed meanwhile.",
                      "Look at that gateway if it recurs."},
+    event_definition{
+        event_id::load_collector_failed, "load_collector_failed", event_severity::warning,
+        "The gateway that adds up the load of targets did not answer, or another one has taken its place "
+        "(`why`); views of the load are incomplete for one interval.",
+        "Look at that gateway if it recurs."},
     event_definition{event_id::target_available, "target_available", event_severity::info,
                      "A target takes work.", "None."},
     event_definition{event_id::target_lost, "target_lost", event_severity::warning,
