--- a/cmake/state.cmake
+++ b/cmake/state.cmake
@@ -14,3 +14,8 @@
 add_executable(fleet_laws bench/fleet_laws.cpp)
 target_link_libraries(fleet_laws PRIVATE test_support warnings)
 add_test(NAME bench.fleet_laws COMMAND fleet_laws 40)
+
+# Prints what the exchange of load costs and how good its views are, by the number of gateways.
+add_executable(load_laws bench/load_laws.cpp)
+target_link_libraries(load_laws PRIVATE test_support warnings)
+add_test(NAME bench.load_laws COMMAND load_laws 26)
--- a/include/masticcourse/gateway/scheduling/load_exchange.hpp
+++ b/include/masticcourse/gateway/scheduling/load_exchange.hpp
@@ -128,7 +128,10 @@
     /// @return the usages to be sent, which are recorded as sent
     [[nodiscard]] std::vector<target_usage> changed_usages(std::vector<target_usage> targets, bool complete,
                                                            time_point now);
-    void on_reply(std::uint64_t sequence, const std::optional<std::string>& bytes);
+    void on_reply(const std::string& collector, std::uint64_t sequence,
+                  const std::optional<std::string>& bytes);
+    /// Handles the reply to a digest that has already counted as failed.
+    void on_late_reply(const std::string& collector);
     void on_summary(const load_summary& summary);
     void on_failure(const char* why);
     void update_view(const load_summary& summary, time_point now);
@@ -144,6 +147,8 @@
     std::string m_selected;
     /// The collector that has confirmed the usages in m_sent.
     std::string m_confirmed_by;
+    /// A collector that was late and is used again; empty after a reply in time.
+    std::string m_tolerated_late;
     std::uint64_t m_received_version = 0;
     bool m_needs_complete = true;
     std::uint64_t m_sequence = 0;
--- a/src/gateway/scheduling/load_exchange.cpp
+++ b/src/gateway/scheduling/load_exchange.cpp
@@ -151,14 +151,15 @@
     m_metrics.sent.add();
     m_metrics.bytes.add(bytes.size());
     m_services.peers.start_probe(collector, now);
-    m_services.send(collector, std::move(bytes),
-                    [this, run = m_run, sequence = digest.sequence](const std::optional<std::string>& reply)
-                    {
-                        if (run == m_run)
-                        {
-                            on_reply(sequence, reply);
-                        }
-                    });
+    m_services.send(
+        collector, std::move(bytes),
+        [this, run = m_run, collector, sequence = digest.sequence](const std::optional<std::string>& reply)
+        {
+            if (run == m_run)
+            {
+                on_reply(collector, sequence, reply);
+            }
+        });
 }
 
 void load_exchange::select(const std::string& collector)
@@ -234,23 +235,40 @@
     return changed;
 }
 
-void load_exchange::on_reply(std::uint64_t sequence, const std::optional<std::string>& bytes)
+void load_exchange::on_reply(const std::string& collector, std::uint64_t sequence,
+                             const std::optional<std::string>& bytes)
 {
-    if (!m_outstanding || m_outstanding->sequence != sequence)
+    const bool expected = m_outstanding && m_outstanding->sequence == sequence;
+    const auto summary = bytes ? decode_load_summary(*bytes) : std::nullopt;
+    if (!expected)
     {
-        // The digest has counted as failed, and another one may have been sent since.
+        if (summary)
+        {
+            on_late_reply(collector);
+        }
         return;
     }
-    const auto summary = bytes ? decode_load_summary(*bytes) : std::nullopt;
     if (!summary)
     {
         on_failure(bytes ? "malformed reply" : "no reply");
         return;
     }
-    m_services.peers.responded(m_outstanding->collector);
+    m_tolerated_late.clear();
+    m_services.peers.responded(collector);
     on_summary(*summary);
 }
 
+void load_exchange::on_late_reply(const std::string& collector)
+{
+    // The other gateways probably still use this collector, so a short pause must not separate this one from
+    // them for the time of an exclusion. A collector that is late again remains excluded.
+    if (m_tolerated_late != collector)
+    {
+        m_tolerated_late = collector;
+        m_services.peers.responded(collector);
+    }
+}
+
 void load_exchange::on_failure(const char* why)
 {
     const auto failed = std::exchange(m_outstanding, std::nullopt);
