--- a/src/gateway/scheduling/target_ranking.cpp
+++ b/src/gateway/scheduling/target_ranking.cpp
@@ -1,7 +1,7 @@
 #include "masticcourse/gateway/scheduling/target_ranking.hpp"
 
 #include "../rendezvous.hpp"
-#include "masticcourse/policy/engine_costs.hpp"
+#include "finish_model.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -16,174 +16,22 @@
 namespace
 {
 
-using real_seconds = std::chrono::duration<double>;
-
-/// Time factors outside of this range are errors of measurement.
-constexpr double min_time_factor = 0.1;
-constexpr double max_time_factor = 10;
-/// Fraction by which a full batch lengthens the responses of a plain service. Spreads a gateway's requests
-/// over several targets.
-constexpr double full_batch_slowdown = 0.12;
 /// Difference of expected finishes that does not matter, as a fraction of the earliest one. The load of a
 /// target changes by a request or two within the age of a view, which shifts the finish by about this much.
 constexpr double finish_uncertainty = 0.1;
 /// Expected number of requests that arrive at a target before this one and are in no view: a target that has
 /// one free slot may have none when the request arrives.
 constexpr double unseen_arrivals = 0.5;
-/// Cost of prefill that another target would save, relative to its duration, at an idle target: it evicts
-/// what others have cached.
-constexpr double recompute_weight = 1.5;
-/// Additional weight for each running request, whose output is delayed by a part of the prefill.
-constexpr double recompute_weight_per_request = 0.25;
-/// Maximum cost of recomputation beyond its duration, as a fraction of the finish. With more, a program would
-/// stay with its prompt's cache at a target that takes twice as long as another.
-constexpr double max_recompute_penalty = 0.5;
 /// Fraction of the prompt that a target must have cached to be preferred among equally good ones.
 constexpr double preferred_cached_fraction = 0.5;
-/// Assumed duration of a request while none is known, so that targets are compared by load.
-constexpr milliseconds unknown_duration{100};
 /// Lower limit of the uncertainty, the resolution of the durations.
 constexpr real_seconds min_uncertainty{1e-6};
 
-core_duration to_duration(real_seconds value)
+duration to_duration(real_seconds value)
 {
-    return std::chrono::duration_cast<core_duration>(value);
+    return std::chrono::duration_cast<duration>(value);
 }
 
-/// Estimates for one request at any target.
-class finish_model
-{
-  public:
-    finish_model(const placement_request& request, const placement_costs& costs)
-        : m_request(request), m_costs(costs)
-    {
-        if (is_plain() && costs.response <= duration::zero())
-        {
-            m_costs.response = unknown_duration;
-        }
-        if (costs.first_event + costs.prefill_token + costs.output_token <= duration::zero())
-        {
-            m_costs.first_event = unknown_duration;
-        }
-    }
-
-    [[nodiscard]] static double slots(const target_estimate& it)
-    {
-        return std::max(1U, it.entry->record.slots);
-    }
-
-    [[nodiscard]] static double running(const target_estimate& it, double load)
-    {
-        return std::clamp(load, 0.0, slots(it));
-    }
-
-    [[nodiscard]] static double time_factor(const target_estimate& it)
-    {
-        return std::clamp(it.time_factor, min_time_factor, max_time_factor);
-    }
-
-    /// How long a request in the queue of this target runs.
-    [[nodiscard]] real_seconds typical_duration(const target_estimate& it) const
-    {
-        const real_seconds typical = m_costs.typical_duration > duration::zero()
-                                         ? real_seconds{m_costs.typical_duration}
-                                         : idle_duration(it);
-        return typical * time_factor(it);
-    }
-
-    [[nodiscard]] real_seconds wait(const target_estimate& it, double load) const
-    {
-        const double ends_needed = load - slots(it) + 1;
-        if (ends_needed <= 0)
-        {
-            return {};
-        }
-        // The running requests are at random points of their course: the first of n ends after 1 / (n + 1) of
-        // a duration on average, later ones at intervals of 1 / n.
-        const double first = std::min(ends_needed, 1.0) / (slots(it) + 1);
-        const double later = std::max(ends_needed - 1, 0.0) / slots(it);
-        return typical_duration(it) * (first + later);
-    }
-
-    [[nodiscard]] real_seconds finish(const target_estimate& it, double load) const
-    {
-        return wait(it, load) + service_time(it, load) + network_time(it);
-    }
-
-    /// The finish plus the cost of prefill that other requests bear.
-    /// @param saved_elsewhere tokens that another candidate has cached
-    [[nodiscard]] real_seconds cost(const target_estimate& it, double load, token_count saved_elsewhere) const
-    {
-        const auto finish_time = finish(it, load);
-        const auto recomputed = std::max<token_count>(saved_elsewhere - cached(it), 0);
-        const auto time = to_duration(prefill(recomputed) * time_factor(it));
-        const double weight = recompute_weight + recompute_weight_per_request * running(it, load);
-        const real_seconds penalty = recompute_penalty(time, weight);
-        return finish_time + std::min(penalty, finish_time * max_recompute_penalty);
-    }
-
-    [[nodiscard]] token_count cached(const target_estimate& it) const
-    {
-        return std::clamp<token_count>(it.cached_tokens, 0,
-                                       std::max<token_count>(m_request.prompt_tokens, 0));
-    }
-
-    [[nodiscard]] bool in_preferred_domain(const target_estimate& it) const
-    {
-        return it.entry->record.domain == m_request.preferred_domain;
-    }
-
-  private:
-    [[nodiscard]] bool is_plain() const
-    {
-        return m_request.prompt_tokens <= 0 && m_request.expected_output <= 0;
-    }
-
-    [[nodiscard]] real_seconds prefill(token_count tokens) const
-    {
-        return real_seconds{m_costs.prefill_token} * static_cast<double>(tokens);
-    }
-
-    [[nodiscard]] real_seconds prefill_of_rest(const target_estimate& it) const
-    {
-        return prefill(std::max<token_count>(m_request.prompt_tokens, 0) - cached(it));
-    }
-
-    [[nodiscard]] real_seconds output() const
-    {
-        const auto tokens = std::max<token_count>(m_request.expected_output, 0);
-        return real_seconds{m_costs.output_token} * static_cast<double>(tokens);
-    }
-
-    /// Duration at an idle target of typical speed.
-    [[nodiscard]] real_seconds idle_duration(const target_estimate& it) const
-    {
-        return is_plain() ? real_seconds{m_costs.response}
-                          : real_seconds{m_costs.first_event} + prefill_of_rest(it) + output();
-    }
-
-    [[nodiscard]] real_seconds service_time(const target_estimate& it, double load) const
-    {
-        const double batch = running(it, load);
-        if (is_plain())
-        {
-            return m_costs.response * decode_step_factor(batch / slots(it), full_batch_slowdown) *
-                   time_factor(it);
-        }
-        const auto output_time = output() * decode_step_factor(batch);
-        return (m_costs.first_event + prefill_of_rest(it) + output_time) * time_factor(it);
-    }
-
-    [[nodiscard]] real_seconds network_time(const target_estimate& it) const
-    {
-        const bool crosses = !m_request.preferred_domain.empty() && !in_preferred_domain(it);
-        return crosses ? real_seconds{m_costs.cross_domain} : real_seconds{};
-    }
-
-    const placement_request& m_request;
-    placement_costs m_costs;
-};
-
 /// A candidate with the figures that are compared.
 struct ranked_target
 {
