Gateway: programs under way may use room in advance of the gateway's share

Change: advance of one request, less waiting for first turns, under way before new across workspaces of about equal service.

--- a/include/masticcourse/gateway/scheduling/admission_control.hpp
+++ b/include/masticcourse/gateway/scheduling/admission_control.hpp
@@ -68,7 +68,8 @@
         std::string reason;
     };
 
-    [[nodiscard]] bool admits_at_once(const service_room& room, time_point now);
+    [[nodiscard]] bool admits_at_once(const admission_request& request, const service_room& room,
+                                      time_point now);
     [[nodiscard]] std::optional<excess_load> excess(const admission_request& request,
                                                     const service_room& room, time_point now) const;
     [[nodiscard]] double requests_ahead(const admission_request& request, const service_room& room,
--- a/include/masticcourse/gateway/scheduling/admission_queue.hpp
+++ b/include/masticcourse/gateway/scheduling/admission_queue.hpp
@@ -28,6 +28,10 @@
 /// reduce the service of others.
 inline constexpr std::uint32_t oldest_turn = 32;
 
+/// Workspaces whose service differs by less than this are equal in order, so that programs under way of one
+/// go before new ones of another.
+inline constexpr std::chrono::duration<double, std::milli> fair_quantum{2'000};
+
 struct waiting_request
 {
     admission_ticket ticket = 0;
@@ -44,6 +48,9 @@
   public:
     void push(waiting_request entry);
 
+    /// @return the request that pop() would return, valid until the queue changes; null if there is none
+    [[nodiscard]] const waiting_request* peek(time_point now) const;
+
     /// Removes and returns the request that is to be sent next, and charges its workspace for it. Requests
     /// that are too late to start are not returned.
     std::optional<waiting_request> pop(time_point now);
@@ -76,20 +83,26 @@
     struct position
     {
         std::uint32_t level = 0;
-        double served = 0;
+        /// Service received beyond the least served workspace, in steps of @ref fair_quantum.
+        double lead_steps = 0;
         bool new_program = false;
+        double served = 0;
         time_point latest_start{};
         admission_ticket ticket = 0;
 
         friend auto operator<=>(const position&, const position&) = default;
     };
-    using iterator = std::vector<waiting_request>::iterator;
+    using iterator = std::vector<waiting_request>::const_iterator;
 
     [[nodiscard]] position position_of(const waiting_request& entry, time_point now) const;
-    [[nodiscard]] iterator first_in_order(time_point now);
-    [[nodiscard]] iterator oldest(time_point now);
+    [[nodiscard]] bool takes_oldest() const;
+    [[nodiscard]] iterator next(time_point now) const;
+    [[nodiscard]] iterator first_in_order(time_point now) const;
+    [[nodiscard]] iterator oldest(time_point now) const;
     [[nodiscard]] double served(const workspace_id& workspace) const;
     [[nodiscard]] std::unordered_map<workspace_id, std::size_t> waiting_by_workspace() const;
+    /// Raises the floor to the least service of the workspaces that compete with the next request.
+    void raise_served_floor(const admission_request& next, time_point now);
     void add_service(const admission_request& request);
     waiting_request extract(iterator it);
 
@@ -98,7 +111,7 @@
     /// Service received by each workspace in milliseconds of expected duration, counted from a common start.
     /// Workspaces without an entry, and idle ones below the floor, count as at the floor.
     std::unordered_map<workspace_id, double> m_served;
-    /// Service of the workspace that was last next in order. An idle workspace is raised to it, so that being
+    /// Least service of the workspaces that competed last. An idle workspace is raised to it, so that being
     /// idle earns no credit.
     double m_served_floor = 0;
     std::uint32_t m_since_oldest = 0;
--- a/include/masticcourse/gateway/scheduling/room_share.hpp
+++ b/include/masticcourse/gateway/scheduling/room_share.hpp
@@ -17,18 +17,22 @@
 {
 
 /// A share of free room is assigned once a period: free room * own waiting / all waiting, rounded at random,
-/// so that the shares of all gateways add up to the room. N gateways exceed it by less than one request each,
-/// and by about the root of N / 4 on average. A slot that this gateway frees is reused by it at once, because
-/// the others learn of it only with their next view; it leaves part of them to the others if it holds more
-/// than its share of all slots.
+/// so that the shares of all gateways add up to the room. In a period, N gateways exceed it by less than one
+/// request each, and by about the root of N / 4 on average. A slot that this gateway frees is reused by it at
+/// once, because the others learn of it only with their next view; it leaves part of them to the others if it
+/// holds more than its share of all slots. A request of a program under way may be sent one request in
+/// advance of the share: otherwise it would wait for the gateway's next completion, which takes long with
+/// many gateways.
 class room_share
 {
   public:
     room_share(milliseconds period, random_seed seed) : m_period(period), m_random(seed.value) {}
 
     /// @param own_waiting requests held back by this gateway, with the one to be sent
-    /// @return whether one more request may be sent
-    [[nodiscard]] bool available(const service_room& room, std::size_t own_waiting, time_point now);
+    /// @param under_way   whether that one belongs to a program under way
+    /// @return whether it may be sent
+    [[nodiscard]] bool available(const service_room& room, std::size_t own_waiting, bool under_way,
+                                 time_point now);
 
     /// Records that a request is sent.
     void sent();
--- a/src/gateway/scheduling/admission_control.cpp
+++ b/src/gateway/scheduling/admission_control.cpp
@@ -17,6 +17,10 @@
     return std::clamp<std::size_t>(by_slots, 1, std::max<std::size_t>(1, options.max_queue));
 }
 
+/// Part of its slack that a program may spend waiting for its first turn. A longer wait leaves too little for
+/// its other turns, and an early refusal leaves the caller time to come again.
+constexpr double first_turn_slack = 0.15;
+
 /// @return whether the request starts a program that has a deadline
 bool starts_program(const admission_request& request)
 {
@@ -39,7 +43,7 @@
 admission_decision admission_control::request(const admission_request& request, const service_room& room,
                                               time_point now)
 {
-    if (admits_at_once(room, now))
+    if (admits_at_once(request, room, now))
     {
         m_queue.charge(request);
         m_share.sent();
@@ -54,14 +58,18 @@
 
 std::optional<admission_ticket> admission_control::next(const service_room& room, time_point now)
 {
-    const auto waiting = m_queue.startable(now);
-    if (waiting == 0 || (room.slots > 0 && !m_share.available(room, waiting, now)))
+    const auto* first = m_queue.peek(now);
+    if (first == nullptr)
+    {
+        return std::nullopt;
+    }
+    const bool is_new = starts_program(first->request);
+    if (room.slots > 0 && !m_share.available(room, m_queue.startable(now), !is_new, now))
     {
         return std::nullopt;
     }
-    const auto entry = m_queue.pop(now);
     m_share.sent();
-    return entry->ticket;
+    return m_queue.pop(now)->ticket;
 }
 
 std::vector<admission_control::expired_request> admission_control::expire(const service_room& room,
@@ -99,10 +107,12 @@
     return m_queue.size();
 }
 
-bool admission_control::admits_at_once(const service_room& room, time_point now)
+bool admission_control::admits_at_once(const admission_request& request, const service_room& room,
+                                       time_point now)
 {
     // Without a view of the targets, requests are sent as if there were no admission control.
-    return room.slots == 0 || (m_queue.startable(now) == 0 && m_share.available(room, 1, now));
+    return room.slots == 0 ||
+           (m_queue.startable(now) == 0 && m_share.available(room, 1, !starts_program(request), now));
 }
 
 std::optional<admission_control::excess_load>
@@ -146,7 +156,8 @@
     {
         return for_caller;
     }
-    return std::min(for_caller, now + program_slack(request, m_turns.mean(), now));
+    const real_seconds slack{program_slack(request, m_turns.mean(), now)};
+    return std::min(for_caller, now + std::chrono::round<duration>(slack * first_turn_slack));
 }
 
 admission_decision admission_control::hold_back(const admission_request& request, const service_room& room,
--- a/src/gateway/scheduling/admission_queue.cpp
+++ b/src/gateway/scheduling/admission_queue.cpp
@@ -1,6 +1,7 @@
 #include "masticcourse/gateway/scheduling/admission_queue.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -56,18 +57,27 @@
     m_waiting.push_back(std::move(entry));
 }
 
+const waiting_request* admission_queue::peek(time_point now) const
+{
+    const auto it = next(now);
+    return it == m_waiting.end() ? nullptr : &*it;
+}
+
 std::optional<waiting_request> admission_queue::pop(time_point now)
 {
-    const bool takes_oldest = m_since_oldest + 1 >= oldest_turn;
-    const auto it = takes_oldest ? oldest(now) : first_in_order(now);
+    const auto it = next(now);
     if (it == m_waiting.end())
     {
         return std::nullopt;
     }
-    m_since_oldest = takes_oldest ? 0 : m_since_oldest + 1;
-    if (!takes_oldest)
+    if (takes_oldest())
     {
-        m_served_floor = std::max(m_served_floor, served(it->request.workspace));
+        m_since_oldest = 0;
+    }
+    else
+    {
+        ++m_since_oldest;
+        raise_served_floor(it->request, now);
     }
     add_service(it->request);
     return extract(it);
@@ -149,14 +159,26 @@
 
 admission_queue::position admission_queue::position_of(const waiting_request& entry, time_point now) const
 {
+    const auto lead = std::max(0.0, served(entry.request.workspace) - m_served_floor);
     return {.level = level_of(entry.request, now - entry.arrived, now),
-            .served = served(entry.request.workspace),
+            .lead_steps = std::floor(lead / fair_quantum.count()),
             .new_program = !entry.request.under_way,
+            .served = served(entry.request.workspace),
             .latest_start = latest_start(entry.request),
             .ticket = entry.ticket};
 }
 
-admission_queue::iterator admission_queue::first_in_order(time_point now)
+bool admission_queue::takes_oldest() const
+{
+    return m_since_oldest + 1 >= oldest_turn;
+}
+
+admission_queue::iterator admission_queue::next(time_point now) const
+{
+    return takes_oldest() ? oldest(now) : first_in_order(now);
+}
+
+admission_queue::iterator admission_queue::first_in_order(time_point now) const
 {
     auto best = m_waiting.end();
     position best_position;
@@ -172,11 +194,26 @@
     return best;
 }
 
-admission_queue::iterator admission_queue::oldest(time_point now)
+admission_queue::iterator admission_queue::oldest(time_point now) const
 {
     return std::ranges::find_if(m_waiting, [&](const auto& it) { return startable_at(it, now); });
 }
 
+void admission_queue::raise_served_floor(const admission_request& next, time_point now)
+{
+    double least = served(next.workspace);
+    for (const auto& it : m_waiting)
+    {
+        const bool competes =
+            std::min(it.request.priority, lowest_priority) <= std::min(next.priority, lowest_priority);
+        if (competes && startable_at(it, now))
+        {
+            least = std::min(least, served(it.request.workspace));
+        }
+    }
+    m_served_floor = std::max(m_served_floor, least);
+}
+
 double admission_queue::served(const workspace_id& workspace) const
 {
     const auto it = m_served.find(workspace);
@@ -208,8 +245,9 @@
 
 waiting_request admission_queue::extract(iterator it)
 {
-    auto entry = std::move(*it);
-    m_waiting.erase(it);
+    const auto position = m_waiting.begin() + (it - m_waiting.cbegin());
+    auto entry = std::move(*position);
+    m_waiting.erase(position);
     return entry;
 }
 
--- a/src/gateway/scheduling/new_program_policy.cpp
+++ b/src/gateway/scheduling/new_program_policy.cpp
@@ -16,6 +16,9 @@
 /// Least part of the time left that a program may spend waiting. It applies where the expected durations of
 /// all turns exceed the time left, because the program is smaller than the average one.
 constexpr double min_slack_share = 0.1;
+/// Greatest part of the time left that a program may spend waiting. The time left also covers tool calls of
+/// unknown duration, and programs of many turns, whose need is underestimated.
+constexpr double max_slack_share = 0.12;
 
 duration scaled(duration span, double factor)
 {
@@ -36,9 +39,9 @@
 
 duration program_slack(const admission_request& request, double turns, time_point now)
 {
-    const auto time_left = *request.program_deadline - now;
+    const auto time_left = std::max(duration{}, *request.program_deadline - now);
     const auto slack = time_left - scaled(request.expected_duration, turns);
-    return std::max(slack, scaled(time_left, min_slack_share));
+    return std::clamp(slack, scaled(time_left, min_slack_share), scaled(time_left, max_slack_share));
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/scheduling/room_share.cpp
+++ b/src/gateway/scheduling/room_share.cpp
@@ -12,10 +12,12 @@
 /// Least part of the slots freed here that this gateway reuses. A slot left to others is idle until their
 /// next view.
 constexpr double min_reuse = 0.75;
+/// Requests of programs under way that a gateway may send in advance of its share.
+constexpr double under_way_advance = 1;
 
 } // namespace
 
-bool room_share::available(const service_room& room, std::size_t own_waiting, time_point now)
+bool room_share::available(const service_room& room, std::size_t own_waiting, bool under_way, time_point now)
 {
     const double own = std::max<double>(1, static_cast<double>(own_waiting));
     const double share = own / (own + room.others_waiting);
@@ -28,13 +30,13 @@
     {
         return false;
     }
-    return room.others_waiting == 0 || m_credit >= 1;
+    return room.others_waiting == 0 || m_credit >= (under_way ? 1 - under_way_advance : 1);
 }
 
 void room_share::sent()
 {
     ++m_in_flight;
-    m_credit = std::max(0.0, m_credit - 1);
+    m_credit = std::max(-under_way_advance, m_credit - 1);
 }
 
 void room_share::completed()
@@ -55,7 +57,7 @@
 void room_share::assign(const service_room& room, double share, time_point now)
 {
     std::uniform_real_distribution<double> fraction{0, 1};
-    m_credit = std::max(0.0, room.free) * share + fraction(m_random);
+    m_credit = std::min(0.0, m_credit) + std::max(0.0, room.free) * share + fraction(m_random);
     m_assigned = now;
     m_freed = 0;
 }
