Outlier detection: usual failure ratio, spread of probes; tests

A window of a gateway with few requests holds too few outcomes to tell a failure ratio of 5% from none, so that random failures ejected targets. The ratio that is usual for the service is therefore averaged over a minute, and the evidence required is higher. Gateways that exchange outcomes spread their first probes, since otherwise each of them sends one before it knows the outcome of the others'.

--- a/include/masticcourse/gateway/scheduling/outlier_detection.hpp
+++ b/include/masticcourse/gateway/scheduling/outlier_detection.hpp
@@ -5,12 +5,14 @@
 /// health check and registry entry are good. Each gateway would burn requests of its own to learn it.
 #pragma once
 
+#include "masticcourse/gateway/random.hpp"
 #include "masticcourse/gateway/scheduling/outcome_window.hpp"
 #include "masticcourse/gateway/target_table.hpp"
 #include "masticcourse/gateway/time.hpp"
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <unordered_map>
 #include <vector>
 
@@ -42,6 +44,10 @@
 class outlier_detection
 {
   public:
+    /// @param seed for the times of probes, which should differ between gateways: the first ones to probe
+    /// tell the others the outcome
+    explicit outlier_detection(random_seed seed = {}) : m_random(seed.value) {}
+
     /// Records outcomes of requests, of this gateway or of others. Refusals because of load, draining targets
     /// and requests that ended for reasons of the caller are not counted: the caller of record() leaves them
     /// out. Outcomes of an earlier instance than the known one are ignored.
@@ -77,6 +83,8 @@
         time_point half_open_at{};
         /// Successes since it became half-open.
         std::uint32_t successes = 0;
+        /// When this gateway may send its first probe.
+        std::optional<time_point> probe_from;
         std::optional<time_point> probe_sent_at;
     };
 
@@ -84,6 +92,8 @@
     {
         wall_time started{};
         outcome_window window;
+        /// Other gateways send their outcomes.
+        bool shared = false;
         /// Failures without a success in between, and when the last one was recorded.
         std::uint32_t failures_in_a_row = 0;
         time_point last_failure{};
@@ -117,13 +127,31 @@
         double severity = 0;
     };
 
+    /// Outcomes at all targets that are in use, weighted by their age.
+    class usual_outcomes
+    {
+      public:
+        void add(const target_outcomes& outcomes)
+        {
+            m_successes += outcomes.successes;
+            m_failures += outcomes.failures;
+        }
+        /// @return the failure ratio that is usual for the service
+        [[nodiscard]] double ratio(time_point now);
+
+      private:
+        double m_successes = 0;
+        double m_failures = 0;
+        time_point m_updated{};
+    };
+
     /// Outcomes of the targets of the service that other targets are compared with.
     class peer_outcomes;
 
     static void reset(target_state& state, wall_time started);
     static void eject(target_state& state, ejection_reason reason, double severity, time_point now);
     static void readmit(target_state& state, time_point now);
-    static void record_half_open(target_state& state, const target_outcomes& outcomes, time_point now);
+    void record_outcomes(target_state& state, const target_outcomes& outcomes, time_point now);
     static void record_closed(target_state& state, const target_outcomes& outcomes, time_point now);
     static std::optional<double> failure_severity(const evaluated_target& target, const peer_outcomes& peers);
     static std::optional<double> latency_severity(const evaluated_target& target, double median,
@@ -138,7 +166,9 @@
                                                               time_point now);
 
     std::unordered_map<target_id, target_state> m_states;
+    usual_outcomes m_usual;
     std::uint64_t m_evaluation = 0;
+    std::mt19937 m_random;
 };
 
 } // namespace masticcourse::gateway
--- a/src/gateway/scheduling/outlier_detection.cpp
+++ b/src/gateway/scheduling/outlier_detection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace masticcourse::gateway
@@ -17,14 +18,22 @@
 /// one of this gateway's network, raises both.
 constexpr double min_excess = 2;
 /// Evidence (log-likelihood ratio) that a target fails more often than the others, required for an ejection.
-/// By the Chernoff bound, at most one in e^12 = 160,000 series of outcomes of a target that fails as often as
-/// the others reaches it. Three failures in a row reach it if the others work.
-constexpr double min_evidence = 12;
-/// Failure ratio that a healthy target may have although no failure of the others was seen.
-constexpr double base_failure_ratio = 0.01;
-/// Weight of the prior of the others' failure ratio, as a number of outcomes and of failures among them.
-constexpr double prior_outcomes = 10;
-constexpr double prior_failures = 0.5;
+/// By the Chernoff bound, at most one in e^15.5 = 5 million series of outcomes of a target that fails as
+/// often as the others reaches it. Three failures in a row reach it if hardly any request fails usually, four
+/// if one in 100 does, and six if five do.
+constexpr double min_evidence = 15.5;
+/// Failure ratio relative to that of the others that is a normal difference between targets.
+constexpr double normal_difference = 1.5;
+/// Bounds of the failure ratio that is usual for the service: few outcomes without a failure don't prove that
+/// there are none, and a past fault that all targets shared must not hide the next one of a single target.
+constexpr double min_usual_ratio = 0.005;
+constexpr double max_usual_ratio = 0.05;
+/// Weight of the prior of the usual ratio, as numbers of outcomes and of failures among them.
+constexpr double prior_outcomes = 40;
+constexpr double prior_failures = 2;
+/// Time over which the usual ratio is averaged. The window of a gateway with few requests holds too few
+/// outcomes to tell a ratio of 5% from none.
+constexpr std::chrono::duration<double> usual_time_constant{60};
 /// Failures in a row from which a target is regarded as down and is not among those compared with.
 constexpr std::uint32_t down_failures = 3;
 /// A series of failures in a row ends after this time without another one.
@@ -47,6 +56,15 @@
 constexpr seconds healthy_time{10};
 /// Successes in the half-open state after which a target returns.
 constexpr std::uint32_t return_successes = 3;
+/// Gateways that exchange outcomes begin to probe at random times within this time after the target has
+/// become half-open, so that most of them know the outcome of the first probes before they send their own.
+constexpr seconds probe_spread{1};
+/// Time constant of the number of gateways that have begun to probe, which grows exponentially over the
+/// spread: about the time in which an outcome reaches the other gateways.
+constexpr milliseconds probe_growth_time{300};
+/// Share of the period at its end in which a failure renews the ejection, although successes don't count yet:
+/// gateways eject a target at slightly different times, so that others may already be probing it.
+constexpr int settled_divisor = 2;
 /// Time after which a probe without an outcome is regarded as lost. Such a probe is no failure, since it may
 /// never have been sent; a request that times out at the target is recorded as a failure by its caller.
 constexpr milliseconds probe_timeout{2'000};
@@ -54,7 +72,7 @@
 /// @return the evidence that outcomes with this failure ratio come from a higher one than @a expected
 double evidence(double ratio, double count, double expected)
 {
-    if (ratio <= expected)
+    if (ratio <= expected || expected >= 1)
     {
         return 0;
     }
@@ -80,8 +98,16 @@
     return *middle;
 }
 
+duration probe_delay(std::mt19937& random)
+{
+    const auto share = std::uniform_real_distribution<>{std::numeric_limits<double>::min(), 1}(random);
+    const duration before_end{
+        std::llround(-std::log(share) * static_cast<double>(duration{probe_growth_time}.count()))};
+    return std::max(duration{0}, probe_spread - before_end);
+}
+
 /// @return whether outcomes at a target clearly differ from those at its @a peers in the same time
-bool fails_more_often(const target_outcomes& outcomes, const target_outcomes& peers)
+bool fails_more_often(const target_outcomes& outcomes, const target_outcomes& peers, double usual_ratio)
 {
     // Without a target that works there is nothing to compare with.
     if (outcomes.failures < down_failures || peers.successes == 0)
@@ -90,8 +116,7 @@
     }
     const auto ratio = static_cast<double>(outcomes.failures) / outcomes.total();
     const auto peer_ratio = static_cast<double>(peers.failures) / peers.total();
-    const auto estimate = (peers.failures + prior_failures) / (peers.total() + prior_outcomes);
-    const auto expected = std::max(base_failure_ratio, estimate);
+    const auto expected = std::max(min_usual_ratio, normal_difference * std::max(usual_ratio, peer_ratio));
     return ratio >= min_failure_ratio && ratio >= peer_ratio * min_excess &&
            evidence(ratio, outcomes.total(), expected) >= min_evidence;
 }
@@ -101,7 +126,8 @@
 class outlier_detection::peer_outcomes
 {
   public:
-    explicit peer_outcomes(const std::vector<evaluated_target>& targets)
+    peer_outcomes(const std::vector<evaluated_target>& targets, double usual_ratio)
+        : m_usual_ratio(usual_ratio)
     {
         std::size_t active = 0;
         std::size_t down = 0;
@@ -121,6 +147,12 @@
         }
     }
 
+    /// @return the failure ratio of the service over a longer time
+    [[nodiscard]] double usual_ratio() const
+    {
+        return m_usual_ratio;
+    }
+
     /// @return the outcomes at the other targets over the newest @a buckets + 1 buckets
     [[nodiscard]] target_outcomes excluding(const evaluated_target& target, std::size_t buckets) const
     {
@@ -146,10 +178,22 @@
         }
     }
 
+    double m_usual_ratio;
     outcome_window::recent_sums m_sums{};
     bool m_excludes_down = false;
 };
 
+double outlier_detection::usual_outcomes::ratio(time_point now)
+{
+    const std::chrono::duration<double> elapsed{now - m_updated};
+    const auto decay = std::exp(-std::max(0.0, elapsed / usual_time_constant));
+    m_updated = now;
+    m_successes *= decay;
+    m_failures *= decay;
+    const auto total = m_successes + m_failures + prior_outcomes;
+    return std::min((m_failures + prior_failures) / total, max_usual_ratio);
+}
+
 void outlier_detection::reset(target_state& state, wall_time started)
 {
     const bool changed = state.changed || state.current.has_value();
@@ -166,10 +210,10 @@
 {
     state.period =
         state.period == milliseconds::zero() ? base_period : std::min(state.period * 2, max_period);
-    state.current = ejection{.reason = reason,
-                             .severity = severity,
-                             .half_open_at = now + state.period,
-                             .probe_sent_at = std::nullopt};
+    auto& current = state.current.emplace();
+    current.reason = reason;
+    current.severity = severity;
+    current.half_open_at = now + state.period;
     state.last_reason = reason;
     state.changed = true;
 }
@@ -184,6 +228,24 @@
     state.changed = true;
 }
 
+void outlier_detection::record_outcomes(target_state& state, const target_outcomes& outcomes, time_point now)
+{
+    if (!state.current)
+    {
+        m_usual.add(outcomes);
+        record_closed(state, outcomes, now);
+    }
+    else if (outcomes.failures > 0 && now >= state.current->half_open_at - state.period / settled_divisor)
+    {
+        eject(state, state.current->reason, state.current->severity, now);
+    }
+    else if (now >= state.current->half_open_at)
+    {
+        state.current->successes += outcomes.successes;
+    }
+    // Before that, outcomes belong to requests that were sent before the ejection.
+}
+
 outlier_detection::target_state* outlier_detection::find_or_add(const target_instance& target)
 {
     const auto [it, added] = m_states.try_emplace(target.id);
@@ -209,43 +271,28 @@
     }
 }
 
-void outlier_detection::record_half_open(target_state& state, const target_outcomes& outcomes, time_point now)
+void outlier_detection::record_external(const target_instance& target, const target_outcomes& outcomes,
+                                        time_point now)
 {
-    if (outcomes.failures > 0)
+    auto* const state = outcomes.total() > 0 ? find_or_add(target) : nullptr;
+    if (state != nullptr)
     {
-        eject(state, state.current->reason, state.current->severity, now);
-        return;
+        state->shared = true;
+        record_outcomes(*state, outcomes, now);
     }
-    state.current->successes += outcomes.successes;
 }
 
-void outlier_detection::record_external(const target_instance& target, const target_outcomes& outcomes,
-                                        time_point now)
+void outlier_detection::record(const target_instance& target, const target_outcomes& outcomes, time_point now)
 {
     auto* const state = outcomes.total() > 0 ? find_or_add(target) : nullptr;
     if (state == nullptr)
     {
         return;
     }
-    if (!state->current)
-    {
-        record_closed(*state, outcomes, now);
-    }
-    else if (now >= state->current->half_open_at)
+    record_outcomes(*state, outcomes, now);
+    if (state->current)
     {
-        record_half_open(*state, outcomes, now);
-    }
-    // Before that, outcomes belong to requests that were sent before the ejection.
-}
-
-void outlier_detection::record(const target_instance& target, const target_outcomes& outcomes, time_point now)
-{
-    record_external(target, outcomes, now);
-    const auto it = m_states.find(target.id);
-    const bool known = it != m_states.end() && it->second.started == target.started;
-    if (known && it->second.current && outcomes.total() > 0)
-    {
-        it->second.current->probe_sent_at.reset();
+        state->current->probe_sent_at.reset();
     }
 }
 
@@ -279,11 +326,12 @@
                                                           const peer_outcomes& peers)
 {
     const auto whole = outcome_window::bucket_count - 1;
-    // A run is older than the window of the others. It counts only when it has grown: after a fault that all
-    // shared, the others succeed again while the run is still there.
+    // A run that is older than the window counts only when it has grown: after a fault that all shared, the
+    // others succeed again while the run is still there. Shorter runs are compared over their own time below.
     const bool failed_again = std::exchange(target.state->failed_again, false);
+    const bool older = target.outcomes.at(whole).successes == 0;
     const target_outcomes run{.failures = target.state->failures_in_a_row};
-    if (failed_again && fails_more_often(run, peers.excluding(target, whole)))
+    if (failed_again && older && fails_more_often(run, peers.excluding(target, whole), peers.usual_ratio()))
     {
         return 1.0;
     }
@@ -292,7 +340,7 @@
     for (std::size_t n = 0; n < outcome_window::bucket_count; ++n)
     {
         const auto& outcomes = target.outcomes.at(n);
-        if (fails_more_often(outcomes, peers.excluding(target, n)))
+        if (fails_more_often(outcomes, peers.excluding(target, n), peers.usual_ratio()))
         {
             worst = std::max(worst.value_or(0), static_cast<double>(outcomes.failures) / outcomes.total());
         }
@@ -371,7 +419,7 @@
     std::vector<double> factors;
     std::ranges::transform(evaluated, std::back_inserter(factors), &evaluated_target::time_factor);
     const auto median = median_of(std::move(factors));
-    const peer_outcomes peers{evaluated};
+    const peer_outcomes peers{evaluated, m_usual.ratio(now)};
 
     std::vector<candidate> candidates;
     for (const auto& it : evaluated)
@@ -428,9 +476,14 @@
     {
         return false;
     }
-    auto& current = *m_states.find(target.id)->second.current;
+    auto& state = m_states.find(target.id)->second;
+    auto& current = *state.current;
+    if (!current.probe_from)
+    {
+        current.probe_from = current.half_open_at + (state.shared ? probe_delay(m_random) : duration{0});
+    }
     const bool pending = current.probe_sent_at && now - *current.probe_sent_at < probe_timeout;
-    if (now < current.half_open_at || pending || current.successes >= return_successes)
+    if (now < *current.probe_from || pending || current.successes >= return_successes)
     {
         return false;
     }
