--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -94,13 +94,9 @@
     {
         return true;
     }
-    const auto on_release = [weak = weak_from_this()](const std::optional<not_admitted>& refusal)
-    {
-        if (const auto self = weak.lock())
-        {
-            self->on_released(refusal);
-        }
-    };
+    // While the request is held back, the scheduler owns it.
+    const auto on_release = [self = shared_from_this()](const std::optional<not_admitted>& refusal)
+    { self->on_released(refusal); };
     const auto result = m_services.scheduler.admit(scheduling(), on_release);
     if (const auto* const refusal = std::get_if<not_admitted>(&result))
     {
