Target performance: tests; less noise in few samples

Samples of plain services were compared with a mean that depended on which targets the requests went to; they are now divided by the target's factor first. The smaller gain keeps chance from correcting exact reports.

--- a/include/masticcourse/gateway/scheduling/target_performance.hpp
+++ b/include/masticcourse/gateway/scheduling/target_performance.hpp
@@ -90,8 +90,8 @@
     [[nodiscard]] double expected(token_count estimate) const;
 
   private:
-    static constexpr double min_gain = 0.02;
-    static constexpr double max_weight = 50;
+    static constexpr double min_gain = 0.01;
+    static constexpr double max_weight = 200;
 
     running_mean m_estimate{min_gain, max_weight};
     running_mean m_actual{min_gain, max_weight};
@@ -142,7 +142,7 @@
     /// Times are in milliseconds, divided by the time factor that the target reported.
     struct target_state
     {
-        static constexpr double min_gain = 0.15;
+        static constexpr double min_gain = 0.1;
         static constexpr double max_weight = 20;
         static constexpr double min_report_gain = 0.05;
 
--- a/src/gateway/scheduling/target_performance.cpp
+++ b/src/gateway/scheduling/target_performance.cpp
@@ -56,7 +56,7 @@
 double fading(time_point sampled_at, time_point now)
 {
     const auto age = std::max(duration{0}, now - sampled_at);
-    return to_milliseconds(sample_half_life) / (to_milliseconds(sample_half_life) + to_milliseconds(age));
+    return std::exp2(-to_milliseconds(age) / to_milliseconds(sample_half_life));
 }
 
 double limited(double time, double typical)
@@ -195,7 +195,8 @@
     const auto factor = reported_factor(state->reported, state->last_reported, state->reported_at, now);
     const auto time = to_milliseconds(response_time) / factor;
     auto& mean = kind_of(kind).response;
-    mean.add(limited(time, mean.mean()));
+    // Without the target's own speed, so that the mean doesn't depend on which targets the requests went to.
+    mean.add(limited(time / measured_factor(*state, now), mean.mean()));
     sampled(*state, now);
     state->response.add(limited(time, m_typical.response));
     state->response_ratio.add(limited(time / mean.mean(), 1));
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -220,6 +221,146 @@
                     .load);
 }
 
+TEST_CASE("scheduling headers are decoded, malformed ones count as missing, and all are forwarded unchanged")
+{
+    struct row
+    {
+        const char* name;
+        std::string value;
+        std::optional<gateway::generation_request> generation;
+    };
+    const auto with_usage = [](token_count prompt, token_count output)
+    { return gateway::generation_request{.prompt_tokens = prompt, .max_output = output}; };
+    const auto with_hint = [](token_count hint) { return gateway::generation_request{.output_hint = hint}; };
+    const auto repeated = [](std::size_t count)
+    {
+        std::string text = "a:1";
+        for (std::size_t n = 1; n < count; ++n)
+        {
+            text += ",a:1";
+        }
+        return text;
+    };
+    const auto* const usage = "Masticcourse-Token-Usage";
+    const auto* const hint = "Masticcourse-Length-Hint";
+    const auto* const prompt = "Masticcourse-Prompt-Prefix";
+    const std::array table{
+        row{usage, "1840,280", with_usage(1840, 280)},
+        row{usage, "0,0", with_usage(0, 0)},
+        row{usage, "1840", {}},
+        row{usage, "-1,280", {}},
+        row{usage, "1840,-280", {}},
+        row{usage, "1840,280,1", {}},
+        row{usage, "1840, 280", {}},
+        row{usage, "99999999999999999999,1", {}},
+        row{usage, "9223372036854775807,9223372036854775807", {}},
+        row{usage, "", {}},
+        row{hint, "75", with_hint(75)},
+        row{hint, "-75", {}},
+        row{hint, "7.5", {}},
+        row{hint, "75 tokens", {}},
+        row{prompt, "3fA8:700,9c:40", gateway::generation_request{.prompt = {{"3fA8", 700}, {"9c", 40}}}},
+        row{prompt, repeated(64), gateway::generation_request{.prompt = {64, {"a", 1}}}},
+        row{prompt, repeated(65), {}},
+        row{prompt, "3f:700,", {}},
+        row{prompt, ",3f:700", {}},
+        row{prompt, "3f:700,,9c:40", {}},
+        row{prompt, "3f", {}},
+        row{prompt, ":7", {}},
+        row{prompt, "3f:", {}},
+        row{prompt, "3f:-7", {}},
+        row{prompt, "xy:7", {}},
+        row{prompt, "3f:7:8", {}},
+        row{prompt, std::string(101, 'a') + ":7", {}},
+        row{prompt, "", {}},
+        row{"Masticcourse-Session-Id", "a b", {}},
+        row{"Masticcourse-Program-Deadline-Ms", "soon", {}},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        CAPTURE(it.value);
+        CHECK(find_header(encode_forwarded({{it.name, it.value}}).headers, it.name) == it.value);
+        const auto generation = decode({{it.name, it.value}}).generation;
+        REQUIRE(generation.has_value() == it.generation.has_value());
+        if (generation)
+        {
+            CHECK(generation->prompt_tokens == it.generation->prompt_tokens);
+            CHECK(generation->max_output == it.generation->max_output);
+            CHECK(generation->output_hint == it.generation->output_hint);
+            CHECK(generation->prompt == it.generation->prompt);
+        }
+    }
+    // One malformed header doesn't affect the others.
+    const auto mixed = decode({{usage, "1840,280"}, {hint, "x"}, {prompt, "9c:40"}}).generation;
+    REQUIRE(mixed);
+    CHECK(mixed->max_output == 280);
+    CHECK_FALSE(mixed->output_hint);
+    CHECK(mixed->prompt.size() == 1);
+}
+
+TEST_CASE("the session and the deadline of a program are decoded, and malformed ones count as missing")
+{
+    struct row
+    {
+        const char* session;
+        const char* deadline;
+        std::string expected_session;
+        std::optional<gateway::milliseconds> time_left;
+    };
+    const std::array table{
+        row{"3fa81c.1", "2400", "3fa81c.1", 2'400ms},
+        row{"3fa81c", "-30", "3fa81c", -30ms},
+        row{"a b", "2400", "", 2'400ms},
+        row{"", "0", "", 0ms},
+        row{"s", "", "s", {}},
+        row{"s", "2.4", "s", {}},
+        row{"s", "9223372036854775807", "s", {}},
+        row{"s", "-9223372036854775808", "s", {}},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.session);
+        CAPTURE(it.deadline);
+        const auto program = decode({{"Masticcourse-Program-Id", "3fa81c"},
+                                     {"Masticcourse-Session-Id", it.session},
+                                     {"Masticcourse-Program-Deadline-Ms", it.deadline}})
+                                 .program;
+        REQUIRE(program);
+        CHECK(program->session == it.expected_session);
+        CHECK(program->time_left == it.time_left);
+    }
+    CHECK_FALSE(decode({{"Masticcourse-Session-Id", "s"}}).program);
+}
+
+TEST_CASE("the time factor of a load report is optional, and a malformed one leaves the load valid")
+{
+    struct row
+    {
+        const char* value;
+        std::optional<double> time_factor;
+    };
+    constexpr std::array table{
+        row{"3,1,8", {}},       row{"3,1,8,100", 1.0},        row{"3,1,8,250", 2.5},
+        row{"3,1,8,70,9", 0.7}, row{"3,1,8,0", {}},           row{"3,1,8,-50", {}},
+        row{"3,1,8,", {}},      row{"3,1,8,x", {}},           row{"3,1,8,1e400", {}},
+        row{"3,1,8,nan", {}},   row{"3,1,8,99999999999", {}},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.value);
+        const auto load =
+            platform_protocol{}
+                .decode(http_client_reply{.headers = {{"Masticcourse-Instance-Load", it.value}}})
+                .load;
+        REQUIRE(load);
+        CHECK(load->running == 3);
+        CHECK(load->waiting == 1);
+        CHECK(load->slots == 8);
+        CHECK(load->time_factor == it.time_factor);
+    }
+}
+
 TEST_CASE("a response is matched to its request by the request id")
 {
     const platform_protocol protocol;
