Load exchange: a collector that is always late is replaced

The tolerance for one late reply lasted as long as any collector replied in time; it now ends only when the late one does. Test: a collector with replies after 700 ms.

--- a/include/masticcourse/gateway/scheduling/load_exchange.hpp
+++ b/include/masticcourse/gateway/scheduling/load_exchange.hpp
@@ -147,7 +147,7 @@
     std::string m_selected;
     /// The collector that has confirmed the usages in m_sent.
     std::string m_confirmed_by;
-    /// A collector that was late and is used again; empty after a reply in time.
+    /// A collector that was late and is used again; empty after it replied in time.
     std::string m_tolerated_late;
     std::uint64_t m_received_version = 0;
     bool m_needs_complete = true;
--- a/src/gateway/scheduling/load_exchange.cpp
+++ b/src/gateway/scheduling/load_exchange.cpp
@@ -253,7 +253,10 @@
         on_failure(bytes ? "malformed reply" : "no reply");
         return;
     }
-    m_tolerated_late.clear();
+    if (m_tolerated_late == collector)
+    {
+        m_tolerated_late.clear();
+    }
     m_services.peers.responded(collector);
     on_summary(*summary);
 }
--- a/tests/support/load_fleet.cpp
+++ b/tests/support/load_fleet.cpp
@@ -138,6 +138,7 @@
     std::size_t served = 0;
     std::optional<time_point> last_sent;
     time_point frozen_until{};
+    milliseconds reply_delay{};
     bool stopped = false;
     gateway::load_exchange exchange;
 };
@@ -290,6 +291,11 @@
     m_members[gateway]->frozen_until = time.now() + span;
 }
 
+void load_fleet::slow_down(std::size_t gateway, milliseconds reply_delay)
+{
+    m_members[gateway]->reply_delay = reply_delay;
+}
+
 void load_fleet::cut(std::size_t one, std::size_t other)
 {
     m_cuts.insert(std::minmax(address_of(one), address_of(other)));
@@ -435,11 +441,12 @@
         delays_for(sender)(2 * m_options.one_way_delay, [answer] { answer(std::nullopt); });
         return;
     }
-    const auto reply = [this, &sender, answer](const std::optional<std::string>& summary)
+    const auto reply = [this, &sender, &receiver, answer](const std::optional<std::string>& summary)
     {
         if (!loses || !loses(sender.address, message_kind::summary))
         {
-            delays_for(sender)(m_options.one_way_delay, [answer, summary] { answer(summary); });
+            delays_for(sender)(receiver.reply_delay + m_options.one_way_delay,
+                               [answer, summary] { answer(summary); });
         }
     };
     delays_for(receiver)(m_options.one_way_delay,
--- a/tests/support/load_fleet.hpp
+++ b/tests/support/load_fleet.hpp
@@ -84,6 +84,8 @@
     /// The gateway's process ends. Others still have it in their lists; connections to it are refused.
     void kill(std::size_t gateway);
     void freeze(std::size_t gateway, gateway::milliseconds span);
+    /// The gateway replies to others only after this time.
+    void slow_down(std::size_t gateway, gateway::milliseconds reply_delay);
     /// Messages between the two gateways are lost from now on.
     void cut(std::size_t one, std::size_t other);
 
--- a/tests/unit/test_gateway_load_exchange.cpp
+++ b/tests/unit/test_gateway_load_exchange.cpp
@@ -45,13 +45,13 @@
 
     load_summary send(std::vector<target_usage> targets, time_point now, bool complete = false)
     {
-        const auto reply = collector.exchange({.sender = address,
-                                               .incarnation = "1",
-                                               .sequence = ++sequence,
-                                               .received_version = version,
-                                               .complete = complete || sequence == 1,
-                                               .targets = std::move(targets)},
-                                              now);
+        auto reply = collector.exchange({.sender = address,
+                                         .incarnation = "1",
+                                         .sequence = ++sequence,
+                                         .received_version = version,
+                                         .complete = complete || sequence == 1,
+                                         .targets = std::move(targets)},
+                                        now);
         version = reply.version;
         return reply;
     }
@@ -132,7 +132,7 @@
         const char* what;
         json document;
     };
-    const row rows[] = {
+    const std::vector<row> rows{
         {"not an array", json::object()},
         {"an element is missing", json::array({"a", "x", 1, 0, true, json::array()})},
         {"negative sequence", json::array({"a", "x", -1, 0, true, json::array(), json::array()})},
@@ -258,8 +258,10 @@
         constexpr milliseconds round_trip{2};
         CHECK(it.age_p95 <= fleet.interval() * 11 / 10 + round_trip);
         CHECK(it.impossible_sums == 0);
+        const auto without_jitter = static_cast<double>(count - 1) / seconds_per_interval;
         CHECK(it.collector_messages <= 500);
-        CHECK(it.collector_messages >= 0.8 * static_cast<double>(count - 1) / seconds_per_interval);
+        CHECK(it.collector_messages <= 0.98 * without_jitter);
+        CHECK(it.collector_messages >= 0.85 * without_jitter);
         CHECK(it.shortest_gap >= fleet.interval());
         // Requests that begin and end within the age of the sums, two intervals at most; beyond the mean
         // duration of a request the states are independent. Two standard deviations.
@@ -367,6 +369,22 @@
     CHECK(fleet.settles_within(fleet.interval() * 5 / 2));
 }
 
+TEST_CASE("a collector that is always late is replaced by one that all others agree on")
+{
+    settled_load_fleet fleet{26};
+    const auto late = fleet.collector();
+    const auto witness = late == 0 ? std::size_t{1} : std::size_t{0};
+    fleet.slow_down(late, 700ms);
+    std::size_t complete = 0;
+    constexpr std::size_t samples = 2'000;
+    for (std::size_t n = 0; n < samples; ++n)
+    {
+        fleet.time.run(10ms);
+        complete += fleet.exchange(witness).gateways(fleet.time.now()) >= 23 ? 1 : 0;
+    }
+    CHECK(complete >= samples * 8 / 10);
+}
+
 TEST_CASE("gateways cut off from the collector use another one, and the rest see each other exactly")
 {
     settled_load_fleet fleet{26};
