Sessions stay at the target that has their prompt cached; returning requests aren't counted as free

In trials with 31 gateways and 46 uneven engines, programs moved back and forth with each change of the view, and the requests of sessions, most of which return to their target, were expected at others.

--- a/include/masticcourse/gateway/scheduling/target_ranking.hpp
+++ b/include/masticcourse/gateway/scheduling/target_ranking.hpp
@@ -35,6 +35,9 @@
     /// Tokens to prefill if nothing is cached; zero for plain services.
     token_count prompt_tokens = 0;
     token_count expected_output = 0;
+    /// Tokens at the start of the prompt that other sessions share. A target that has more than these cached
+    /// is the one that the session has used; without a value, no target is known to be.
+    std::optional<token_count> shared_tokens;
     /// Requests with the same key prefer the same target among those that are equally good; empty for none.
     std::string_view affinity;
     /// Name of the choosing gateway; ranks equally good targets if there is no affinity.
--- a/src/gateway/scheduling/target_ranking.cpp
+++ b/src/gateway/scheduling/target_ranking.cpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <numeric>
+#include <utility>
 #include <vector>
 
 namespace masticcourse::gateway
@@ -17,13 +18,20 @@
 {
 
 /// Difference of expected finishes that does not matter, as a fraction of the earliest one. The load of a
-/// target changes by a request or two within the age of a view, which shifts the finish by about this much.
-constexpr double finish_uncertainty = 0.1;
+/// target changes by up to two or three requests within the age of a view, each of which shifts the finish by
+/// about 5%.
+constexpr double finish_uncertainty = 0.15;
 /// Expected number of requests that arrive at a target before this one and are in no view: a target that has
 /// one free slot may have none when the request arrives.
 constexpr double unseen_arrivals = 0.5;
+/// A session stays at its target until the cost there exceeds the least one by this fraction: moving back and
+/// forth with each change of the view costs more prefill than it saves time.
+constexpr double session_preference = 0.5;
 /// Fraction of the prompt that a target must have cached to be preferred among equally good ones.
 constexpr double preferred_cached_fraction = 0.5;
+/// Fraction of the ended requests of programs that are replaced by requests which may go to any target. Most
+/// programs send their next turn to the same target.
+constexpr double replaced_at_any_target = 0.4;
 /// Lower limit of the uncertainty, the resolution of the durations.
 constexpr real_seconds min_uncertainty{1e-6};
 
@@ -69,9 +77,11 @@
 
     [[nodiscard]] const target_estimate* choose()
     {
-        m_limit = cost_limit();
-        std::erase_if(m_ranked, [this](const auto& it) { return it.cost > m_limit; });
-        keep_cached();
+        set_limits();
+        if (!keep_cached())
+        {
+            std::erase_if(m_ranked, [this](const auto& it) { return it.cost > m_limit; });
+        }
         if (m_request.affinity.empty())
         {
             keep_preferred_domain();
@@ -90,6 +100,17 @@
         return std::min(others, m_model.running(it, it.load)) * std::max(fraction, 0.0);
     }
 
+    /// @return the fraction of the ended requests whose successors may be at any target; those of the others
+    /// are at the same target
+    [[nodiscard]] double replaced_fraction() const
+    {
+        const double all_ended =
+            std::transform_reduce(m_candidates.begin(), m_candidates.end(), 0.0, std::plus<>{},
+                                  [this](const auto& it) { return ended(it); });
+        const double minimum = m_request.affinity.empty() ? 1.0 : replaced_at_any_target;
+        return all_ended > 0 ? std::clamp(m_request.unseen_requests / all_ended, minimum, 1.0) : minimum;
+    }
+
     void rank()
     {
         token_count most_cached = 0;
@@ -97,13 +118,14 @@
         {
             most_cached = std::max(most_cached, m_model.cached(it));
         }
-        double all_ended = 0;
+        const double fraction = replaced_fraction();
+        double all_replaced = 0;
         m_ranked.reserve(m_candidates.size());
         for (const auto& it : m_candidates)
         {
-            const double ended_requests = ended(it);
-            const double load = it.load - ended_requests;
-            all_ended += ended_requests;
+            const double replaced = ended(it) * fraction;
+            const double load = it.load - replaced;
+            all_replaced += replaced;
             const double slots = m_model.slots(it);
             const double typical = m_model.typical_duration(it).count();
             m_ranked.push_back({.estimate = &it,
@@ -115,7 +137,7 @@
                                 .preferred_domain = m_model.in_preferred_domain(it)});
         }
         // In steady state, as many requests arrive as end.
-        m_unseen_requests = std::max(m_request.unseen_requests, all_ended);
+        m_unseen_requests = std::max(m_request.unseen_requests, all_replaced);
         m_total_slots = sum_over(any_target, &ranked_target::slots);
         m_preferred_slots = sum_over(&ranked_target::preferred_domain, &ranked_target::slots);
     }
@@ -135,18 +157,23 @@
         return sum_over(includes, [level](const auto& it) { return it.room_below(level); });
     }
 
-    /// @return the cost up to which targets are equally good: the least one plus the uncertainty, or more if
-    /// the unseen requests don't find room below that
-    [[nodiscard]] real_seconds cost_limit()
+    /// Sets the cost up to which targets are equally good: the least one plus the uncertainty, or more if the
+    /// unseen requests don't find room below that.
+    void set_limits()
     {
         const auto& best = *std::ranges::min_element(m_ranked, {}, &ranked_target::cost);
-        m_tolerance = std::max(best.cost * finish_uncertainty, min_uncertainty);
-        auto low = best.cost + m_tolerance;
-        if (best.drain_rate <= 0 || room_below(low, any_target) >= m_unseen_requests)
+        m_best = best.cost;
+        m_tolerance = std::max(m_best * finish_uncertainty, min_uncertainty);
+        m_limit = m_best + m_tolerance;
+        if (best.drain_rate > 0 && room_below(m_limit, any_target) < m_unseen_requests)
         {
-            return low;
+            m_limit = level_with_room(m_limit, m_limit + real_seconds{m_unseen_requests / best.drain_rate});
         }
-        auto high = low + real_seconds{m_unseen_requests / best.drain_rate};
+    }
+
+    /// @return the least cost between @a low and @a high below which the unseen requests find room
+    [[nodiscard]] real_seconds level_with_room(real_seconds low, real_seconds high) const
+    {
         // Halving ten times gives a precision of a thousandth of the range.
         for (int n = 0; n < 10; ++n)
         {
@@ -156,15 +183,32 @@
         return high;
     }
 
-    /// Among equally good targets, only those that have most of the prompt cached remain, if there are any.
-    void keep_cached()
+    /// @return the cost up to which a target is preferred that has @a tokens cached
+    [[nodiscard]] real_seconds limit_of_holder(token_count tokens) const
+    {
+        if (m_request.shared_tokens && tokens > *m_request.shared_tokens)
+        {
+            return std::max(m_limit, m_best * (1 + session_preference));
+        }
+        const bool most_of_prompt = static_cast<double>(tokens) >=
+                                    static_cast<double>(m_request.prompt_tokens) * preferred_cached_fraction;
+        return tokens > 0 && most_of_prompt ? m_best + m_tolerance : real_seconds{};
+    }
+
+    /// Only the targets that have the most tokens cached remain if they are good enough.
+    /// @return whether they are
+    [[nodiscard]] bool keep_cached()
     {
-        const auto most = std::ranges::max_element(m_ranked, {}, &ranked_target::cached)->cached;
-        if (most > 0 && static_cast<double>(most) >=
-                            static_cast<double>(m_request.prompt_tokens) * preferred_cached_fraction)
+        const auto rank = [](const auto& it) { return std::pair{-it.cached, it.cost}; };
+        const auto holder = *std::ranges::min_element(m_ranked, {}, rank);
+        if (holder.cost > limit_of_holder(holder.cached))
         {
-            std::erase_if(m_ranked, [most](const auto& it) { return it.cached < most; });
+            return false;
         }
+        m_limit = std::max(m_limit, holder.cost);
+        std::erase_if(m_ranked,
+                      [&](const auto& it) { return it.cached < holder.cached || it.cost > m_limit; });
+        return true;
     }
 
     /// Only the targets in the preferred failure domain remain if they have room for their share of the
@@ -220,6 +264,7 @@
     double m_unseen_requests = 0;
     double m_total_slots = 0;
     double m_preferred_slots = 0;
+    real_seconds m_best{};
     real_seconds m_tolerance{};
     real_seconds m_limit{};
 };
