--- a/tests/unit/test_gateway_placement.cpp
+++ b/tests/unit/test_gateway_placement.cpp
@@ -58,6 +58,14 @@
         return index_of(choose_by_finish(estimates, request, costs)->entry);
     }
 
+    void set_cached(const cached_prefixes& cached)
+    {
+        for (auto& it : estimates)
+        {
+            it.cached_tokens = cached.at(it.entry->record.instance());
+        }
+    }
+
     std::vector<target> targets;
     std::vector<target_estimate> estimates;
 };
@@ -89,6 +97,7 @@
         const char* name;
         std::vector<state> targets;
         std::size_t chosen;
+        std::optional<token_count> shared = {};
     };
     const std::array table{
         row{"unequal speeds", {{.time_factor = 1.7}, {.time_factor = 0.7}}, 1},
@@ -102,6 +111,9 @@
         row{"cached prompt against a long wait", {{}, {.load = 11, .cached = 9'000}}, 0},
         row{"cached prompt at a target of half the speed", {{}, {.time_factor = 2, .cached = 10'000}}, 0},
         row{"longer of two cached prefixes", {{.cached = 9'500}, {.cached = 2'000}}, 0},
+        row{"session at a slower target", {{}, {.time_factor = 1.5, .cached = 9'000}}, 1, 8'000},
+        row{"session at a target of half the speed", {{}, {.time_factor = 2, .cached = 10'000}}, 0, 8'000},
+        row{"shared parts at a slower target", {{}, {.time_factor = 1.5, .cached = 8'000}}, 0, 8'000},
         row{"factor that is no number of use", {{.time_factor = 0, .cached = 1}, {.load = 14}}, 0},
     };
     for (const auto& it : table)
@@ -116,7 +128,9 @@
         }
         for (const auto* program : {"a", "b", "c", "d", "e", "f"})
         {
-            CHECK(targets.choose(turn_of(program)) == it.chosen);
+            auto turn = turn_of(program);
+            turn.shared_tokens = it.shared;
+            CHECK(targets.choose(turn) == it.chosen);
         }
     }
     CHECK_FALSE(choose_by_finish({}, turn_of("a"), engine_costs));
@@ -190,11 +204,7 @@
     const std::vector<prompt_part> parent{{"tools", 2'000}, {"parent", 10'000}};
     locations.record(targets.targets[7].record.instance(), parent, 200, start);
     const std::vector<prompt_part> child{{"tools", 2'000}, {"parent", 10'000}, {"child", 300}};
-    const auto cached = locations.find(child, start + 1s);
-    for (auto& it : targets.estimates)
-    {
-        it.cached_tokens = cached.at(it.entry->record.instance());
-    }
+    targets.set_cached(locations.find(child, start + 1s));
     CHECK(targets.choose(turn_of("p.1", 12'300)) == 7);
     targets.estimates[7].load = 5;
     CHECK(targets.choose(turn_of("p.1", 12'300)) == 7);
@@ -213,12 +223,10 @@
     {
         const auto program = "program-" + std::to_string(n);
         const std::vector<prompt_part> prompt{shared, {program, 500}};
-        const auto cached = locations.find(prompt, start);
-        for (auto& it : targets.estimates)
-        {
-            it.cached_tokens = cached.at(it.entry->record.instance());
-        }
-        auto& chosen = targets.estimates[targets.choose(turn_of(program, 8'500))];
+        targets.set_cached(locations.find(prompt, start));
+        auto turn = turn_of(program, 8'500);
+        turn.shared_tokens = shared.tokens;
+        auto& chosen = targets.estimates[targets.choose(turn)];
         locations.record(chosen.entry->record.instance(), prompt, 0, start);
         chosen.load += 1;
     }
@@ -335,10 +343,7 @@
                 const double queued =
                     std::transform_reduce(loads.begin(), loads.end(), 0.0, std::plus<>{},
                                           [](double load) { return std::max(load - slots, 0.0); });
-                CAPTURE(gateways);
-                CAPTURE(it.full);
-                CAPTURE(it.unequal);
-                CAPTURE(plain);
+                INFO(gateways, " gateways, full ", it.full, ", unequal ", it.unequal, ", plain ", plain);
                 CHECK(std::ranges::max(loads) <= it.max_batches * slots);
                 CHECK(queued <= it.max_queued * 5 * static_cast<double>(gateways));
             }
@@ -397,7 +402,9 @@
     const target_instance restarted{{"engine"}, wall_time{2s}};
     const target_instance other{{"other"}, wall_time{1s}};
     prompt_locations locations(100);
-    locations.record(engine, std::vector<prompt_part>{{"tools", 2'000}, {"session", 1'000}}, 100, start);
+    const prompt_part tools{"tools", 2'000};
+    const prompt_part session{"session", 1'000};
+    locations.record(engine, std::array{tools, session}, 100, start);
     struct row
     {
         const char* name;
@@ -407,18 +414,15 @@
         duration age = 1s;
     };
     const std::array table{
-        row{"next turn, which has grown by more than the output",
-            engine,
-            {{"tools", 2'000}, {"session", 1'500}},
-            3'100},
-        row{"branch of the session", engine, {{"tools", 2'000}, {"session", 400}, {"child", 50}}, 2'400},
-        row{"gap", engine, {{"unknown", 10}, {"session", 1'000}}, 0},
-        row{"without the first part", engine, {{"session", 1'000}}, 0},
-        row{"part that has grown, then one more", engine, {{"tools", 2'500}, {"session", 1'000}}, 2'000},
-        row{"other program", engine, {{"tools", 2'000}, {"session 2", 1'000}}, 2'000},
-        row{"other target", other, {{"tools", 2'000}, {"session", 1'000}}, 0},
-        row{"restarted target", restarted, {{"tools", 2'000}, {"session", 1'000}}, 0},
-        row{"evicted", engine, {{"tools", 2'000}, {"session", 1'000}}, 0, 10s},
+        row{"turn that has grown by more than the output", engine, {tools, {"session", 1'500}}, 3'100},
+        row{"branch of the session", engine, {tools, {"session", 400}, {"child", 50}}, 2'400},
+        row{"gap", engine, {{"unknown", 10}, session}, 0},
+        row{"without the first part", engine, {session}, 0},
+        row{"part that has grown, then one more", engine, {{"tools", 2'500}, session}, 2'000},
+        row{"other program", engine, {tools, {"session 2", 1'000}}, 2'000},
+        row{"other target", other, {tools, session}, 0},
+        row{"restarted target", restarted, {tools, session}, 0},
+        row{"evicted", engine, {tools, session}, 0, 10s},
         row{"no prompt", engine, {}, 0},
     };
     for (const auto& it : table)
@@ -429,8 +433,8 @@
     }
     // The new instance replaces the old one.
     locations.record(restarted, std::array{prompt_part{"tools", 500}}, 0, start + 1s);
-    CHECK(locations.cached_tokens(restarted, std::array{prompt_part{"tools", 2'000}}, start + 1s) == 500);
-    CHECK(locations.cached_tokens(engine, std::array{prompt_part{"tools", 2'000}}, start + 1s) == 0);
+    CHECK(locations.cached_tokens(restarted, std::array{tools}, start + 1s) == 500);
+    CHECK(locations.cached_tokens(engine, std::array{tools}, start + 1s) == 0);
 }
 
 TEST_CASE("the memory of prompt locations is bounded, and the parts in use are kept")
