--- a/include/masticcourse/gateway/scheduling/admission_control.hpp
+++ b/include/masticcourse/gateway/scheduling/admission_control.hpp
@@ -12,6 +12,7 @@
 #include "masticcourse/gateway/scheduling/drain_rate.hpp"
 #include "masticcourse/gateway/scheduling/new_program_policy.hpp"
 #include "masticcourse/gateway/scheduling/room_share.hpp"
+#include "masticcourse/gateway/scheduling/workspace_shares.hpp"
 
 #include <cstddef>
 #include <optional>
@@ -68,6 +69,10 @@
         std::string reason;
     };
 
+    /// @return whether the request may be sent in advance of this gateway's share of the room
+    [[nodiscard]] bool may_advance(const admission_request& request) const;
+    /// @return the time that a new program may wait, over all its turns
+    [[nodiscard]] duration slack_of(const admission_request& request, time_point now) const;
     [[nodiscard]] bool admits_at_once(const admission_request& request, const service_room& room,
                                       time_point now);
     [[nodiscard]] std::optional<excess_load> excess(const admission_request& request,
@@ -83,6 +88,7 @@
     std::mt19937 m_random;
     admission_queue m_queue;
     room_share m_share;
+    workspace_shares m_workspaces;
     turn_estimate m_turns;
     drain_rate m_rate;
     /// Refused because the queue was full, not yet reported.
--- a/include/masticcourse/gateway/scheduling/room_share.hpp
+++ b/include/masticcourse/gateway/scheduling/room_share.hpp
@@ -29,9 +29,9 @@
     room_share(milliseconds period, random_seed seed) : m_period(period), m_random(seed.value) {}
 
     /// @param own_waiting requests held back by this gateway, with the one to be sent
-    /// @param under_way   whether that one belongs to a program under way
+    /// @param may_advance whether that one may be sent in advance of the share
     /// @return whether it may be sent
-    [[nodiscard]] bool available(const service_room& room, std::size_t own_waiting, bool under_way,
+    [[nodiscard]] bool available(const service_room& room, std::size_t own_waiting, bool may_advance,
                                  time_point now);
 
     /// Records that a request is sent.
--- /dev/null
+++ b/include/masticcourse/gateway/scheduling/workspace_shares.hpp
@@ -0,0 +1,46 @@
+/// @file
+/// Which workspaces have lately received less than their fair share of a service.
+///
+/// Load pattern: a workspace that floods takes room as fast as it becomes free, because it always has a new
+/// program at hand. The others would be refused as often as it is, although they ask for less than their
+/// share.
+#pragma once
+
+#include "masticcourse/gateway/scheduling/admission_types.hpp"
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace masticcourse::gateway
+{
+
+class workspace_shares
+{
+  public:
+    /// Records that a request has arrived.
+    void asked(const admission_request& request, time_point now);
+    /// Records that a request is sent.
+    void served(const admission_request& request, time_point now);
+
+    /// @return whether the workspace received clearly less than the fair share of its priority: the share
+    /// that each workspace gets if none receives more than it asked for
+    [[nodiscard]] bool below_share(const admission_request& request) const;
+
+  private:
+    /// Milliseconds of expected duration, decaying.
+    struct usage
+    {
+        std::uint32_t priority = 0;
+        double asked = 0;
+        double served = 0;
+    };
+
+    usage& entry(const admission_request& request, time_point now);
+    void decay(time_point now);
+    [[nodiscard]] double fair_share(std::uint32_t priority) const;
+
+    std::unordered_map<workspace_id, usage> m_usage;
+    time_point m_decayed{};
+};
+
+} // namespace masticcourse::gateway
--- a/src/gateway/scheduling/admission_control.cpp
+++ b/src/gateway/scheduling/admission_control.cpp
@@ -20,6 +20,12 @@
 /// Part of its slack that a program may spend waiting for its first turn. A longer wait leaves too little for
 /// its other turns, and an early refusal leaves the caller time to come again.
 constexpr double first_turn_slack = 0.15;
+constexpr double first_turn_slack_below_share = 0.5;
+/// Greatest part of the time left that a program may spend waiting. The time left also covers tool calls of
+/// unknown duration, and programs of many turns, whose need is underestimated. A workspace that has received
+/// less than its share may wait longer, while it passes the requests of the others.
+constexpr double max_slack_share = 0.12;
+constexpr double max_slack_below_share = 0.3;
 
 /// @return whether the request starts a program that has a deadline
 bool starts_program(const admission_request& request)
@@ -43,9 +49,15 @@
 admission_decision admission_control::request(const admission_request& request, const service_room& room,
                                               time_point now)
 {
+    if (request.deadline <= now)
+    {
+        return refuse({.requests = 1, .reason = "the caller has left"}, room);
+    }
+    m_workspaces.asked(request, now);
     if (admits_at_once(request, room, now))
     {
         m_queue.charge(request);
+        m_workspaces.served(request, now);
         m_share.sent();
         return admitted{};
     }
@@ -63,12 +75,13 @@
     {
         return std::nullopt;
     }
-    const bool is_new = starts_program(first->request);
-    if (room.slots > 0 && !m_share.available(room, m_queue.startable(now), !is_new, now))
+    const bool advance = may_advance(first->request);
+    if (room.slots > 0 && !m_share.available(room, m_queue.startable(now), advance, now))
     {
         return std::nullopt;
     }
     m_share.sent();
+    m_workspaces.served(first->request, now);
     return m_queue.pop(now)->ticket;
 }
 
@@ -107,12 +120,23 @@
     return m_queue.size();
 }
 
+bool admission_control::may_advance(const admission_request& request) const
+{
+    return !starts_program(request) || m_workspaces.below_share(request);
+}
+
+duration admission_control::slack_of(const admission_request& request, time_point now) const
+{
+    const auto share = m_workspaces.below_share(request) ? max_slack_below_share : max_slack_share;
+    return program_slack(request, m_turns.mean(), share, now);
+}
+
 bool admission_control::admits_at_once(const admission_request& request, const service_room& room,
                                        time_point now)
 {
     // Without a view of the targets, requests are sent as if there were no admission control.
     return room.slots == 0 ||
-           (m_queue.startable(now) == 0 && m_share.available(room, 1, !starts_program(request), now));
+           (m_queue.startable(now) == 0 && m_share.available(room, 1, may_advance(request), now));
 }
 
 std::optional<admission_control::excess_load>
@@ -131,7 +155,7 @@
         return std::nullopt;
     }
     const auto turns = m_turns.mean();
-    const auto wait_per_turn = real_seconds{program_slack(request, turns, now)} / turns;
+    const auto wait_per_turn = real_seconds{slack_of(request, now)} / turns;
     if (wait > wait_per_turn)
     {
         return excess_load{(wait - wait_per_turn).count() * rate, "the program could not end in time"};
@@ -156,8 +180,9 @@
     {
         return for_caller;
     }
-    const real_seconds slack{program_slack(request, m_turns.mean(), now)};
-    return std::min(for_caller, now + std::chrono::round<duration>(slack * first_turn_slack));
+    const auto part = m_workspaces.below_share(request) ? first_turn_slack_below_share : first_turn_slack;
+    const real_seconds wait{real_seconds{slack_of(request, now)} * part};
+    return std::min(for_caller, now + std::chrono::round<duration>(wait));
 }
 
 admission_decision admission_control::hold_back(const admission_request& request, const service_room& room,
--- a/src/gateway/scheduling/admission_queue.cpp
+++ b/src/gateway/scheduling/admission_queue.cpp
@@ -245,9 +245,9 @@
 
 waiting_request admission_queue::extract(iterator it)
 {
-    const auto position = m_waiting.begin() + (it - m_waiting.cbegin());
-    auto entry = std::move(*position);
-    m_waiting.erase(position);
+    const auto found = m_waiting.begin() + (it - m_waiting.cbegin());
+    auto entry = std::move(*found);
+    m_waiting.erase(found);
     return entry;
 }
 
--- a/src/gateway/scheduling/new_program_policy.cpp
+++ b/src/gateway/scheduling/new_program_policy.cpp
@@ -16,9 +16,6 @@
 /// Least part of the time left that a program may spend waiting. It applies where the expected durations of
 /// all turns exceed the time left, because the program is smaller than the average one.
 constexpr double min_slack_share = 0.1;
-/// Greatest part of the time left that a program may spend waiting. The time left also covers tool calls of
-/// unknown duration, and programs of many turns, whose need is underestimated.
-constexpr double max_slack_share = 0.12;
 
 duration scaled(duration span, double factor)
 {
@@ -37,11 +34,11 @@
     return std::clamp(1 / std::max(m_first_fraction, 1 / max_turns), 1.0, max_turns);
 }
 
-duration program_slack(const admission_request& request, double turns, time_point now)
+duration program_slack(const admission_request& request, double turns, double max_share, time_point now)
 {
     const auto time_left = std::max(duration{}, *request.program_deadline - now);
     const auto slack = time_left - scaled(request.expected_duration, turns);
-    return std::clamp(slack, scaled(time_left, min_slack_share), scaled(time_left, max_slack_share));
+    return std::clamp(slack, scaled(time_left, min_slack_share), scaled(time_left, max_share));
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/scheduling/room_share.cpp
+++ b/src/gateway/scheduling/room_share.cpp
@@ -12,12 +12,13 @@
 /// Least part of the slots freed here that this gateway reuses. A slot left to others is idle until their
 /// next view.
 constexpr double min_reuse = 0.75;
-/// Requests of programs under way that a gateway may send in advance of its share.
-constexpr double under_way_advance = 1;
+/// Number of requests that a gateway may send in advance of its share.
+constexpr double max_advance = 1;
 
 } // namespace
 
-bool room_share::available(const service_room& room, std::size_t own_waiting, bool under_way, time_point now)
+bool room_share::available(const service_room& room, std::size_t own_waiting, bool may_advance,
+                           time_point now)
 {
     const double own = std::max<double>(1, static_cast<double>(own_waiting));
     const double share = own / (own + room.others_waiting);
@@ -30,13 +31,13 @@
     {
         return false;
     }
-    return room.others_waiting == 0 || m_credit >= (under_way ? 1 - under_way_advance : 1);
+    return room.others_waiting == 0 || m_credit >= (may_advance ? 1 - max_advance : 1);
 }
 
 void room_share::sent()
 {
     ++m_in_flight;
-    m_credit = std::max(-under_way_advance, m_credit - 1);
+    m_credit = std::max(-max_advance, m_credit - 1);
 }
 
 void room_share::completed()
