Outlier detection: a stray failure among successes does not renew an ejection

A gateway that alone had ejected a target renewed the ejection with each failure that the others saw there, although they used the target with success.

--- a/include/masticcourse/gateway/scheduling/outlier_detection.hpp
+++ b/include/masticcourse/gateway/scheduling/outlier_detection.hpp
@@ -81,6 +81,8 @@
         /// Share of the target's work that is lost, between 0 and 1.
         double severity = 0;
         time_point half_open_at{};
+        /// Outcomes of other gateways' requests and of probes.
+        target_outcomes outcomes;
         /// Successes since it became half-open.
         std::uint32_t successes = 0;
         /// When this gateway may send its first probe.
@@ -152,6 +154,7 @@
     static void eject(target_state& state, ejection_reason reason, double severity, time_point now);
     static void readmit(target_state& state, time_point now);
     void record_outcomes(target_state& state, const target_outcomes& outcomes, time_point now);
+    static void record_ejected(target_state& state, const target_outcomes& outcomes, time_point now);
     static void record_closed(target_state& state, const target_outcomes& outcomes, time_point now);
     static std::optional<double> failure_severity(const evaluated_target& target, const peer_outcomes& peers);
     static std::optional<double> latency_severity(const evaluated_target& target, double median,
--- a/src/gateway/scheduling/outlier_detection.cpp
+++ b/src/gateway/scheduling/outlier_detection.cpp
@@ -62,8 +62,8 @@
 /// Time constant of the number of gateways that have begun to probe, which grows exponentially over the
 /// spread: about the time in which an outcome reaches the other gateways.
 constexpr milliseconds probe_growth_time{300};
-/// Share of the period at its end in which a failure renews the ejection, although successes don't count yet:
-/// gateways eject a target at slightly different times, so that others may already be probing it.
+/// In the last part of the period, one in this many, a failure renews the ejection, although successes don't
+/// count yet: gateways eject a target at slightly different times, so that others may already be probing it.
 constexpr int settled_divisor = 2;
 /// Time after which a probe without an outcome is regarded as lost. Such a probe is no failure, since it may
 /// never have been sent; a request that times out at the target is recorded as a failure by its caller.
@@ -210,10 +210,11 @@
 {
     state.period =
         state.period == milliseconds::zero() ? base_period : std::min(state.period * 2, max_period);
-    auto& current = state.current.emplace();
+    ejection current;
     current.reason = reason;
     current.severity = severity;
     current.half_open_at = now + state.period;
+    state.current = current;
     state.last_reason = reason;
     state.changed = true;
 }
@@ -235,15 +236,27 @@
         m_usual.add(outcomes);
         record_closed(state, outcomes, now);
     }
-    else if (outcomes.failures > 0 && now >= state.current->half_open_at - state.period / settled_divisor)
+    // Earlier outcomes belong to requests that were sent before the ejection.
+    else if (now >= state.current->half_open_at - state.period / settled_divisor)
     {
-        eject(state, state.current->reason, state.current->severity, now);
+        record_ejected(state, outcomes, now);
     }
-    else if (now >= state.current->half_open_at)
+}
+
+void outlier_detection::record_ejected(target_state& state, const target_outcomes& outcomes, time_point now)
+{
+    auto& current = *state.current;
+    current.outcomes += outcomes;
+    // A single failure among the successes of gateways that still use the target doesn't renew the ejection.
+    const auto allowed_failures = min_failure_ratio * current.outcomes.total();
+    if (outcomes.failures > 0 && current.outcomes.failures > allowed_failures)
+    {
+        eject(state, current.reason, current.severity, now);
+    }
+    else if (now >= current.half_open_at)
     {
-        state.current->successes += outcomes.successes;
+        current.successes += outcomes.successes;
     }
-    // Before that, outcomes belong to requests that were sent before the ejection.
 }
 
 outlier_detection::target_state* outlier_detection::find_or_add(const target_instance& target)
