--- a/include/masticcourse/gateway/scheduling/outcome_window.hpp
+++ b/include/masticcourse/gateway/scheduling/outcome_window.hpp
@@ -27,6 +27,14 @@
         return *this;
     }
 
+    /// @param other outcomes that are contained in these
+    target_outcomes& operator-=(const target_outcomes& other)
+    {
+        successes -= other.successes;
+        failures -= other.failures;
+        return *this;
+    }
+
     friend bool operator==(const target_outcomes&, const target_outcomes&) = default;
 };
 
--- a/include/masticcourse/gateway/scheduling/outlier_detection.hpp
+++ b/include/masticcourse/gateway/scheduling/outlier_detection.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "masticcourse/gateway/random.hpp"
+#include "masticcourse/gateway/scheduling/failure_comparison.hpp"
 #include "masticcourse/gateway/scheduling/outcome_window.hpp"
 #include "masticcourse/gateway/target_table.hpp"
 #include "masticcourse/gateway/time.hpp"
@@ -129,34 +130,14 @@
         double severity = 0;
     };
 
-    /// Outcomes at all targets that are in use, weighted by their age.
-    class usual_outcomes
-    {
-      public:
-        void add(const target_outcomes& outcomes)
-        {
-            m_successes += outcomes.successes;
-            m_failures += outcomes.failures;
-        }
-        /// @return the failure ratio that is usual for the service
-        [[nodiscard]] double ratio(time_point now);
-
-      private:
-        double m_successes = 0;
-        double m_failures = 0;
-        time_point m_updated{};
-    };
-
-    /// Outcomes of the targets of the service that other targets are compared with.
-    class peer_outcomes;
-
     static void reset(target_state& state, wall_time started);
     static void eject(target_state& state, ejection_reason reason, double severity, time_point now);
     static void readmit(target_state& state, time_point now);
     void record_outcomes(target_state& state, const target_outcomes& outcomes, time_point now);
     static void record_ejected(target_state& state, const target_outcomes& outcomes, time_point now);
     static void record_closed(target_state& state, const target_outcomes& outcomes, time_point now);
-    static std::optional<double> failure_severity(const evaluated_target& target, const peer_outcomes& peers);
+    static std::optional<double> failure_severity(const evaluated_target& target,
+                                                  const failure_comparison& comparison);
     static std::optional<double> latency_severity(const evaluated_target& target, double median,
                                                   time_point now);
     static void finish_probes(const evaluated_target& target, double median, time_point now);
@@ -169,7 +150,7 @@
                                                               time_point now);
 
     std::unordered_map<target_id, target_state> m_states;
-    usual_outcomes m_usual;
+    usual_failures m_usual;
     std::uint64_t m_evaluation = 0;
     std::mt19937 m_random;
 };
--- a/src/gateway/scheduling/outlier_detection.cpp
+++ b/src/gateway/scheduling/outlier_detection.cpp
@@ -12,36 +12,12 @@
 namespace
 {
 
-/// A target that is alone in failing less than this share of its requests stays in use: retries cover them.
-constexpr double min_failure_ratio = 0.2;
-/// How many times the failure ratio of the others a target's ratio must be. A fault that all share, such as
-/// one of this gateway's network, raises both.
-constexpr double min_excess = 2;
-/// Evidence (log-likelihood ratio) that a target fails more often than the others, required for an ejection.
-/// By the Chernoff bound, at most one in e^15.5 = 5 million series of outcomes of a target that fails as
-/// often as the others reaches it. Three failures in a row reach it if hardly any request fails usually, four
-/// if one in 100 does, and six if five do.
-constexpr double min_evidence = 15.5;
-/// Failure ratio relative to that of the others that is a normal difference between targets.
-constexpr double normal_difference = 1.5;
-/// Bounds of the failure ratio that is usual for the service: few outcomes without a failure don't prove that
-/// there are none, and a past fault that all targets shared must not hide the next one of a single target.
-constexpr double min_usual_ratio = 0.005;
-constexpr double max_usual_ratio = 0.05;
-/// Weight of the prior of the usual ratio, as numbers of outcomes and of failures among them.
-constexpr double prior_outcomes = 40;
-constexpr double prior_failures = 2;
-/// Time over which the usual ratio is averaged. The window of a gateway with few requests holds too few
-/// outcomes to tell a ratio of 5% from none.
-constexpr std::chrono::duration<double> usual_time_constant{60};
-/// Failures in a row from which a target is regarded as down and is not among those compared with.
-constexpr std::uint32_t down_failures = 3;
 /// A series of failures in a row ends after this time without another one.
 constexpr seconds run_lifetime{10};
 
 /// Duration of work relative to the median target from which a target is an outlier. Targets differ by up to
-/// 1.7 times, and moments of 2.5 times are spread by ranking; sending to a target beyond this costs more than
-/// the slack of any program.
+/// 1.7 times, and ranking takes that into account. One turn that takes three times as long uses up the slack
+/// of a program of eight turns.
 constexpr double latency_threshold = 3;
 /// How long a target must be that slow: longer than three slow moments of 600 ms in a row.
 constexpr milliseconds min_slow_time{2'000};
@@ -69,24 +45,6 @@
 /// never have been sent; a request that times out at the target is recorded as a failure by its caller.
 constexpr milliseconds probe_timeout{2'000};
 
-/// @return the evidence that outcomes with this failure ratio come from a higher one than @a expected
-double evidence(double ratio, double count, double expected)
-{
-    if (ratio <= expected || expected >= 1)
-    {
-        return 0;
-    }
-    const auto from_failures = ratio * std::log(ratio / expected);
-    const auto from_successes = ratio < 1 ? (1 - ratio) * std::log((1 - ratio) / (1 - expected)) : 0.0;
-    return count * (from_failures + from_successes);
-}
-
-bool is_down(const outcome_window::recent_sums& outcomes)
-{
-    return std::ranges::any_of(outcomes, [](const target_outcomes& it)
-                               { return it.successes == 0 && it.failures >= down_failures; });
-}
-
 double median_of(std::vector<double> values)
 {
     if (values.empty())
@@ -106,94 +64,8 @@
     return std::max(duration{0}, probe_spread - before_end);
 }
 
-/// @return whether outcomes at a target clearly differ from those at its @a peers in the same time
-bool fails_more_often(const target_outcomes& outcomes, const target_outcomes& peers, double usual_ratio)
-{
-    // Without a target that works there is nothing to compare with.
-    if (outcomes.failures < down_failures || peers.successes == 0)
-    {
-        return false;
-    }
-    const auto ratio = static_cast<double>(outcomes.failures) / outcomes.total();
-    const auto peer_ratio = static_cast<double>(peers.failures) / peers.total();
-    const auto expected = std::max(min_usual_ratio, normal_difference * std::max(usual_ratio, peer_ratio));
-    return ratio >= min_failure_ratio && ratio >= peer_ratio * min_excess &&
-           evidence(ratio, outcomes.total(), expected) >= min_evidence;
-}
-
 } // namespace
 
-class outlier_detection::peer_outcomes
-{
-  public:
-    peer_outcomes(const std::vector<evaluated_target>& targets, double usual_ratio)
-        : m_usual_ratio(usual_ratio)
-    {
-        std::size_t active = 0;
-        std::size_t down = 0;
-        for (const auto& it : targets)
-        {
-            active += it.outcomes.back().total() > 0 ? 1U : 0U;
-            down += is_down(it.outcomes) ? 1U : 0U;
-        }
-        // If most of the targets are down, the fault is a shared one.
-        m_excludes_down = down * 2 <= active;
-        for (const auto& it : targets)
-        {
-            if (includes(it))
-            {
-                add(it.outcomes);
-            }
-        }
-    }
-
-    /// @return the failure ratio of the service over a longer time
-    [[nodiscard]] double usual_ratio() const
-    {
-        return m_usual_ratio;
-    }
-
-    /// @return the outcomes at the other targets over the newest @a buckets + 1 buckets
-    [[nodiscard]] target_outcomes excluding(const evaluated_target& target, std::size_t buckets) const
-    {
-        auto sum = m_sums.at(buckets);
-        if (includes(target))
-        {
-            sum.successes -= target.outcomes.at(buckets).successes;
-            sum.failures -= target.outcomes.at(buckets).failures;
-        }
-        return sum;
-    }
-
-  private:
-    [[nodiscard]] bool includes(const evaluated_target& target) const
-    {
-        return !target.state->current && !(m_excludes_down && is_down(target.outcomes));
-    }
-    void add(const outcome_window::recent_sums& outcomes)
-    {
-        for (std::size_t n = 0; n < outcomes.size(); ++n)
-        {
-            m_sums.at(n) += outcomes.at(n);
-        }
-    }
-
-    double m_usual_ratio;
-    outcome_window::recent_sums m_sums{};
-    bool m_excludes_down = false;
-};
-
-double outlier_detection::usual_outcomes::ratio(time_point now)
-{
-    const std::chrono::duration<double> elapsed{now - m_updated};
-    const auto decay = std::exp(-std::max(0.0, elapsed / usual_time_constant));
-    m_updated = now;
-    m_successes *= decay;
-    m_failures *= decay;
-    const auto total = m_successes + m_failures + prior_outcomes;
-    return std::min((m_failures + prior_failures) / total, max_usual_ratio);
-}
-
 void outlier_detection::reset(target_state& state, wall_time started)
 {
     const bool changed = state.changed || state.current.has_value();
@@ -336,29 +208,12 @@
 }
 
 std::optional<double> outlier_detection::failure_severity(const evaluated_target& target,
-                                                          const peer_outcomes& peers)
+                                                          const failure_comparison& comparison)
 {
-    const auto whole = outcome_window::bucket_count - 1;
-    // A run that is older than the window counts only when it has grown: after a fault that all shared, the
-    // others succeed again while the run is still there. Shorter runs are compared over their own time below.
+    // After a fault that all shared, the others succeed again while the run is still there.
     const bool failed_again = std::exchange(target.state->failed_again, false);
-    const bool older = target.outcomes.at(whole).successes == 0;
-    const target_outcomes run{.failures = target.state->failures_in_a_row};
-    if (failed_again && older && fails_more_often(run, peers.excluding(target, whole), peers.usual_ratio()))
-    {
-        return 1.0;
-    }
-    // Shorter intervals show a target that has just begun to fail.
-    std::optional<double> worst;
-    for (std::size_t n = 0; n < outcome_window::bucket_count; ++n)
-    {
-        const auto& outcomes = target.outcomes.at(n);
-        if (fails_more_often(outcomes, peers.excluding(target, n), peers.usual_ratio()))
-        {
-            worst = std::max(worst.value_or(0), static_cast<double>(outcomes.failures) / outcomes.total());
-        }
-    }
-    return worst;
+    const auto run = failed_again ? target.state->failures_in_a_row : 0;
+    return comparison.outlier_ratio(target.outcomes, run);
 }
 
 std::optional<double> outlier_detection::latency_severity(const evaluated_target& target, double median,
@@ -432,7 +287,14 @@
     std::vector<double> factors;
     std::ranges::transform(evaluated, std::back_inserter(factors), &evaluated_target::time_factor);
     const auto median = median_of(std::move(factors));
-    const peer_outcomes peers{evaluated, m_usual.ratio(now)};
+    failure_comparison comparison{m_usual.ratio(now)};
+    for (const auto& it : evaluated)
+    {
+        if (!it.state->current)
+        {
+            comparison.add(it.outcomes);
+        }
+    }
 
     std::vector<candidate> candidates;
     for (const auto& it : evaluated)
@@ -448,7 +310,7 @@
             state.period = {};
         }
         const auto slow = latency_severity(it, median, now);
-        if (const auto failing = failure_severity(it, peers))
+        if (const auto failing = failure_severity(it, comparison))
         {
             candidates.push_back({&it, ejection_reason::failures, *failing});
         }
