--- a/tests/unit/test_gateway_performance.cpp
+++ b/tests/unit/test_gateway_performance.cpp
@@ -276,7 +276,7 @@
     struct row
     {
         const char* kind;
-        /// Actual output relative to the median, spread of the hints as a standard deviation of logarithms.
+        /// Actual output relative to its median, and the standard deviation of the logarithms of hints.
         double bias;
         double spread;
         token_count hint;
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -221,17 +221,13 @@
                     .load);
 }
 
-TEST_CASE("scheduling headers are decoded, malformed ones count as missing, and all are forwarded unchanged")
+TEST_CASE("sizes of requests are decoded, malformed ones count as missing, and all are forwarded unchanged")
 {
     struct row
     {
         const char* name;
-        std::string value;
-        std::optional<gateway::generation_request> generation;
+        std::vector<std::string> malformed;
     };
-    const auto with_usage = [](token_count prompt, token_count output)
-    { return gateway::generation_request{.prompt_tokens = prompt, .max_output = output}; };
-    const auto with_hint = [](token_count hint) { return gateway::generation_request{.output_hint = hint}; };
     const auto repeated = [](std::size_t count)
     {
         std::string text = "a:1";
@@ -245,58 +241,43 @@
     const auto* const hint = "Masticcourse-Length-Hint";
     const auto* const prompt = "Masticcourse-Prompt-Prefix";
     const std::array table{
-        row{usage, "1840,280", with_usage(1840, 280)},
-        row{usage, "0,0", with_usage(0, 0)},
-        row{usage, "1840", {}},
-        row{usage, "-1,280", {}},
-        row{usage, "1840,-280", {}},
-        row{usage, "1840,280,1", {}},
-        row{usage, "1840, 280", {}},
-        row{usage, "99999999999999999999,1", {}},
-        row{usage, "9223372036854775807,9223372036854775807", {}},
-        row{usage, "", {}},
-        row{hint, "75", with_hint(75)},
-        row{hint, "-75", {}},
-        row{hint, "7.5", {}},
-        row{hint, "75 tokens", {}},
-        row{prompt, "3fA8:700,9c:40", gateway::generation_request{.prompt = {{"3fA8", 700}, {"9c", 40}}}},
-        row{prompt, repeated(64), gateway::generation_request{.prompt = {64, {"a", 1}}}},
-        row{prompt, repeated(65), {}},
-        row{prompt, "3f:700,", {}},
-        row{prompt, ",3f:700", {}},
-        row{prompt, "3f:700,,9c:40", {}},
-        row{prompt, "3f", {}},
-        row{prompt, ":7", {}},
-        row{prompt, "3f:", {}},
-        row{prompt, "3f:-7", {}},
-        row{prompt, "xy:7", {}},
-        row{prompt, "3f:7:8", {}},
-        row{prompt, std::string(101, 'a') + ":7", {}},
-        row{prompt, "", {}},
-        row{"Masticcourse-Session-Id", "a b", {}},
-        row{"Masticcourse-Program-Deadline-Ms", "soon", {}},
+        row{usage,
+            {"", ",", "1840", "1840,", "-1,280", "1840,-280", "1840,280,1", "1840, 280", "x,280",
+             "99999999999999999999,1", "9223372036854775807,9223372036854775807"}},
+        row{hint, {"", "-75", "7.5", "75 tokens", "99999999999999999999"}},
+        row{prompt,
+            {"", "3f", ":7", "3f:", "3f:-7", "xy:7", "3f:7:8", "3f:700,", ",3f:700", "3f:700,,9c:40",
+             "3f:99999999999", std::string(101, 'a') + ":7", repeated(65)}},
+        row{"Masticcourse-Session-Id", {"a b"}},
+        row{"Masticcourse-Program-Deadline-Ms", {"soon", "9223372036854775807"}},
     };
     for (const auto& it : table)
     {
         CAPTURE(it.name);
-        CAPTURE(it.value);
-        CHECK(find_header(encode_forwarded({{it.name, it.value}}).headers, it.name) == it.value);
-        const auto generation = decode({{it.name, it.value}}).generation;
-        REQUIRE(generation.has_value() == it.generation.has_value());
-        if (generation)
+        for (const auto& value : it.malformed)
         {
-            CHECK(generation->prompt_tokens == it.generation->prompt_tokens);
-            CHECK(generation->max_output == it.generation->max_output);
-            CHECK(generation->output_hint == it.generation->output_hint);
-            CHECK(generation->prompt == it.generation->prompt);
+            CAPTURE(value);
+            CHECK_FALSE(decode({{it.name, value}}).generation);
+            CHECK(find_header(encode_forwarded({{it.name, value}}).headers, it.name) == value);
+            // One malformed header doesn't affect the others.
+            const auto mixed = decode({{it.name, value}, {usage, "1840,280"}, {hint, "75"}}).generation;
+            REQUIRE(mixed);
+            CHECK(mixed->max_output == (it.name == usage ? 0 : 280));
+            CHECK(mixed->output_hint == (it.name == hint ? std::nullopt : std::optional<token_count>{75}));
         }
     }
-    // One malformed header doesn't affect the others.
-    const auto mixed = decode({{usage, "1840,280"}, {hint, "x"}, {prompt, "9c:40"}}).generation;
-    REQUIRE(mixed);
-    CHECK(mixed->max_output == 280);
-    CHECK_FALSE(mixed->output_hint);
-    CHECK(mixed->prompt.size() == 1);
+    const std::vector<http_header> good{{usage, "1840,280"}, {hint, "75"}, {prompt, "3fA8:700,9c:40"}};
+    const auto generation = decode(good).generation;
+    REQUIRE(generation);
+    CHECK(generation->prompt_tokens == 1'840);
+    CHECK(generation->max_output == 280);
+    CHECK(generation->output_hint == 75);
+    CHECK(generation->prompt == std::vector<gateway::prompt_part>{{"3fA8", 700}, {"9c", 40}});
+    CHECK(decode({{prompt, repeated(64)}}).generation->prompt.size() == 64);
+    const auto sent = encode_forwarded(good).headers;
+    CHECK(std::ranges::all_of(good,
+                              [&sent](const auto& it) { return find_header(sent, it.name) == it.value; }));
+    CHECK_FALSE(decode({}).generation);
 }
 
 TEST_CASE("the session and the deadline of a program are decoded, and malformed ones count as missing")
