Load exchange: every digest after one without a reply is complete

Marking single targets as not confirmed did not cover a target that a failed complete digest to another collector had left out: back at the first collector within the lifetime, its old count stayed. Found by reading, when a mutation of the marks survived the tests. A complete digest now always has a complete reply.

--- a/include/masticcourse/gateway/scheduling/load_exchange.hpp
+++ b/include/masticcourse/gateway/scheduling/load_exchange.hpp
@@ -92,8 +92,6 @@
     {
         std::uint32_t in_flight = 0;
         std::optional<time_point> reported_at;
-        /// The collector has replied to the last digest that contained it.
-        bool confirmed = true;
         /// Sequence of the last digest for which the target was in the local usage.
         std::uint64_t listed_in = 0;
     };
@@ -103,7 +101,6 @@
         std::string collector;
         std::uint64_t sequence = 0;
         time_point sent_at{};
-        std::vector<target_instance> targets;
     };
 
     struct load_metrics
@@ -125,7 +122,7 @@
     /// Records which collector is used.
     void select(const std::string& collector);
     [[nodiscard]] load_digest make_digest(const std::string& collector, time_point now);
-    /// @return the usages to be sent, which are recorded as sent
+    /// @return the usages to be sent, which are recorded in m_sent
     [[nodiscard]] std::vector<target_usage> changed_usages(std::vector<target_usage> targets, bool complete,
                                                            time_point now);
     void on_reply(const std::string& collector, std::uint64_t sequence,
@@ -145,7 +142,7 @@
     std::uint64_t m_run = 0;
 
     std::string m_selected;
-    /// The collector that has confirmed the usages in m_sent.
+    /// The collector that replied last. It knows the usages in m_sent unless m_needs_complete is set.
     std::string m_confirmed_by;
     /// A collector that was late and is used again; empty after it replied in time.
     std::string m_tolerated_late;
--- a/include/masticcourse/gateway/scheduling/load_messages.hpp
+++ b/include/masticcourse/gateway/scheduling/load_messages.hpp
@@ -66,7 +66,7 @@
 };
 
 /// One gateway's state, sent to the collector. Contains the targets whose usage changed since the last digest
-/// that the collector has confirmed, or all targets in use if `complete` is set. The demand is always
+/// that the collector has replied to, or all targets in use if `complete` is set. The demand is always
 /// complete.
 struct load_digest
 {
--- a/src/gateway/scheduling/load_collector.cpp
+++ b/src/gateway/scheduling/load_collector.cpp
@@ -51,12 +51,12 @@
         summary.needs_complete = true;
         return summary;
     }
-    if (digest.received_version != 0 && digest.received_version == sender->offered_version)
+    if (digest.received_version == sender->offered_version)
     {
         confirm_offer(*sender);
     }
     apply(*sender, digest, now);
-    return summarize(sender, digest.received_version, now);
+    return summarize(sender, digest.complete ? 0 : digest.received_version, now);
 }
 
 void load_collector::expire_gateways(time_point now)
--- a/src/gateway/scheduling/load_exchange.cpp
+++ b/src/gateway/scheduling/load_exchange.cpp
@@ -139,7 +139,6 @@
     select(collector);
     const auto digest = make_digest(collector, now);
     m_outstanding = {.collector = collector, .sequence = digest.sequence, .sent_at = now};
-    std::ranges::transform(digest.targets, std::back_inserter(m_outstanding->targets), &target_usage::target);
     m_last_sent_at = now;
     if (!peer)
     {
@@ -201,7 +200,6 @@
         {
             sent.in_flight = usage.in_flight;
             sent.reported_at = usage.report ? now - usage.report->age : sent.reported_at;
-            sent.confirmed = false;
             changed.push_back(std::move(usage));
         }
     };
@@ -213,8 +211,7 @@
         {
             it.report.reset();
         }
-        if (!sent.confirmed || it.in_flight != sent.in_flight || it.report || it.successes > 0 ||
-            it.failures > 0)
+        if (it.in_flight != sent.in_flight || it.report || it.successes > 0 || it.failures > 0)
         {
             add(sent, std::move(it));
         }
@@ -223,7 +220,7 @@
                   [this](const auto& entry)
                   {
                       const auto& sent = entry.second;
-                      return sent.listed_in != m_sequence && sent.confirmed && sent.in_flight == 0;
+                      return sent.listed_in != m_sequence && sent.in_flight == 0;
                   });
     for (auto& [target, sent] : m_sent)
     {
@@ -275,6 +272,8 @@
 void load_exchange::on_failure(const char* why)
 {
     const auto failed = std::exchange(m_outstanding, std::nullopt);
+    // Whether the collector has applied the digest is unknown.
+    m_needs_complete = true;
     m_services.peers.failed(failed->collector, m_services.clock());
     m_metrics.failed.add();
     log_event(event_id::load_collector_failed, {{"collector", failed->collector}, {"why", why}});
@@ -284,13 +283,6 @@
 {
     const auto digest = std::exchange(m_outstanding, std::nullopt);
     m_needs_complete = summary.needs_complete;
-    if (!summary.needs_complete)
-    {
-        for (const auto& it : digest->targets)
-        {
-            m_sent[it].confirmed = true;
-        }
-    }
     m_confirmed_by = digest->collector;
     m_received_version = summary.version;
     m_view_at = digest->sent_at;
--- a/tests/unit/test_gateway_load_exchange.cpp
+++ b/tests/unit/test_gateway_load_exchange.cpp
@@ -74,8 +74,8 @@
 /// A fleet whose views are complete.
 struct settled_load_fleet : load_fleet
 {
-    explicit settled_load_fleet(std::size_t gateways)
-        : load_fleet({.gateways = gateways, .seed = test_seed()})
+    explicit settled_load_fleet(std::size_t gateways, double requests_per_target = 4.5)
+        : load_fleet({.gateways = gateways, .requests_per_target = requests_per_target, .seed = test_seed()})
     {
         // A gateway is not told of outcomes before its first digest, so all of them join first.
         time.run(2 * interval());
@@ -226,6 +226,28 @@
     CHECK(seen == std::vector{usage_of("t", 0), usage_of("u", 4)});
 }
 
+TEST_CASE_FIXTURE(collector_fixture,
+                  "a complete digest replaces the gateway's usage and has a complete reply")
+{
+    std::ignore = a.send({usage_of("t", 2)}, now);
+    std::ignore = b.send({usage_of("t", 5)}, now);
+    CHECK(a.send({usage_of("u", 1)}, now, true).targets == std::vector{usage_of("t", 5)});
+    CHECK(b.send({}, now, true).targets == std::vector{usage_of("u", 1)});
+}
+
+TEST_CASE_FIXTURE(collector_fixture, "demand of others is summed and ends with the gateway")
+{
+    const auto demand_seen_by_b = [this] { return b.send({}, now).demand; };
+    const load_digest digest{
+        .sender = "a", .incarnation = "1", .sequence = 9, .demand = {{{"s"}, 4}, {{"s"}, 5}, {{"z"}, 0}}};
+    CHECK(collector.exchange(digest, now).demand.empty());
+    CHECK(demand_seen_by_b() == std::vector<service_demand>{{{"s"}, 4}});
+    now += lifetime / 2;
+    CHECK(demand_seen_by_b().size() == 1);
+    now += lifetime / 2;
+    CHECK(demand_seen_by_b().empty());
+}
+
 TEST_CASE_FIXTURE(collector_fixture, "silent gateways expire and unused targets are dropped")
 {
     std::ignore = a.send({usage_of("t", 2)}, now);
@@ -286,9 +308,9 @@
     }
 }
 
-TEST_CASE("lost digests and summaries leave no error behind")
+TEST_CASE("lost digests and summaries leave no error behind, also at targets that are seldom in use")
 {
-    settled_load_fleet fleet{26};
+    settled_load_fleet fleet{26, 0.3};
     std::minstd_rand random{test_seed().value};
     fleet.loses = [&](const std::string&, load_fleet::message_kind) { return random() % 5 == 0; };
     fleet.time.run(20s);
@@ -350,7 +372,7 @@
 
 TEST_CASE("a collector that resumes after a freeze leaves no old state in the views")
 {
-    settled_load_fleet fleet{26};
+    settled_load_fleet fleet{26, 0.3};
     fleet.freeze(fleet.collector(), 3s);
     fleet.time.run(30s);
     CHECK(fleet.settles_within(6s));
