--- a/tests/support/load_fleet.cpp
+++ b/tests/support/load_fleet.cpp
@@ -311,6 +311,11 @@
     return m_members[gateway]->exchange;
 }
 
+gateway::peer_directory& load_fleet::directory(std::size_t gateway)
+{
+    return m_members[gateway]->peers;
+}
+
 metrics_registry& load_fleet::metrics(std::size_t gateway)
 {
     return m_members[gateway]->metrics;
--- a/tests/support/load_fleet.hpp
+++ b/tests/support/load_fleet.hpp
@@ -90,6 +90,7 @@
     void cut(std::size_t one, std::size_t other);
 
     [[nodiscard]] gateway::load_exchange& exchange(std::size_t gateway);
+    [[nodiscard]] gateway::peer_directory& directory(std::size_t gateway);
     [[nodiscard]] metrics_registry& metrics(std::size_t gateway);
     /// @return the gateway that the running gateways select as collector
     [[nodiscard]] std::size_t collector() const;
--- a/tests/unit/test_gateway_load_exchange.cpp
+++ b/tests/unit/test_gateway_load_exchange.cpp
@@ -319,6 +319,29 @@
     CHECK(fleet.settles_within(25s));
 }
 
+TEST_CASE("a change in a lost digest reaches a collector that other messages show to respond")
+{
+    settled_load_fleet fleet{26};
+    fleet.pause_requests();
+    const auto collector = fleet.collector();
+    const auto victim = collector == 0 ? std::size_t{1} : std::size_t{0};
+    fleet.set_in_flight(victim, 0, 1'000);
+    fleet.time.run(5 * fleet.interval() / 2);
+    REQUIRE(fleet.all_views_exact());
+    fleet.set_in_flight(victim, 0, 0);
+    bool lost = false;
+    fleet.loses = [&](const std::string& sender, load_fleet::message_kind)
+    { return sender == load_fleet::address_of(victim) && !std::exchange(lost, true); };
+    for (milliseconds passed{0}; passed < 6 * fleet.interval(); passed += 1ms)
+    {
+        fleet.time.run(1ms);
+        // The directory is shared with other components, whose messages lift the exclusion.
+        fleet.directory(victim).answered(load_fleet::address_of(collector));
+    }
+    CHECK(lost);
+    CHECK(fleet.all_views_exact());
+}
+
 TEST_CASE("one lost message costs its gateway three intervals at most, and the others nothing")
 {
     for (const auto kind : {load_fleet::message_kind::digest, load_fleet::message_kind::summary})
