--- a/tests/unit/test_gateway_placement.cpp
+++ b/tests/unit/test_gateway_placement.cpp
@@ -113,6 +113,10 @@
         row{"longer of two cached prefixes", {{.cached = 9'500}, {.cached = 2'000}}, 0},
         row{"session at a slower target", {{}, {.time_factor = 1.5, .cached = 9'000}}, 1, 8'000},
         row{"session at a target of half the speed", {{}, {.time_factor = 2, .cached = 10'000}}, 0, 8'000},
+        row{"shared parts whose prefill delays others",
+            {{}, {.time_factor = 1.3, .cached = 8'000}},
+            1,
+            8'000},
         row{"shared parts at a slower target", {{}, {.time_factor = 1.5, .cached = 8'000}}, 0, 8'000},
         row{"factor that is no number of use", {{.time_factor = 0, .cached = 1}, {.load = 14}}, 0},
     };
