--- a/include/masticcourse/gateway/scheduling/new_program_policy.hpp
+++ b/include/masticcourse/gateway/scheduling/new_program_policy.hpp
@@ -23,7 +23,7 @@
     double m_first_fraction = 0.25;
 };
 
-/// @param max_share greatest part of the time left that may be spent waiting; at least 0.1
+/// @param max_share greatest part of the time left that may be spent waiting; at least 0.05
 /// @return the time that a new program can spend waiting, over all its turns, and still end in time
 [[nodiscard]] duration program_slack(const admission_request& request, double turns, double max_share,
                                      time_point now);
--- a/src/gateway/scheduling/new_program_policy.cpp
+++ b/src/gateway/scheduling/new_program_policy.cpp
@@ -15,7 +15,7 @@
 constexpr double max_turns = 64;
 /// Least part of the time left that a program may spend waiting. It applies where the expected durations of
 /// all turns exceed the time left, because the program is smaller than the average one.
-constexpr double min_slack_share = 0.1;
+constexpr double min_slack_share = 0.05;
 
 duration scaled(duration span, double factor)
 {
--- a/src/gateway/scheduling/room_share.cpp
+++ b/src/gateway/scheduling/room_share.cpp
@@ -17,7 +17,7 @@
 constexpr double max_advance = 1;
 /// Part of the slots that is left free for requests that may be sent in advance, while several gateways hold
 /// requests back.
-constexpr double advance_reserve = 0.08;
+constexpr double advance_reserve = 0.1;
 
 } // namespace
 
