Scheduler: age of the view and rate of other gateways in placement; unknown targets count as the typical one

A target that reported a slow phase once kept that estimate and got no further requests, and targets without any report counted as slower than all that had reported a factor below 1.

--- a/include/masticcourse/gateway/scheduling/request_scheduler.hpp
+++ b/include/masticcourse/gateway/scheduling/request_scheduler.hpp
@@ -128,6 +128,18 @@
     }
 
   private:
+    /// Rate of events, averaged over about a second.
+    class decaying_rate
+    {
+      public:
+        void record(time_point now);
+        [[nodiscard]] double per_second(time_point now) const;
+
+      private:
+        double m_per_second = 0;
+        time_point m_updated{};
+    };
+
     /// A request that is held back.
     struct held_entry
     {
@@ -137,6 +149,8 @@
 
     struct service_state
     {
+        explicit service_state(random_seed seed) : outliers(seed) {}
+
         target_performance performance;
         outlier_detection outliers;
         std::optional<admission_control> admission;
@@ -144,6 +158,8 @@
         bool has_engines = false;
         /// Average output of a request, in tokens.
         double typical_output = 64;
+        /// Requests that this gateway sends to the service.
+        decaying_rate sent;
     };
 
     /// The last load report of a target that this gateway received.
@@ -170,6 +186,8 @@
     [[nodiscard]] double load_of(const target& it, time_point now) const;
     [[nodiscard]] service_room room_of(const service_name& name, const service_state& state,
                                        time_point now) const;
+    [[nodiscard]] static duration typical_duration(const service_profile& profile,
+                                                   const service_state& state);
     [[nodiscard]] placement_costs costs_of(const service_state& state) const;
     [[nodiscard]] placement_request placement_of(const scheduled_request& request,
                                                  const service_state& state) const;
--- a/include/masticcourse/gateway/scheduling/target_performance.hpp
+++ b/include/masticcourse/gateway/scheduling/target_performance.hpp
@@ -165,6 +165,8 @@
         double first_event = 0;
         double response = 0;
         double response_ratio = 0;
+        /// Time factor that targets report; 1 if none does.
+        double reported = 1;
     };
 
     struct kind_state
--- a/src/gateway/scheduling/request_scheduler.cpp
+++ b/src/gateway/scheduling/request_scheduler.cpp
@@ -3,7 +3,10 @@
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 #include <iterator>
+#include <numeric>
 #include <ranges>
 #include <utility>
 
@@ -14,10 +17,12 @@
 {
 
 using namespace std::chrono_literals;
+using real_seconds = std::chrono::duration<double>;
 
-/// Requests that a target may have beyond its slots, so that the next one is there when a slot becomes free:
-/// requests end every few tens of milliseconds, and one takes a few milliseconds to reach its target.
-constexpr double extra_requests_per_target = 1.0;
+/// Requests that a target may have beyond its slots, as a fraction of them, so that the next one is there
+/// when a slot becomes free: requests end every few tens of milliseconds, and one takes a few to reach its
+/// target.
+constexpr double extra_requests = 0.1;
 /// Interval between evaluations of the outliers. Ejecting a target within a second is early enough.
 constexpr milliseconds evaluation_interval{250};
 /// Additional time of a request to a target in another failure domain: a connection that is rarely used often
@@ -83,11 +88,12 @@
     m_config = std::move(config);
     for (const auto& it : m_config->services)
     {
-        auto& state = m_states[it.name];
+        const auto seed = derive_seed(m_services.seed, it.name.value);
+        auto& state = m_states.try_emplace(it.name, seed).first->second;
         state.has_engines = it.engine.has_value();
         if (m_services.options.admission && state.has_engines && !state.admission)
         {
-            state.admission.emplace(admission_options{}, derive_seed(m_services.seed, it.name.value));
+            state.admission.emplace(admission_options{}, seed);
         }
     }
 }
@@ -146,6 +152,23 @@
                     static_cast<double>(it.in_flight + (external != nullptr ? external->in_flight : 0)));
 }
 
+void request_scheduler::decaying_rate::record(time_point now)
+{
+    m_per_second = per_second(now) + 1;
+    m_updated = now;
+}
+
+double request_scheduler::decaying_rate::per_second(time_point now) const
+{
+    return m_per_second * std::exp(-real_seconds{now - m_updated}.count());
+}
+
+duration request_scheduler::typical_duration(const service_profile& profile, const service_state& state)
+{
+    return or_default(profile.first_event, default_first_event) +
+           scaled(or_default(profile.output_token, default_output_token), state.typical_output);
+}
+
 placement_costs request_scheduler::costs_of(const service_state& state) const
 {
     const auto profile = state.performance.profile();
@@ -154,7 +177,8 @@
             .prefill_token = prefill_token_time,
             .output_token = or_default(profile.output_token, default_output_token),
             .response = state.has_engines ? duration::zero() : or_default(profile.response, default_response),
-            .cross_domain = cross_domain_time};
+            .cross_domain = cross_domain_time,
+            .typical_duration = state.has_engines ? typical_duration(profile, state) : duration::zero()};
 }
 
 placement_request request_scheduler::placement_of(const scheduled_request& request,
@@ -165,9 +189,14 @@
     {
         return {};
     }
+    const auto& parts = generation->prompt;
+    const auto shared =
+        std::transform_reduce(parts.begin(), parts.empty() ? parts.end() : std::prev(parts.end()),
+                              token_count{0}, std::plus<>{}, std::mem_fn(&prompt_part::tokens));
     return {.prompt_tokens = generation->prompt_tokens,
             .expected_output = state.performance.expected_output(
-                request.matched_route.name, generation->output_hint, generation->max_output)};
+                request.matched_route.name, generation->output_hint, generation->max_output),
+            .shared_tokens = parts.empty() ? std::nullopt : std::optional{shared}};
 }
 
 const target* request_scheduler::choose(const scheduled_request& request,
@@ -178,14 +207,14 @@
     const auto& generation = request.request.generation;
     std::vector<target_estimate> estimates;
     estimates.reserve(candidates.size());
+    const auto cached = generation ? m_prompts.find(generation->prompt, now) : cached_prefixes{};
     const auto add_estimate = [&](const target* it)
     {
         const auto instance = it->record.instance();
-        const auto cached = generation ? m_prompts.cached_tokens(instance, generation->prompt, now) : 0;
         estimates.push_back({.entry = it,
                              .load = load_of(*it, now),
                              .time_factor = state->performance.time_factor(instance, now),
-                             .cached_tokens = cached});
+                             .cached_tokens = cached.at(instance)});
     };
     const auto is_untried = [&](const target* it)
     { return std::ranges::find(criteria.tried, it->record.id) == criteria.tried.end(); };
@@ -212,6 +241,13 @@
     placement.affinity = criteria.affinity;
     placement.chooser = criteria.chooser;
     placement.preferred_domain = criteria.preferred_domain;
+    if (m_exchange.fresh(now))
+    {
+        const auto others = m_exchange.gateways(now) - 1;
+        placement.view_age = m_exchange.age(now);
+        placement.unseen_requests =
+            others * state->sent.per_second(now) * real_seconds{placement.view_age}.count();
+    }
     const auto placed = choose_by_finish(estimates, placement, costs_of(*state));
     return placed ? placed->entry : nullptr;
 }
@@ -221,8 +257,7 @@
 {
     const auto costs = costs_of(state);
     service_room room{.others_waiting = m_exchange.others_waiting(name, now),
-                      .typical_duration =
-                          costs.first_event + scaled(costs.output_token, state.typical_output)};
+                      .typical_duration = costs.typical_duration};
     for (const auto* it : m_services.targets.candidates(name))
     {
         if (it->backoff_until > now || state.outliers.ejected(it->record.instance(), now))
@@ -230,7 +265,7 @@
             continue;
         }
         room.slots += it->record.slots;
-        room.free += std::max(0.0, it->record.slots + extra_requests_per_target - load_of(*it, now));
+        room.free += std::max(0.0, it->record.slots * (1 + extra_requests) - load_of(*it, now));
     }
     return room;
 }
@@ -350,7 +385,12 @@
     auto* const state = find(request.service);
     const auto& program = request.request.program;
     const auto now = m_services.clock();
-    if (!schedules(request.service, now) || !request.request.generation || !program)
+    if (!schedules(request.service, now))
+    {
+        return;
+    }
+    state->sent.record(now);
+    if (!request.request.generation || !program)
     {
         return;
     }
@@ -492,7 +532,7 @@
             }
             if (external->successes + external->failures > 0)
             {
-                state.outliers.record(instance, {external->successes, external->failures}, now);
+                state.outliers.record_external(instance, {external->successes, external->failures}, now);
             }
             if (external->report && external->report->time_factor)
             {
--- a/src/gateway/scheduling/target_performance.cpp
+++ b/src/gateway/scheduling/target_performance.cpp
@@ -30,6 +30,9 @@
 /// The samples of a target lose half of their weight in this time without new ones, so that a target that is
 /// avoided for its slowness is tried again.
 constexpr seconds sample_half_life{30};
+/// The same for the reports of a target. A report from a slow phase that is taken for the target's usual
+/// state keeps requests, and with them further reports, away from it.
+constexpr seconds report_half_life{3};
 constexpr milliseconds typical_interval{250};
 /// The samples of a target that reports its time factor correct the report only where they differ clearly:
 /// a slow phase may begin or end within a sample.
@@ -53,10 +56,10 @@
 }
 
 /// @return the share of their weight that samples keep
-double fading(time_point sampled_at, time_point now)
+double fading(time_point sampled_at, time_point now, seconds half_life = sample_half_life)
 {
     const auto age = std::max(duration{0}, now - sampled_at);
-    return std::exp2(-to_milliseconds(age) / to_milliseconds(sample_half_life));
+    return std::exp2(-to_milliseconds(age) / to_milliseconds(half_life));
 }
 
 double limited(double time, double typical)
@@ -64,14 +67,17 @@
     return typical > 0 ? std::clamp(time, typical / max_deviation, typical * max_deviation) : time;
 }
 
-/// @return the time factor by the target's own reports; 1 if there are none
-double reported_factor(const running_mean& mean, double last, time_point reported_at, time_point now)
+/// @return the time factor by the target's own reports
+/// @param typical factor to assume without reports
+double reported_factor(const running_mean& mean, double last, time_point reported_at, time_point now,
+                       double typical)
 {
     if (mean.weight() > 0 && now - reported_at <= report_validity)
     {
         return last;
     }
-    return (mean.mean() * mean.weight() + reported_prior) / (mean.weight() + reported_prior);
+    const auto weight = mean.weight() * fading(reported_at, now, report_half_life);
+    return (mean.mean() * weight + typical * reported_prior) / (weight + reported_prior);
 }
 
 } // namespace
@@ -165,7 +171,8 @@
     {
         return;
     }
-    const auto reported = reported_factor(state->reported, state->last_reported, state->reported_at, now);
+    const auto reported =
+        reported_factor(state->reported, state->last_reported, state->reported_at, now, m_typical.reported);
     const auto factor = std::clamp(sample.time_factor.value_or(reported), min_factor, max_factor);
     sampled(*state, now);
     if (sample.first_event > duration{0})
@@ -192,7 +199,8 @@
     {
         return;
     }
-    const auto factor = reported_factor(state->reported, state->last_reported, state->reported_at, now);
+    const auto factor =
+        reported_factor(state->reported, state->last_reported, state->reported_at, now, m_typical.reported);
     const auto time = to_milliseconds(response_time) / factor;
     auto& mean = kind_of(kind).response;
     // Without the target's own speed, so that the mean doesn't depend on which targets the requests went to.
@@ -245,7 +253,7 @@
     const auto* const state = find(target);
     if (state == nullptr)
     {
-        return 1;
+        return m_typical.reported;
     }
     auto measured = measured_factor(*state, now);
     if (state->reported.weight() > 0)
@@ -254,7 +262,8 @@
         const bool typical = measured < residual_tolerance && measured > 1 / residual_tolerance;
         measured = typical || samples < residual_min_samples ? 1 : measured;
     }
-    const auto reported = reported_factor(state->reported, state->last_reported, state->reported_at, now);
+    const auto reported =
+        reported_factor(state->reported, state->last_reported, state->reported_at, now, m_typical.reported);
     return std::clamp(reported * measured, min_factor, max_factor);
 }
 
@@ -317,10 +326,12 @@
     {
         return;
     }
+    const auto reported = median(&target_state::reported);
     m_typical = {.output_token = median(&target_state::output_token),
                  .first_event = median(&target_state::first_event),
                  .response = median(&target_state::response),
-                 .response_ratio = median(&target_state::response_ratio)};
+                 .response_ratio = median(&target_state::response_ratio),
+                 .reported = reported > 0 ? reported : 1};
     m_typical_at = now;
     m_typical_samples = m_samples;
     ++m_typical_updates;
