--- a/tests/support/load_fleet.cpp
+++ b/tests/support/load_fleet.cpp
@@ -441,7 +441,7 @@
         return;
     }
     auto& receiver = *m_members[index_of(to)];
-    if (receiver.stopped)
+    if (receiver.stopped || (refuses && refuses(sender.address)))
     {
         delays_for(sender)(2 * m_options.one_way_delay, [answer] { answer(std::nullopt); });
         return;
--- a/tests/support/load_fleet.hpp
+++ b/tests/support/load_fleet.hpp
@@ -111,6 +111,8 @@
     std::size_t messages = 0;
     /// Decides which messages are lost; none if empty.
     std::function<bool(const std::string& sender, message_kind kind)> loses;
+    /// Decides whose digests are refused at once because the connection closes; none if empty.
+    std::function<bool(const std::string& sender)> refuses;
 
   private:
     void call(member& sender, const std::string& to, const std::string& bytes,
--- a/tests/unit/test_gateway_load_exchange.cpp
+++ b/tests/unit/test_gateway_load_exchange.cpp
@@ -330,7 +330,7 @@
     REQUIRE(fleet.all_views_exact());
     fleet.set_in_flight(victim, 0, 0);
     bool lost = false;
-    fleet.loses = [&](const std::string& sender, load_fleet::message_kind)
+    fleet.refuses = [&](const std::string& sender)
     { return sender == load_fleet::address_of(victim) && !std::exchange(lost, true); };
     for (milliseconds passed{0}; passed < 6 * fleet.interval(); passed += 1ms)
     {
