--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -147,7 +147,12 @@
     m_quota_workspace = owner.quota ? &owner : nullptr;
     if (auto& context = m_request.program)
     {
+        const bool is_main_line = context->session == context->program.value;
         context->program = workspace_scoped_id(owner.name, context->program);
+        if (is_main_line)
+        {
+            context->session = context->program.value;
+        }
         if (context->previous_turn)
         {
             context->previous_turn = workspace_scoped_id(owner.name, *context->previous_turn);
