Scheduler: faults found in review

- A resumable stream outside of any program read an empty optional when it ended, also where nothing is scheduled.
- completed() was called for each attempt instead of once for each admitted request, record_turn() for each retry.
- Ejected targets of services without repeatable routes were never probed.
- Outcomes of an earlier instance were reported as those of the next one; reports of targets that are gone were kept.
- Services that leave the configuration are forgotten; a service without engines is not under admission control.

--- a/include/masticcourse/gateway/scheduling/request_scheduler.hpp
+++ b/include/masticcourse/gateway/scheduling/request_scheduler.hpp
@@ -2,8 +2,9 @@
 /// Connects the scheduling decisions with request forwarding: which target a request is sent to, whether it
 /// is sent now, held back or refused, and what the outcome says about the targets.
 ///
-/// A service is scheduled if admission control is enabled and the service runs model engines, or if its
-/// targets report how long work takes there. All other services are served without any of this.
+/// A service is scheduled if admission control is enabled, or if its targets report how long work takes
+/// there. Admission control applies to services that run model engines. All other services are served without
+/// any of this.
 #pragma once
 
 #include "masticcourse/gateway/gateway_request.hpp"
@@ -110,7 +111,8 @@
 
     /// @name Outcomes
     /// @{
-    void on_sent(const scheduled_request& request, const target_instance& target);
+    /// @param first_attempt false if the request was sent to another target before
+    void on_sent(const scheduled_request& request, const target_instance& target, bool first_attempt);
     void on_report(const service_name& service, const target_instance& target,
                    const target_load_report& report);
     void on_stream_complete(const scheduled_request& request, const target_instance& target,
@@ -119,6 +121,8 @@
                               duration response_time);
     /// Called for each attempt that ends, after the target table was updated.
     void on_attempt_ended(const service_name& service, const target_instance& target, health_signal signal);
+    /// Called once for each admitted request, when it no longer uses a target.
+    void on_request_ended(const service_name& service);
     /// @}
 
     /// Handles a load digest of another gateway.
@@ -156,6 +160,8 @@
         std::optional<admission_control> admission;
         std::unordered_map<admission_ticket, held_entry> held;
         bool has_engines = false;
+        /// Whether probes of ejected targets can be left to requests that may be repeated.
+        bool has_repeatable_routes = false;
         /// Average output of a request, in tokens.
         double typical_output = 64;
         /// Requests that this gateway sends to the service.
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -87,6 +87,8 @@
     void refuse_for_room(const not_admitted& refusal);
     [[nodiscard]] const service_name& service() const;
     [[nodiscard]] scheduled_request scheduling() const;
+    /// Tells the scheduler that the request no longer uses its targets.
+    void complete_admission();
     /// Reports a complete response to the scheduler.
     void record_performance();
     [[nodiscard]] const target* choose_next_target();
@@ -202,7 +204,7 @@
 
     /// @name Admission
     /// @{
-    /// The first attempt may be sent, or has been.
+    /// The request may be sent, and has not told the scheduler yet that it has ended.
     bool m_admitted = false;
     /// Set while the request is held back.
     std::optional<held_request> m_held;
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -140,6 +140,7 @@
     m_finished = true;
     log_outcome(outcome, detail);
     end_attempt(health_signal::none);
+    complete_admission();
     if (m_held)
     {
         m_services.scheduler.cancel(*m_held);
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -202,7 +202,7 @@
         m_pending_output.clear();
     }
     m_services.targets.begin(target.instance());
-    m_services.scheduler.on_sent(scheduling(), target.instance());
+    m_services.scheduler.on_sent(scheduling(), target.instance(), m_tried_targets.size() == 1);
 
     const auto attempt = m_attempt_id;
     auto request =
@@ -255,6 +255,10 @@
         const auto ended = *std::exchange(m_target, std::nullopt);
         m_services.targets.end(ended.instance(), signal, m_services.clock());
         m_services.scheduler.on_attempt_ended(ended.service, ended.instance(), signal);
+        if (signal == health_signal::healthy)
+        {
+            complete_admission();
+        }
     }
     if (signal == health_signal::failed)
     {
@@ -268,9 +272,21 @@
     }
 }
 
+void forwarded_request::complete_admission()
+{
+    if (std::exchange(m_admitted, false))
+    {
+        m_services.scheduler.on_request_ended(service());
+    }
+}
+
 void forwarded_request::record_performance()
 {
     const auto now = m_services.clock();
+    if (!m_services.scheduler.schedules(service(), now))
+    {
+        return;
+    }
     if (!is_stream())
     {
         m_services.scheduler.on_response_complete(scheduling(), m_target->instance(),
--- a/src/gateway/forwarded_request_overdraft.cpp
+++ b/src/gateway/forwarded_request_overdraft.cpp
@@ -115,9 +115,8 @@
 
 token_count forwarded_request::tokens_per_event() const
 {
-    const auto* const service =
-        m_config->find_service(choose_service(*m_route, m_request.program->program.value));
-    return service != nullptr && service->engine ? service->engine->tokens_per_event : 1;
+    const auto* const found = m_config->find_service(service());
+    return found != nullptr && found->engine ? found->engine->tokens_per_event : 1;
 }
 
 } // namespace masticcourse::gateway::detail
--- a/src/gateway/scheduling/request_scheduler.cpp
+++ b/src/gateway/scheduling/request_scheduler.cpp
@@ -56,6 +56,14 @@
     return std::chrono::duration_cast<duration>(time * factor);
 }
 
+bool has_repeatable_routes(const gateway_config& config, const service_name& service)
+{
+    const auto leads_to_service = [&service](const service_share& it) { return it.service == service; };
+    return std::ranges::any_of(
+        config.routes, [&](const route& it)
+        { return it.repeatable() && std::ranges::any_of(it.services, leads_to_service); });
+}
+
 bool is_success(health_signal signal)
 {
     return signal == health_signal::healthy;
@@ -86,11 +94,14 @@
 void request_scheduler::set_config(config_ptr config)
 {
     m_config = std::move(config);
+    std::erase_if(m_states, [this](const auto& it)
+                  { return m_config->find_service(it.first) == nullptr && it.second.held.empty(); });
     for (const auto& it : m_config->services)
     {
         const auto seed = derive_seed(m_services.seed, it.name.value);
         auto& state = m_states.try_emplace(it.name, seed).first->second;
         state.has_engines = it.engine.has_value();
+        state.has_repeatable_routes = has_repeatable_routes(*m_config, it.name);
         if (m_services.options.admission && state.has_engines && !state.admission)
         {
             state.admission.emplace(admission_options{}, seed);
@@ -124,6 +135,8 @@
     if (evaluate)
     {
         m_next_evaluation = now + evaluation_interval;
+        std::erase_if(m_reports,
+                      [this](const auto& it) { return m_services.targets.find(it.first) == nullptr; });
     }
     for (auto& [name, state] : m_states)
     {
@@ -223,7 +236,8 @@
         return is_untried(it) && it->backoff_until <= now &&
                !state->outliers.ejected(it->record.instance(), now);
     };
-    if (request.matched_route.repeatable() && criteria.tried.empty())
+    const bool may_probe = request.matched_route.repeatable() || !state->has_repeatable_routes;
+    if (may_probe && criteria.tried.empty() && state->outliers.ejected_count() > 0)
     {
         const auto wants_probe = [&](const target* it)
         { return state->outliers.wants_probe(it->record.instance(), now); };
@@ -292,7 +306,7 @@
 admission_result request_scheduler::admit(const scheduled_request& request, admission_callback on_release)
 {
     auto* const state = find(request.service);
-    if (state == nullptr || !state->admission)
+    if (state == nullptr || !state->admission || !state->has_engines)
     {
         return admitted{};
     }
@@ -380,7 +394,8 @@
     }
 }
 
-void request_scheduler::on_sent(const scheduled_request& request, const target_instance& target)
+void request_scheduler::on_sent(const scheduled_request& request, const target_instance& target,
+                                bool first_attempt)
 {
     auto* const state = find(request.service);
     const auto& program = request.request.program;
@@ -395,7 +410,7 @@
         return;
     }
     m_prompts.record(target, request.request.generation->prompt, 0, now);
-    if (state->admission)
+    if (state->admission && first_attempt)
     {
         state->admission->record_turn(!m_programs.contains(program->program) && !program->previous_turn);
     }
@@ -415,7 +430,10 @@
     {
         state->performance.report_time_factor(target, *report.time_factor, now);
     }
-    m_reports[target.id] = {.target = target, .load = report, .received = now};
+    if (schedules(service, now))
+    {
+        m_reports[target.id] = {.target = target, .load = report, .received = now};
+    }
 }
 
 void request_scheduler::on_stream_complete(const scheduled_request& request, const target_instance& target,
@@ -461,15 +479,25 @@
                                        .failures = is_failure(signal) ? 1U : 0U};
         state->outliers.record(target, outcomes, now);
         auto& unreported = m_unreported[target.id];
-        unreported.target = target;
+        if (unreported.target != target)
+        {
+            unreported = {.target = target};
+        }
         unreported.outcomes.successes += outcomes.successes;
         unreported.outcomes.failures += outcomes.failures;
     }
-    if (state->admission)
+}
+
+void request_scheduler::on_request_ended(const service_name& service)
+{
+    auto* const state = find(service);
+    if (state == nullptr || !state->admission)
     {
-        state->admission->completed(now);
-        release(service, *state, now);
+        return;
     }
+    const auto now = m_services.clock();
+    state->admission->completed(now);
+    release(service, *state, now);
 }
 
 local_usage request_scheduler::collect_usage()
--- a/tests/unit/test_gateway_scheduling.cpp
+++ b/tests/unit/test_gateway_scheduling.cpp
@@ -105,6 +105,63 @@
     CHECK(world.sent.size() == fixture_room);
 }
 
+TEST_CASE("a resumable stream outside of any program is served")
+{
+    for (const bool admission : {false, true})
+    {
+        CAPTURE(admission);
+        forwarding_fixture world{{.admission = admission}};
+        auto request = make_generation(world, "r");
+        request.program.reset();
+        const auto view = world.send(request);
+        complete(*world.last());
+        world.last()->end(200);
+        CHECK(view->ended);
+    }
+}
+
+TEST_CASE("a request that several targets refuse frees one slot")
+{
+    forwarding_fixture world{{.admission = true}};
+    fill(world);
+    const auto first = world.send(make_generation(world, "held 1"));
+    const auto second = world.send(make_generation(world, "held 2"));
+    world.sent.front()->refuse();
+    REQUIRE(world.sent.size() == fixture_room + 1);
+    complete(*world.last());
+    world.last()->end(200);
+    CHECK(world.sent.size() == fixture_room + 2);
+}
+
+TEST_CASE("a program that could not end in time is refused at its first turn, one under way waits")
+{
+    forwarding_fixture world{{.admission = true}};
+    auto with_workspace = *world.config;
+    with_workspace.workspaces = workspace_directory{{{.name = {"alpha"}, .keys = {"key"}}}};
+    world.config = std::make_shared<const gateway_config>(with_workspace);
+    world.scheduler.set_config(world.config);
+    const auto send = [&world](const std::string& id, const std::string& program)
+    {
+        auto request = make_generation(world, id);
+        request.access_key = "key";
+        request.program =
+            program_context{.program = {program}, .session = program, .time_left = milliseconds{300}};
+        return world.send(request);
+    };
+    for (std::size_t n = 0; n < fixture_room; ++n)
+    {
+        std::ignore = send("r" + std::to_string(n), "p" + std::to_string(n));
+    }
+    REQUIRE(world.sent.size() == fixture_room);
+    const auto under_way = send("next turn", "p0");
+    const auto starting = send("first turn", "new");
+    run_with_sweeps(world, 200ms);
+    CHECK_FALSE(under_way->response);
+    REQUIRE(starting->response);
+    CHECK(starting->response->status == status_unavailable);
+    CHECK(find_header(starting->response->headers, "retry-after"));
+}
+
 TEST_CASE("requests go to the targets that report that work takes less time there")
 {
     forwarding_fixture world;
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -669,6 +669,24 @@
     const auto without = parse_gateway_settings(good_settings.substr(0, good_settings.find("[quota]")));
     CHECK(std::get<gateway_settings>(without).quota == gateway::quota_rule{});
 
+    struct admission_row
+    {
+        const char* section;
+        bool enabled;
+    };
+    for (const auto& it :
+         {admission_row{"", false},
+          {"[deployment]\ncontracts = [\"base\", \"cost\"]\n", false},
+          {"[deployment]\ncontracts = [\"base\", \"pressure\"]\n", true},
+          {"[admission]\nenabled = true\n", true},
+          {"[deployment]\ncontracts = [\"pressure\"]\n[admission]\nenabled = false\n", false}})
+    {
+        CAPTURE(it.section);
+        const auto parsed = parse_gateway_settings(good_settings + "\n" + it.section);
+        REQUIRE(std::holds_alternative<gateway_settings>(parsed));
+        CHECK(std::get<gateway_settings>(parsed).scheduling.admission == it.enabled);
+    }
+
     struct row
     {
         std::string from;
@@ -676,6 +694,8 @@
         std::string key;
     };
     const std::array table{
+        row{"slack = 20", "slack = 20\n[admission]\nenabled = 1", "admission.enabled"},
+        row{"slack = 20", "slack = 20\n[deployment]\ncontracts = \"pressure\"", "deployment.contracts"},
         row{"node = \"n\"", "node = \"\"", "node"},
         row{"127.0.0.1:1\"", "127.0.0.1\"", "listen.callers"},
         row{"row_bytes = 65536", "", "store.row_bytes"},
