Scheduler: less work for each request

Admission applies to services with engines alone; the room of a service is added up at most every 20 ms, and the candidates of a service are kept until the registry changes.

--- a/include/masticcourse/gateway/scheduling/request_scheduler.hpp
+++ b/include/masticcourse/gateway/scheduling/request_scheduler.hpp
@@ -164,6 +164,9 @@
         bool has_repeatable_routes = false;
         /// Average output of a request, in tokens.
         double typical_output = 64;
+        /// The room when it was last added up, and this gateway's changes since.
+        std::optional<service_room> room;
+        time_point room_updated{};
         /// Requests that this gateway sends to the service.
         decaying_rate sent;
     };
@@ -190,6 +193,7 @@
     void apply_external_usage();
     void evaluate_outliers(const service_name& name, service_state& state, time_point now);
     [[nodiscard]] double load_of(const target& it, time_point now) const;
+    const service_room& recent_room(const service_name& name, service_state& state, time_point now) const;
     [[nodiscard]] service_room room_of(const service_name& name, const service_state& state,
                                        time_point now) const;
     [[nodiscard]] static duration typical_duration(const service_profile& profile,
--- a/include/masticcourse/gateway/target_table.hpp
+++ b/include/masticcourse/gateway/target_table.hpp
@@ -161,7 +161,11 @@
     /// @return the entry of the instance, or null if it is not the current one
     [[nodiscard]] target* find_instance(const target_instance& instance);
 
+    [[nodiscard]] std::vector<const target*> find_candidates(const service_name& service) const;
+
     std::unordered_map<target_id, target> m_targets;
+    /// Results of find_candidates(), until the table changes.
+    mutable std::unordered_map<service_name, std::vector<const target*>> m_candidates;
 };
 
 } // namespace masticcourse::gateway
--- a/src/gateway/scheduling/request_scheduler.cpp
+++ b/src/gateway/scheduling/request_scheduler.cpp
@@ -41,6 +41,10 @@
 /// Weight of a new observation in the average output of a service's requests.
 constexpr double output_weight = 0.02;
 
+/// How long the room of a service is used before it is added up again over all targets. Own requests that
+/// start and end meanwhile are counted.
+constexpr milliseconds room_lifetime{20};
+
 /// Programs and prompt parts that are remembered. A gateway serves some tens of programs a second, each for a
 /// few seconds.
 constexpr std::size_t max_programs = 4'096;
@@ -124,7 +128,7 @@
 bool request_scheduler::schedules(const service_name& service, time_point now) const
 {
     const auto* const state = find(service);
-    return state != nullptr && (m_services.options.admission || state->performance.reports_time_factors(now));
+    return state != nullptr && (state->admission || state->performance.reports_time_factors(now));
 }
 
 void request_scheduler::sweep(time_point now)
@@ -266,6 +270,17 @@
     return placed ? placed->entry : nullptr;
 }
 
+const service_room& request_scheduler::recent_room(const service_name& name, service_state& state,
+                                                   time_point now) const
+{
+    if (!state.room || now - state.room_updated >= room_lifetime)
+    {
+        state.room = room_of(name, state, now);
+        state.room_updated = now;
+    }
+    return *state.room;
+}
+
 service_room request_scheduler::room_of(const service_name& name, const service_state& state,
                                         time_point now) const
 {
@@ -311,7 +326,7 @@
         return admitted{};
     }
     const auto now = m_services.clock();
-    const auto room = room_of(request.service, *state, now);
+    const auto& room = recent_room(request.service, *state, now);
     auto decision = state->admission->request(admission_of(request, *state, now), room, now);
     if (const auto* const held = std::get_if<held_back>(&decision))
     {
@@ -327,6 +342,7 @@
         return std::move(*refusal);
     }
     count_decision("admitted");
+    state->room->free -= 1;
     return admitted{};
 }
 
@@ -382,7 +398,8 @@
     {
         return;
     }
-    auto room = room_of(name, state, now);
+    recent_room(name, state, now);
+    auto& room = *state.room;
     for (const auto& it : state.admission->expire(room, now))
     {
         finish_held(state, it.ticket, it.refusal);
@@ -497,6 +514,10 @@
     }
     const auto now = m_services.clock();
     state->admission->completed(now);
+    if (state->room)
+    {
+        state->room->free += 1;
+    }
     release(service, *state, now);
 }
 
--- a/src/gateway/target_table.cpp
+++ b/src/gateway/target_table.cpp
@@ -40,6 +40,7 @@
 
 bool target_table::put(const target_record& record)
 {
+    m_candidates.clear();
     auto& entry = m_targets[record.id];
     if (record.started < entry.record.started)
     {
@@ -58,6 +59,7 @@
 
 bool target_table::withdraw(const target_id& id)
 {
+    m_candidates.clear();
     return m_targets.erase(id) > 0;
 }
 
@@ -108,6 +110,10 @@
             expired.push_back(id);
         }
     }
+    if (!expired.empty())
+    {
+        m_candidates.clear();
+    }
     std::ranges::for_each(expired, [this](const auto& id) { m_targets.erase(id); });
     return expired;
 }
@@ -143,6 +149,7 @@
     else if (signal == health_signal::replaced)
     {
         entry.replaced = true;
+        m_candidates.clear();
     }
     else if (signal != health_signal::none)
     {
@@ -165,6 +172,16 @@
 }
 
 std::vector<const target*> target_table::candidates(const service_name& service) const
+{
+    const auto [it, inserted] = m_candidates.try_emplace(service);
+    if (inserted)
+    {
+        it->second = find_candidates(service);
+    }
+    return it->second;
+}
+
+std::vector<const target*> target_table::find_candidates(const service_name& service) const
 {
     std::vector<const target*> found;
     for (const auto& [id, entry] : m_targets)
