--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -51,6 +51,7 @@
     milliseconds stop_grace{};
     /// How far a workspace's requests may exceed its quota.
     quota_rule quota;
+    /// Placement and admission under load.
     scheduling_options scheduling;
 };
 
--- a/include/masticcourse/gateway/scheduling/admission_control.hpp
+++ b/include/masticcourse/gateway/scheduling/admission_control.hpp
@@ -1,9 +1,9 @@
 /// @file
-/// Admission of requests to a service whose targets are short of room: who is sent, who waits, and who is
-/// refused with which Retry-After.
+/// Admission of requests to a service whose targets are short of capacity: which requests are sent, which
+/// wait, and which are refused with what Retry-After.
 ///
-/// Load pattern: callers of many workspaces compete for too little room. If all are admitted, all are served
-/// a little too late, and programs that can't end in time keep the targets from those that could.
+/// Load pattern: callers of many workspaces compete for too little capacity. If all are admitted, all are
+/// served slightly too late, and programs that can't end in time delay those that could.
 #pragma once
 
 #include "masticcourse/gateway/random.hpp"
@@ -29,14 +29,14 @@
   public:
     admission_control(admission_options options, random_seed seed);
 
-    /// Decides about a new request. It is admitted at once if there is room and nobody waits; while only
-    /// other gateways hold requests back, if it is within this gateway's share of the room. If the queue is
-    /// full, a waiting request may be refused in its place, which expire() then reports.
+    /// Decides about a new request. It is admitted at once if there is room and no request waits here.
+    /// If other gateways hold requests back, it must also be within this gateway's share of the room. If the
+    /// queue is full, a waiting request may be refused in its place, which expire() then reports.
     [[nodiscard]] admission_decision request(const admission_request& request, const service_room& room,
                                              time_point now);
 
-    /// @return the waiting request that is to be sent next; nothing if this gateway's share of the room is
-    /// used up or nobody waits
+    /// @return the waiting request that is to be sent next, which is removed; nothing if this gateway's share
+    /// of the room is used up or no request waits
     [[nodiscard]] std::optional<admission_ticket> next(const service_room& room, time_point now);
 
     /// A waiting request that can no longer be served in time.
@@ -59,10 +59,11 @@
     /// Records a turn of a program, for the expected number of turns. Called once for each turn.
     void record_turn(bool first_turn);
 
+    /// @return the number of waiting requests
     [[nodiscard]] std::size_t waiting() const;
 
   private:
-    /// Why and by how many requests a request exceeds what can be served in time.
+    /// Why a request can't be served in time, and how many requests would have to end first so that it can.
     struct excess_load
     {
         double requests = 0;
@@ -77,8 +78,10 @@
                                       time_point now);
     [[nodiscard]] std::optional<excess_load> excess(const admission_request& request,
                                                     const service_room& room, time_point now) const;
+    /// @return the number of requests in all gateways that have to end before this one can start
     [[nodiscard]] double requests_ahead(const admission_request& request, const service_room& room,
                                         time_point now) const;
+    /// @return the time by which a held back request must have started
     [[nodiscard]] time_point start_by(const admission_request& request, time_point now) const;
     [[nodiscard]] admission_decision hold_back(const admission_request& request, const service_room& room,
                                                time_point now);
--- a/include/masticcourse/gateway/scheduling/admission_queue.hpp
+++ b/include/masticcourse/gateway/scheduling/admission_queue.hpp
@@ -1,8 +1,9 @@
 /// @file
 /// The waiting requests of one service in one gateway, in the order in which they are to be sent.
 ///
-/// Load pattern: workspaces and programs compete for too little room. In order of arrival, a workspace that
-/// floods would delay all others, and programs would use room for turns after which they are still late.
+/// Load pattern: workspaces and programs compete for too little capacity. In order of arrival, a workspace
+/// that sends far more than its share would delay all others, and capacity would be spent on programs that
+/// end too late.
 #pragma once
 
 #include "masticcourse/gateway/scheduling/admission_types.hpp"
@@ -32,6 +33,7 @@
 /// go before new ones of another.
 inline constexpr std::chrono::duration<double, std::milli> fair_quantum{2'000};
 
+/// A request in the queue.
 struct waiting_request
 {
     admission_ticket ticket = 0;
@@ -46,6 +48,7 @@
 class admission_queue
 {
   public:
+    /// Adds a request. Its `arrived` must not be earlier than that of the previous one.
     void push(waiting_request entry);
 
     /// @return the request that pop() would return, valid until the queue changes; null if there is none
@@ -73,6 +76,7 @@
     /// @return the number of waiting requests that can still start in time
     [[nodiscard]] std::size_t startable(time_point now) const;
 
+    /// @return the number of waiting requests, with those that are too late to start
     [[nodiscard]] std::size_t size() const
     {
         return m_waiting.size();
@@ -95,6 +99,7 @@
     using iterator = std::vector<waiting_request>::const_iterator;
 
     [[nodiscard]] position position_of(const waiting_request& entry, time_point now) const;
+    /// @return whether the next request is the one that has waited longest
     [[nodiscard]] bool takes_oldest() const;
     [[nodiscard]] iterator next(time_point now) const;
     [[nodiscard]] iterator first_in_order(time_point now) const;
@@ -114,6 +119,7 @@
     /// Least service of the workspaces that competed last. An idle workspace is raised to it, so that being
     /// idle earns no credit.
     double m_served_floor = 0;
+    /// Requests taken in order since the last one that was taken for having waited longest.
     std::uint32_t m_since_oldest = 0;
 };
 
--- a/include/masticcourse/gateway/scheduling/admission_types.hpp
+++ b/include/masticcourse/gateway/scheduling/admission_types.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// What admission control decides about, and its decisions.
+/// Input and results of admission control.
 #pragma once
 
 #include "masticcourse/core/ids.hpp"
@@ -23,7 +23,7 @@
     workspace_id workspace;
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
-    /// Whether the program has run a turn before.
+    /// The request continues a program whose work would be lost, or belongs to no program.
     bool under_way = false;
     /// Expected duration of the request at a target, without waiting.
     duration expected_duration{};
@@ -33,7 +33,7 @@
     time_point deadline{};
 };
 
-/// The room of a service, over all gateways.
+/// The room of a service: its capacity for further requests, over all gateways.
 struct service_room
 {
     /// Requests that the targets run at once.
@@ -46,11 +46,12 @@
     duration typical_duration{};
 };
 
+/// The request may be sent now.
 struct admitted
 {
 };
 
-/// The request waits; it is reported by next() or expired() later.
+/// The request waits; admission_control::next() or expire() returns it later.
 struct held_back
 {
     admission_ticket ticket = 0;
@@ -63,8 +64,10 @@
     std::string reason;
 };
 
+/// The immediate result of admission_control::request().
 using admission_decision = std::variant<admitted, held_back, not_admitted>;
 
+/// Limits of the queue and of Retry-After.
 struct admission_options
 {
     /// Maximum number of waiting requests for each slot of the service, and in total.
--- a/include/masticcourse/gateway/scheduling/drain_rate.hpp
+++ b/include/masticcourse/gateway/scheduling/drain_rate.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// The rate at which a service works off its requests, and the Retry-After that follows from it.
+/// The rate at which a service completes its requests, and the Retry-After that follows from it.
 ///
 /// Load pattern: refused callers that all come back at the same time, or before there is room, cause the next
 /// peak.
@@ -12,6 +12,7 @@
 namespace masticcourse::gateway
 {
 
+/// Rate of completions as seen by this gateway.
 class drain_rate
 {
   public:
--- a/include/masticcourse/gateway/scheduling/failure_comparison.hpp
+++ b/include/masticcourse/gateway/scheduling/failure_comparison.hpp
@@ -12,18 +12,21 @@
 namespace masticcourse::gateway
 {
 
-/// A target that fails a smaller share of its requests stays in use: retries cover them.
+/// A target that fails a smaller share of its requests stays in use, because retries hide these failures.
 inline constexpr double min_failure_ratio = 0.2;
 
 /// The failure ratio that is usual for a service: an average over all targets in use and a longer time.
 class usual_failures
 {
   public:
+    /// Adds the outcomes of a target in use.
     void add(const target_outcomes& outcomes)
     {
         m_successes += outcomes.successes;
         m_failures += outcomes.failures;
     }
+    /// Lets earlier outcomes decay.
+    /// @return failures per request, limited to the range that is usual without a fault
     [[nodiscard]] double ratio(time_point now);
 
   private:
@@ -32,6 +35,7 @@
     time_point m_updated{};
 };
 
+/// The targets of a service in one evaluation. Add all of them before any is compared.
 class failure_comparison
 {
   public:
@@ -42,8 +46,7 @@
 
     /// @param target            outcomes at a target that has been added
     /// @param failures_in_a_row length of a run of failures that may be older than the window; 0 if it has
-    /// not
-    ///                          grown since the last evaluation
+    /// not grown since the last evaluation
     /// @return the share of the target's requests that fail, if it is clearly larger than that of the others
     [[nodiscard]] std::optional<double> outlier_ratio(const outcome_window::recent_sums& target,
                                                       std::uint32_t failures_in_a_row) const;
--- a/include/masticcourse/gateway/scheduling/load_collector.hpp
+++ b/include/masticcourse/gateway/scheduling/load_collector.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// The collector's side of the exchange of load: keeps the last state of each gateway and adds them up.
+/// The collector's side of the exchange of load: keeps the last state of each gateway and sums them.
 #pragma once
 
 #include "masticcourse/gateway/scheduling/load_messages.hpp"
@@ -15,8 +15,8 @@
 {
 
 /// Sums the states of gateways. A target has a version for changes by each gateway, so that a summary
-/// contains only what is new to its receiver. Gateways are assumed to be few thousand and targets few
-/// hundred.
+/// contains only what is new to its receiver. Sized for a few thousand gateways and a few
+/// hundred targets.
 class load_collector
 {
   public:
@@ -144,7 +144,8 @@
     /// Requests held back at all gateways.
     std::unordered_map<service_name, std::uint64_t> m_demand;
     state_version m_version = 0;
-    /// The last change of any target whose state was dropped. Who has an older version needs everything.
+    /// The last change of any target whose state was dropped. A gateway with an older version
+    /// needs a complete summary.
     state_version m_dropped_version = 0;
     gateway_number m_last_number = 0;
     time_point m_next_expiry{};
--- a/include/masticcourse/gateway/scheduling/load_exchange.hpp
+++ b/include/masticcourse/gateway/scheduling/load_exchange.hpp
@@ -44,9 +44,11 @@
     std::vector<service_demand> demand;
 };
 
+/// Periodic exchange of load with the collector, and the view that results from it.
 class load_exchange
 {
   public:
+    /// What the exchange uses; references must outlive it.
     struct dependencies
     {
         peer_directory& peers;
--- a/include/masticcourse/gateway/scheduling/load_messages.hpp
+++ b/include/masticcourse/gateway/scheduling/load_messages.hpp
@@ -16,13 +16,14 @@
 namespace masticcourse::gateway
 {
 
-/// Most targets in one message.
+/// Maximum number of targets in one message.
 inline constexpr std::size_t max_load_targets = 10'000;
-/// Most services in one message.
+/// Maximum number of services in one message.
 inline constexpr std::size_t max_load_services = 1'000;
 /// Reports that are older are not passed on.
 inline constexpr milliseconds load_report_lifetime{1'000};
 
+/// Hash of a target instance for unordered containers.
 struct target_instance_hash
 {
     [[nodiscard]] std::size_t operator()(const target_instance& it) const noexcept
--- a/include/masticcourse/gateway/scheduling/new_program_policy.hpp
+++ b/include/masticcourse/gateway/scheduling/new_program_policy.hpp
@@ -1,7 +1,8 @@
 /// @file
 /// The decision whether a new program may start.
 ///
-/// Load pattern: more programs start than can end in time. If all started, all would end a little too late.
+/// Load pattern: more programs start than can end in time. If all were admitted, all would end slightly too
+/// late.
 /// A program is therefore refused at its first turn, before work is done for it.
 #pragma once
 
@@ -14,6 +15,7 @@
 class turn_estimate
 {
   public:
+    /// Records a turn that was sent.
     void record(bool first_turn);
     /// @return turns per program; at least 1
     [[nodiscard]] double mean() const;
--- a/include/masticcourse/gateway/scheduling/outcome_window.hpp
+++ b/include/masticcourse/gateway/scheduling/outcome_window.hpp
@@ -49,6 +49,7 @@
     /// Sums over the newest bucket, the newest two and so on, up to the whole window.
     using recent_sums = std::array<target_outcomes, bucket_count>;
 
+    /// Adds outcomes to the bucket of the current time.
     void record(const target_outcomes& outcomes, time_point now);
     [[nodiscard]] recent_sums recent(time_point now) const;
 
--- a/include/masticcourse/gateway/scheduling/outlier_detection.hpp
+++ b/include/masticcourse/gateway/scheduling/outlier_detection.hpp
@@ -1,8 +1,9 @@
 /// @file
 /// Ejection of targets that fail, or take far longer than their peers.
 ///
-/// Load pattern: a few targets fail part of their requests, hang, or go down and up by turns while their
-/// health check and registry entry are good. Each gateway would burn requests of its own to learn it.
+/// Load pattern: a few targets fail part of their requests, hang, or alternate between working and failing
+/// while their health check and registry entry are good. Without a shared detection, each gateway would lose
+/// requests of its own before it avoids them.
 #pragma once
 
 #include "masticcourse/gateway/random.hpp"
@@ -20,6 +21,7 @@
 namespace masticcourse::gateway
 {
 
+/// Why a target is ejected.
 enum class ejection_reason : std::uint8_t
 {
     failures,
--- a/include/masticcourse/gateway/scheduling/program_activity.hpp
+++ b/include/masticcourse/gateway/scheduling/program_activity.hpp
@@ -21,6 +21,7 @@
 
     /// Records that a turn of the program was sent.
     void record(const program_id& program);
+    /// @return whether a turn of the program was sent recently
     [[nodiscard]] bool contains(const program_id& program) const;
 
   private:
--- a/include/masticcourse/gateway/scheduling/prompt_locations.hpp
+++ b/include/masticcourse/gateway/scheduling/prompt_locations.hpp
@@ -57,6 +57,7 @@
     /// @return cached_tokens() for any target; cheaper if there are many candidates
     [[nodiscard]] cached_prefixes find(std::span<const prompt_part> prompt, time_point now) const;
 
+    /// @return the number of prompt parts that are remembered
     [[nodiscard]] std::size_t size() const
     {
         return m_entries.size();
@@ -94,6 +95,7 @@
     [[nodiscard]] static part_key next_key(part_key previous, const prompt_part& part);
     [[nodiscard]] part_entry& touch(part_key key);
     [[nodiscard]] const part_entry* find_entry(part_key key) const;
+    /// Adds up the held tokens from the first part on, to the first part that is not held as a whole.
     /// @param held returns the number of tokens of a part that the target holds
     template <typename Function>
     [[nodiscard]] token_count sum_of_leading_parts(std::span<const prompt_part> prompt, Function held) const;
--- a/include/masticcourse/gateway/scheduling/request_scheduler.hpp
+++ b/include/masticcourse/gateway/scheduling/request_scheduler.hpp
@@ -30,9 +30,10 @@
 namespace masticcourse::gateway
 {
 
+/// Settings of scheduling.
 struct scheduling_options
 {
-    /// Requests to model engines are held back or refused while the engines are short of room.
+    /// Whether requests to model engines are held back or refused while the engines are short of room.
     bool admission = false;
 
     friend bool operator==(const scheduling_options&, const scheduling_options&) = default;
@@ -61,9 +62,11 @@
 /// The immediate result of request_scheduler::admit().
 using admission_result = std::variant<admitted, held_request, not_admitted>;
 
+/// Scheduling of the requests of one gateway, with the state of each service.
 class request_scheduler
 {
   public:
+    /// What the scheduler uses; references must outlive it.
     struct dependencies
     {
         scheduling_options options;
@@ -82,6 +85,7 @@
 
     explicit request_scheduler(dependencies services);
 
+    /// Applies the services and workspaces of a configuration. Must be called before any request.
     void set_config(config_ptr config);
 
     /// Called at intervals of about 100 ms: evaluates the targets and releases requests that are held back.
@@ -110,11 +114,16 @@
 
     /// @name Outcomes
     /// @{
+    /// Called for each attempt that is sent to a target.
     void on_sent(const scheduled_request& request, const target_instance& target);
+    /// Called for each load report that a target sends with a response.
     void on_report(const service_name& service, const target_instance& target,
                    const target_load_report& report);
+    /// Called when a stream has ended with success.
+    /// @param output tokens generated in the attempt
     void on_stream_complete(const scheduled_request& request, const target_instance& target,
                             const stream_sample& sample, token_count output);
+    /// Called when a response that is not a stream has ended with success.
     void on_response_complete(const scheduled_request& request, const target_instance& target,
                               duration response_time);
     /// Called for each attempt that ends, after the target table was updated.
@@ -122,6 +131,7 @@
     /// @}
 
     /// Handles a load digest of another gateway.
+    /// @return the encoded summary; nothing if the digest is malformed
     [[nodiscard]] std::optional<std::string> serve_digest(const std::string& bytes)
     {
         return m_exchange.serve(bytes);
@@ -183,6 +193,7 @@
     [[nodiscard]] target_usage usage_of(const target& it, time_point now) const;
     void apply_external_usage();
     void evaluate_outliers(const service_name& name, service_state& state, time_point now);
+    /// @return requests running or waiting at the target, of all gateways
     [[nodiscard]] double load_of(const target& it, time_point now) const;
     [[nodiscard]] service_room room_of(const service_name& name, const service_state& state,
                                        time_point now) const;
--- a/include/masticcourse/gateway/scheduling/room_share.hpp
+++ b/include/masticcourse/gateway/scheduling/room_share.hpp
@@ -18,11 +18,14 @@
 
 /// A share of free room is assigned once a period: free room * own waiting / all waiting, rounded at random,
 /// so that the shares of all gateways add up to the room. In a period, N gateways exceed it by less than one
-/// request each, and by about the root of N / 4 on average. A slot that this gateway frees is reused by it at
-/// once, because the others learn of it only with their next view; it leaves part of them to the others if it
-/// holds more than its share of all slots. Some requests may be sent in advance of the share, at most one for
-/// each gateway: otherwise they would wait for the gateway's next completion, which takes long with many
-/// gateways. While other gateways hold none back, only the room itself limits this one.
+/// request each, and by about the root of N / 4 on average.
+///
+/// A gateway reuses the slots that it frees at once, because the others learn of them only with their next
+/// view. If it holds more than its share of all slots, it leaves part of them to the others.
+///
+/// Some requests may be sent in advance of the share, at most one for each gateway: otherwise they would wait
+/// for the gateway's next completion, which takes long with many gateways. While other gateways hold none
+/// back, only the room itself limits this one.
 class room_share
 {
   public:
--- a/include/masticcourse/gateway/scheduling/target_performance.hpp
+++ b/include/masticcourse/gateway/scheduling/target_performance.hpp
@@ -1,9 +1,9 @@
 /// @file
 /// How long work takes at each target of a service compared with its peers.
 ///
-/// Load pattern: targets of one service differ in speed by a factor of two and more, and each slows down for
-/// moments. If requests are spread by their number alone, a slow target gets as many as a fast one, and every
-/// program that meets it is late.
+/// Load pattern: targets of one service differ in speed by a factor of two and more, and each is slower for
+/// short phases. If requests are spread by their number alone, a slow target gets as many as a fast one, and
+/// every program with a turn there is late.
 #pragma once
 
 #include "masticcourse/gateway/target_table.hpp"
@@ -35,6 +35,7 @@
 /// A completed stream as seen by the gateway.
 struct stream_sample
 {
+    /// From sending the request to the first event.
     duration first_event{};
     /// From the first event to the last.
     duration output_time{};
@@ -55,6 +56,7 @@
     {
     }
 
+    /// Adds a sample; one without a positive weight is ignored.
     void add(double value, double weight = 1);
     /// Reduces the weight of the previous samples to a share of @a factor.
     void fade(double factor)
@@ -84,6 +86,7 @@
 class output_length_model
 {
   public:
+    /// Adds a finished request.
     void record(token_count estimate, token_count actual);
     /// @param estimate 0 if unknown
     /// @return 0 if unknown
@@ -103,7 +106,9 @@
 class target_performance
 {
   public:
+    /// Records a completed stream.
     void record_stream(const target_instance& target, const stream_sample& sample, time_point now);
+    /// Records a complete response of a plain service.
     /// @param kind requests of different kinds, such as routes, are not compared with each other
     void record_response(const target_instance& target, std::string_view kind, duration response_time,
                          time_point now);
@@ -114,6 +119,7 @@
     [[nodiscard]] double time_factor(const target_instance& target, time_point now) const;
     /// @return whether any target of the service has reported a time factor within the last seconds
     [[nodiscard]] bool reports_time_factors(time_point now) const;
+    /// @return durations at a typical target; zero where unknown
     [[nodiscard]] service_profile profile() const;
 
     /// Records the output of a finished request.
@@ -169,6 +175,7 @@
         double reported = 1;
     };
 
+    /// Requests of one kind, such as those of a route.
     struct kind_state
     {
         static constexpr double min_gain = 0.02;
--- a/include/masticcourse/gateway/scheduling/target_ranking.hpp
+++ b/include/masticcourse/gateway/scheduling/target_ranking.hpp
@@ -68,6 +68,7 @@
     duration typical_duration{};
 };
 
+/// The chosen target.
 struct placed_target
 {
     const target* entry = nullptr;
--- a/include/masticcourse/gateway/scheduling/workspace_shares.hpp
+++ b/include/masticcourse/gateway/scheduling/workspace_shares.hpp
@@ -1,9 +1,9 @@
 /// @file
 /// Which workspaces have lately received less than their fair share of a service.
 ///
-/// Load pattern: a workspace that floods takes room as fast as it becomes free, because it always has a new
-/// program at hand. The others would be refused as often as it is, although they ask for less than their
-/// share.
+/// Load pattern: a workspace that sends far more than its share takes slots as fast as they become free,
+/// because it always has another new program to start. The others would be refused as often, although they
+/// ask for less than their share.
 #pragma once
 
 #include "masticcourse/gateway/scheduling/admission_types.hpp"
@@ -14,6 +14,7 @@
 namespace masticcourse::gateway
 {
 
+/// Service that the workspaces asked for and received over the last seconds.
 class workspace_shares
 {
   public:
--- a/src/gateway/rendezvous.hpp
+++ b/src/gateway/rendezvous.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// Rendezvous hashing of targets: each key ranks the targets in an order of its own, which does not change
-/// for the others when a target joins or leaves.
+/// Rendezvous hashing of targets: each key ranks the targets in an order of its own. A target that joins or
+/// leaves doesn't change the order of the others.
 #pragma once
 
 #include "masticcourse/gateway/target_table.hpp"
@@ -16,6 +16,7 @@
 class rendezvous_key
 {
   public:
+    /// @param key what the targets are ranked for, such as a program's id
     explicit rendezvous_key(std::string_view key) : m_seed(XXH3_64bits(key.data(), key.size())) {}
 
     /// @return the target's weight, uniformly distributed over all values; the key prefers the greatest one
@@ -30,6 +31,7 @@
     std::uint64_t m_seed;
 };
 
+/// @return the weight of a target for a key; the key prefers the target with the greatest one
 [[nodiscard]] inline std::uint64_t rendezvous_weight(std::string_view key, const target& it)
 {
     return rendezvous_key{key}.weight(it);
--- a/src/gateway/scheduling/admission_control.cpp
+++ b/src/gateway/scheduling/admission_control.cpp
@@ -18,13 +18,14 @@
 }
 
 /// Part of its slack that a program may spend waiting for its first turn. A longer wait leaves too little for
-/// its other turns, and an early refusal leaves the caller time to come again.
+/// its other turns, and an early refusal leaves the caller time to retry.
 constexpr double first_turn_slack = 0.08;
+/// The same for a workspace that has received less than its share.
 constexpr double first_turn_slack_below_share = 1;
 /// Greatest part of the time left that a program may spend waiting. The time left also covers tool calls of
-/// unknown duration, and programs of many turns, whose need is underestimated. A workspace that has received
-/// less than its share may wait longer, while it passes the requests of the others.
+/// unknown duration, and programs of many turns, whose need is underestimated.
 constexpr double max_slack_share = 0.1;
+/// The same for a workspace that has received less than its share, whose requests go before those of others.
 constexpr double max_slack_below_share = 0.6;
 
 /// @return whether the request starts a program that has a deadline
--- a/src/gateway/scheduling/admission_queue.cpp
+++ b/src/gateway/scheduling/admission_queue.cpp
@@ -19,7 +19,8 @@
 /// workspace stands back after one long request.
 constexpr double min_charge_ms = 1;
 constexpr double max_charge_ms = 10'000;
-/// Services of more workspaces than this are reduced to those above the floor.
+/// Number of workspaces with a record of service above which the records of idle ones at the floor are
+/// removed: without a record, a workspace counts as at the floor.
 constexpr std::size_t max_idle_workspaces = 256;
 
 /// @return the latest start at which the request's program, or its caller, can still be served in time
--- a/src/gateway/scheduling/drain_rate.cpp
+++ b/src/gateway/scheduling/drain_rate.cpp
@@ -14,7 +14,8 @@
 
 /// Time constant of the average. Capacity changes within seconds when targets slow down.
 constexpr real_seconds rate_time_constant{3};
-/// Completions needed before the observed rate is used.
+/// Completions needed before the observed rate is used. With fewer, its standard deviation is above
+/// a third.
 constexpr double min_completions = 8;
 /// Longest time between two completions that is counted; a longer one is a pause of this process.
 constexpr real_seconds max_gap{1};
--- a/src/gateway/scheduling/load_collector.cpp
+++ b/src/gateway/scheduling/load_collector.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-/// Most gateways with state; digests of further ones are not applied.
+/// Maximum number of gateways with state, four times the largest deployment; digests of further ones are not
+/// applied.
 constexpr std::size_t max_gateways = 5'000;
 
 std::uint32_t to_count(std::uint64_t n)
--- a/src/gateway/scheduling/load_messages.cpp
+++ b/src/gateway/scheduling/load_messages.cpp
@@ -18,7 +18,7 @@
 using detail::require_array;
 using nlohmann::json;
 
-/// Longest name of a gateway, a run, a target or a service.
+/// Maximum length of the name of a gateway, a run, a target or a service.
 constexpr std::size_t max_name_length = 512;
 /// The time factor is sent in percent, as targets report it.
 constexpr double percent = 100;
--- a/src/gateway/scheduling/outlier_detection.cpp
+++ b/src/gateway/scheduling/outlier_detection.cpp
@@ -13,13 +13,13 @@
 {
 
 /// A series of failures in a row ends after this time without another one.
-constexpr seconds run_lifetime{10};
+constexpr seconds failure_run_lifetime{10};
 
 /// Duration of work relative to the median target from which a target is an outlier. Targets differ by up to
 /// 1.7 times, and ranking takes that into account. One turn that takes three times as long uses up the slack
 /// of a program of eight turns.
 constexpr double latency_threshold = 3;
-/// How long a target must be that slow: longer than three slow moments of 600 ms in a row.
+/// How long a target must be that slow: longer than three slow phases of 600 ms in a row.
 constexpr milliseconds min_slow_time{2'000};
 
 /// At most one in this many targets is ejected.
@@ -28,7 +28,7 @@
 constexpr milliseconds base_period{1'000};
 constexpr milliseconds max_period{16'000};
 /// Time after its return in which a target must not be ejected for its period to begin anew. It is longer
-/// than the phases of targets that go down and up by turns.
+/// than the phases of targets that alternate between working and failing.
 constexpr seconds healthy_time{10};
 /// Successes in the half-open state after which a target returns.
 constexpr std::uint32_t return_successes = 3;
@@ -146,7 +146,7 @@
 {
     state.window.record(outcomes, now);
     // The order of outcomes within a batch is unknown.
-    const bool interrupted = outcomes.successes > 0 || now - state.last_failure > run_lifetime;
+    const bool interrupted = outcomes.successes > 0 || now - state.last_failure > failure_run_lifetime;
     const auto before = interrupted ? 0 : state.failures_in_a_row;
     state.failures_in_a_row = outcomes.successes > 0 ? 0 : before + outcomes.failures;
     if (outcomes.failures > 0)
--- a/src/gateway/scheduling/target_performance.cpp
+++ b/src/gateway/scheduling/target_performance.cpp
@@ -18,14 +18,17 @@
 /// Weight of the assumption that a target is typical, in samples.
 constexpr double measured_prior = 1.5;
 constexpr double reported_prior = 1;
-/// A sample counts as at most this multiple of the typical time, and at least its inverse.
+/// A sample counts as at most this multiple of the typical time, and at least its inverse, so that a single
+/// one doesn't decide.
 constexpr double max_deviation = 5;
 /// Streams with fewer tokens count less; their time is dominated by single events.
 constexpr double full_sample_tokens = 16;
-/// Load changes within the time of one request.
+/// How long a report describes the present state of a target: about the length of a slow phase.
 constexpr milliseconds report_validity{600};
 /// Reports within this time of each other describe the same state of the target.
 constexpr milliseconds report_spacing{600};
+/// A service counts as reporting time factors for this long after a report, which pauses in its traffic don't
+/// interrupt.
 constexpr seconds reporting_window{10};
 /// The samples of a target lose half of their weight in this time without new ones, so that a target that is
 /// avoided for its slowness is tried again.
@@ -33,6 +36,7 @@
 /// The same for the reports of a target. A report from a slow phase that is taken for the target's usual
 /// state keeps requests, and with them further reports, away from it.
 constexpr seconds report_half_life{3};
+/// Interval between computations of the medians, whose time grows with the number of targets.
 constexpr milliseconds typical_interval{250};
 /// The samples of a target that reports its time factor correct the report only where they differ clearly:
 /// a slow phase may begin or end within a sample.
@@ -42,8 +46,13 @@
 constexpr double waiting_weight = 1.0 / 3;
 /// Weight of the assumption that estimates of output are right, in samples.
 constexpr double output_prior = 4;
+/// @name Limits of the memory used
+/// @{
 constexpr std::size_t max_targets = 4'096;
 constexpr std::size_t max_kinds = 64;
+/// @}
+/// Upper limit of the expected output, which keeps the conversion to an integer defined.
+constexpr double max_expected_output = 1e9;
 
 double to_milliseconds(duration time)
 {
@@ -293,7 +302,7 @@
     const auto it = m_kinds.find(kind);
     const auto expected =
         it != m_kinds.end() ? it->second.output.expected(estimate) : static_cast<double>(estimate);
-    const auto tokens = static_cast<token_count>(std::llround(std::min(expected, 1e9)));
+    const auto tokens = static_cast<token_count>(std::llround(std::min(expected, max_expected_output)));
     return limited ? std::clamp<token_count>(tokens, 1, max_output) : tokens;
 }
 
--- a/src/gateway/scheduling/target_ranking.cpp
+++ b/src/gateway/scheduling/target_ranking.cpp
@@ -40,7 +40,7 @@
     return std::chrono::duration_cast<duration>(value);
 }
 
-/// A candidate with the figures that are compared.
+/// A candidate with the values that are compared.
 struct ranked_target
 {
     const target_estimate* estimate = nullptr;
