--- a/include/masticcourse/gateway/scheduling/admission_queue.hpp
+++ b/include/masticcourse/gateway/scheduling/admission_queue.hpp
@@ -27,7 +27,7 @@
 /// longest. A request that finds n others waiting is thus taken after at most (n + 1) times this many. The
 /// share of room that is exempt from the order is the inverse; it must stay below the 5% by which a flood may
 /// reduce the service of others.
-inline constexpr std::uint32_t oldest_turn = 32;
+inline constexpr std::uint32_t oldest_request_interval = 32;
 
 /// Workspaces whose service differs by less than this are equal in order, so that programs under way of one
 /// go before new ones of another.
--- a/include/masticcourse/gateway/scheduling/load_collector.hpp
+++ b/include/masticcourse/gateway/scheduling/load_collector.hpp
@@ -71,13 +71,13 @@
         std::uint32_t in_flight = 0;
         outcome_counts own;
         /// Outcomes at other gateways that it has received.
-        outcome_counts told;
+        outcome_counts received;
     };
 
-    struct offered_outcomes
+    struct unconfirmed_outcomes
     {
         target_instance target;
-        outcome_counts told;
+        outcome_counts received;
     };
 
     struct gateway_state
@@ -89,8 +89,8 @@
         std::unordered_map<target_instance, contribution, target_instance_hash> targets;
         std::unordered_map<service_name, std::uint32_t> demand;
         /// Contents of the last summary, to be applied to the contributions if the gateway has received it.
-        state_version offered_version = 0;
-        std::vector<offered_outcomes> offered;
+        state_version summary_version = 0;
+        std::vector<unconfirmed_outcomes> unconfirmed;
     };
 
     struct known_report
@@ -129,7 +129,7 @@
     void clear_demand(gateway_state& sender);
     void touch(target_state& it, gateway_number by, time_point now);
     /// Records that the gateway has received the last summary.
-    static void confirm_offer(gateway_state& receiver);
+    static void confirm_summary(gateway_state& receiver);
     /// @param receiver null if the gateway has no state here
     [[nodiscard]] load_summary summarize(gateway_state* receiver, state_version received,
                                          time_point now) const;
--- a/include/masticcourse/gateway/scheduling/load_exchange.hpp
+++ b/include/masticcourse/gateway/scheduling/load_exchange.hpp
@@ -127,6 +127,9 @@
     /// @return the usages to be sent, which are recorded in m_sent
     [[nodiscard]] std::vector<target_usage> changed_usages(std::vector<target_usage> targets, bool complete,
                                                            time_point now);
+    /// Removes the targets from m_sent that are not in the local usage and that the collector knows as
+    /// unused.
+    void forget_unused();
     void on_reply(const std::string& collector, std::uint64_t sequence,
                   const std::optional<std::string>& bytes);
     /// Handles the reply to a digest that has already counted as failed.
--- a/include/masticcourse/gateway/scheduling/outlier_detection.hpp
+++ b/include/masticcourse/gateway/scheduling/outlier_detection.hpp
@@ -125,6 +125,7 @@
         outcome_window::recent_sums outcomes{};
     };
 
+    /// A target that may be ejected.
     struct candidate
     {
         const evaluated_target* target = nullptr;
@@ -142,10 +143,21 @@
                                                   const failure_comparison& comparison);
     static std::optional<double> latency_severity(const evaluated_target& target, double median,
                                                   time_point now);
+    /// @return why the target should be ejected; nothing if it should not
+    static std::optional<candidate> find_fault(const evaluated_target& target,
+                                               const failure_comparison& comparison, double median,
+                                               time_point now);
+    /// Readmits an ejected target after enough successes, unless it is still slow.
     static void finish_probes(const evaluated_target& target, double median, time_point now);
     static void eject_worst(std::vector<candidate>& candidates, std::size_t room, time_point now);
+    /// Readmits the least severe ejected targets if there are more than the limit.
     static void readmit_excess(const std::vector<evaluated_target>& targets, time_point now);
 
+    static std::vector<ejection_change> take_changes(const std::vector<evaluated_target>& targets);
+
+    [[nodiscard]] failure_comparison compare_failures(const std::vector<evaluated_target>& targets,
+                                                      time_point now);
+    /// @return the state of the instance; null if a later one is known
     [[nodiscard]] target_state* find_or_add(const target_instance& target);
     [[nodiscard]] std::vector<evaluated_target> update_states(const std::vector<const target*>& targets,
                                                               const std::vector<double>& time_factors,
--- a/include/masticcourse/gateway/scheduling/request_scheduler.hpp
+++ b/include/masticcourse/gateway/scheduling/request_scheduler.hpp
@@ -195,6 +195,14 @@
     void evaluate_outliers(const service_name& name, service_state& state, time_point now);
     /// @return requests running or waiting at the target, of all gateways
     [[nodiscard]] double load_of(const target& it, time_point now) const;
+    [[nodiscard]] std::vector<target_estimate> estimates_of(const scheduled_request& request,
+                                                            std::span<const target* const> candidates,
+                                                            const service_state& state, time_point now) const;
+    /// @return the untried candidates that are neither in backoff nor ejected; all untried ones if there are
+    /// no such
+    [[nodiscard]] static std::vector<const target*>
+    preferred_targets(std::span<const target* const> candidates, const selection_criteria& criteria,
+                      const service_state& state, time_point now);
     [[nodiscard]] service_room room_of(const service_name& name, const service_state& state,
                                        time_point now) const;
     [[nodiscard]] static duration typical_duration(const service_profile& profile,
--- a/include/masticcourse/gateway/scheduling/workspace_shares.hpp
+++ b/include/masticcourse/gateway/scheduling/workspace_shares.hpp
@@ -19,9 +19,9 @@
 {
   public:
     /// Records that a request has arrived.
-    void asked(const admission_request& request, time_point now);
+    void record_arrival(const admission_request& request, time_point now);
     /// Records that a request is sent.
-    void served(const admission_request& request, time_point now);
+    void record_sent(const admission_request& request, time_point now);
 
     /// @return whether the workspace received clearly less than the fair share of its priority: the share
     /// that each workspace gets if none receives more than it asked for
@@ -32,7 +32,7 @@
     struct usage
     {
         std::uint32_t priority = 0;
-        double asked = 0;
+        double requested = 0;
         double served = 0;
     };
 
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -82,14 +82,16 @@
     void dispatch_with_permit();
     /// Asks for admission before the first attempt.
     /// @return whether the request may be sent now; otherwise it is held back or has been refused
-    [[nodiscard]] bool is_admitted();
+    [[nodiscard]] bool request_admission();
     void on_released(const std::optional<not_admitted>& refusal);
-    void refuse_for_room(const not_admitted& refusal);
+    void refuse_admission(const not_admitted& refusal);
     [[nodiscard]] const service_name& service() const;
-    [[nodiscard]] scheduled_request scheduling() const;
+    [[nodiscard]] scheduled_request to_scheduled_request() const;
     /// Reports a complete response to the scheduler.
     void record_performance();
     [[nodiscard]] const target* choose_next_target();
+    /// Resets the state of the previous attempt and counts the new one at its target.
+    void begin_attempt(const target_record& target);
     void send_to(const target_record& target);
     [[nodiscard]] std::string affinity_key() const;
     void refuse_without_target();
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -73,7 +73,7 @@
                                    .chooser = m_services.own_name};
     const auto now = m_services.clock();
     return m_services.scheduler.schedules(service(), now)
-               ? m_services.scheduler.choose(scheduling(), candidates, query, now)
+               ? m_services.scheduler.choose(to_scheduled_request(), candidates, query, now)
                : choose_target(candidates, query, now);
 }
 
@@ -83,12 +83,12 @@
     return choose_service(*m_route, program ? program->program.value : m_request.id.value);
 }
 
-scheduled_request forwarded_request::scheduling() const
+scheduled_request forwarded_request::to_scheduled_request() const
 {
     return {.request = m_request, .matched_route = *m_route, .service = service(), .deadline = m_deadline};
 }
 
-bool forwarded_request::is_admitted()
+bool forwarded_request::request_admission()
 {
     if (m_admitted)
     {
@@ -97,10 +97,10 @@
     // While the request is held back, the scheduler owns it.
     const auto on_release = [self = shared_from_this()](const std::optional<not_admitted>& refusal)
     { self->on_released(refusal); };
-    const auto result = m_services.scheduler.admit(scheduling(), on_release);
+    const auto result = m_services.scheduler.admit(to_scheduled_request(), on_release);
     if (const auto* const refusal = std::get_if<not_admitted>(&result))
     {
-        refuse_for_room(*refusal);
+        refuse_admission(*refusal);
     }
     else if (const auto* const held = std::get_if<held_request>(&result))
     {
@@ -122,14 +122,14 @@
     }
     if (refusal)
     {
-        refuse_for_room(*refusal);
+        refuse_admission(*refusal);
         return;
     }
     m_admitted = true;
     dispatch();
 }
 
-void forwarded_request::refuse_for_room(const not_admitted& refusal)
+void forwarded_request::refuse_admission(const not_admitted& refusal)
 {
     refuse(refusal_reason::targets_full, ran_state::no, refusal.reason, refusal.retry_after);
 }
@@ -151,7 +151,7 @@
         on_deadline();
         return;
     }
-    if (!is_admitted())
+    if (!request_admission())
     {
         return;
     }
@@ -181,7 +181,7 @@
     }
 }
 
-void forwarded_request::send_to(const target_record& target)
+void forwarded_request::begin_attempt(const target_record& target)
 {
     ++m_attempt_id;
     ++m_attempt_count;
@@ -202,8 +202,12 @@
         m_pending_output.clear();
     }
     m_services.targets.begin(target.instance());
-    m_services.scheduler.on_sent(scheduling(), target.instance());
+    m_services.scheduler.on_sent(to_scheduled_request(), target.instance());
+}
 
+void forwarded_request::send_to(const target_record& target)
+{
+    begin_attempt(target);
     const auto attempt = m_attempt_id;
     auto request =
         m_services.protocol.encode(m_request, m_chain.prompt + m_request.body, target, time_left());
@@ -273,7 +277,7 @@
     const auto now = m_services.clock();
     if (!is_stream())
     {
-        m_services.scheduler.on_response_complete(scheduling(), m_target->instance(),
+        m_services.scheduler.on_response_complete(to_scheduled_request(), m_target->instance(),
                                                   now - m_attempt_started);
         return;
     }
@@ -288,7 +292,7 @@
                                .output_tokens = output - tokens_per_event(),
                                .time_factor =
                                    m_response_head->load ? m_response_head->load->time_factor : std::nullopt};
-    m_services.scheduler.on_stream_complete(scheduling(), m_target->instance(), sample, output);
+    m_services.scheduler.on_stream_complete(to_scheduled_request(), m_target->instance(), sample, output);
 }
 
 void forwarded_request::on_reply(http_client_reply reply)
--- a/src/gateway/scheduling/admission_control.cpp
+++ b/src/gateway/scheduling/admission_control.cpp
@@ -54,11 +54,11 @@
     {
         return refuse({.requests = 1, .reason = "the caller has left"}, room);
     }
-    m_workspaces.asked(request, now);
+    m_workspaces.record_arrival(request, now);
     if (admits_at_once(request, room, now))
     {
         m_queue.charge(request);
-        m_workspaces.served(request, now);
+        m_workspaces.record_sent(request, now);
         m_share.sent();
         return admitted{};
     }
@@ -82,7 +82,7 @@
         return std::nullopt;
     }
     m_share.sent();
-    m_workspaces.served(first->request, now);
+    m_workspaces.record_sent(first->request, now);
     return m_queue.pop(now)->ticket;
 }
 
--- a/src/gateway/scheduling/admission_queue.cpp
+++ b/src/gateway/scheduling/admission_queue.cpp
@@ -171,7 +171,7 @@
 
 bool admission_queue::takes_oldest() const
 {
-    return m_since_oldest + 1 >= oldest_turn;
+    return m_since_oldest + 1 >= oldest_request_interval;
 }
 
 admission_queue::iterator admission_queue::next(time_point now) const
--- a/src/gateway/scheduling/load_collector.cpp
+++ b/src/gateway/scheduling/load_collector.cpp
@@ -52,9 +52,9 @@
         summary.needs_complete = true;
         return summary;
     }
-    if (digest.received_version == sender->offered_version)
+    if (digest.received_version == sender->summary_version)
     {
-        confirm_offer(*sender);
+        confirm_summary(*sender);
     }
     apply(*sender, digest, now);
     return summarize(sender, digest.complete ? 0 : digest.received_version, now);
@@ -110,7 +110,7 @@
     for (auto& [address, it] : m_gateways)
     {
         it.targets.erase(target);
-        std::erase_if(it.offered, [&](const offered_outcomes& one) { return one.target == target; });
+        std::erase_if(it.unconfirmed, [&](const unconfirmed_outcomes& one) { return one.target == target; });
     }
 }
 
@@ -136,7 +136,7 @@
     // A new gateway is not told of outcomes before its time.
     for (const auto& [target, state] : m_targets)
     {
-        it.targets[target].told = state.outcomes;
+        it.targets[target].received = state.outcomes;
     }
     return &it;
 }
@@ -237,16 +237,16 @@
     it.changed_at = now;
 }
 
-void load_collector::confirm_offer(gateway_state& receiver)
+void load_collector::confirm_summary(gateway_state& receiver)
 {
-    for (const auto& it : receiver.offered)
+    for (const auto& it : receiver.unconfirmed)
     {
         if (const auto found = receiver.targets.find(it.target); found != receiver.targets.end())
         {
-            found->second.told = it.told;
+            found->second.received = it.received;
         }
     }
-    receiver.offered.clear();
+    receiver.unconfirmed.clear();
 }
 
 load_summary load_collector::summarize(gateway_state* receiver, state_version received, time_point now) const
@@ -259,8 +259,8 @@
                          .demand = demand_of_others(receiver)};
     if (receiver != nullptr)
     {
-        receiver->offered_version = m_version;
-        receiver->offered.clear();
+        receiver->summary_version = m_version;
+        receiver->unconfirmed.clear();
     }
     for (const auto& [target, it] : m_targets)
     {
@@ -286,9 +286,9 @@
         const auto& own = receiver->targets[target];
         usage.in_flight = to_count(it.in_flight - own.in_flight);
         const auto others = it.outcomes - own.own;
-        usage.successes = to_count(others.successes - own.told.successes);
-        usage.failures = to_count(others.failures - own.told.failures);
-        receiver->offered.push_back({.target = target, .told = others});
+        usage.successes = to_count(others.successes - own.received.successes);
+        usage.failures = to_count(others.failures - own.received.failures);
+        receiver->unconfirmed.push_back({.target = target, .received = others});
     }
     const bool from_other = it.report && (receiver == nullptr || it.report->reporter != receiver->number);
     if (from_other && now - it.report->made_at <= load_report_lifetime)
--- a/src/gateway/scheduling/load_exchange.cpp
+++ b/src/gateway/scheduling/load_exchange.cpp
@@ -216,12 +216,8 @@
             add(sent, std::move(it));
         }
     }
-    std::erase_if(m_sent,
-                  [this](const auto& entry)
-                  {
-                      const auto& sent = entry.second;
-                      return sent.listed_in != m_sequence && sent.in_flight == 0;
-                  });
+    forget_unused();
+    // The collector is told that the other unlisted targets have no request in flight any more.
     for (auto& [target, sent] : m_sent)
     {
         if (sent.listed_in != m_sequence)
@@ -232,6 +228,16 @@
     return changed;
 }
 
+void load_exchange::forget_unused()
+{
+    std::erase_if(m_sent,
+                  [this](const auto& entry)
+                  {
+                      const auto& sent = entry.second;
+                      return sent.listed_in != m_sequence && sent.in_flight == 0;
+                  });
+}
+
 void load_exchange::on_reply(const std::string& collector, std::uint64_t sequence,
                              const std::optional<std::string>& bytes)
 {
--- a/src/gateway/scheduling/outlier_detection.cpp
+++ b/src/gateway/scheduling/outlier_detection.cpp
@@ -279,52 +279,40 @@
     std::for_each(end, ejected.end(), [now](const evaluated_target* it) { readmit(*it->state, now); });
 }
 
-std::vector<ejection_change> outlier_detection::evaluate(const std::vector<const target*>& targets,
-                                                         const std::vector<double>& time_factors,
-                                                         time_point now)
+failure_comparison outlier_detection::compare_failures(const std::vector<evaluated_target>& targets,
+                                                       time_point now)
 {
-    const auto evaluated = update_states(targets, time_factors, now);
-    std::vector<double> factors;
-    std::ranges::transform(evaluated, std::back_inserter(factors), &evaluated_target::time_factor);
-    const auto median = median_of(std::move(factors));
     failure_comparison comparison{m_usual.ratio(now)};
-    for (const auto& it : evaluated)
+    for (const auto& it : targets)
     {
         if (!it.state->current)
         {
             comparison.add(it.outcomes);
         }
     }
+    return comparison;
+}
 
-    std::vector<candidate> candidates;
-    for (const auto& it : evaluated)
+std::optional<outlier_detection::candidate>
+outlier_detection::find_fault(const evaluated_target& target, const failure_comparison& comparison,
+                              double median, time_point now)
+{
+    if (now - target.state->returned_at >= healthy_time)
     {
-        auto& state = *it.state;
-        if (state.current)
-        {
-            finish_probes(it, median, now);
-            continue;
-        }
-        if (now - state.returned_at >= healthy_time)
-        {
-            state.period = {};
-        }
-        const auto slow = latency_severity(it, median, now);
-        if (const auto failing = failure_severity(it, comparison))
-        {
-            candidates.push_back({&it, ejection_reason::failures, *failing});
-        }
-        else if (slow)
-        {
-            candidates.push_back({&it, ejection_reason::latency, *slow});
-        }
+        target.state->period = {};
     }
-    readmit_excess(evaluated, now);
-    const auto limit = targets.size() / targets_per_ejection;
-    eject_worst(candidates, limit - std::min(limit, ejected_count()), now);
+    const auto slow = latency_severity(target, median, now);
+    if (const auto failing = failure_severity(target, comparison))
+    {
+        return candidate{&target, ejection_reason::failures, *failing};
+    }
+    return slow ? std::optional{candidate{&target, ejection_reason::latency, *slow}} : std::nullopt;
+}
 
+std::vector<ejection_change> outlier_detection::take_changes(const std::vector<evaluated_target>& targets)
+{
     std::vector<ejection_change> changes;
-    for (const auto& it : evaluated)
+    for (const auto& it : targets)
     {
         auto& state = *it.state;
         if (std::exchange(state.changed, false))
@@ -339,6 +327,34 @@
     return changes;
 }
 
+std::vector<ejection_change> outlier_detection::evaluate(const std::vector<const target*>& targets,
+                                                         const std::vector<double>& time_factors,
+                                                         time_point now)
+{
+    const auto evaluated = update_states(targets, time_factors, now);
+    std::vector<double> factors;
+    std::ranges::transform(evaluated, std::back_inserter(factors), &evaluated_target::time_factor);
+    const auto median = median_of(std::move(factors));
+    const auto comparison = compare_failures(evaluated, now);
+
+    std::vector<candidate> candidates;
+    for (const auto& it : evaluated)
+    {
+        if (it.state->current)
+        {
+            finish_probes(it, median, now);
+        }
+        else if (const auto fault = find_fault(it, comparison, median, now))
+        {
+            candidates.push_back(*fault);
+        }
+    }
+    readmit_excess(evaluated, now);
+    const auto limit = targets.size() / targets_per_ejection;
+    eject_worst(candidates, limit - std::min(limit, ejected_count()), now);
+    return take_changes(evaluated);
+}
+
 bool outlier_detection::ejected(const target_instance& target, time_point /*now*/) const
 {
     const auto it = m_states.find(target.id);
--- a/src/gateway/scheduling/workspace_shares.cpp
+++ b/src/gateway/scheduling/workspace_shares.cpp
@@ -16,24 +16,24 @@
 constexpr std::chrono::duration<double> share_time_constant{3};
 constexpr milliseconds decay_interval{100};
 /// Workspaces that asked for less than this are forgotten.
-constexpr double min_asked_ms = 1;
+constexpr double min_requested_ms = 1;
 /// Part of the fair share below which a workspace counts as below it. The rest covers random differences
 /// between workspaces of equal load.
 constexpr double below_share_margin = 0.65;
 
 double cost_of(const admission_request& request)
 {
-    return std::max(min_asked_ms, real_milliseconds{request.expected_duration}.count());
+    return std::max(min_requested_ms, real_milliseconds{request.expected_duration}.count());
 }
 
 } // namespace
 
-void workspace_shares::asked(const admission_request& request, time_point now)
+void workspace_shares::record_arrival(const admission_request& request, time_point now)
 {
-    entry(request, now).asked += cost_of(request);
+    entry(request, now).requested += cost_of(request);
 }
 
-void workspace_shares::served(const admission_request& request, time_point now)
+void workspace_shares::record_sent(const admission_request& request, time_point now)
 {
     entry(request, now).served += cost_of(request);
 }
@@ -63,28 +63,28 @@
     const double factor = std::exp(-(std::chrono::duration<double>{elapsed} / share_time_constant));
     for (auto& [workspace, it] : m_usage)
     {
-        it.asked *= factor;
+        it.requested *= factor;
         it.served *= factor;
     }
-    std::erase_if(m_usage, [](const auto& it) { return it.second.asked < min_asked_ms; });
+    std::erase_if(m_usage, [](const auto& it) { return it.second.requested < min_requested_ms; });
 }
 
 double workspace_shares::fair_share(std::uint32_t priority) const
 {
-    std::vector<double> asked;
+    std::vector<double> requested;
     double left = 0;
     for (const auto& [workspace, it] : m_usage)
     {
         if (it.priority == priority)
         {
-            asked.push_back(it.asked);
+            requested.push_back(it.requested);
             left += it.served;
         }
     }
-    std::ranges::sort(asked);
-    auto sharers = static_cast<double>(asked.size());
+    std::ranges::sort(requested);
+    auto sharers = static_cast<double>(requested.size());
     double share = 0;
-    for (const auto it : asked)
+    for (const auto it : requested)
     {
         share = left / sharers;
         if (it >= share)
--- a/tests/unit/test_gateway_admission.cpp
+++ b/tests/unit/test_gateway_admission.cpp
@@ -242,7 +242,7 @@
             request.expected_duration = milliseconds{1 + pick(2'000)};
             request.program_deadline = now + milliseconds{pick(3'000)};
             const auto waiting = static_cast<std::uint32_t>(queue.size());
-            turns_left[n] = oldest_turn * (waiting + 1);
+            turns_left[n] = oldest_request_interval * (waiting + 1);
             queue.push(entry(n, request, now));
             const auto taken = pick(5) > 0 ? queue.pop(now) : std::nullopt;
             if (taken)
