Scheduling: running mean and output length in files of their own

target_performance held the model of output lengths and a general mean as well. Moves them and states what the weights of the means cover; no behavior changes.

--- a/include/masticcourse/gateway/scheduling/target_performance.hpp
+++ b/include/masticcourse/gateway/scheduling/target_performance.hpp
@@ -6,6 +6,8 @@
 /// every program with a turn there is late.
 #pragma once
 
+#include "masticcourse/gateway/scheduling/output_length_model.hpp"
+#include "masticcourse/gateway/scheduling/running_mean.hpp"
 #include "masticcourse/gateway/target_table.hpp"
 #include "masticcourse/gateway/time.hpp"
 
@@ -45,63 +47,6 @@
     std::optional<double> time_factor;
 };
 
-/// Exponentially weighted mean. The first samples have equal weights.
-class running_mean
-{
-  public:
-    /// @param min_gain least share of a sample of weight 1 in the mean
-    /// @param max_weight limit of weight()
-    constexpr running_mean(double min_gain, double max_weight)
-        : m_min_gain(min_gain), m_max_weight(max_weight)
-    {
-    }
-
-    /// Adds a sample; one without a positive weight is ignored.
-    void add(double value, double weight = 1);
-    /// Reduces the weight of the previous samples to a share of @a factor.
-    void fade(double factor)
-    {
-        m_weight *= factor;
-    }
-    [[nodiscard]] double mean() const
-    {
-        return m_mean;
-    }
-    /// @return the number of samples behind the mean; 0 if there is none
-    [[nodiscard]] double weight() const
-    {
-        return m_weight;
-    }
-
-  private:
-    double m_min_gain;
-    double m_max_weight;
-    double m_mean = 0;
-    double m_weight = 0;
-};
-
-/// Output length of one kind of request: a linear fit between the logarithms of the estimate and of the
-/// actual output. A hint that is often far off moves the expectation only as far as hints of this kind are
-/// worth.
-class output_length_model
-{
-  public:
-    /// Adds a finished request.
-    void record(token_count estimate, token_count actual);
-    /// @param estimate 0 if unknown
-    /// @return 0 if unknown
-    [[nodiscard]] double expected(token_count estimate) const;
-
-  private:
-    static constexpr double min_gain = 0.01;
-    static constexpr double max_weight = 200;
-
-    running_mean m_estimate{min_gain, max_weight};
-    running_mean m_actual{min_gain, max_weight};
-    running_mean m_variance{min_gain, max_weight};
-    running_mean m_covariance{min_gain, max_weight};
-};
-
 /// Performance of the targets of one service.
 class target_performance
 {
@@ -148,6 +93,7 @@
     /// Times are in milliseconds, divided by the time factor that the target reported.
     struct target_state
     {
+        /// The means cover about ten samples and twenty reports, so that they follow a target that changes.
         static constexpr double min_gain = 0.1;
         static constexpr double max_weight = 20;
         static constexpr double min_report_gain = 0.05;
@@ -178,6 +124,7 @@
     /// Requests of one kind, such as those of a route.
     struct kind_state
     {
+        /// The mean covers about fifty responses, which come from all targets.
         static constexpr double min_gain = 0.02;
         static constexpr double max_weight = 50;
 
--- a/src/gateway/scheduling/target_performance.cpp
+++ b/src/gateway/scheduling/target_performance.cpp
@@ -44,8 +44,6 @@
 constexpr double residual_min_samples = 8;
 /// Weight of the first event times above the mean relative to those below, which contain less waiting.
 constexpr double waiting_weight = 1.0 / 3;
-/// Weight of the assumption that estimates of output are right, in samples.
-constexpr double output_prior = 4;
 /// @name Limits of the memory used
 /// @{
 constexpr std::size_t max_targets = 4'096;
@@ -91,49 +89,6 @@
 
 } // namespace
 
-void running_mean::add(double value, double weight)
-{
-    if (weight <= 0)
-    {
-        return;
-    }
-    m_weight = std::min(m_weight + weight, m_max_weight);
-    const auto gain = std::clamp(std::max(weight / m_weight, weight * m_min_gain), 0.0, 1.0);
-    m_mean += gain * (value - m_mean);
-}
-
-void output_length_model::record(token_count estimate, token_count actual)
-{
-    if (estimate <= 0 || actual < 0)
-    {
-        return;
-    }
-    const auto x = std::log(static_cast<double>(estimate));
-    const auto y = std::log(static_cast<double>(std::max<token_count>(actual, 1)));
-    m_estimate.add(x);
-    m_actual.add(y);
-    const auto dx = x - m_estimate.mean();
-    m_variance.add(dx * dx);
-    m_covariance.add(dx * (y - m_actual.mean()));
-}
-
-double output_length_model::expected(token_count estimate) const
-{
-    const auto weight = m_actual.weight();
-    if (estimate <= 0)
-    {
-        return weight > 0 ? std::exp(m_actual.mean()) : 0;
-    }
-    // Assumed variance of the logarithm of estimates, so that few or equal estimates give no slope.
-    constexpr double prior_variance = 0.1;
-    const auto x = std::log(static_cast<double>(estimate));
-    const auto slope = std::clamp((m_covariance.mean() * weight + prior_variance * output_prior) /
-                                      (m_variance.mean() * weight + prior_variance * output_prior),
-                                  0.0, 1.0);
-    const auto fitted = m_actual.mean() + slope * (x - m_estimate.mean());
-    return std::exp((fitted * weight + x * output_prior) / (weight + output_prior));
-}
-
 const target_performance::target_state* target_performance::find(const target_instance& target) const
 {
     const auto it = m_targets.find(target.id);
