Request forwarding: events of earlier attempts are counted as token_count; doc comments of test fixtures

clang-tidy rejected the conversion of event_count() to size_t in forwarded_request_attempts.cpp. Checked: lint of that file passes; unit_tests of test_gateway_forwarding, _scheduling, _performance, _load_exchange and test_platform_codec, 87 of 87 passed.

--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -199,7 +199,7 @@
     /// Arrival of the attempt's first event.
     std::optional<time_point> m_first_event_time;
     /// Events of earlier attempts.
-    std::size_t m_events_before_attempt = 0;
+    token_count m_events_before_attempt = 0;
     /// @}
 
     /// @name Admission
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -286,7 +286,7 @@
     {
         return;
     }
-    const auto output = static_cast<token_count>(events) * tokens_per_event();
+    const auto output = events * tokens_per_event();
     const stream_sample sample{.first_event = *m_first_event_time - m_attempt_started,
                                .output_time = m_last_chunk_time - *m_first_event_time,
                                .output_tokens = output - tokens_per_event(),
--- a/tests/support/admission_rig.hpp
+++ b/tests/support/admission_rig.hpp
@@ -19,6 +19,7 @@
 namespace masticcourse::testing
 {
 
+/// Size of the simulated service and age of the gateways' views.
 struct admission_rig_options
 {
     std::size_t gateways = 26;
@@ -42,7 +43,8 @@
     std::uint32_t lost_midway = 0;
 };
 
-/// What starts programs of a workspace. Programs run 2 to 6 turns of about 400 ms with tool calls of 100 ms.
+/// Programs that a workspace starts at a mean rate. They run 2 to 6 turns of about 400 ms with tool calls of
+/// 100 ms.
 struct program_source
 {
     std::string workspace;
@@ -50,6 +52,7 @@
     std::uint32_t priority = 0;
 };
 
+/// Simulation, in virtual time, of programs, gateways and the service.
 class admission_rig
 {
   public:
@@ -57,7 +60,9 @@
 
     /// Starts programs at random times for @a span.
     void offer(const program_source& source, gateway::seconds span);
+    /// The gateway's process ends; its callers' turns fail.
     void kill(std::size_t gateway);
+    /// The gateway does nothing for this time.
     void freeze(std::size_t gateway, gateway::milliseconds span);
 
     virtual_time time;
--- a/tests/support/load_fleet.hpp
+++ b/tests/support/load_fleet.hpp
@@ -23,6 +23,7 @@
 namespace masticcourse::testing
 {
 
+/// Size and load of the simulation.
 struct load_fleet_options
 {
     std::size_t gateways = 26;
@@ -52,6 +53,7 @@
     gateway::milliseconds shortest_gap{};
 };
 
+/// The simulated gateways and targets, which are named by their index.
 class load_fleet
 {
   public:
