--- a/include/masticcourse/gateway/scheduling/load_collector.hpp
+++ b/include/masticcourse/gateway/scheduling/load_collector.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// The collector's side of the exchange of load: keeps the last state of each gateway and adds them up.
+/// The collector's side of the exchange of load: keeps the last state of each gateway and sums them.
 #pragma once
 
 #include "masticcourse/gateway/scheduling/load_messages.hpp"
@@ -15,8 +15,8 @@
 {
 
 /// Sums the states of gateways. A target has a version for changes by each gateway, so that a summary
-/// contains only what is new to its receiver. Gateways are assumed to be few thousand and targets few
-/// hundred.
+/// contains only what is new to its receiver. Sized for a few thousand gateways and a few
+/// hundred targets.
 class load_collector
 {
   public:
@@ -71,13 +71,13 @@
         std::uint32_t in_flight = 0;
         outcome_counts own;
         /// Outcomes at other gateways that it has received.
-        outcome_counts told;
+        outcome_counts received;
     };
 
-    struct offered_outcomes
+    struct unconfirmed_outcomes
     {
         target_instance target;
-        outcome_counts told;
+        outcome_counts received;
     };
 
     struct gateway_state
@@ -89,8 +89,8 @@
         std::unordered_map<target_instance, contribution, target_instance_hash> targets;
         std::unordered_map<service_name, std::uint32_t> demand;
         /// Contents of the last summary, to be applied to the contributions if the gateway has received it.
-        state_version offered_version = 0;
-        std::vector<offered_outcomes> offered;
+        state_version summary_version = 0;
+        std::vector<unconfirmed_outcomes> unconfirmed;
     };
 
     struct known_report
@@ -129,7 +129,7 @@
     void clear_demand(gateway_state& sender);
     void touch(target_state& it, gateway_number by, time_point now);
     /// Records that the gateway has received the last summary.
-    static void confirm_offer(gateway_state& receiver);
+    static void confirm_summary(gateway_state& receiver);
     /// @param receiver null if the gateway has no state here
     [[nodiscard]] load_summary summarize(gateway_state* receiver, state_version received,
                                          time_point now) const;
@@ -144,7 +144,8 @@
     /// Requests held back at all gateways.
     std::unordered_map<service_name, std::uint64_t> m_demand;
     state_version m_version = 0;
-    /// The last change of any target whose state was dropped. Who has an older version needs everything.
+    /// The last change of any target whose state was dropped. A gateway with an older version
+    /// needs a complete summary.
     state_version m_dropped_version = 0;
     gateway_number m_last_number = 0;
     time_point m_next_expiry{};
--- a/include/masticcourse/gateway/scheduling/outlier_detection.hpp
+++ b/include/masticcourse/gateway/scheduling/outlier_detection.hpp
@@ -1,8 +1,9 @@
 /// @file
 /// Ejection of targets that fail, or take far longer than their peers.
 ///
-/// Load pattern: a few targets fail part of their requests, hang, or go down and up by turns while their
-/// health check and registry entry are good. Each gateway would burn requests of its own to learn it.
+/// Load pattern: a few targets fail part of their requests, hang, or alternate between working and failing
+/// while their health check and registry entry are good. Without a shared detection, each gateway would lose
+/// requests of its own before it avoids them.
 #pragma once
 
 #include "masticcourse/gateway/random.hpp"
@@ -20,6 +21,7 @@
 namespace masticcourse::gateway
 {
 
+/// Why a target is ejected.
 enum class ejection_reason : std::uint8_t
 {
     failures,
@@ -123,6 +125,7 @@
         outcome_window::recent_sums outcomes{};
     };
 
+    /// A target that may be ejected.
     struct candidate
     {
         const evaluated_target* target = nullptr;
@@ -140,10 +143,21 @@
                                                   const failure_comparison& comparison);
     static std::optional<double> latency_severity(const evaluated_target& target, double median,
                                                   time_point now);
+    /// @return why the target should be ejected; nothing if it should not
+    static std::optional<candidate> find_fault(const evaluated_target& target,
+                                               const failure_comparison& comparison, double median,
+                                               time_point now);
+    /// Readmits an ejected target after enough successes, unless it is still slow.
     static void finish_probes(const evaluated_target& target, double median, time_point now);
     static void eject_worst(std::vector<candidate>& candidates, std::size_t room, time_point now);
+    /// Readmits the least severe ejected targets if there are more than the limit.
     static void readmit_excess(const std::vector<evaluated_target>& targets, time_point now);
 
+    static std::vector<ejection_change> take_changes(const std::vector<evaluated_target>& targets);
+
+    [[nodiscard]] failure_comparison compare_failures(const std::vector<evaluated_target>& targets,
+                                                      time_point now);
+    /// @return the state of the instance; null if a later one is known
     [[nodiscard]] target_state* find_or_add(const target_instance& target);
     [[nodiscard]] std::vector<evaluated_target> update_states(const std::vector<const target*>& targets,
                                                               const std::vector<double>& time_factors,
--- a/include/masticcourse/gateway/scheduling/workspace_shares.hpp
+++ b/include/masticcourse/gateway/scheduling/workspace_shares.hpp
@@ -1,9 +1,9 @@
 /// @file
 /// Which workspaces have lately received less than their fair share of a service.
 ///
-/// Load pattern: a workspace that floods takes room as fast as it becomes free, because it always has a new
-/// program at hand. The others would be refused as often as it is, although they ask for less than their
-/// share.
+/// Load pattern: a workspace that sends far more than its share takes slots as fast as they become free,
+/// because it always has another new program to start. The others would be refused as often, although they
+/// ask for less than their share.
 #pragma once
 
 #include "masticcourse/gateway/scheduling/admission_types.hpp"
@@ -14,13 +14,14 @@
 namespace masticcourse::gateway
 {
 
+/// Service that the workspaces asked for and received over the last seconds.
 class workspace_shares
 {
   public:
     /// Records that a request has arrived.
-    void asked(const admission_request& request, time_point now);
+    void record_arrival(const admission_request& request, time_point now);
     /// Records that a request is sent.
-    void served(const admission_request& request, time_point now);
+    void record_sent(const admission_request& request, time_point now);
 
     /// @return whether the workspace received clearly less than the fair share of its priority: the share
     /// that each workspace gets if none receives more than it asked for
@@ -31,7 +32,7 @@
     struct usage
     {
         std::uint32_t priority = 0;
-        double asked = 0;
+        double requested = 0;
         double served = 0;
     };
 
--- a/src/gateway/scheduling/admission_control.cpp
+++ b/src/gateway/scheduling/admission_control.cpp
@@ -18,13 +18,14 @@
 }
 
 /// Part of its slack that a program may spend waiting for its first turn. A longer wait leaves too little for
-/// its other turns, and an early refusal leaves the caller time to come again.
+/// its other turns, and an early refusal leaves the caller time to retry.
 constexpr double first_turn_slack = 0.08;
+/// The same for a workspace that has received less than its share.
 constexpr double first_turn_slack_below_share = 1;
 /// Greatest part of the time left that a program may spend waiting. The time left also covers tool calls of
-/// unknown duration, and programs of many turns, whose need is underestimated. A workspace that has received
-/// less than its share may wait longer, while it passes the requests of the others.
+/// unknown duration, and programs of many turns, whose need is underestimated.
 constexpr double max_slack_share = 0.1;
+/// The same for a workspace that has received less than its share, whose requests go before those of others.
 constexpr double max_slack_below_share = 0.6;
 
 /// @return whether the request starts a program that has a deadline
@@ -53,11 +54,11 @@
     {
         return refuse({.requests = 1, .reason = "the caller has left"}, room);
     }
-    m_workspaces.asked(request, now);
+    m_workspaces.record_arrival(request, now);
     if (admits_at_once(request, room, now))
     {
         m_queue.charge(request);
-        m_workspaces.served(request, now);
+        m_workspaces.record_sent(request, now);
         m_share.sent();
         return admitted{};
     }
@@ -81,7 +82,7 @@
         return std::nullopt;
     }
     m_share.sent();
-    m_workspaces.served(first->request, now);
+    m_workspaces.record_sent(first->request, now);
     return m_queue.pop(now)->ticket;
 }
 
--- a/src/gateway/scheduling/outlier_detection.cpp
+++ b/src/gateway/scheduling/outlier_detection.cpp
@@ -13,13 +13,13 @@
 {
 
 /// A series of failures in a row ends after this time without another one.
-constexpr seconds run_lifetime{10};
+constexpr seconds failure_run_lifetime{10};
 
 /// Duration of work relative to the median target from which a target is an outlier. Targets differ by up to
 /// 1.7 times, and ranking takes that into account. One turn that takes three times as long uses up the slack
 /// of a program of eight turns.
 constexpr double latency_threshold = 3;
-/// How long a target must be that slow: longer than three slow moments of 600 ms in a row.
+/// How long a target must be that slow: longer than three slow phases of 600 ms in a row.
 constexpr milliseconds min_slow_time{2'000};
 
 /// At most one in this many targets is ejected.
@@ -28,7 +28,7 @@
 constexpr milliseconds base_period{1'000};
 constexpr milliseconds max_period{16'000};
 /// Time after its return in which a target must not be ejected for its period to begin anew. It is longer
-/// than the phases of targets that go down and up by turns.
+/// than the phases of targets that alternate between working and failing.
 constexpr seconds healthy_time{10};
 /// Successes in the half-open state after which a target returns.
 constexpr std::uint32_t return_successes = 3;
@@ -146,7 +146,7 @@
 {
     state.window.record(outcomes, now);
     // The order of outcomes within a batch is unknown.
-    const bool interrupted = outcomes.successes > 0 || now - state.last_failure > run_lifetime;
+    const bool interrupted = outcomes.successes > 0 || now - state.last_failure > failure_run_lifetime;
     const auto before = interrupted ? 0 : state.failures_in_a_row;
     state.failures_in_a_row = outcomes.successes > 0 ? 0 : before + outcomes.failures;
     if (outcomes.failures > 0)
@@ -279,52 +279,40 @@
     std::for_each(end, ejected.end(), [now](const evaluated_target* it) { readmit(*it->state, now); });
 }
 
-std::vector<ejection_change> outlier_detection::evaluate(const std::vector<const target*>& targets,
-                                                         const std::vector<double>& time_factors,
-                                                         time_point now)
+failure_comparison outlier_detection::compare_failures(const std::vector<evaluated_target>& targets,
+                                                       time_point now)
 {
-    const auto evaluated = update_states(targets, time_factors, now);
-    std::vector<double> factors;
-    std::ranges::transform(evaluated, std::back_inserter(factors), &evaluated_target::time_factor);
-    const auto median = median_of(std::move(factors));
     failure_comparison comparison{m_usual.ratio(now)};
-    for (const auto& it : evaluated)
+    for (const auto& it : targets)
     {
         if (!it.state->current)
         {
             comparison.add(it.outcomes);
         }
     }
+    return comparison;
+}
 
-    std::vector<candidate> candidates;
-    for (const auto& it : evaluated)
+std::optional<outlier_detection::candidate>
+outlier_detection::find_fault(const evaluated_target& target, const failure_comparison& comparison,
+                              double median, time_point now)
+{
+    if (now - target.state->returned_at >= healthy_time)
     {
-        auto& state = *it.state;
-        if (state.current)
-        {
-            finish_probes(it, median, now);
-            continue;
-        }
-        if (now - state.returned_at >= healthy_time)
-        {
-            state.period = {};
-        }
-        const auto slow = latency_severity(it, median, now);
-        if (const auto failing = failure_severity(it, comparison))
-        {
-            candidates.push_back({&it, ejection_reason::failures, *failing});
-        }
-        else if (slow)
-        {
-            candidates.push_back({&it, ejection_reason::latency, *slow});
-        }
+        target.state->period = {};
     }
-    readmit_excess(evaluated, now);
-    const auto limit = targets.size() / targets_per_ejection;
-    eject_worst(candidates, limit - std::min(limit, ejected_count()), now);
+    const auto slow = latency_severity(target, median, now);
+    if (const auto failing = failure_severity(target, comparison))
+    {
+        return candidate{&target, ejection_reason::failures, *failing};
+    }
+    return slow ? std::optional{candidate{&target, ejection_reason::latency, *slow}} : std::nullopt;
+}
 
+std::vector<ejection_change> outlier_detection::take_changes(const std::vector<evaluated_target>& targets)
+{
     std::vector<ejection_change> changes;
-    for (const auto& it : evaluated)
+    for (const auto& it : targets)
     {
         auto& state = *it.state;
         if (std::exchange(state.changed, false))
@@ -339,6 +327,34 @@
     return changes;
 }
 
+std::vector<ejection_change> outlier_detection::evaluate(const std::vector<const target*>& targets,
+                                                         const std::vector<double>& time_factors,
+                                                         time_point now)
+{
+    const auto evaluated = update_states(targets, time_factors, now);
+    std::vector<double> factors;
+    std::ranges::transform(evaluated, std::back_inserter(factors), &evaluated_target::time_factor);
+    const auto median = median_of(std::move(factors));
+    const auto comparison = compare_failures(evaluated, now);
+
+    std::vector<candidate> candidates;
+    for (const auto& it : evaluated)
+    {
+        if (it.state->current)
+        {
+            finish_probes(it, median, now);
+        }
+        else if (const auto fault = find_fault(it, comparison, median, now))
+        {
+            candidates.push_back(*fault);
+        }
+    }
+    readmit_excess(evaluated, now);
+    const auto limit = targets.size() / targets_per_ejection;
+    eject_worst(candidates, limit - std::min(limit, ejected_count()), now);
+    return take_changes(evaluated);
+}
+
 bool outlier_detection::ejected(const target_instance& target, time_point /*now*/) const
 {
     const auto it = m_states.find(target.id);
