--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -18,6 +18,7 @@
 #include "masticcourse/gateway/scheduling/request_scheduler.hpp"
 #include "masticcourse/gateway/turn_store.hpp"
 #include "masticcourse/net/http_server.hpp"
+#include "masticcourse/telemetry/metrics.hpp"
 
 #include <functional>
 #include <memory>
@@ -45,6 +46,7 @@
     const row_store& store;
     delay_function delay;
     clock_function clock;
+    metrics_registry& metrics;
     failure_domain_name own_domain;
     /// Name of this gateway's VM.
     std::string own_name;
--- a/include/masticcourse/gateway/stream_progress.hpp
+++ b/include/masticcourse/gateway/stream_progress.hpp
@@ -10,6 +10,7 @@
 #include "masticcourse/core/ids.hpp"
 #include "masticcourse/net/sse.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -49,6 +50,13 @@
     /// @return the bytes after the last complete event, once the attempt has ended regularly
     [[nodiscard]] std::string take_remainder();
 
+    /// @return the number of bytes after the last complete event; 0 in a stream that is forwarded as raw
+    /// bytes
+    [[nodiscard]] std::size_t unfinished_bytes() const
+    {
+        return m_partial.size();
+    }
+
     /// Number of complete events so far.
     [[nodiscard]] token_count event_count() const
     {
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -66,6 +66,31 @@
 /// @return a description that also says whether the request may have taken effect
 [[nodiscard]] std::string_view to_string(http_failure failure);
 
+/// How the end of a response's body is marked.
+enum class body_framing : std::uint8_t
+{
+    /// There is no body, or no response header was received.
+    none,
+    /// By the length stated in the header.
+    length,
+    /// By a last chunk.
+    chunked,
+    /// By the server closing the connection. An orderly close ends the body, a reset cuts it off.
+    until_close,
+};
+
+[[nodiscard]] std::string_view to_string(body_framing framing);
+
+/// How a response's body was received, for logs and metrics.
+struct http_body_report
+{
+    body_framing framing = body_framing::none;
+    /// Size of the received part of the body in bytes, without chunk headers.
+    std::uint64_t bytes = 0;
+    /// The connection's error while the response was read; empty if there was none.
+    std::string error;
+};
+
 struct http_client_reply
 {
     http_failure failure = http_failure::none;
@@ -73,6 +98,7 @@
     int status = 0;
     std::vector<http_header> headers;
     std::string body;
+    http_body_report body_report;
 
     /// @return the value of the first header named @a name, compared case-insensitively
     [[nodiscard]] std::optional<std::string> header(std::string_view name) const;
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -4,6 +4,7 @@
 
 #include "masticcourse/gateway/request_forwarding.hpp"
 #include "masticcourse/gateway/stream_progress.hpp"
+#include "masticcourse/telemetry/event.hpp"
 
 #include <memory>
 #include <optional>
@@ -103,6 +104,8 @@
     /// @{
     void on_head(const http_client_reply& reply);
     void on_reply(http_client_reply reply);
+    /// Counts the response by its framing and its end.
+    void count_response(const http_client_reply& reply);
     void on_connect_failure();
     void on_not_executed();
     void on_response_lost(std::string_view reason);
@@ -140,6 +143,9 @@
     void finish(request_outcome outcome, std::string_view detail);
     void log_outcome(request_outcome outcome, std::string_view detail) const;
     void log_retry(std::string_view reason) const;
+    /// @return log fields that describe how the body of the last attempt's response was framed and how it
+    /// ended
+    [[nodiscard]] std::vector<event_field> body_fields() const;
     /// @}
 
     [[nodiscard]] milliseconds time_left() const;
@@ -197,6 +203,10 @@
     /// Id of the current attempt; callbacks of earlier attempts are ignored.
     std::uint64_t m_attempt_id = 0;
     std::optional<target_response_head> m_response_head;
+    /// Body of the attempt's response, once it has ended.
+    http_body_report m_body_report;
+    /// Bytes of that body after its last complete event.
+    std::size_t m_unfinished_bytes = 0;
     time_point m_attempt_started{};
     /// Arrival of the attempt's first event.
     std::optional<time_point> m_first_event_time;
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -4,6 +4,7 @@
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace masticcourse::gateway::detail
@@ -158,21 +159,32 @@
 {
     const auto elapsed = std::chrono::floor<milliseconds>(m_services.clock() - m_started);
     const auto& program = m_request.program;
+    std::vector<event_field> fields{
+        {"request", m_request.id.value},
+        {"workspace", m_request.workspace.empty() ? "-" : m_request.workspace.value},
+        {"program", program ? program->program.value : "-"},
+        {"route", m_route != nullptr ? m_route->name : "-"},
+        {"config", std::to_string(m_config->version)},
+        {"end", std::string{to_string(outcome)}},
+        {"why", std::string{detail}},
+        {"target", m_tried_targets.empty() ? "-" : m_tried_targets.back().value},
+        {"attempts", std::to_string(m_tried_targets.size())},
+        {"events", std::to_string(m_progress ? m_progress->event_count() : 0)},
+        {"budget", program && program->budget ? std::to_string(*program->budget) : "-"},
+        {"most", program ? std::to_string(program->max_tokens) : "-"},
+        {"previous", program && program->previous_turn ? program->previous_turn->value : "-"},
+        {"ms", std::to_string(elapsed.count())}};
+    std::ranges::move(body_fields(), std::back_inserter(fields));
     log_event(outcome == request_outcome::answered ? event_id::request_answered : event_id::request_failed,
-              {{"request", m_request.id.value},
-               {"workspace", m_request.workspace.empty() ? "-" : m_request.workspace.value},
-               {"program", program ? program->program.value : "-"},
-               {"route", m_route != nullptr ? m_route->name : "-"},
-               {"config", std::to_string(m_config->version)},
-               {"end", std::string{to_string(outcome)}},
-               {"why", std::string{detail}},
-               {"target", m_tried_targets.empty() ? "-" : m_tried_targets.back().value},
-               {"attempts", std::to_string(m_tried_targets.size())},
-               {"events", std::to_string(m_progress ? m_progress->event_count() : 0)},
-               {"budget", program && program->budget ? std::to_string(*program->budget) : "-"},
-               {"most", program ? std::to_string(program->max_tokens) : "-"},
-               {"previous", program && program->previous_turn ? program->previous_turn->value : "-"},
-               {"ms", std::to_string(elapsed.count())}});
+              fields);
+}
+
+std::vector<event_field> forwarded_request::body_fields() const
+{
+    return {{"framing", std::string{to_string(m_body_report.framing)}},
+            {"bytes", std::to_string(m_body_report.bytes)},
+            {"unfinished", std::to_string(m_unfinished_bytes)},
+            {"connection", m_body_report.error.empty() ? "ok" : m_body_report.error}};
 }
 
 } // namespace masticcourse::gateway::detail
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <iterator>
 #include <utility>
 
 namespace masticcourse::gateway::detail
@@ -35,6 +36,23 @@
     return std::ranges::find(statuses, status) != statuses.end();
 }
 
+/// @return the label of how a target's response ended
+std::string_view end_label(http_failure failure, bool inside_event)
+{
+    switch (failure)
+    {
+    case http_failure::connect:
+        return "no_connection";
+    case http_failure::timeout:
+        return "timeout";
+    case http_failure::broken:
+        return "broken";
+    case http_failure::none:
+        break;
+    }
+    return inside_event ? "inside_event" : "complete";
+}
+
 } // namespace
 
 std::string forwarded_request::affinity_key() const
@@ -189,6 +207,8 @@
     m_tried_targets.push_back(target.id);
     m_last_domain = target.domain;
     m_response_head.reset();
+    m_body_report = {};
+    m_unfinished_bytes = 0;
     m_attempt_started = m_services.clock();
     m_first_event_time.reset();
     if (m_progress)
@@ -314,6 +334,9 @@
 void forwarded_request::on_reply(http_client_reply reply)
 {
     m_upstream.reset();
+    m_body_report = reply.body_report;
+    m_unfinished_bytes = m_progress ? m_progress->unfinished_bytes() : 0;
+    count_response(reply);
     if (reply.failure == http_failure::connect)
     {
         on_connect_failure();
@@ -348,6 +371,17 @@
     }
 }
 
+void forwarded_request::count_response(const http_client_reply& reply)
+{
+    const std::vector<metric_label> labels{
+        {"framing", std::string{to_string(reply.body_report.framing)}},
+        {"end", std::string{end_label(reply.failure, m_unfinished_bytes > 0)}}};
+    m_services.metrics
+        .get_counter("masticcourse_target_responses_total",
+                     "Responses of targets by the framing of their body and by their end.", labels)
+        .add();
+}
+
 bool forwarded_request::can_retry() const
 {
     return m_attempt_count < m_route->max_attempts && time_left() > milliseconds{0};
@@ -407,14 +441,16 @@
 {
     const auto now = m_services.clock();
     const auto* const entry = m_services.targets.find(m_target->id);
-    log_event(event_id::attempt_failed,
-              {{"request", m_request.id.value},
-               {"target", m_target->id.value},
-               {"why", std::string{reason}},
-               {"attempt", std::to_string(m_attempt_count)},
-               {"of", std::to_string(m_route->max_attempts)},
-               {"target_load", entry != nullptr ? std::to_string(entry->load(now)) : "gone"},
-               {"left_ms", std::to_string(time_left().count())}});
+    std::vector<event_field> fields{
+        {"request", m_request.id.value},
+        {"target", m_target->id.value},
+        {"why", std::string{reason}},
+        {"attempt", std::to_string(m_attempt_count)},
+        {"of", std::to_string(m_route->max_attempts)},
+        {"target_load", entry != nullptr ? std::to_string(entry->load(now)) : "gone"},
+        {"left_ms", std::to_string(time_left().count())}};
+    std::ranges::move(body_fields(), std::back_inserter(fields));
+    log_event(event_id::attempt_failed, fields);
 }
 
 } // namespace masticcourse::gateway::detail
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -165,6 +165,7 @@
                .store = store,
                .delay = delay,
                .clock = monotonic_now,
+               .metrics = registry,
                .own_domain = options.own_domain,
                .own_name = options.node},
       feeds{.store = store,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -24,6 +24,22 @@
     return "the connection broke; the request may have taken effect";
 }
 
+std::string_view to_string(body_framing framing)
+{
+    switch (framing)
+    {
+    case body_framing::length:
+        return "length";
+    case body_framing::chunked:
+        return "chunked";
+    case body_framing::until_close:
+        return "until_close";
+    case body_framing::none:
+        break;
+    }
+    return "none";
+}
+
 bool is_valid_endpoint(std::string_view address)
 {
     return detail::parse_endpoint(address).has_value();
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -71,6 +71,20 @@
     int m_value;
 };
 
+template <typename Parser>
+body_framing framing_of(const Parser& parser)
+{
+    if (parser.chunked())
+    {
+        return body_framing::chunked;
+    }
+    if (parser.need_eof())
+    {
+        return body_framing::until_close;
+    }
+    return parser.content_length().value_or(0) > 0 ? body_framing::length : body_framing::none;
+}
+
 http::request<http::string_body> to_message(http_client_request& request)
 {
     http::request<http::string_body> message;
@@ -252,8 +266,10 @@
     m_response_started = n > 0 || connection->buffer.size() > 0;
     if (ec)
     {
+        m_reply.body_report.error = ec.message();
         co_return false;
     }
+    m_reply.body_report.framing = framing_of(parser);
     m_reply.status = static_cast<int>(parser.get().result_int());
     m_reply.headers = to_headers(parser.get());
     m_keep_alive = parser.get().keep_alive() && !parser.need_eof();
@@ -304,6 +320,10 @@
             set_timer(connection);
         }
     }
+    if (ec)
+    {
+        m_reply.body_report.error = ec.message();
+    }
     co_return !ec;
 }
 
@@ -318,6 +338,7 @@
     {
         return;
     }
+    m_reply.body_report.bytes += chunk.size();
     if (is_streaming())
     {
         m_on_chunk(chunk);
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -241,7 +241,8 @@
           .quotas = quotas,
           .store = store,
           .delay = time.delays(),
-          .clock = time.clock()}
+          .clock = time.clock(),
+          .metrics = metrics}
 {
     for (const auto* id : {"t0", "t1", "t2"})
     {
