--- a/tests/unit/test_gateway_loopback.cpp
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -1,17 +1,6 @@
 // Complete gateways on loopback against stand-ins of the platform: the main use case, store faults, store
 // access through a peer, graceful shutdown.
-#include "support/test_seed.hpp"
-
-#include "request_codec.hpp"
-#include "row_codec.hpp"
-#include "row_store_client.hpp"
-
-#include "masticcourse/gateway/gateway.hpp"
-#include "masticcourse/gateway/io_delay.hpp"
-
-#include "net_fixture.hpp"
-#include "platform_target.hpp"
-#include "table_service.hpp"
+#include "gateway_fixture.hpp"
 
 #include <doctest/doctest.h>
 
@@ -19,171 +8,14 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
-#include <cstdint>
-#include <memory>
-#include <random>
 #include <string>
-#include <vector>
+#include <thread>
 
 using namespace masticcourse;
 using namespace masticcourse::testing;
 using namespace std::chrono_literals;
 using standins::table_fault;
 
-namespace
-{
-
-/// @return an address whose port was free on a bind check and is not handed out twice by this process. Ports
-/// lie below the ephemeral range: an outgoing connection once took an ephemeral port before the gateway could
-/// listen on it.
-std::string free_address(boost::asio::io_context& context)
-{
-    constexpr std::uint16_t first = 20'000;
-    constexpr std::uint16_t end = 32'000;
-    static std::uint16_t next = []
-    {
-        std::random_device random;
-        return std::uniform_int_distribution<std::uint16_t>{first, end - 1}(random);
-    }();
-    while (true)
-    {
-        const boost::asio::ip::tcp::endpoint chosen{boost::asio::ip::address_v4::loopback(), next};
-        next = next + 1 < end ? static_cast<std::uint16_t>(next + 1) : first;
-        boost::asio::ip::tcp::acceptor acceptor{context, chosen.protocol()};
-        boost::system::error_code ec;
-        acceptor.bind(chosen, ec);
-        if (!ec)
-        {
-            return loopback(chosen.port());
-        }
-    }
-}
-
-/// The components of one gateway process, running on their own thread.
-struct gateway_process
-{
-    gateway_process(const std::string& store_address, const std::string& node)
-        : callers(free_address(threads.context())), readiness(free_address(threads.context())),
-          peer_address(free_address(threads.context())), peers({peer_address, 1, {"here"}}, test_seed()),
-          store(threads.context(), {store_address, peer_address}, peers,
-                gateway::make_io_delay(threads.context()), metrics),
-          gateway(threads.context(),
-                  {.node = node,
-                   .frontend_address = callers,
-                   .readiness_address = readiness,
-                   .readiness_path = "/readyz",
-                   .peer_address = peer_address,
-                   .own_domain = {"here"},
-                   .cache_bytes = 1'000'000,
-                   .row_bytes = 10'000,
-                   .stop_grace = 8s},
-                  protocol, store, peers, platform::make_table_decoders(), metrics)
-    {
-        boost::asio::post(
-            threads.context(),
-            [this]
-            {
-                store.serve(gateway::gateway::commit_path, [this](const auto& request, const auto& exchange)
-                            { gateway.serve_commits(request, exchange); });
-                store.serve(gateway::gateway::overdraft_path,
-                            [this](const auto& request, const auto& exchange)
-                            { gateway.serve_overdraft(request, exchange); });
-                store.serve(gateway::gateway::feed_path, [this](const auto& request, const auto& exchange)
-                            { gateway.serve_feed(request, exchange); });
-                store.start();
-                gateway.start();
-                started = true;
-            });
-    }
-    gateway_process(const gateway_process&) = delete;
-    gateway_process(gateway_process&&) = delete;
-    gateway_process& operator=(const gateway_process&) = delete;
-    gateway_process& operator=(gateway_process&&) = delete;
-    ~gateway_process()
-    {
-        threads.stop();
-    }
-
-    io_threads threads{1};
-    std::atomic<bool> started = false;
-    std::string callers;
-    std::string readiness;
-    std::string peer_address;
-    metrics_registry metrics;
-    gateway::peer_directory peers;
-    platform::platform_protocol protocol;
-    platform::row_store_client store;
-    gateway::gateway gateway;
-};
-
-constexpr const char* config = R"({"version":7,"routes":[
-  {"name":"turns","host":"h","prefix":"/turn/","type":"streaming","timeoutMs":5000,"service":"llm","maxAttempts":2,
-   "retentionEnabled":true,"retentionS":60.0},
-  {"name":"tool","host":"h","prefix":"/tool/","type":"non_idempotent","service":"app","timeoutMs":5000}],
-  "services":[{"name":"llm","engine":{"tokensPerEvent":10}},{"name":"app"}]})";
-
-/// The platform: a store, an engine and a plain service. Gateways share the store, or each has its own
-/// address for it.
-struct platform_fixture
-{
-    platform_fixture()
-    {
-        store.put("op", "config", config);
-        store.put("servers", "i-engine", engine.registry_entry("llm", "ready"));
-        store.put("servers", "i-app", app.registry_entry("app", "ready"));
-    }
-    platform_fixture(const platform_fixture&) = delete;
-    platform_fixture(platform_fixture&&) = delete;
-    platform_fixture& operator=(const platform_fixture&) = delete;
-    platform_fixture& operator=(platform_fixture&&) = delete;
-    ~platform_fixture()
-    {
-        threads.stop();
-    }
-
-    http_client_reply send(const gateway_process& to, const std::string& path, const std::string& id,
-                           const std::string& previous = "", const std::string& budget = "1000")
-    {
-        http_client_request request{.address = to.callers,
-                                    .method = "POST",
-                                    .target = path,
-                                    .body = "input of " + id + ";",
-                                    .headers = {{"Host", "h"},
-                                                {"Masticcourse-Request-Id", id},
-                                                {"Masticcourse-Program-Id", "p"},
-                                                {"Masticcourse-Token-Budget", budget},
-                                                {"Masticcourse-Token-Usage", "10,100"}}};
-        if (!previous.empty())
-        {
-            request.headers.push_back({"Masticcourse-Previous-Turn", previous});
-        }
-        auto reply = fetch(client, std::move(request));
-        if (reply.failure != http_failure::none)
-        {
-            MESSAGE("no answer to ", id, ": ", std::string{to_string(reply.failure)});
-        }
-        return reply;
-    }
-
-    bool ready(const gateway_process& it)
-    {
-        return fetch(client, {.address = it.readiness, .target = "/readyz"}).status == 200;
-    }
-
-    void wait_ready(const gateway_process& it)
-    {
-        REQUIRE(eventually([&] { return ready(it); }));
-    }
-
-    io_threads threads{1};
-    standins::table_service store{threads.context(), "127.0.0.1:0"};
-    standins::platform_target engine{threads.context(), "127.0.0.1:0", "i-engine", true};
-    standins::platform_target app{threads.context(), "127.0.0.1:0", "i-app", false};
-    http_client client{threads.context()};
-};
-
-} // namespace
-
 TEST_CASE("a turn, a tool call, and the next turn through another gateway")
 {
     platform_fixture world;
@@ -218,7 +50,7 @@
     const auto refused = world.send(gateway, "/turn/1", "a1");
     CHECK(refused.status == 503);
     CHECK(refused.header("Retry-After"));
-    empty.put("op", "config", config);
+    empty.put("op", "config", gateway_config);
     world.wait_ready(gateway);
     CHECK(world.send(gateway, "/elsewhere/1", "a2").status == 404);
     threads.stop();
@@ -234,13 +66,13 @@
     world.store.truncate_history();
     world.store.put("servers", "i-app", world.app.registry_entry("app", "draining"));
     REQUIRE(eventually([&] { return world.send(gateway, "/tool/1", "b2").status == 503; }));
-    std::string later = config;
+    std::string later = gateway_config;
     later.replace(later.find("\"version\":7"), 11, "\"version\":8");
     later.replace(later.find("/tool/"), 6, "/other/");
     world.store.put("op", "config", later);
     REQUIRE(eventually([&] { return world.send(gateway, "/tool/1", "b3").status == 404; }));
     // A configuration that is not newer is ignored.
-    world.store.put("op", "config", config);
+    world.store.put("op", "config", gateway_config);
     CHECK(world.send(gateway, "/tool/1", "b4").status == 404);
 }
 
