--- /dev/null
+++ b/tests/unit/test_gateway_response_ends.cpp
@@ -0,0 +1,147 @@
+// How a gateway tells whole responses of targets from broken-off ones: by the framing of the body, by how the
+// connection ended, and by the last event of a stream.
+#include "gateway_fixture.hpp"
+#include "scripted_server.hpp"
+#include "support/forwarding_world.hpp"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <chrono>
+#include <sstream>
+#include <string>
+
+using namespace masticcourse;
+using namespace masticcourse::testing;
+
+namespace
+{
+
+/// A gateway whose engine is a scripted server.
+struct scripted_engine_fixture
+{
+    explicit scripted_engine_fixture(std::vector<scripted_response> responses) : engine(std::move(responses))
+    {
+        const std::string entry = R"({"service":"llm","address":")" + loopback(engine.port()) +
+                                  R"(","zone":"here","version":"v1","slots":4,"state":"ready",)"
+                                  R"("coldRemainingMs":0,"sequence":1})";
+        platform.store.remove("servers", "i-engine");
+        platform.store.put("servers", "i-scripted", entry);
+        platform.wait_ready(gateway);
+    }
+
+    scripted_server engine;
+    platform_fixture platform;
+    gateway_process gateway{loopback(platform.store.port()), "only"};
+};
+
+/// @return the header of an engine's response to the request @a id, up to the framing of its body
+std::string response_head(const std::string& id)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nMasticcourse-Request-Id: " + id +
+           "\r\nMasticcourse-Response-Signature: by-i-scripted\r\n";
+}
+
+constexpr const char* first_event = "id: 1\ndata: one\n\n";
+
+/// What frames a body.
+enum class framing : std::uint8_t
+{
+    until_close,
+    length,
+    chunks,
+};
+
+/// @return the rest of the header, and @a body framed as whole
+std::string framed(framing kind, const std::string& body)
+{
+    switch (kind)
+    {
+    case framing::length:
+        return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    case framing::chunks:
+    {
+        std::ostringstream chunk;
+        chunk << std::hex << body.size() << "\r\n" << body << "\r\n0\r\n\r\n";
+        return "Transfer-Encoding: chunked\r\n\r\n" + chunk.str();
+    }
+    case framing::until_close:
+        break;
+    }
+    return "Connection: close\r\n\r\n" + body;
+}
+
+constexpr std::array unfinished_events{"id", "id: 2\nda", "id: 2\ndata: two", "id: 2\ndata: two\n"};
+
+} // namespace
+
+// Guards against: a target crashes in the middle of an event of a response without length or chunks, and the
+// caller gets the cut event as the regular end of the stream.
+TEST_CASE("a stream that its target ends inside an event does not reach the caller as complete")
+{
+    for (const auto kind : {framing::until_close, framing::length, framing::chunks})
+    {
+        for (const std::string unfinished : unfinished_events)
+        {
+            CAPTURE(kind);
+            CAPTURE(unfinished);
+            scripted_engine_fixture world{
+                {{response_head("a1") + framed(kind, first_event + unfinished), connection_end::close}}};
+            const auto reply = world.platform.send(world.gateway, "/turn/1", "a1");
+            CHECK(reply.status == 200);
+            CHECK(reply.failure == http_failure::broken);
+            CHECK(reply.body == first_event);
+            // The turn is not kept as if it were whole.
+            CHECK(world.platform.send(world.gateway, "/turn/1", "a2", "a1").status == 404);
+        }
+    }
+}
+
+// Guards against: the same fault on each kind of streaming route, in a first attempt and in a resumed one.
+TEST_CASE("a stream that ends inside an event counts as lost on every streaming route")
+{
+    for (const std::string route : {"stream", "turn", "plan"})
+    {
+        for (const std::string unfinished : unfinished_events)
+        {
+            CAPTURE(route);
+            CAPTURE(unfinished);
+            forwarding_fixture world;
+            auto request = route == "turn" ? world.make_turn_request("r") : world.make_request(route, "r");
+            const auto view = world.send(std::move(request));
+            world.time.run(std::chrono::milliseconds{100});
+            // Each target sends the next event whole and leaves the one after it unfinished.
+            for (std::size_t n = 0; n < world.sent.size(); ++n)
+            {
+                const auto target = world.sent[n];
+                target->begin(200);
+                target->event(static_cast<int>(n + 1), "x");
+                target->on_chunk(unfinished);
+                target->end(200);
+            }
+            world.time.run(std::chrono::milliseconds{100});
+            CHECK(world.sent.size() == (route == "plan" ? 2 : 1));
+            CHECK(view->closed);
+            CHECK_FALSE(view->ended);
+            CHECK(view->text ==
+                  (route == "plan" ? "id: 1\ndata: x\n\nid: 2\ndata: x\n\n" : "id: 1\ndata: x\n\n"));
+            if (route == "turn")
+            {
+                const auto next = world.send(world.make_turn_request("next", "r"));
+                world.time.run(std::chrono::milliseconds{100});
+                CHECK(body_of(*next) == "no_such_turn");
+            }
+        }
+    }
+}
+
+// Guards against: a target crashes after the header of a response without length or chunks, and the caller
+// gets an empty stream as a whole one.
+TEST_CASE("a stream without length or chunks that ends before its first event is lost")
+{
+    scripted_engine_fixture world{
+        {{response_head("a1") + framed(framing::until_close, ""), connection_end::close}}};
+    const auto reply = world.platform.send(world.gateway, "/turn/1", "a1");
+    CHECK(reply.status == 502);
+    CHECK(world.platform.send(world.gateway, "/turn/1", "a2", "a1").status == 404);
+}
