A stream that ends inside an event is broken off, whatever frames its body

Cause: the gateway took "the transfer ended without an error" for "the stream is whole". A body without length and chunks ends with its connection, so the close of a crashed target is no error; the bytes after the last whole event were passed on, the caller's stream was ended with a last chunk, and the turn was stored.

Change: gateway/response_end decides how a response ended from the transfer, the framing and the last event. A stream must end after a complete event, whatever frames it, and without length and chunks it needs an event at all. Otherwise the attempt is lost: a stream that may be resumed goes on elsewhere after its last whole event, others end broken off or with 502, and no turn is stored. All streams are forwarded in whole events now, so the mode for raw bytes is gone, and an event whose blank line ends with a lone CR counts.

--- a/include/masticcourse/gateway/stream_progress.hpp
+++ b/include/masticcourse/gateway/stream_progress.hpp
@@ -1,10 +1,9 @@
 /// @file
 /// Progress of a streamed response across all targets that produced parts of it.
 ///
-/// A resumable stream is forwarded in complete events only: an event that its target leaves incomplete is
-/// discarded, and the next target resumes after the last complete one. So no event is lost, duplicated or
-/// spliced from two attempts. Streams with a budget are forwarded in the same way, so that their events can
-/// be counted. Other streams are forwarded as raw bytes.
+/// A stream is forwarded in complete events only: an event that its target leaves incomplete is discarded. If
+/// the stream can be resumed, the next target goes on after the last complete event. So no event is lost,
+/// duplicated or spliced from two attempts, and events can be counted before they are sent.
 #pragma once
 
 #include "masticcourse/core/ids.hpp"
@@ -19,19 +18,10 @@
 namespace masticcourse::gateway
 {
 
-/// Unit in which a stream is forwarded.
-enum class stream_granularity : std::uint8_t
-{
-    /// Chunks as received.
-    bytes,
-    /// Complete events only.
-    whole_events,
-};
-
 class stream_progress
 {
   public:
-    explicit stream_progress(stream_granularity granularity);
+    stream_progress();
     // The parser's callback captures `this`.
     stream_progress(const stream_progress&) = delete;
     stream_progress(stream_progress&&) = delete;
@@ -47,11 +37,17 @@
     /// too long or does not follow the previous one
     [[nodiscard]] std::optional<std::string> feed(std::string_view chunk);
 
-    /// @return the bytes after the last complete event, once the attempt has ended regularly
+    /// @return whether the current attempt's response would be incomplete if it ended here
+    [[nodiscard]] bool inside_event() const
+    {
+        return m_parser->inside_event();
+    }
+
+    /// @return the bytes after the last complete event, such as a comment, once the attempt has ended
+    /// regularly
     [[nodiscard]] std::string take_remainder();
 
-    /// @return the number of bytes after the last complete event; 0 in a stream that is forwarded as raw
-    /// bytes
+    /// @return the number of bytes after the last complete event
     [[nodiscard]] std::size_t unfinished_bytes() const
     {
         return m_partial.size();
@@ -82,9 +78,8 @@
   private:
     void on_event(const sse_event& event);
 
-    stream_granularity m_granularity;
     std::optional<sse_parser> m_parser;
-    /// Bytes of an incomplete event.
+    /// Bytes after the last complete event.
     std::string m_partial;
     std::string m_event_data;
     token_count m_event_count = 0;
--- a/include/masticcourse/net/sse.hpp
+++ b/include/masticcourse/net/sse.hpp
@@ -42,6 +42,10 @@
     /// @return false once an event exceeds the size limit; all further input is ignored
     [[nodiscard]] bool feed(std::string_view bytes);
 
+    /// @return whether input that ended here would have been cut off: in the middle of a line, or after a
+    /// field of an event whose blank line is missing
+    [[nodiscard]] bool inside_event() const;
+
   private:
     void process_line(std::string_view line);
     void process_field(std::string_view name, std::string_view value);
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -62,7 +62,7 @@
 {
     if (is_stream())
     {
-        create_progress();
+        m_progress.emplace();
     }
     if (has_budget())
     {
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -2,6 +2,8 @@
 /// State machine of one forwarded request.
 #pragma once
 
+#include "response_end.hpp"
+
 #include "masticcourse/gateway/request_forwarding.hpp"
 #include "masticcourse/gateway/stream_progress.hpp"
 #include "masticcourse/telemetry/event.hpp"
@@ -104,8 +106,9 @@
     /// @{
     void on_head(const http_client_reply& reply);
     void on_reply(http_client_reply reply);
-    /// Counts the response by its framing and its end.
-    void count_response(const http_client_reply& reply);
+    /// @return how the current attempt's response ended
+    [[nodiscard]] response_end classify_end(http_failure failure) const;
+    void count_response(response_end end) const;
     void on_connect_failure();
     void on_not_executed();
     void on_response_lost(std::string_view reason);
@@ -116,7 +119,6 @@
 
     /// @name Streamed response
     /// @{
-    void create_progress();
     void on_chunk(std::string_view chunk);
     void on_stream_complete();
     /// Abandons a target that has stalled in the middle of a stream that another target can resume.
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -36,23 +36,6 @@
     return std::ranges::find(statuses, status) != statuses.end();
 }
 
-/// @return the label of how a target's response ended
-std::string_view end_label(http_failure failure, bool inside_event)
-{
-    switch (failure)
-    {
-    case http_failure::connect:
-        return "no_connection";
-    case http_failure::timeout:
-        return "timeout";
-    case http_failure::broken:
-        return "broken";
-    case http_failure::none:
-        break;
-    }
-    return inside_event ? "inside_event" : "complete";
-}
-
 } // namespace
 
 std::string forwarded_request::affinity_key() const
@@ -336,14 +319,15 @@
     m_upstream.reset();
     m_body_report = reply.body_report;
     m_unfinished_bytes = m_progress ? m_progress->unfinished_bytes() : 0;
-    count_response(reply);
-    if (reply.failure == http_failure::connect)
+    const auto end = classify_end(reply.failure);
+    count_response(end);
+    if (end == response_end::no_connection)
     {
         on_connect_failure();
     }
-    else if (reply.failure != http_failure::none || !m_response_head)
+    else if (end != response_end::complete || !m_response_head)
     {
-        on_response_lost(to_string(reply.failure));
+        on_response_lost(describe(end));
     }
     else if (m_response_head->not_executed)
     {
@@ -371,11 +355,22 @@
     }
 }
 
-void forwarded_request::count_response(const http_client_reply& reply)
+response_end forwarded_request::classify_end(http_failure failure) const
+{
+    const bool streamed = m_progress && m_response_head && m_response_head->success();
+    if (!streamed)
+    {
+        return classify_response(failure);
+    }
+    return classify_stream(failure, {.framing = m_body_report.framing,
+                                     .inside_event = m_progress->inside_event(),
+                                     .has_events = m_progress->event_count() > m_events_before_attempt});
+}
+
+void forwarded_request::count_response(response_end end) const
 {
-    const std::vector<metric_label> labels{
-        {"framing", std::string{to_string(reply.body_report.framing)}},
-        {"end", std::string{end_label(reply.failure, m_unfinished_bytes > 0)}}};
+    const std::vector<metric_label> labels{{"framing", std::string{to_string(m_body_report.framing)}},
+                                           {"end", std::string{to_string(end)}}};
     m_services.metrics
         .get_counter("masticcourse_target_responses_total",
                      "Responses of targets by the framing of their body and by their end.", labels)
--- a/src/gateway/forwarded_request_stream.cpp
+++ b/src/gateway/forwarded_request_stream.cpp
@@ -32,13 +32,6 @@
     return m_progress && m_progress->event_count() > 0;
 }
 
-void forwarded_request::create_progress()
-{
-    // Complete events can be counted before they are sent to the caller.
-    const bool whole_events = m_route->resumable || has_budget() || is_retained();
-    m_progress.emplace(whole_events ? stream_granularity::whole_events : stream_granularity::bytes);
-}
-
 void forwarded_request::on_chunk(std::string_view chunk)
 {
     if (!m_response_head || !m_response_head->authentic)
--- a/src/gateway/stream_progress.cpp
+++ b/src/gateway/stream_progress.cpp
@@ -19,8 +19,7 @@
     while (true)
     {
         const auto end = text.find_first_of("\r\n", line_start);
-        // A trailing CR may be the first half of a CRLF.
-        if (end == std::string_view::npos || (text[end] == '\r' && end + 1 == text.size()))
+        if (end == std::string_view::npos)
         {
             return length;
         }
@@ -52,7 +51,7 @@
 
 } // namespace
 
-stream_progress::stream_progress(stream_granularity granularity) : m_granularity(granularity)
+stream_progress::stream_progress()
 {
     begin_attempt();
 }
@@ -75,15 +74,11 @@
 
 std::optional<std::string> stream_progress::feed(std::string_view chunk)
 {
-    if (m_granularity == stream_granularity::bytes)
-    {
-        return std::string{chunk};
-    }
     m_partial += chunk;
     auto complete = m_partial.substr(0, complete_events_length(m_partial));
     m_partial.erase(0, complete.size());
     const bool too_long = m_partial.size() > sse_parser::default_max_event;
-    if (too_long || !m_parser->feed(complete) || m_out_of_order)
+    if (too_long || !m_parser->feed(chunk) || m_out_of_order)
     {
         return std::nullopt;
     }
--- a/src/net/sse.cpp
+++ b/src/net/sse.cpp
@@ -94,6 +94,11 @@
     return !m_overflow;
 }
 
+bool sse_parser::inside_event() const
+{
+    return !m_line.empty() || m_has_data || m_event != sse_event{};
+}
+
 void sse_parser::process_line(std::string_view line)
 {
     if (std::exchange(m_at_stream_start, false) && line.starts_with(byte_order_mark))
