A stream without chunks that is broken off resets its connection

Cause: the close is the only frame of such a body, and both ends used the same one. Change: from the header on each close of the socket resets the connection, also the operating system's when the process is killed; a whole stream takes that back before its orderly close. Set past Asio, whose sockets clear the option when they are destroyed (the test's third row failed so).

--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <exception>
 #include <iterator>
+#include <sys/socket.h>
 #include <utility>
 
 namespace masticcourse::detail
@@ -365,6 +366,10 @@
 
 asio::awaitable<bool> http_session::write_head(stream_head head)
 {
+    if (!chunked() && !set_reset_on_close(true))
+    {
+        co_return false;
+    }
     m_request.keep_alive = m_request.keep_alive && chunked() && !m_server->closing;
     auto message = to_stream_head(head.status, head.headers, m_request.version, m_request.keep_alive);
     http::response_serializer<http::empty_body> serializer(message);
@@ -405,13 +410,24 @@
 asio::awaitable<bool> http_session::write_end()
 {
     static constexpr std::string_view last_chunk = "0\r\n\r\n";
-    if (!chunked() || m_request.head_only)
+    if (!chunked())
+    {
+        co_return set_reset_on_close(false);
+    }
+    if (m_request.head_only)
     {
         co_return true;
     }
     co_return co_await write_buffers(asio::buffer(last_chunk));
 }
 
+bool http_session::set_reset_on_close(bool enabled)
+{
+    // Not through Asio, whose sockets clear an option set there when they are destroyed.
+    const ::linger option{.l_onoff = enabled ? 1 : 0, .l_linger = 0};
+    return ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option) == 0;
+}
+
 asio::awaitable<void> http_session::wait_for_update()
 {
     co_await m_wake.async_wait(use_tuple);
--- a/tests/unit/gateway_fixture.hpp
+++ b/tests/unit/gateway_fixture.hpp
@@ -21,40 +21,12 @@
 
 #include <atomic>
 #include <chrono>
-#include <cstdint>
-#include <random>
 #include <string>
 #include <utility>
 
 namespace masticcourse::testing
 {
 
-/// @return an address whose port was free on a bind check and is not handed out twice by this process. Ports
-/// lie below the ephemeral range: an outgoing connection once took an ephemeral port before the gateway could
-/// listen on it.
-[[nodiscard]] inline std::string free_address(boost::asio::io_context& context)
-{
-    constexpr std::uint16_t first = 20'000;
-    constexpr std::uint16_t end = 32'000;
-    static std::uint16_t next = []
-    {
-        std::random_device random;
-        return std::uniform_int_distribution<std::uint16_t>{first, end - 1}(random);
-    }();
-    while (true)
-    {
-        const boost::asio::ip::tcp::endpoint chosen{boost::asio::ip::address_v4::loopback(), next};
-        next = next + 1 < end ? static_cast<std::uint16_t>(next + 1) : first;
-        boost::asio::ip::tcp::acceptor acceptor{context, chosen.protocol()};
-        boost::system::error_code ec;
-        acceptor.bind(chosen, ec);
-        if (!ec)
-        {
-            return loopback(chosen.port());
-        }
-    }
-}
-
 /// The components of one gateway process, running on their own thread.
 struct gateway_process
 {
--- a/tests/unit/net_fixture.hpp
+++ b/tests/unit/net_fixture.hpp
@@ -17,6 +17,7 @@
 #include <future>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <utility>
@@ -131,11 +132,16 @@
     [[nodiscard]] std::string read_all()
     {
         std::string text;
-        boost::system::error_code ignored;
-        boost::asio::read(m_socket, boost::asio::dynamic_buffer(text), ignored);
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(text), m_end);
         return text;
     }
 
+    /// @return whether the peer closed the connection in order, rather than resetting it, after read_all()
+    [[nodiscard]] bool closed_in_order() const
+    {
+        return m_end == boost::asio::error::eof;
+    }
+
     /// @return everything received up to and including @a delimiter
     [[nodiscard]] std::string read_until_text(const std::string& delimiter)
     {
@@ -157,6 +163,7 @@
   private:
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::socket m_socket;
+    boost::system::error_code m_end;
 };
 
 [[nodiscard]] inline std::string loopback(std::uint16_t port)
@@ -164,6 +171,32 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+/// @return an address whose port was free on a bind check and is not handed out twice by this process. Ports
+/// lie below the ephemeral range: an outgoing connection once took an ephemeral port before the gateway could
+/// listen on it.
+[[nodiscard]] inline std::string free_address(boost::asio::io_context& context)
+{
+    constexpr std::uint16_t first = 20'000;
+    constexpr std::uint16_t end = 32'000;
+    static std::uint16_t next = []
+    {
+        std::random_device random;
+        return std::uniform_int_distribution<std::uint16_t>{first, end - 1}(random);
+    }();
+    while (true)
+    {
+        const boost::asio::ip::tcp::endpoint chosen{boost::asio::ip::address_v4::loopback(), next};
+        next = next + 1 < end ? static_cast<std::uint16_t>(next + 1) : first;
+        boost::asio::ip::tcp::acceptor acceptor{context, chosen.protocol()};
+        boost::system::error_code ec;
+        acceptor.bind(chosen, ec);
+        if (!ec)
+        {
+            return loopback(chosen.port());
+        }
+    }
+}
+
 /// Sends a request and blocks until its reply arrives.
 [[nodiscard]] inline http_client_reply fetch(http_client& client, http_client_request request)
 {
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <string>
 
 using namespace masticcourse;
@@ -516,3 +517,41 @@
         CHECK(text.find("Connection: close") != std::string::npos);
     }
 }
+
+// Guards against: an HTTP/1.0 caller, whose streams end with the connection, takes a broken-off one for a
+// whole one.
+TEST_CASE("http: a stream without chunks ends with an orderly close only if it is whole, else with a reset")
+{
+    enum class ending : std::uint8_t
+    {
+        whole,
+        dropped,
+        server_gone,
+    };
+    for (const auto end : {ending::whole, ending::dropped, ending::server_gone})
+    {
+        CAPTURE(end);
+        deferred_exchanges exchanges;
+        auto it = std::make_unique<http_fixture>(http_limits{}, exchanges.handler());
+        raw_socket caller{it->server.port()};
+        caller.write("GET / HTTP/1.0\r\n\r\n");
+        auto exchange = exchanges.at(0);
+        exchange->begin_stream(200, {});
+        exchange->write("id: 1\ndata: one\n\n");
+        const auto text = caller.read_until_text("one\n\n");
+        CHECK(text.find("Transfer-Encoding") == std::string::npos);
+        CHECK(text.find("Content-Length") == std::string::npos);
+        if (end == ending::whole)
+        {
+            exchange->end_stream();
+        }
+        exchanges.received.update([](auto& all) { all.clear(); });
+        if (end == ending::server_gone)
+        {
+            it.reset();
+        }
+        exchange.reset();
+        CHECK(caller.read_all().empty());
+        CHECK(caller.closed_in_order() == (end == ending::whole));
+    }
+}
