A cut response of the store or of a peer counts as none, and is not relayed

A relayed call was complete as soon as its header had the store's status, whatever became of the body; a response of the store without length or chunks was complete however its document ended, and a peer passed it on with a length, as whole. What callers could see: reads that failed though another way to the store was open; no wrong value, as a cut document can't be parsed. Cause: the end of the header, or of the connection, was taken for the end of the response.

--- a/tests/unit/test_row_store_client.cpp
+++ b/tests/unit/test_row_store_client.cpp
@@ -7,12 +7,14 @@
 #include "masticcourse/net/http_server.hpp"
 
 #include "net_fixture.hpp"
+#include "scripted_server.hpp"
 #include "table_service.hpp"
 
 #include <doctest/doctest.h>
 
 #include <boost/asio/post.hpp>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <future>
@@ -193,6 +195,113 @@
     CHECK(std::chrono::steady_clock::now() - start_time < 3s);
 }
 
+// Guards against: a store or a peer fails in the middle of a response, and the cut response passes for the
+// store's.
+TEST_CASE("a response of the store or of a peer that was cut off counts as none")
+{
+    const std::string whole = R"({"rows":[],"ver":1,"nowMs":1,"hasMore":false})";
+    const std::string cut = R"({"rows":[],"ver":1)";
+    const auto length = "Content-Length: " + std::to_string(whole.size()) + "\r\n\r\n";
+    const std::array cut_bodies{length + cut, "Transfer-Encoding: chunked\r\n\r\n12\r\n" + cut + "\r\n",
+                                "\r\n" + cut};
+    const auto query = [](client_fixture& fixture)
+    {
+        return fixture.wait_for<gateway::query_reply>([&](auto done)
+                                                      { fixture.client.query({.table = "t"}, done); });
+    };
+    SUBCASE("a peer: the next one is asked")
+    {
+        for (const auto& body : cut_bodies)
+        {
+            CAPTURE(body);
+            const std::string head = "HTTP/1.1 200 OK\r\nCall-Status: 200\r\n";
+            scripted_server first{
+                {{head + length + whole, connection_end::close}, {head + body, connection_end::close}}};
+            peer_group others{1};
+            others.relaying_peer = 0;
+            client_fixture fixture;
+            fixture.client.set_address("127.0.0.1:1");
+            fixture.peers.set({gateway::peer{loopback(first.port()), 1}});
+            CHECK(query(fixture).answered);
+            auto peers = others.list();
+            peers.push_back({loopback(first.port()), 1});
+            fixture.peers.set(peers);
+            // The peer that relayed the last call is asked first.
+            CHECK(query(fixture).answered);
+            CHECK(others.request_count == 1);
+        }
+    }
+    SUBCASE("the store: a peer is asked")
+    {
+        for (const auto& body : cut_bodies)
+        {
+            CAPTURE(body);
+            scripted_server store{{{"HTTP/1.1 200 OK\r\n" + body, connection_end::close}}};
+            peer_group others{1};
+            others.relaying_peer = 0;
+            client_fixture fixture;
+            fixture.client.set_address(loopback(store.port()));
+            fixture.peers.set(others.list());
+            CHECK(query(fixture).answered);
+            CHECK(others.request_count == 1);
+        }
+    }
+    SUBCASE("the store: whole without length or chunks")
+    {
+        scripted_server store{{{"HTTP/1.1 200 OK\r\n\r\n" + whole, connection_end::close}}};
+        client_fixture fixture;
+        fixture.client.set_address(loopback(store.port()));
+        CHECK(query(fixture).answered);
+    }
+    SUBCASE("the store: a transaction may have taken effect")
+    {
+        scripted_server store{{{"HTTP/1.1 200 OK\r\n\r\n{\"ve", connection_end::close}}};
+        client_fixture fixture;
+        fixture.client.set_address(loopback(store.port()));
+        const auto reply = fixture.wait_for<gateway::transaction_reply>(
+            [&](auto done) {
+                fixture.client.transact({.puts = {{.name = {.table = "t", .key = "k"}, .value = "v"}}}, done);
+            });
+        CHECK(reply.outcome == gateway::store_outcome::unknown);
+    }
+    SUBCASE("the store behind a peer: the peer does not relay it")
+    {
+        for (const auto& body : cut_bodies)
+        {
+            CAPTURE(body);
+            scripted_server store{{{"HTTP/1.1 200 OK\r\n" + body, connection_end::close}}};
+            io_threads threads{1};
+            const auto address = free_address(threads.context());
+            metrics_registry metrics;
+            gateway::peer_directory peers{{address, 1}, test_seed()};
+            platform::row_store_client client{threads.context(),
+                                              {loopback(store.port()), address},
+                                              peers,
+                                              gateway::make_io_delay(threads.context()),
+                                              metrics};
+            std::promise<void> started;
+            boost::asio::post(threads.context(),
+                              [&]
+                              {
+                                  client.start();
+                                  started.set_value();
+                              });
+            started.get_future().wait();
+            io_threads caller_threads;
+            http_client caller{caller_threads.context()};
+            const auto reply = fetch(
+                caller, {.address = address,
+                         .method = "POST",
+                         .target = "/store-call",
+                         .headers = {{"Call-Method", "GET"}, {"Call-Target", "/rows-get?table=t&part="}}});
+            CHECK(reply.status == 503);
+            CHECK_FALSE(reply.header("Call-Status"));
+            threads.stop();
+            caller_threads.stop();
+        }
+    }
+}
+
 TEST_CASE("the client reports existing rows, removals, and versions whose history the store has discarded")
 {
     client_fixture fixture;
