A stored value is not believed if its response has neither length nor chunks

Change: the store client reports such a read as lost, and the reader asks again; listings show by their document whether they are whole, and writes have no body to cut.

Checked: the new test failed before (a cut row and a cut object were reported as ok), passes now.

--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <cstdint>
 #include <utility>
 #include <variant>
 
@@ -158,19 +159,60 @@
     return true;
 }
 
-store_reply to_store_reply(http_client_reply response, bool is_list)
+/// What the body of a successful response holds.
+enum class body_content : std::uint8_t
+{
+    nothing,
+    /// Bytes of a row or object.
+    value,
+    listing,
+};
+
+struct content_of_response
+{
+    body_content operator()(const table_get& /*op*/) const
+    {
+        return body_content::value;
+    }
+    body_content operator()(const object_get& /*op*/) const
+    {
+        return body_content::value;
+    }
+    body_content operator()(const table_list& /*op*/) const
+    {
+        return body_content::listing;
+    }
+    body_content operator()(const object_list& /*op*/) const
+    {
+        return body_content::listing;
+    }
+    template <typename Write>
+    body_content operator()(const Write& /*op*/) const
+    {
+        return body_content::nothing;
+    }
+};
+
+store_reply to_store_reply(http_client_reply response, body_content content)
 {
     store_reply reply{.status = to_store_status(response)};
     if (reply.status != store_status::ok)
     {
         return reply;
     }
+    if (content == body_content::value && response.body_report.framing == body_framing::until_close)
+    {
+        // Any bytes can be a value, so nothing shows whether the store sent all of them before it closed the
+        // connection.
+        reply.status = store_status::outcome_unknown;
+        return reply;
+    }
     reply.version = parse_etag_version(response);
-    if (is_list && !parse_listing(response.body, reply.rows))
+    if (content == body_content::listing && !parse_listing(response.body, reply.rows))
     {
         reply.status = store_status::unavailable;
     }
-    if (!is_list)
+    if (content == body_content::value)
     {
         reply.value = std::move(response.body);
     }
@@ -189,9 +231,10 @@
     auto request = std::visit(request_builder{}, op);
     request.address = m_address;
     request.timeout = timeout;
-    const bool is_list = std::holds_alternative<table_list>(op) || std::holds_alternative<object_list>(op);
-    m_client.send(std::move(request), [on_reply = std::move(on_reply), is_list](http_client_reply response)
-                  { on_reply(to_store_reply(std::move(response), is_list)); });
+    m_client.send(std::move(request),
+                  [on_reply = std::move(on_reply),
+                   content = std::visit(content_of_response{}, op)](http_client_reply response)
+                  { on_reply(to_store_reply(std::move(response), content)); });
 }
 
 } // namespace masticcourse
--- a/tests/unit/test_store_client.cpp
+++ b/tests/unit/test_store_client.cpp
@@ -5,12 +5,15 @@
 #include "masticcourse/store/store_client.hpp"
 
 #include "net_fixture.hpp"
+#include "scripted_server.hpp"
 #include "store_http.hpp"
 
 #include <doctest/doctest.h>
 
 #include <array>
+#include <future>
 #include <string>
+#include <utility>
 
 using namespace masticcourse;
 using namespace masticcourse::testing;
@@ -156,6 +159,40 @@
     }
 }
 
+// Guards against: the store's process fails in the middle of a response without length or chunks, and the cut
+// value passes for the stored one; a journal's entry would count as damaged for good.
+TEST_CASE(
+    "store_client: a response without length or chunks is believed only if its text shows that it is whole")
+{
+    struct row
+    {
+        const char* name;
+        store_op op;
+        const char* body;
+        store_status status;
+    };
+    const std::array table{
+        row{"row", table_get{"k"}, "{\"shard\":1", store_status::outcome_unknown},
+        row{"object", object_get{"k"}, "MCJ1...", store_status::outcome_unknown},
+        row{"cut listing", object_list{""}, R"(["a","b")", store_status::unavailable},
+        row{"whole listing", object_list{""}, R"(["a","b"])", store_status::ok},
+        row{"write", object_create{"k", "v"}, "", store_status::ok},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        const scripted_server server{
+            {{std::string{"HTTP/1.1 200 OK\r\n\r\n"} + it.body, connection_end::close}}};
+        io_threads threads;
+        http_client http{threads.context()};
+        store_client client{http, loopback(server.port())};
+        std::promise<store_reply> done;
+        client.run(it.op, test_timeout, [&](store_reply reply) { done.set_value(std::move(reply)); });
+        CHECK(done.get_future().get().status == it.status);
+        threads.stop();
+    }
+}
+
 TEST_CASE("platform store over HTTP: faults and statistics endpoints")
 {
     store_fixture it;
