--- a/src/control/service_call.cpp
+++ b/src/control/service_call.cpp
@@ -26,9 +26,13 @@
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-call_outcome outcome_of(const std::string& body)
+call_outcome outcome_of(const call_request& request, const std::string& body, body_framing framing)
 {
     const json answer = json::parse(body, nullptr, false);
+    if (answer.is_discarded() && framing == body_framing::until_close)
+    {
+        return lost_outcome(request, "the answer broke off");
+    }
     if (answer.is_object() && answer.contains("output") && answer["output"].is_string())
     {
         return {.output = answer["output"].get<std::string>()};
@@ -92,7 +96,7 @@
         call_outcome outcome;
         if (whole)
         {
-            outcome = outcome_of(m_body);
+            outcome = outcome_of(m_order.request, m_body, reply.body_report.framing);
         }
         else if (broken_answer)
         {
--- a/tests/unit/test_target_backend.cpp
+++ b/tests/unit/test_target_backend.cpp
@@ -5,6 +5,7 @@
 #include "masticcourse/net/http_server.hpp"
 #include "net_fixture.hpp"
 #include "plain_service.hpp"
+#include "scripted_server.hpp"
 
 #include <doctest/doctest.h>
 
@@ -296,6 +297,62 @@
     CHECK(target.outcome_of(call).error.ran == ran_state::unknown);
 }
 
+// Guards against: a target fails in the middle of a response without length or chunks, and the cut response
+// passes for its whole one.
+TEST_CASE("backend takes no cut response without length or chunks for a whole one")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    const auto run = [](scripted_server& server, call_kind kind, bool idempotent)
+    {
+        io_threads threads{1};
+        synchronized_value<std::optional<call_outcome>> outcome;
+        target_backend backend{
+            threads.context(),
+            {.address = loopback(server.port()), .kind = kind, .incarnation = {"t/1"}, .resume_pause = 1ms},
+            [&](const target_input& input)
+            {
+                if (const auto* finished = std::get_if<engine_finished>(&input))
+                {
+                    outcome.update([&](auto& value) { value = finished->outcome; });
+                }
+            }};
+        engine_start order{.call = {.program = {"p"}, .key = {"k"}}, .prompt = {"input"}};
+        order.request = {.key = {"k"}, .input = "input", .idempotent = idempotent, .max_tokens = 20};
+        backend.start(order);
+        REQUIRE(outcome.wait([](const auto& value) { return value.has_value(); }));
+        threads.stop();
+        return *outcome.get();
+    };
+    SUBCASE("a plain service: whole")
+    {
+        scripted_server server{{{head + R"({"output":"done"})", connection_end::close}}};
+        CHECK(run(server, call_kind::tool, false).output == "done");
+    }
+    SUBCASE("a plain service: cut")
+    {
+        for (const bool idempotent : {false, true})
+        {
+            scripted_server server{{{head + R"({"output":"do)", connection_end::close}}};
+            const auto lost = run(server, call_kind::tool, idempotent);
+            CHECK(lost.error.id == (idempotent ? problem_id::target_failed : problem_id::outcome_unknown));
+            CHECK(lost.error.ran == (idempotent ? ran_state::yes : ran_state::unknown));
+        }
+    }
+    SUBCASE("a model: cut inside an event, after an event, then whole")
+    {
+        const std::string one = "id: 0\ndata: {\"token\":\"a\"}\n\n";
+        const std::string two = "id: 1\ndata: {\"token\":\"b\"}\n\n";
+        const std::string end = "id: 2\ndata: {\"finish\":\"stop\"}\n\n";
+        scripted_server server{{{head + one + "id: 1\ndata: {\"tok", connection_end::close},
+                                {head + two, connection_end::close},
+                                {head + end, connection_end::close}}};
+        const auto outcome = run(server, call_kind::model, true);
+        CHECK_FALSE(outcome.error.failed());
+        CHECK(outcome.output == "ab");
+        CHECK(server.request(1).find("Last-Event-ID: 0") != std::string::npos);
+    }
+}
+
 TEST_CASE("backend without a target")
 {
     struct row
