--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -179,12 +179,4 @@
               fields);
 }
 
-std::vector<event_field> forwarded_request::body_fields() const
-{
-    return {{"framing", std::string{to_string(m_body_report.framing)}},
-            {"bytes", std::to_string(m_body_report.bytes)},
-            {"unfinished", std::to_string(m_unfinished_bytes)},
-            {"connection", m_body_report.error.empty() ? "ok" : m_body_report.error}};
-}
-
 } // namespace masticcourse::gateway::detail
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -1,13 +1,9 @@
-// The attempts of a request: sending it to targets in turn and handling their responses.
+// The attempts of a request: admission, the choice of a target, and sending to targets in turn.
 #include "forwarded_request.hpp"
 
 #include "masticcourse/gateway/target_choice.hpp"
-#include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
-#include <array>
-#include <functional>
-#include <iterator>
 #include <utility>
 
 namespace masticcourse::gateway::detail
@@ -26,16 +22,6 @@
 /// Retry-After when no target is available. A crashed target is replaced in the registry within seconds.
 constexpr milliseconds no_target_retry_after{400};
 
-constexpr int status_misdirected = 421;
-
-/// Whether callers take the status as a guarantee that the request was not executed. Such a status is valid
-/// only from a target that explicitly states so.
-bool implies_not_executed(int status)
-{
-    constexpr std::array statuses{408, status_misdirected, 429, 503};
-    return std::ranges::find(statuses, status) != statuses.end();
-}
-
 } // namespace
 
 std::string forwarded_request::affinity_key() const
@@ -241,20 +227,6 @@
         { if_current_attempt([&](forwarded_request& it) { it.on_reply(std::move(reply)); }); });
 }
 
-void forwarded_request::on_head(const http_client_reply& reply)
-{
-    m_response_head = m_services.protocol.decode(reply);
-    if (m_response_head->load)
-    {
-        m_services.targets.report(m_target->instance(), *m_response_head->load, m_services.clock());
-        m_services.scheduler.on_report(m_target->service, m_target->instance(), *m_response_head->load);
-    }
-    if (!m_stream_head && is_stream() && m_response_head->success() && m_response_head->authentic)
-    {
-        m_stream_head = m_response_head;
-    }
-}
-
 void forwarded_request::end_attempt(health_signal signal)
 {
     if (m_target)
@@ -287,165 +259,4 @@
     }
 }
 
-void forwarded_request::record_performance()
-{
-    const auto now = m_services.clock();
-    if (!m_services.scheduler.schedules(service(), now))
-    {
-        return;
-    }
-    if (!is_stream())
-    {
-        m_services.scheduler.on_response_complete(to_scheduled_request(), m_target->instance(),
-                                                  now - m_attempt_started);
-        return;
-    }
-    const auto events = m_progress->event_count() - m_events_before_attempt;
-    if (!m_first_event_time || events == 0)
-    {
-        return;
-    }
-    const auto output = events * tokens_per_event();
-    const stream_sample sample{.first_event = *m_first_event_time - m_attempt_started,
-                               .output_time = m_last_chunk_time - *m_first_event_time,
-                               .output_tokens = output - tokens_per_event(),
-                               .time_factor =
-                                   m_response_head->load ? m_response_head->load->time_factor : std::nullopt};
-    m_services.scheduler.on_stream_complete(to_scheduled_request(), m_target->instance(), sample, output);
-}
-
-void forwarded_request::on_reply(http_client_reply reply)
-{
-    m_upstream.reset();
-    m_body_report = reply.body_report;
-    m_unfinished_bytes = m_progress ? m_progress->unfinished_bytes() : 0;
-    const auto end = classify_end(reply.failure);
-    count_response(end);
-    if (end == response_end::no_connection)
-    {
-        on_connect_failure();
-    }
-    else if (end != response_end::complete || !m_response_head)
-    {
-        on_response_lost(describe(end));
-    }
-    else if (m_response_head->not_executed)
-    {
-        on_not_executed();
-    }
-    else if (m_response_head->success() && !m_response_head->authentic)
-    {
-        on_response_lost("the answer does not bear the target's mark");
-    }
-    else if (!m_response_head->success() && implies_not_executed(m_response_head->status))
-    {
-        on_response_lost("the target refused without stating that it did not run the request");
-    }
-    else if (!m_response_head->success() && has_streamed_events())
-    {
-        on_response_lost("the target did not go on with the stream");
-    }
-    else if (is_stream() && m_response_head->success())
-    {
-        on_stream_complete();
-    }
-    else
-    {
-        on_complete_response(std::move(reply));
-    }
-}
-
-response_end forwarded_request::classify_end(http_failure failure) const
-{
-    const bool streamed = m_progress && m_response_head && m_response_head->success();
-    if (!streamed)
-    {
-        return classify_response(failure);
-    }
-    return classify_stream(failure, {.framing = m_body_report.framing,
-                                     .inside_event = m_progress->inside_event(),
-                                     .has_events = m_progress->event_count() > m_events_before_attempt});
-}
-
-void forwarded_request::count_response(response_end end) const
-{
-    const std::vector<metric_label> labels{{"framing", std::string{to_string(m_body_report.framing)}},
-                                           {"end", std::string{to_string(end)}}};
-    m_services.metrics
-        .get_counter("masticcourse_target_responses_total",
-                     "Responses of targets by the framing of their body and by their end.", labels)
-        .add();
-}
-
-bool forwarded_request::can_retry() const
-{
-    return m_attempt_count < m_route->max_attempts && time_left() > milliseconds{0};
-}
-
-void forwarded_request::on_connect_failure()
-{
-    // Nothing was sent, so this target does not count as an attempt.
-    --m_attempt_count;
-    log_retry("no connection");
-    end_attempt(health_signal::unreachable);
-    dispatch();
-}
-
-void forwarded_request::on_not_executed()
-{
-    if (m_response_head->instance_replaced)
-    {
-        // The addressed instance no longer exists and can't have executed the request, so this target does
-        // not count as an attempt.
-        --m_attempt_count;
-        log_retry("the target instance was replaced");
-        end_attempt(health_signal::replaced);
-        dispatch();
-        return;
-    }
-    log_retry("the target did not execute the request");
-    end_attempt(health_signal::refused);
-    m_saw_full_target = true;
-    if (can_retry())
-    {
-        dispatch();
-    }
-    else
-    {
-        refuse_without_target();
-    }
-}
-
-void forwarded_request::on_response_lost(std::string_view reason)
-{
-    log_retry(reason);
-    end_attempt(health_signal::failed);
-    m_may_have_executed = true;
-    const bool can_resume = !m_progress || m_progress->can_resume();
-    if (m_route->repeatable() && can_resume && can_retry())
-    {
-        dispatch();
-    }
-    else
-    {
-        refuse(refusal_reason::target_failed, ran_state::unknown, std::string{reason});
-    }
-}
-
-void forwarded_request::log_retry(std::string_view reason) const
-{
-    const auto now = m_services.clock();
-    const auto* const entry = m_services.targets.find(m_target->id);
-    std::vector<event_field> fields{
-        {"request", m_request.id.value},
-        {"target", m_target->id.value},
-        {"why", std::string{reason}},
-        {"attempt", std::to_string(m_attempt_count)},
-        {"of", std::to_string(m_route->max_attempts)},
-        {"target_load", entry != nullptr ? std::to_string(entry->load(now)) : "gone"},
-        {"left_ms", std::to_string(time_left().count())}};
-    std::ranges::move(body_fields(), std::back_inserter(fields));
-    log_event(event_id::attempt_failed, fields);
-}
-
 } // namespace masticcourse::gateway::detail
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -1,6 +1,8 @@
 #include "http_session.hpp"
 
 #include "http_answer.hpp"
+#include "session_exchange.hpp"
+#include "tcp_options.hpp"
 #include "use_tuple.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,7 +17,6 @@
 #include <algorithm>
 #include <exception>
 #include <iterator>
-#include <sys/socket.h>
 #include <utility>
 
 namespace masticcourse::detail
@@ -64,74 +65,6 @@
     std::shared_ptr<http_server_state> m_server;
 };
 
-/// The exchange passed to the handler for one request. It references the session weakly, because the session
-/// must not outlive the I/O context.
-class session_exchange final : public http_exchange
-{
-  public:
-    session_exchange(std::weak_ptr<http_session> session, std::uint64_t number)
-        : m_session(std::move(session)), m_number(number)
-    {
-    }
-    session_exchange(const session_exchange&) = delete;
-    session_exchange(session_exchange&&) = delete;
-    session_exchange& operator=(const session_exchange&) = delete;
-    session_exchange& operator=(session_exchange&&) = delete;
-    ~session_exchange() override
-    {
-        forward([this](http_session& it) { it.post_dropped(m_number); });
-    }
-
-    void respond(http_response response) override
-    {
-        m_complete = true;
-        forward([&](http_session& it) { it.post_response(m_number, std::move(response)); });
-    }
-
-    void begin_stream(int status, std::vector<http_header> headers) override
-    {
-        forward([&](http_session& it) { it.post_stream(m_number, status, std::move(headers)); });
-    }
-
-    void write(std::string chunk) override
-    {
-        forward([&](http_session& it) { it.post_chunk(m_number, std::move(chunk)); });
-    }
-
-    void end_stream() override
-    {
-        m_complete = true;
-        forward([this](http_session& it) { it.post_end(m_number); });
-    }
-
-    void on_closed(std::function<void()> callback) override
-    {
-        const bool forwarded =
-            forward([&](http_session& it) { it.post_on_closed(m_number, std::move(callback)); });
-        if (!forwarded && !m_complete)
-        {
-            callback();
-        }
-    }
-
-  private:
-    /// @return whether the session still exists
-    template <typename Action>
-    bool forward(Action action)
-    {
-        const auto session = m_session.lock();
-        if (session)
-        {
-            action(*session);
-        }
-        return session != nullptr;
-    }
-
-    std::weak_ptr<http_session> m_session;
-    std::uint64_t m_number;
-    std::atomic<bool> m_complete = false;
-};
-
 } // namespace
 
 http_session::http_session(asio::ip::tcp::socket socket, std::shared_ptr<http_server_state> server)
@@ -294,7 +227,7 @@
                  .version = message.version()};
     m_response = {.number = m_response.number + 1};
     m_caller_disconnected = false;
-    auto exchange = std::make_shared<session_exchange>(weak_from_this(), m_response.number);
+    const auto exchange = make_session_exchange(weak_from_this(), m_response.number);
     try
     {
         m_server->handler(to_request(message), exchange);
@@ -366,7 +299,9 @@
 
 asio::awaitable<bool> http_session::write_head(stream_head head)
 {
-    if (!chunked() && !set_reset_on_close(true))
+    // Without chunks, the end of the connection is the end of the stream. Until the stream is complete, every
+    // close resets the connection, so that the caller does not take a broken-off stream for a complete one.
+    if (!chunked() && !set_reset_on_close(m_socket, true))
     {
         co_return false;
     }
@@ -412,7 +347,7 @@
     static constexpr std::string_view last_chunk = "0\r\n\r\n";
     if (!chunked())
     {
-        co_return set_reset_on_close(false);
+        co_return set_reset_on_close(m_socket, false);
     }
     if (m_request.head_only)
     {
@@ -421,13 +356,6 @@
     co_return co_await write_buffers(asio::buffer(last_chunk));
 }
 
-bool http_session::set_reset_on_close(bool enabled)
-{
-    // Not through Asio, whose sockets clear an option set there when they are destroyed.
-    const ::linger option{.l_onoff = enabled ? 1 : 0, .l_linger = 0};
-    return ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option) == 0;
-}
-
 asio::awaitable<void> http_session::wait_for_update()
 {
     co_await m_wake.async_wait(use_tuple);
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -117,11 +117,6 @@
     boost::asio::awaitable<bool> write_end();
     template <typename Buffers>
     boost::asio::awaitable<bool> write_buffers(const Buffers& buffers);
-    /// Without chunks, the end of the connection is the end of the stream. While this is enabled, every close
-    /// of the socket resets the connection, also that by the operating system when the process ends, so that
-    /// the caller does not take a stream that was broken off for a complete one.
-    /// @return whether the option was set
-    bool set_reset_on_close(bool enabled);
     boost::asio::awaitable<void> wait_for_update();
     boost::asio::awaitable<void> watch_connection();
     boost::asio::awaitable<void> linger();
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -2,6 +2,7 @@
 
 #include "endpoint.hpp"
 #include "http_answer.hpp"
+#include "tcp_options.hpp"
 #include "use_tuple.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,7 +15,6 @@
 #include <algorithm>
 #include <charconv>
 #include <limits>
-#include <netinet/tcp.h>
 #include <utility>
 
 namespace masticcourse::detail
@@ -37,40 +37,6 @@
 /// request timeouts of callers, which are seconds.
 constexpr std::chrono::milliseconds unacknowledged_timeout{1'500};
 
-/// `TCP_USER_TIMEOUT` as an Asio socket option: limits how long sent data may stay unacknowledged.
-class tcp_user_timeout
-{
-  public:
-    explicit tcp_user_timeout(std::chrono::milliseconds limit) : m_value(static_cast<int>(limit.count())) {}
-
-    template <typename Protocol>
-    [[nodiscard]] int level(const Protocol& /*protocol*/) const
-    {
-        return IPPROTO_TCP;
-    }
-
-    template <typename Protocol>
-    [[nodiscard]] int name(const Protocol& /*protocol*/) const
-    {
-        return TCP_USER_TIMEOUT;
-    }
-
-    template <typename Protocol>
-    [[nodiscard]] const int* data(const Protocol& /*protocol*/) const
-    {
-        return &m_value;
-    }
-
-    template <typename Protocol>
-    [[nodiscard]] std::size_t size(const Protocol& /*protocol*/) const
-    {
-        return sizeof m_value;
-    }
-
-  private:
-    int m_value;
-};
-
 template <typename Parser>
 body_framing framing_of(const Parser& parser)
 {
@@ -223,7 +189,7 @@
     }
     error_code ignored;
     connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    connection->socket.set_option(tcp_user_timeout(unacknowledged_timeout), ignored);
+    limit_unacknowledged_time(connection->socket, unacknowledged_timeout);
     co_return true;
 }
 
