--- a/cmake/extra.cmake
+++ b/cmake/extra.cmake
@@ -11,7 +11,8 @@
 # Real gateways under faults from outside, a few seeds; those that once failed stand here, unchanged:
 # 3: a turn was refused as unknown when a collector remembered only another whose id begins alike.
 # 8: the soak itself started a gateway twice; 4: it drew ports that outgoing connections take.
+# 1003: the soak's resets were orderly closes, so that a cut response without length or chunks was whole.
 add_test(NAME gateway_soak.once_failing
-  COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --build ${CMAKE_BINARY_DIR} --list 3 4 8)
+  COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --build ${CMAKE_BINARY_DIR} --list 3 4 8 1003)
 # The home withdraws an intent that the store has taken unseen, and dies with the target process named there.
 add_test(NAME system_soak.withdrawn_intent COMMAND system-soak --list 12852)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,6 +2,16 @@
 
 import asyncio
 import enum
+import socket
+import struct
+
+
+def reset(writer):
+    """Resets a connection; without the option, an abort closes it in order."""
+    raw = writer.get_extra_info("socket")
+    if raw is not None and raw.fileno() >= 0:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 class Mode(enum.Enum):
@@ -42,7 +52,7 @@
 
     def reset_all(self):
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -57,17 +67,23 @@
             pass  # The other side is not there: the caller's connection breaks, as it would without the proxy.
         finally:
             self.writers.discard(writer)
-            writer.transport.abort()
+            reset(writer)
 
     async def pump(self, reader, writer, lost):
+        """Passes on bytes and, if none of them was lost, an orderly close; a reset is passed on as a reset."""
+        in_order = False
+        spoiled = False
         try:
             while data := await reader.read(65536):
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(self.DELAY_S)
-                if self.mode not in (Mode.SILENT, lost):
+                if self.mode in (Mode.SILENT, lost):
+                    spoiled = True
+                else:
                     writer.write(data)
                     await writer.drain()
+            in_order = not spoiled
         except OSError:
             pass  # Reset by either side; the other is told below.
         finally:
-            writer.close()
+            writer.close() if in_order else reset(writer)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -5,7 +5,11 @@
 
 import ledger as promises
 import wire
-from proxy import Proxy
+from proxy import Proxy, reset
+
+
+# Share of the responses that have neither a length nor chunks and end with their connection.
+UNFRAMED = 0.3
 
 
 class Target:
@@ -14,6 +18,8 @@
     def __init__(self, ledger, name, service, streams, seed):
         self.ledger, self.name, self.service, self.streams = ledger, name, service, streams
         self.random = random.Random(f"{seed} {name}")
+        # Of its own, so that the other draws of a seed stay as they are.
+        self.framing = random.Random(f"{seed} {name} framing")
         self.proxy = Proxy()
         self.lose_answers = 0.0
         self.busy = 0
@@ -35,7 +41,7 @@
         """Ends this life: what runs breaks off, wherever it is. The next one bears the same name."""
         self.born += 1
         for writer in list(self.connections):
-            writer.transport.abort()
+            reset(writer)
 
     async def serve(self, reader, writer):
         self.connections.add(writer)
@@ -66,6 +72,8 @@
     async def run(self, request, request_id, headers, writer):
         self.ledger.on_run(self.name, request_id, request.body, asyncio.get_running_loop().time())
         headers |= {wire.SIGNATURE: f"by-{self.name}", "Masticcourse-Instance-Load": f"{self.busy},0,{self.SLOTS}"}
+        if self.ledger.wide and self.framing.random() < UNFRAMED:
+            return await self.run_unframed(request, request_id, headers, writer)
         if not self.streams:
             await asyncio.sleep(self.random.uniform(0.005, 0.08))
             if self.random.random() < self.lose_answers:
@@ -89,3 +97,24 @@
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         return True
+
+    async def run_unframed(self, request, request_id, headers, writer):
+        """Answers with neither a length nor chunks: an orderly close ends the body, and what breaks off is reset, or a
+        stream that ends inside an event."""
+        lines = ["HTTP/1.1 200 OK"] + [f"{k}: {v}" for k, v in headers.items()]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        after = int(request.headers.get("last-event-id", "0"))
+        body = promises.answer_of(request_id)
+        pieces = [it + "\n\n" for it in promises.stream_of(request_id).decode().split("\n\n")[after:-1]]
+        for piece in pieces if self.streams else [body.decode()]:
+            await asyncio.sleep(self.random.uniform(0.002, 0.03))
+            if self.random.random() < self.lose_answers:
+                cut = self.framing.randrange(1, len(piece) - 1)
+                writer.write(piece[:cut].encode())
+                await writer.drain()
+                if not self.streams or self.framing.random() < 0.5:
+                    reset(writer)
+                return False
+            writer.write(piece.encode())
+            await writer.drain()
+        return False
