--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -10,6 +10,8 @@
 
 # Share of the responses that have neither a length nor chunks and end with their connection.
 UNFRAMED = 0.3
+# Share of their pieces in which they break off, besides those that a fault asks for.
+CUT_UNFRAMED = 0.03
 
 
 class Target:
@@ -108,7 +110,8 @@
         pieces = [it + "\n\n" for it in promises.stream_of(request_id).decode().split("\n\n")[after:-1]]
         for piece in pieces if self.streams else [body.decode()]:
             await asyncio.sleep(self.random.uniform(0.002, 0.03))
-            if self.random.random() < self.lose_answers:
+            cut_off = not self.ledger.planned_only and self.framing.random() < CUT_UNFRAMED
+            if cut_off or self.random.random() < self.lose_answers:
                 cut = self.framing.randrange(1, len(piece) - 1)
                 writer.write(piece[:cut].encode())
                 await writer.drain()
