None of the events of an unusable chunk counts

What callers could see: if a target repeats an event in the same chunk after good ones, none of the chunk is forwarded, but its events counted, and stood in the turn that the next target finished: later turns would get a prompt with repeated text, and the budget was charged for tokens that nobody got. Cause: the parser's events were recorded before the chunk was judged. Change: a chunk that is not forwarded leaves no trace.

Checked: the new test failed before (3 checks: 3 events for 1, 5 for 3, the text twice), passes now; forwarding 499 checks as before. The other new case (where a stream may end, at each split) passed at once.

--- a/src/gateway/stream_progress.cpp
+++ b/src/gateway/stream_progress.cpp
@@ -74,12 +74,19 @@
 
 std::optional<std::string> stream_progress::feed(std::string_view chunk)
 {
+    const auto event_count = m_event_count;
+    const auto event_data_size = m_event_data.size();
+    const auto last_event_id = m_last_event_id;
     m_partial += chunk;
     auto complete = m_partial.substr(0, complete_events_length(m_partial));
     m_partial.erase(0, complete.size());
     const bool too_long = m_partial.size() > sse_parser::default_max_event;
     if (too_long || !m_parser->feed(chunk) || m_out_of_order)
     {
+        // Nothing of the chunk is forwarded, so none of its events counts.
+        m_event_count = event_count;
+        m_event_data.resize(event_data_size);
+        m_last_event_id = last_event_id;
         return std::nullopt;
     }
     return complete;
