--- a/tests/unit/test_row_store_client.cpp
+++ b/tests/unit/test_row_store_client.cpp
@@ -202,6 +202,8 @@
     const std::string whole = R"({"rows":[],"ver":1,"nowMs":1,"hasMore":false})";
     const std::string cut = R"({"rows":[],"ver":1)";
     const auto length = "Content-Length: " + std::to_string(whole.size()) + "\r\n\r\n";
+    const auto framed_whole = length + whole;
+    const std::string relayed = "HTTP/1.1 200 OK\r\nCall-Status: 200\r\n";
     const std::array cut_bodies{length + cut, "Transfer-Encoding: chunked\r\n\r\n12\r\n" + cut + "\r\n",
                                 "\r\n" + cut};
     const auto query = [](client_fixture& fixture)
@@ -214,9 +216,8 @@
         for (const auto& body : cut_bodies)
         {
             CAPTURE(body);
-            const std::string head = "HTTP/1.1 200 OK\r\nCall-Status: 200\r\n";
             scripted_server first{
-                {{head + length + whole, connection_end::close}, {head + body, connection_end::close}}};
+                {{relayed + framed_whole, connection_end::close}, {relayed + body, connection_end::close}}};
             peer_group others{1};
             others.relaying_peer = 0;
             client_fixture fixture;
