Observability of repeats: how often each attempt was sent, over which connection, and the content that links a caller's attempts

Cause looked for: the logs had one text for 'nothing was sent' and for 'sent, and the repeat was refused', and nothing links the attempts of a caller. Change: the HTTP client reports on how many connections a request was written and whether the last was a kept one; E2301, E2302 and E2304 say so, E2304 also names the content by a BLAKE2b fingerprint (libsodium); masticcourse_target_sends_total counts. No decision changes.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -5,7 +5,7 @@
 add_library(masticcourse-core STATIC ${gateway_sources})
 target_include_directories(masticcourse-core PUBLIC include)
 target_compile_definitions(masticcourse-core PUBLIC BOOST_ASIO_NO_DEPRECATED)
-target_link_libraries(masticcourse-core PUBLIC glog::glog Threads::Threads xxhash PRIVATE warnings)
+target_link_libraries(masticcourse-core PUBLIC glog::glog Threads::Threads xxhash sodium PRIVATE warnings)
 
 # The adapter: the only code that knows the platform's names.
 file(GLOB platform_sources CONFIGURE_DEPENDS platform/*.cpp)
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -91,6 +91,15 @@
     std::string error;
 };
 
+/// How a request was written, over all connections that it needed.
+struct http_send_report
+{
+    /// Connections on which at least a part of the request was written, so that the server may have read it.
+    std::uint32_t sends = 0;
+    /// Whether the last of them had served another request before.
+    bool kept_connection = false;
+};
+
 struct http_client_reply
 {
     http_failure failure = http_failure::none;
@@ -99,6 +108,7 @@
     std::vector<http_header> headers;
     std::string body;
     http_body_report body_report;
+    http_send_report send_report;
 
     /// @return the value of the first header named @a name, compared case-insensitively
     [[nodiscard]] std::optional<std::string> header(std::string_view name) const;
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -109,6 +109,8 @@
     /// @return how the current attempt's response ended
     [[nodiscard]] response_end classify_end(http_failure failure) const;
     void count_response(response_end end) const;
+    /// Counts on how many connections, and on which, the current attempt was written.
+    void count_sends(const http_send_report& report);
     void on_connect_failure();
     void on_not_executed();
     void on_response_lost(std::string_view reason);
@@ -148,6 +150,8 @@
     /// @return log fields that describe how the body of the last attempt's response was framed and how it
     /// ended
     [[nodiscard]] std::vector<event_field> body_fields() const;
+    /// @return the log field by which all attempts with the same content are found
+    [[nodiscard]] event_field content_field() const;
     /// @}
 
     [[nodiscard]] milliseconds time_left() const;
@@ -205,6 +209,10 @@
     /// Id of the current attempt; callbacks of earlier attempts are ignored.
     std::uint64_t m_attempt_id = 0;
     std::optional<target_response_head> m_response_head;
+    /// How the attempt was sent, once it has ended.
+    http_send_report m_send_report;
+    /// Connections on which any attempt was written, at least in part.
+    std::uint32_t m_sends = 0;
     /// Body of the attempt's response, once it has ended.
     http_body_report m_body_report;
     /// Bytes of that body after its last complete event.
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -169,6 +169,7 @@
         {"why", std::string{detail}},
         {"target", m_tried_targets.empty() ? "-" : m_tried_targets.back().value},
         {"attempts", std::to_string(m_tried_targets.size())},
+        {"sends", std::to_string(m_sends)},
         {"events", std::to_string(m_progress ? m_progress->event_count() : 0)},
         {"budget", program && program->budget ? std::to_string(*program->budget) : "-"},
         {"most", program ? std::to_string(program->max_tokens) : "-"},
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -176,6 +176,7 @@
     m_tried_targets.push_back(target.id);
     m_last_domain = target.domain;
     m_response_head.reset();
+    m_send_report = {};
     m_body_report = {};
     m_unfinished_bytes = 0;
     m_attempt_started = m_services.clock();
--- a/src/gateway/forwarded_request_response.cpp
+++ b/src/gateway/forwarded_request_response.cpp
@@ -1,6 +1,7 @@
 // The response of a target: whether it is complete, and what happens to the request if it is not.
 #include "forwarded_request.hpp"
 
+#include "masticcourse/gateway/request_fingerprint.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
@@ -45,6 +46,7 @@
     m_upstream.reset();
     m_body_report = reply.body_report;
     m_unfinished_bytes = m_progress ? m_progress->unfinished_bytes() : 0;
+    count_sends(reply.send_report);
     const auto end = classify_end(reply.failure);
     count_response(end);
     if (end == response_end::no_connection)
@@ -103,6 +105,18 @@
         .add();
 }
 
+void forwarded_request::count_sends(const http_send_report& report)
+{
+    m_send_report = report;
+    m_sends += report.sends;
+    const std::vector<metric_label> labels{{"connection", report.kept_connection ? "kept" : "new"},
+                                           {"attempt", m_tried_targets.size() > 1 ? "repeated" : "first"}};
+    m_services.metrics
+        .get_counter("masticcourse_target_sends_total",
+                     "Connections on which requests to targets were written, at least in part.", labels)
+        .add(report.sends);
+}
+
 bool forwarded_request::can_retry() const
 {
     return m_attempt_count < m_route->max_attempts && time_left() > milliseconds{0};
@@ -196,11 +210,19 @@
         {"attempt", std::to_string(m_attempt_count)},
         {"of", std::to_string(m_route->max_attempts)},
         {"target_load", entry != nullptr ? std::to_string(entry->load(now)) : "gone"},
-        {"left_ms", std::to_string(time_left().count())}};
+        {"left_ms", std::to_string(time_left().count())},
+        {"sends", std::to_string(m_send_report.sends)},
+        {"kept", m_send_report.kept_connection ? "yes" : "no"},
+        content_field()};
     std::ranges::move(body_fields(), std::back_inserter(fields));
     log_event(event_id::attempt_failed, fields);
 }
 
+event_field forwarded_request::content_field() const
+{
+    return {"content", to_string(fingerprint_of(m_request, *m_route))};
+}
+
 std::vector<event_field> forwarded_request::body_fields() const
 {
     return {{"framing", std::string{to_string(m_body_report.framing)}},
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -256,12 +256,19 @@
     const auto message = to_message(m_request);
     http::request_serializer<http::string_body> serializer(message);
     error_code ec;
+    std::size_t written_here = 0;
     while (!ec && !serializer.is_done())
     {
         const auto [write_ec, n] = co_await http::async_write_some(connection->socket, serializer, use_tuple);
-        m_bytes_written += n;
+        written_here += n;
         ec = write_ec;
     }
+    if (written_here > 0)
+    {
+        m_bytes_written += written_here;
+        ++m_send_report.sends;
+        m_send_report.kept_connection = connection->reused;
+    }
     co_return !ec;
 }
 
@@ -365,6 +372,7 @@
     {
         connection->close();
     }
+    m_reply.send_report = m_send_report;
     const auto on_reply = std::exchange(m_on_reply, nullptr);
     m_on_chunk = nullptr;
     m_request.on_head = nullptr;
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -62,6 +62,7 @@
     http_client_reply m_reply;
     std::array<char, std::size_t{16} * 1024> m_read_buffer{};
     std::size_t m_bytes_written = 0;
+    http_send_report m_send_report;
     bool m_response_started = false;
     bool m_keep_alive = false;
     /// The response being read belongs to another request.
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -2,7 +2,7 @@
 # Installs what the build, the tests and the linter need: Debian packages only.
 set -euo pipefail
 packages=(libboost1.81-dev libboost-program-options1.81-dev libjsonrpccpp-dev libgoogle-glog-dev doctest-dev
-    libtomlplusplus-dev libbenchmark-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev
+    libtomlplusplus-dev libbenchmark-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev libsodium-dev
     g++ cmake ninja-build ccache clang-tidy-16 clang-format-16 curl python3)
 missing=()
 for package in "${packages[@]}"; do
