A request is sent to no more targets than its route allows when kept connections break, and is not called unexecuted afterwards

Callers saw: one request of two allowed attempts ended eight targets of eight within a millisecond and was answered 503, 'not run'. Cause: the HTTP client sent an idempotent request again by itself when a kept connection ended before the response. The target had ended, the new connection was refused, and the client reported only that last error, 'nothing was sent'. The request took the attempt off its count, asked for no new permit and went to the next target. Class: a lower layer repeats, and the upper one counts and promises by the last error alone. Ruled out: new connections (two targets, as allowed). Change: the request decides on each send. The client sends requests to targets once; a failure it reports is true of all connections of the request. When a connection is lost, the target is checked by opening one: if the target still listens and the lost connection was a kept one without a byte of the response, the request goes to the same target again, as a counted attempt; else to another. 'May have run' comes from what was sent, not from a count that is taken back. Why it works: no path takes an attempt back after a byte was written.

--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -32,10 +32,14 @@
 using open_stream_function = std::function<std::shared_ptr<http_stream>(
     http_client_request, http_chunk_callback, http_reply_callback)>;
 
+/// Finds out whether a target still accepts connections; see http_client::check_server().
+using check_target_function = std::function<void(const std::string& address, server_check_callback)>;
+
 /// Dependencies of request forwarding. They must outlive every request.
 struct forwarding_services
 {
     open_stream_function open_stream;
+    check_target_function check_target;
     const gateway_protocol& protocol;
     target_table& targets;
     request_scheduler& scheduler;
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -1,6 +1,7 @@
 /// @file
 /// An asynchronous HTTP/1.1 client with a keep-alive connection pool per address. A request that may have
-/// been executed is never resent unless it is idempotent; by default only GET and HEAD count as idempotent.
+/// been executed is never resent unless its sender allows it; by default only GET and HEAD are. A failure
+/// says what is true of all connections on which the request was sent, not only of the last one.
 #pragma once
 
 #include "masticcourse/net/http_message.hpp"
@@ -42,8 +43,10 @@
     std::chrono::milliseconds connect_timeout{0};
     /// Pooled connections that have been idle for longer are not used; zero always opens a new connection.
     std::chrono::milliseconds max_idle{std::chrono::hours{1}};
-    /// Whether the request may safely be executed twice; if unset, only GET and HEAD are assumed to be.
-    std::optional<bool> idempotent;
+    /// Whether the client itself may send the request once more, on a new connection, if a kept one ends
+    /// before the response; if unset, only GET and HEAD. A sender that limits or counts how often it sends
+    /// sets it to false.
+    std::optional<bool> may_resend;
     /// Returns false for a response that belongs to another request; such responses are read and discarded.
     /// If empty, every response is accepted.
     http_head_filter is_matching_response;
@@ -51,11 +54,34 @@
     http_head_callback on_head;
 };
 
+/// Whether a server was found to accept connections.
+enum class server_state : std::uint8_t
+{
+    /// A connection was opened and stayed open.
+    listening,
+    /// A connection was refused: no process listens at the address.
+    ended,
+    /// Neither was found in time.
+    unknown,
+};
+
+struct server_check_options
+{
+    std::chrono::milliseconds connect_timeout{0};
+    /// How long a connection must stay open. When a process ends, its listener may close a moment later than
+    /// its connections.
+    std::chrono::milliseconds settle_time{0};
+    /// How often a new connection is opened after the server has closed one, as it also does with too many.
+    int max_tries = 1;
+};
+
+using server_check_callback = std::function<void(server_state)>;
+
 /// Why no complete response was received.
 enum class http_failure : std::uint8_t
 {
     none,
-    /// The connection could not be established; no part of the request was sent.
+    /// The connection could not be established, and no part of the request was sent on an earlier one.
     connect,
     /// The request was sent, at least in part, and the response did not arrive in time.
     timeout,
@@ -98,6 +124,8 @@
     std::uint32_t sends = 0;
     /// Whether the last of them had served another request before.
     bool kept_connection = false;
+    /// Whether the client sent the request again and could not establish that connection.
+    bool reconnect_failed = false;
 };
 
 struct http_client_reply
@@ -159,6 +187,12 @@
     std::shared_ptr<http_stream> open_stream(http_client_request request, http_chunk_callback on_chunk,
                                              http_reply_callback on_end);
 
+    /// Checks whether a server accepts connections, without sending anything. A connection that stays open is
+    /// kept for later requests.
+    /// @param on_result called exactly once
+    void check_server(const std::string& address, const server_check_options& options,
+                      server_check_callback on_result);
+
   private:
     class pool;
     std::shared_ptr<pool> m_pool;
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -296,7 +296,7 @@
     {
         return;
     }
-    const bool sent = m_attempt_count > 0;
+    const bool sent = may_have_run();
     switch (outcome)
     {
     case reservation_outcome::granted:
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -29,6 +29,16 @@
     granted,
 };
 
+/// An attempt whose response was lost with its connection.
+struct lost_attempt
+{
+    target_record target;
+    std::string reason;
+    /// The connection had been idle and no byte of the response arrived, so the target may have closed it
+    /// before the request reached it.
+    bool unanswered_on_kept_connection = false;
+};
+
 class forwarded_request : public std::enable_shared_from_this<forwarded_request>
 {
   public:
@@ -95,6 +105,8 @@
     /// Reports a complete response to the scheduler.
     void record_performance();
     [[nodiscard]] const target* choose_next_target();
+    /// @return the target that the request is to be sent to again; null if there is none, or if it is gone
+    [[nodiscard]] const target* take_repeat_target();
     /// Resets the state of the previous attempt and counts the new one at its target.
     void begin_attempt(const target_record& target);
     void send_to(const target_record& target);
@@ -114,6 +126,15 @@
     void on_connect_failure();
     void on_not_executed();
     void on_response_lost(std::string_view reason);
+    /// Handles a response that was lost with its connection: finds out whether the target has ended.
+    void on_connection_lost(std::string_view reason);
+    void on_target_checked(const lost_attempt& lost, server_state state);
+    /// Whether the request may be sent again to the target that it was just sent to.
+    [[nodiscard]] bool may_send_again() const;
+    /// Sends the request to another target, or gives it up.
+    void retry_or_refuse(std::string_view reason);
+    /// Whether a target may have executed any part of the request.
+    [[nodiscard]] bool may_have_run() const;
     void on_complete_response(http_client_reply reply);
     void end_attempt(health_signal signal);
     [[nodiscard]] bool can_retry() const;
@@ -202,6 +223,12 @@
     std::uint32_t m_attempt_count = 0;
     /// The request may have been executed by an earlier attempt.
     bool m_may_have_executed = false;
+    /// The target that the request is to be sent to again.
+    std::optional<target_instance> m_repeat_target;
+    /// The current attempt sends the request again to the target of the attempt before.
+    bool m_sending_again = false;
+    /// The response of the current attempt is lost, and its target is being checked.
+    bool m_checking_target = false;
     /// At least one target refused the request without executing it.
     bool m_saw_full_target = false;
     std::optional<target_record> m_target;
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -132,8 +132,8 @@
     {
         return;
     }
-    const bool sent = m_may_have_executed || m_target || m_stream_complete;
-    refuse(refusal_reason::deadline_passed, sent ? ran_state::unknown : ran_state::no, "the deadline passed");
+    refuse(refusal_reason::deadline_passed, may_have_run() ? ran_state::unknown : ran_state::no,
+           "the deadline passed");
 }
 
 void forwarded_request::finish(request_outcome outcome, std::string_view detail)
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -16,6 +16,9 @@
 /// milliseconds, so an unreachable target is abandoned well before callers notice the delay.
 constexpr milliseconds target_connect_timeout{300};
 
+/// A request whose kept connection ended is sent again on a connection that was opened or used just now.
+constexpr milliseconds repeat_max_idle{50};
+
 /// Retry-After when all targets are full. Callers honour up to a third of their remaining time, about a
 /// second. A full target frees a slot with each response, in some cases every few tens of milliseconds.
 constexpr milliseconds targets_full_retry_after{200};
@@ -52,6 +55,10 @@
 
 const target* forwarded_request::choose_next_target()
 {
+    if (const auto* const same = take_repeat_target())
+    {
+        return same;
+    }
     const auto candidates = m_services.targets.candidates(service());
     const auto key = affinity_key();
     const selection_criteria query{.affinity = key,
@@ -203,7 +210,12 @@
         m_services.protocol.encode(m_request, m_chain.prompt + m_request.body, target, time_left());
     request.timeout = time_left();
     request.connect_timeout = target_connect_timeout;
-    request.idempotent = m_route->repeatable();
+    // Each send is a decision of this request, which counts it and asks for a permit.
+    request.may_resend = false;
+    if (m_sending_again)
+    {
+        request.max_idle = repeat_max_idle;
+    }
     request.is_matching_response =
         [&protocol = m_services.protocol, id = m_request.id](const http_client_reply& reply)
     { return protocol.is_response_to(reply, id); };
@@ -228,6 +240,16 @@
         { if_current_attempt([&](forwarded_request& it) { it.on_reply(std::move(reply)); }); });
 }
 
+const target* forwarded_request::take_repeat_target()
+{
+    const auto repeat = std::exchange(m_repeat_target, std::nullopt);
+    const auto* const found = repeat ? m_services.targets.find(repeat->id) : nullptr;
+    const bool usable = found != nullptr && found->record.instance() == *repeat && !found->record.draining &&
+                        !found->replaced;
+    m_sending_again = usable;
+    return usable ? found : nullptr;
+}
+
 void forwarded_request::end_attempt(health_signal signal)
 {
     if (m_target)
--- a/src/gateway/forwarded_request_response.cpp
+++ b/src/gateway/forwarded_request_response.cpp
@@ -53,10 +53,14 @@
     {
         on_connect_failure();
     }
-    else if (end != response_end::complete || !m_response_head)
+    else if (end == response_end::timeout)
     {
         on_response_lost(describe(end));
     }
+    else if (end != response_end::complete || !m_response_head)
+    {
+        on_connection_lost(describe(end));
+    }
     else if (m_response_head->not_executed)
     {
         on_not_executed();
@@ -117,61 +121,6 @@
         .add(report.sends);
 }
 
-bool forwarded_request::can_retry() const
-{
-    return m_attempt_count < m_route->max_attempts && time_left() > milliseconds{0};
-}
-
-void forwarded_request::on_connect_failure()
-{
-    // Nothing was sent, so this target does not count as an attempt.
-    --m_attempt_count;
-    log_retry("no connection");
-    end_attempt(health_signal::unreachable);
-    dispatch();
-}
-
-void forwarded_request::on_not_executed()
-{
-    if (m_response_head->instance_replaced)
-    {
-        // The addressed instance no longer exists and can't have executed the request, so this target does
-        // not count as an attempt.
-        --m_attempt_count;
-        log_retry("the target instance was replaced");
-        end_attempt(health_signal::replaced);
-        dispatch();
-        return;
-    }
-    log_retry("the target did not execute the request");
-    end_attempt(health_signal::refused);
-    m_saw_full_target = true;
-    if (can_retry())
-    {
-        dispatch();
-    }
-    else
-    {
-        refuse_without_target();
-    }
-}
-
-void forwarded_request::on_response_lost(std::string_view reason)
-{
-    log_retry(reason);
-    end_attempt(health_signal::failed);
-    m_may_have_executed = true;
-    const bool can_resume = !m_progress || m_progress->can_resume();
-    if (m_route->repeatable() && can_resume && can_retry())
-    {
-        dispatch();
-    }
-    else
-    {
-        refuse(refusal_reason::target_failed, ran_state::unknown, std::string{reason});
-    }
-}
-
 void forwarded_request::record_performance()
 {
     const auto now = m_services.clock();
--- a/src/gateway/forwarded_request_stream.cpp
+++ b/src/gateway/forwarded_request_stream.cpp
@@ -83,7 +83,7 @@
     }
     const auto limit = stall_timeout(*m_route);
     const auto idle = std::chrono::floor<milliseconds>(m_services.clock() - m_last_chunk_time);
-    if (m_target && idle >= limit && m_progress->can_resume() && can_retry() &&
+    if (m_target && !m_checking_target && idle >= limit && m_progress->can_resume() && can_retry() &&
         choose_next_target() != nullptr)
     {
         m_last_chunk_time = m_services.clock();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,10 @@
 namespace
 {
 
+/// How a target is checked after it has lost a response. The check delays the repeat of the request, so it
+/// takes a few milliseconds unless the network fails.
+constexpr server_check_options target_check{
+    .connect_timeout = milliseconds{100}, .settle_time = milliseconds{10}, .max_tries = 3};
 /// How long a registry entry that vanished around a store outage may take to reappear before its target is
 /// removed.
 constexpr milliseconds vanished_entry_grace{2'000};
@@ -155,6 +159,8 @@
                  .metrics = registry}),
       services{.open_stream = [this](auto request, auto on_chunk, auto on_reply)
                { return client.open_stream(std::move(request), std::move(on_chunk), std::move(on_reply)); },
+               .check_target = [this](const auto& address, auto on_result)
+               { client.check_server(address, target_check, std::move(on_result)); },
                .protocol = protocol,
                .targets = targets,
                .scheduler = scheduler,
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -89,7 +89,7 @@
 {
     request.timeout = timeout;
     request.connect_timeout = std::min(timeout, max_connect_timeout);
-    request.idempotent = true;
+    request.may_resend = true;
     m_client.send(std::move(request),
                   [on_reply = std::move(on_reply)](http_client_reply reply)
                   {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "masticcourse/net/http_client.hpp"
 
 #include "endpoint.hpp"
+#include "http_server_check.hpp"
 #include "http_transfer.hpp"
 
 #include <utility>
@@ -67,6 +68,14 @@
                                                        std::move(on_chunk), std::move(on_reply));
     }
 
+    [[nodiscard]] std::shared_ptr<detail::server_check> make_check(const std::string& address,
+                                                                   const server_check_options& options,
+                                                                   server_check_callback on_result) const
+    {
+        return std::make_shared<detail::server_check>(m_context, m_connections, address, options,
+                                                      std::move(on_result));
+    }
+
   private:
     boost::asio::io_context& m_context;
     std::shared_ptr<detail::connection_pool> m_connections;
@@ -90,4 +99,10 @@
     return transfer;
 }
 
+void http_client::check_server(const std::string& address, const server_check_options& options,
+                               server_check_callback on_result)
+{
+    m_pool->make_check(address, options, std::move(on_result))->start();
+}
+
 } // namespace masticcourse
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "http_connection.hpp"
 
+#include "tcp_options.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/strand.hpp>
 
@@ -15,6 +17,10 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+/// The connection is closed if sent data stays unacknowledged for this long: the peer or the network path has
+/// failed. It allows several retransmissions at round-trip times of milliseconds and is well below the usual
+/// request timeouts of callers, which are seconds.
+constexpr std::chrono::milliseconds unacknowledged_timeout{1'500};
 constexpr std::size_t max_idle_per_address = 64;
 /// Used if the server sends no `Keep-Alive` timeout. It is shorter than the usual idle timeout of servers, so
 /// that a request is rarely sent on a connection that the server is closing.
@@ -39,6 +45,13 @@
     return ec == asio::error::would_block && buffer.size() == 0;
 }
 
+void http_connection::set_options()
+{
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    limit_unacknowledged_time(socket, unacknowledged_timeout);
+}
+
 void http_connection::close()
 {
     error_code ignored;
@@ -93,8 +106,13 @@
 
 void connection_pool::release(const std::string& address, const std::shared_ptr<http_connection>& connection)
 {
-    connection->idle_since = std::chrono::steady_clock::now();
     connection->reused = true;
+    add(address, connection);
+}
+
+void connection_pool::add(const std::string& address, const std::shared_ptr<http_connection>& connection)
+{
+    connection->idle_since = std::chrono::steady_clock::now();
     if (connection->idle_timeout.count() == 0)
     {
         connection->idle_timeout = default_idle_timeout;
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -30,6 +30,9 @@
 
     void close();
 
+    /// Sets the socket's options after the connection was established.
+    void set_options();
+
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     deadline timer;
@@ -49,10 +52,13 @@
     [[nodiscard]] std::shared_ptr<http_connection> acquire(const std::string& address,
                                                            std::chrono::milliseconds max_idle);
 
-    /// Adds @a connection to the idle connections; if there are too many, the one that was idle longest is
-    /// closed.
+    /// Adds a connection that has served a request to the idle connections; if there are too many, the one
+    /// that was idle longest is closed.
     void release(const std::string& address, const std::shared_ptr<http_connection>& connection);
 
+    /// Adds a new connection to the idle connections.
+    void add(const std::string& address, const std::shared_ptr<http_connection>& connection);
+
   private:
     [[nodiscard]] std::shared_ptr<http_connection> pop(const std::string& address);
     void return_unused(const std::string& address, const std::shared_ptr<http_connection>& connection);
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -2,7 +2,6 @@
 
 #include "endpoint.hpp"
 #include "http_answer.hpp"
-#include "tcp_options.hpp"
 #include "use_tuple.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -32,10 +31,6 @@
 constexpr std::uint32_t max_reply_header = 64 * 1024;
 /// How many responses to other requests are skipped on one connection before the request fails.
 constexpr int max_mismatched_responses = 4;
-/// The connection is closed if sent data stays unacknowledged for this long: the peer or the network path has
-/// failed. It allows several retransmissions at round-trip times of milliseconds and is well below the usual
-/// request timeouts of callers, which are seconds.
-constexpr std::chrono::milliseconds unacknowledged_timeout{1'500};
 
 template <typename Parser>
 body_framing framing_of(const Parser& parser)
@@ -174,7 +169,7 @@
     const auto endpoint = parse_endpoint(m_request.address);
     if (!endpoint)
     {
-        fail(http_failure::connect);
+        fail_to_connect();
         co_return false;
     }
     const auto connect_limit = m_request.connect_timeout;
@@ -184,12 +179,10 @@
     connection->timer.clear();
     if (ec || !connection->socket.is_open())
     {
-        fail(http_failure::connect);
+        fail_to_connect();
         co_return false;
     }
-    error_code ignored;
-    connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    limit_unacknowledged_time(connection->socket, unacknowledged_timeout);
+    connection->set_options();
     co_return true;
 }
 
@@ -198,7 +191,7 @@
     // A server that rejects a request may respond before reading all of it, so the response is read even if
     // the write failed midway.
     const bool sent = co_await write_request(connection);
-    if (!sent && m_bytes_written == 0)
+    if (!sent && m_send_report.sends == 0)
     {
         co_return false;
     }
@@ -229,7 +222,7 @@
 {
     const auto [ec, n] =
         co_await http::async_read_header(connection->socket, connection->buffer, parser, use_tuple);
-    m_response_started = n > 0 || connection->buffer.size() > 0;
+    m_response_started = m_response_started || n > 0 || connection->buffer.size() > 0;
     if (ec)
     {
         m_reply.body_report.error = ec.message();
@@ -265,7 +258,6 @@
     }
     if (written_here > 0)
     {
-        m_bytes_written += written_here;
         ++m_send_report.sends;
         m_send_report.kept_connection = connection->reused;
     }
@@ -325,8 +317,9 @@
 bool http_transfer::may_retry(const http_connection& connection) const
 {
     const bool safe_method = m_request.method == "GET" || m_request.method == "HEAD";
-    const bool repeatable = m_bytes_written == 0 || m_request.idempotent.value_or(safe_method);
-    return connection.reused && !m_response_started && repeatable && !m_cancelled &&
+    const bool unread = m_send_report.sends == 0;
+    return connection.reused && !m_response_started &&
+           (unread || m_request.may_resend.value_or(safe_method)) && !m_cancelled &&
            !connection.timer.expired();
 }
 
@@ -352,6 +345,13 @@
                           });
 }
 
+void http_transfer::fail_to_connect()
+{
+    // An earlier connection may have carried the request to the server.
+    m_send_report.reconnect_failed = m_send_report.sends > 0;
+    fail(m_send_report.reconnect_failed ? http_failure::broken : http_failure::connect);
+}
+
 void http_transfer::fail(http_failure failure)
 {
     m_reply.failure = failure;
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -50,6 +50,7 @@
     [[nodiscard]] bool is_streaming() const;
     void set_timer(const connection_ptr& connection, std::chrono::milliseconds delay) const;
     void set_timer(const connection_ptr& connection) const;
+    void fail_to_connect();
     void fail(http_failure failure);
     void finish(const connection_ptr& connection);
 
@@ -61,7 +62,6 @@
     std::chrono::steady_clock::time_point m_deadline;
     http_client_reply m_reply;
     std::array<char, std::size_t{16} * 1024> m_read_buffer{};
-    std::size_t m_bytes_written = 0;
     http_send_report m_send_report;
     bool m_response_started = false;
     bool m_keep_alive = false;
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -159,9 +159,9 @@
     std::exchange(on_reply, nullptr)(std::move(reply));
 }
 
-void upstream_request::fail(http_failure failure)
+void upstream_request::fail(http_failure failure, http_send_report report)
 {
-    std::exchange(on_reply, nullptr)({.failure = failure});
+    std::exchange(on_reply, nullptr)({.failure = failure, .send_report = report});
 }
 
 std::variant<gateway::gateway_request, gateway::refusal> stub_protocol::decode(http_request /*request*/) const
@@ -232,6 +232,8 @@
               sent.push_back(it);
               return std::make_shared<upstream_stream>(it);
           },
+          .check_target = [this](const std::string&, const server_check_callback& on_result)
+          { on_result(checked_state); },
           .protocol = protocol,
           .targets = targets,
           .scheduler = scheduler,
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -50,7 +50,7 @@
     void refuse();
     /// Another target instance responds at the address.
     void misdirect();
-    void fail(http_failure failure);
+    void fail(http_failure failure, http_send_report report = {.sends = 1});
     /// @}
 };
 
@@ -113,6 +113,8 @@
     gateway::target_table targets;
     gateway::request_scheduler scheduler;
     stub_protocol protocol;
+    /// What a check of a target finds.
+    server_state checked_state = server_state::listening;
     std::vector<upstream_request_ptr> sent;
     std::vector<gateway::request_outcome> outcomes;
     gateway::config_ptr config;
--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -85,6 +85,85 @@
     }
 }
 
+// Guards against: sends of the transport that the request does not count, and an idle connection that the
+// target has closed costing the caller the answer.
+TEST_CASE("a request whose kept connection ended is sent again to the same target, as one of its attempts")
+{
+    struct row
+    {
+        const char* route;
+        std::uint32_t max_attempts;
+        server_state state;
+        /// Targets in the order in which they get the request, if each of them loses it.
+        std::vector<std::string> targets;
+    };
+    const std::array table{
+        row{"lookup", 2, server_state::listening, {"t0", "t0"}},
+        row{"lookup", 2, server_state::ended, {"t0", "t1"}},
+        row{"lookup", 2, server_state::unknown, {"t0", "t1"}},
+        row{"lookup", 1, server_state::listening, {"t0", "t0"}},
+        row{"lookup", 1, server_state::ended, {"t0"}},
+        row{"lookup", 3, server_state::listening, {"t0", "t0", "t0"}},
+        row{"plan", 2, server_state::listening, {"t0", "t0"}},
+        row{"order", 2, server_state::listening, {"t0"}},
+        row{"stream", 2, server_state::listening, {"t0"}},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.route);
+        CAPTURE(it.max_attempts);
+        CAPTURE(static_cast<int>(it.state));
+        forwarding_fixture world;
+        world.checked_state = it.state;
+        auto config = *world.config;
+        std::ranges::for_each(config.routes, [&](route& one) { one.max_attempts = it.max_attempts; });
+        world.config = std::make_shared<const gateway_config>(std::move(config));
+        const auto view = world.send(world.make_request(it.route, "r"));
+        for (std::size_t n = 0; n < world.sent.size(); ++n)
+        {
+            const auto attempt = world.sent[n];
+            CHECK(attempt->request.may_resend == false);
+            attempt->fail(http_failure::broken, {.sends = 1, .kept_connection = true});
+        }
+        std::vector<std::string> targets;
+        std::ranges::transform(world.sent, std::back_inserter(targets),
+                               [](const auto& one) { return one->request.address; });
+        CHECK(targets.size() == it.targets.size());
+        const auto& first = targets.front();
+        CHECK(std::ranges::count(targets, first) == std::ranges::count(it.targets, "t0"));
+        REQUIRE(view->response);
+        CHECK(view->response->status == status_bad_gateway);
+    }
+}
+
+// Guards against: a request that has run at one target is reported as not executed when the next ones can't
+// be reached.
+TEST_CASE("a request that may have run is never reported as not executed")
+{
+    struct row
+    {
+        const char* name;
+        void (*first)(upstream_request&);
+    };
+    const std::array table{
+        row{"connection lost", [](upstream_request& it) { it.fail(http_failure::broken); }},
+        row{"no answer in time", [](upstream_request& it) { it.fail(http_failure::timeout); }},
+    };
+    for (const auto& it : table)
+    {
+        CAPTURE(it.name);
+        forwarding_fixture world;
+        const auto view = world.send(world.make_request("lookup", "r"));
+        it.first(*world.sent.front());
+        for (std::size_t n = 1; n < world.sent.size(); ++n)
+        {
+            world.sent[n]->fail(http_failure::connect, {});
+        }
+        REQUIRE(view->response);
+        CHECK(view->response->status == status_bad_gateway);
+    }
+}
+
 TEST_CASE("a request that a target states it did not execute is sent to another, up to the route's attempts")
 {
     for (const auto* route : {"lookup", "order", "stream"})
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -3,12 +3,14 @@
 #include "masticcourse/net/http_server.hpp"
 
 #include "net_fixture.hpp"
+#include "support/ending_target.hpp"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 
 using namespace masticcourse;
@@ -465,6 +467,78 @@
     }
 }
 
+// Guards against: a server ends after it has read a request, the repeat on a new connection is refused, and
+// the request is reported as never sent.
+TEST_CASE("http client: a request whose repeat finds no connection counts as sent")
+{
+    struct row
+    {
+        std::optional<bool> may_resend;
+        bool reconnect_failed;
+    };
+    for (const auto& it : {row{true, true}, row{false, false}, row{std::nullopt, false}})
+    {
+        CAPTURE(it.may_resend.value_or(false));
+        io_threads server_threads{1};
+        end_record ends;
+        ending_target server(server_threads.context(), "s", false, ends);
+        io_threads threads;
+        http_client client(threads.context());
+        CHECK(fetch(client, {.address = server.address(), .target = "/a/"}).status == 200);
+        const auto reply = fetch(
+            client,
+            {.address = server.address(), .method = "POST", .target = "/end/", .may_resend = it.may_resend});
+        CHECK(ends.size() == 1);
+        CHECK(reply.failure == http_failure::broken);
+        CHECK(reply.send_report.sends == 1);
+        CHECK(reply.send_report.kept_connection);
+        CHECK(reply.send_report.reconnect_failed == it.reconnect_failed);
+        threads.stop();
+        server_threads.stop();
+    }
+}
+
+TEST_CASE(
+    "http client: a check tells a server that listens from one that has ended and from one that closes its "
+    "connections")
+{
+    io_threads server_threads{1};
+    end_record ends;
+    ending_target server(server_threads.context(), "s", false, ends);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor closing{context, {boost::asio::ip::address_v4::loopback(), 0}};
+    constexpr int tries = 2;
+    std::jthread closing_server{[&]
+                                {
+                                    for (int n = 0; n < tries; ++n)
+                                    {
+                                        closing.accept().close();
+                                    }
+                                }};
+    io_threads threads;
+    http_client client(threads.context());
+    const auto check = [&](const std::string& address)
+    {
+        synchronized_value<std::optional<server_state>> found;
+        client.check_server(address,
+                            {.connect_timeout = std::chrono::milliseconds{5'000},
+                             .settle_time = std::chrono::milliseconds{20},
+                             .max_tries = tries},
+                            [&](server_state state) { found.update([&](auto& it) { it = state; }); });
+        REQUIRE(found.wait([](const auto& it) { return it.has_value(); }));
+        return *found.get();
+    };
+    CHECK(check(server.address()) == server_state::listening);
+    // The connection of the check is kept for the next request.
+    const auto reply = fetch(client, {.address = server.address(), .method = "POST", .target = "/end/"});
+    CHECK(reply.send_report.sends == 1);
+    CHECK(check(server.address()) == server_state::ended);
+    CHECK(check(loopback(closing.local_endpoint().port())) == server_state::unknown);
+    CHECK(check("no address") == server_state::unknown);
+    threads.stop();
+    server_threads.stop();
+}
+
 TEST_CASE("http: a request with an ambiguous body length is rejected and the bytes after it are not parsed")
 {
     http_fixture fixture;
