A request under which three targets have ended, one after another, is refused at every gateway

Callers saw: each attempt of a caller has another id and may reach another gateway, and each brought as many further targets to their end as the route allows in one attempt; six attempts ended all eight targets on every kind of route. Cause: nothing remembered a request beyond one attempt, and nothing told the end of a target from a connection that broke. Change: gateway/poison_detection knows requests by a fingerprint of their content and counts ends one after another: an end counts on top of those known when the request was sent, and a response clears. After three the request is refused at once with 400, 'unknown' and a time to come back, for a minute and twice as long after each further end. gateway/poison_exchange floods what is known to all gateways; an answer that makes the caller repeat waits for the neighbours, 50 ms at most. A lost connection is an end only if the next one is refused. Suspected requests go to a target of their own. peer_handlers() lists what peers may call, once for all. Ruled out: blame by count (requests that are lost together in a crash would all be refused), by broken connection (resets are no ends). Why it works: no request is sent while three ends are known, and they are known before the answer that brings the next attempt.

--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -75,6 +75,13 @@
     std::function<row_decode_result<target_record>(const stored_row&)> decode_target;
 };
 
+/// Handles the calls of other gateways to one path.
+struct peer_handler
+{
+    std::string path;
+    http_handler handler;
+};
+
 class gateway
 {
   public:
@@ -92,35 +99,8 @@
     /// @a on_stopped.
     void stop(std::function<void()> on_stopped);
 
-    /// Path to which peers send the commits that this gateway batches.
-    static constexpr const char* commit_path = "/commits";
-    /// Handles a peer's request to commit_path.
-    void serve_commits(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
-
-    /// Path at which peers look up rows in this gateway's row cache.
-    static constexpr const char* row_lookup_path = "/rows";
-    /// Handles a peer's request to row_lookup_path.
-    void serve_row_lookup(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
-
-    /// Path at which peers request overdrafts that this gateway may grant.
-    static constexpr const char* overdraft_path = "/overdraft";
-    /// Handles a peer's request to overdraft_path.
-    void serve_overdraft(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
-
-    /// Path at which peers request permits from the quota slices held by this gateway.
-    static constexpr const char* quota_path = "/quota";
-    /// Handles a peer's request to quota_path.
-    void serve_quota(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
-
-    /// Path at which peers exchange the load of targets with this gateway.
-    static constexpr const char* load_path = "/load";
-    /// Handles a peer's request to load_path.
-    void serve_load_digest(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
-
-    /// Path at which peers follow tables through this gateway.
-    static constexpr const char* feed_path = "/feed";
-    /// Handles a peer's request to feed_path.
-    void serve_feed(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
+    /// @return what peers may call. The handlers must not be called after the gateway's end.
+    [[nodiscard]] std::vector<peer_handler> peer_handlers();
 
   private:
     struct state;
--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -114,6 +114,8 @@
     targets_full,
     /// The target's response is missing, incomplete or invalid.
     target_failed,
+    /// Targets have ended under requests with the same content, one after another.
+    poison_request,
     deadline_passed,
 };
 
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -36,6 +36,11 @@
     /// Replaces the list of peers; the entry of this gateway is ignored.
     void set(std::vector<peer> peers);
 
+    [[nodiscard]] const std::string& self_address() const
+    {
+        return m_self.address;
+    }
+
     /// @return the number of other gateways
     [[nodiscard]] std::size_t size() const
     {
@@ -61,6 +66,12 @@
     [[nodiscard]] std::vector<std::string> choose(std::size_t max_count, time_point now,
                                                   std::string_view preferred = {});
 
+    /// Selects the gateways that this one tells what all have to learn. If each gateway passes on what is new
+    /// to it, news reach all of them: the next ones in the order of their addresses, and further ones at
+    /// doubling distances, so that the number of hops grows with the logarithm of the number of gateways.
+    /// @return responsive gateways, in the order of their distance
+    [[nodiscard]] std::vector<std::string> flood_neighbours(time_point now) const;
+
     /// Selects the collector by weighted rendezvous hashing, so that gateways with the same view of their
     /// peers select the same one. Agreement is not required: two writers of a partition only cause conflicts.
     /// @param self_store_unreachable this gateway cannot reach the store directly, so it collects only if no
--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -7,12 +7,15 @@
 /// - The end of a turn is sent to the caller once the turn is durable.
 /// - A request of a workspace with a quota is sent only with a permit that is valid at that moment. Each
 /// possible execution needs its own permit.
+/// - A request under which several targets have ended, one after another, is sent to no more of them.
 /// - While a scheduled service is short of room, requests are held back before their first attempt, or
 /// refused.
 #pragma once
 
 #include "masticcourse/gateway/gateway_request.hpp"
 #include "masticcourse/gateway/overdraft.hpp"
+#include "masticcourse/gateway/poison_detection.hpp"
+#include "masticcourse/gateway/poison_exchange.hpp"
 #include "masticcourse/gateway/quota/workspace_quotas.hpp"
 #include "masticcourse/gateway/route_table.hpp"
 #include "masticcourse/gateway/scheduling/request_scheduler.hpp"
@@ -43,6 +46,8 @@
     const gateway_protocol& protocol;
     target_table& targets;
     request_scheduler& scheduler;
+    poison_detection& poison;
+    poison_exchange& suspicions;
     program_spending& spending;
     turn_store& turns;
     overdraft& overdrafts;
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -44,6 +44,7 @@
     request_refused = 2303,
     attempt_failed = 2304,
     overdraft_drawn = 2305,
+    target_ended = 2306,
     shard_claimed = 3001,
     shard_released = 3002,
     shard_lost = 3003,
@@ -192,6 +193,12 @@
         "A request asked to hand out tokens before its reservation is durable; `granted` of `most` may be.",
         "None; 0 while the store is away means that the program's bucket has no live holder, or that it "
         "has had its overdraft."},
+    event_definition{event_id::target_ended, "target_ended", event_severity::warning,
+                     "A target ended while it handled a request; `ends` counts those that did so one after "
+                     "another under requests "
+                     "of the same `content`, which are refused for `quarantine_ms`.",
+                     "With 3 ends or more: find the caller by `workspace`, `route` and `request`, and the "
+                     "fault in the target."},
     event_definition{event_id::shard_claimed, "shard_claimed", event_severity::info,
                      "This process took a shard; its epoch rose.", "None."},
     event_definition{event_id::shard_released, "shard_released", event_severity::info,
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -27,7 +27,7 @@
         refuse(refusal_reason::no_route, ran_state::no, "no route for " + m_request.host);
         return;
     }
-    if (!authorize())
+    if (!authorize() || refuse_quarantined())
     {
         return;
     }
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -34,6 +34,8 @@
 {
     target_record target;
     std::string reason;
+    /// The suspicion of the request when it was sent there.
+    suspicion suspicion_at_send;
     /// The connection had been idle and no byte of the response arrived, so the target may have closed it
     /// before the request reached it.
     bool unanswered_on_kept_connection = false;
@@ -133,6 +135,8 @@
     [[nodiscard]] bool may_send_again() const;
     /// Sends the request to another target, or gives it up.
     void retry_or_refuse(std::string_view reason);
+    /// Whether the request may be sent to another target.
+    [[nodiscard]] bool may_go_on();
     /// Whether a target may have executed any part of the request.
     [[nodiscard]] bool may_have_run() const;
     void on_complete_response(http_client_reply reply);
@@ -140,6 +144,20 @@
     [[nodiscard]] bool can_retry() const;
     /// @}
 
+    /// @name Suspicion of ending targets
+    /// @{
+    /// @return the fingerprint by which all attempts with the same content are known
+    [[nodiscard]] const request_fingerprint& content() const;
+    /// Refuses the request if it is in quarantine.
+    /// @return whether it was refused
+    [[nodiscard]] bool refuse_quarantined();
+    void record_target_end(const lost_attempt& lost);
+    /// Records that a target has responded, which clears the request.
+    void record_target_response();
+    /// Whether the request is to be kept apart from other suspected ones.
+    [[nodiscard]] bool is_suspected() const;
+    /// @}
+
     /// @name Streamed response
     /// @{
     void on_chunk(std::string_view chunk);
@@ -229,6 +247,11 @@
     bool m_sending_again = false;
     /// The response of the current attempt is lost, and its target is being checked.
     bool m_checking_target = false;
+    /// The fingerprint of the content, once it was needed.
+    mutable std::optional<request_fingerprint> m_content;
+    suspicion m_suspicion_at_send;
+    /// A target ended under this request.
+    bool m_saw_target_end = false;
     /// At least one target refused the request without executing it.
     bool m_saw_full_target = false;
     std::optional<target_record> m_target;
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -23,6 +23,7 @@
 
 void forwarded_request::on_complete_response(http_client_reply reply)
 {
+    record_target_response();
     const bool retry = m_route->repeatable() && is_server_error(m_response_head->status);
     if (m_response_head->success())
     {
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -60,6 +60,15 @@
         return same;
     }
     const auto candidates = m_services.targets.candidates(service());
+    if (is_suspected())
+    {
+        // All gateways choose the same target for it, and a different one for most other suspected requests.
+        // So its next end is unlikely to be blamed on another one.
+        const auto key = to_string(content());
+        return choose_target(candidates,
+                             {.affinity = key, .tried = m_tried_targets, .chooser = m_services.own_name},
+                             m_services.clock());
+    }
     const auto key = affinity_key();
     const selection_criteria query{.affinity = key,
                                    .preferred_domain = preferred_domain(),
@@ -145,7 +154,7 @@
         on_deadline();
         return;
     }
-    if (!request_admission())
+    if (refuse_quarantined() || !request_admission())
     {
         return;
     }
@@ -187,6 +196,8 @@
     m_body_report = {};
     m_unfinished_bytes = 0;
     m_attempt_started = m_services.clock();
+    m_suspicion_at_send =
+        m_services.poison.empty() ? suspicion{} : m_services.poison.find(content(), m_attempt_started);
     m_first_event_time.reset();
     if (m_progress)
     {
--- a/src/gateway/forwarded_request_response.cpp
+++ b/src/gateway/forwarded_request_response.cpp
@@ -1,7 +1,6 @@
 // The response of a target: whether it is complete, and what happens to the request if it is not.
 #include "forwarded_request.hpp"
 
-#include "masticcourse/gateway/request_fingerprint.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
@@ -169,7 +168,7 @@
 
 event_field forwarded_request::content_field() const
 {
-    return {"content", to_string(fingerprint_of(m_request, *m_route))};
+    return {"content", to_string(content())};
 }
 
 std::vector<event_field> forwarded_request::body_fields() const
--- a/src/gateway/forwarded_request_stream.cpp
+++ b/src/gateway/forwarded_request_stream.cpp
@@ -66,6 +66,7 @@
 {
     m_pending_output += m_progress->take_remainder();
     m_stream_complete = true;
+    record_target_response();
     record_performance();
     end_attempt(health_signal::healthy);
     if (is_retained())
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -95,6 +95,8 @@
     bucket_ownership quota_buckets;
     workspace_quotas quotas;
     request_scheduler scheduler;
+    poison_detection poison;
+    poison_exchange suspicions;
     forwarding_services services;
     feed_context feeds;
     peer_list gateways;
@@ -157,6 +159,14 @@
                  .self = options.peer_address,
                  .incarnation = random_incarnation(),
                  .metrics = registry}),
+      suspicions({.detection = poison,
+                  .peers = peers,
+                  .send = [this](const auto& address, auto news, auto on_reply)
+                  { peer_client.suspicions(address, std::move(news), std::move(on_reply)); },
+                  .delay = delay,
+                  .clock = monotonic_now,
+                  .self = options.peer_address,
+                  .metrics = registry}),
       services{.open_stream = [this](auto request, auto on_chunk, auto on_reply)
                { return client.open_stream(std::move(request), std::move(on_chunk), std::move(on_reply)); },
                .check_target = [this](const auto& address, auto on_result)
@@ -164,6 +174,8 @@
                .protocol = protocol,
                .targets = targets,
                .scheduler = scheduler,
+               .poison = poison,
+               .suspicions = suspicions,
                .spending = spending,
                .turns = turns,
                .overdrafts = overdrafts,
@@ -220,6 +232,7 @@
         {
             config_rows.start();
             target_rows.start();
+            suspicions.fetch();
         });
     overdraft_buckets.start();
     schedule_sweep();
@@ -374,6 +387,7 @@
     last_sweep = now;
     targets.expire(now);
     scheduler.sweep(now);
+    poison.sweep(now);
     spending.evict_idle(now);
     overdrafts.evict_idle();
     if (ready() != was_ready)
@@ -465,35 +479,31 @@
     m_state->stop(std::move(on_stopped));
 }
 
-void gateway::serve_commits(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+std::vector<peer_handler> gateway::peer_handlers()
 {
-    m_state->commits.collect(request.body, [exchange](const collector_reply& reply)
-                             { exchange->respond(detail::to_response(reply)); });
-}
-
-void gateway::serve_row_lookup(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
-{
-    exchange->respond(detail::to_response(m_state->shared_rows.read_cached(request.body)));
-}
-
-void gateway::serve_overdraft(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
-{
-    exchange->respond(detail::to_response(m_state->overdrafts.serve(request.body)));
-}
-
-void gateway::serve_feed(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
-{
-    m_state->serve_feed(request.body, exchange);
-}
-
-void gateway::serve_load_digest(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
-{
-    exchange->respond(detail::to_response(m_state->scheduler.serve_digest(request.body)));
-}
-
-void gateway::serve_quota(const http_request& request, const std::shared_ptr<http_exchange>& exchange)
-{
-    exchange->respond(detail::to_response(m_state->quotas.handle_peer_request(request.body)));
+    // Replies with what is made of the body of the call, or with an error if that is nothing.
+    const auto reply_with = [](auto read)
+    {
+        return [read](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+        { exchange->respond(detail::to_response(read(request.body))); };
+    };
+    auto& it = *m_state;
+    return {
+        {detail::commit_path,
+         [&it](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+         {
+             it.commits.collect(request.body, [exchange](const collector_reply& reply)
+                                { exchange->respond(detail::to_response(reply)); });
+         }},
+        {detail::feed_path, [&it](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
+         { it.serve_feed(request.body, exchange); }},
+        {detail::row_lookup_path,
+         reply_with([&it](const auto& body) { return it.shared_rows.read_cached(body); })},
+        {detail::overdraft_path, reply_with([&it](const auto& body) { return it.overdrafts.serve(body); })},
+        {detail::quota_path,
+         reply_with([&it](const auto& body) { return it.quotas.handle_peer_request(body); })},
+        {detail::load_path, reply_with([&it](const auto& body) { return it.scheduler.serve_digest(body); })},
+        {detail::suspicions_path, reply_with([&it](const auto& body) { return it.suspicions.serve(body); })}};
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -1,6 +1,5 @@
 #include "peer_calls.hpp"
 
-#include "masticcourse/gateway/gateway.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
@@ -29,6 +28,10 @@
 /// Timeout of a load digest. Its reply is out of date after a few exchange intervals of 200 ms.
 constexpr milliseconds load_digest_timeout{300};
 
+/// Timeout of news about suspected requests. Callers' next attempts arrive within milliseconds, and a
+/// neighbour that takes longer gets the news from another one.
+constexpr milliseconds suspicions_timeout{300};
+
 /// Timeout of a call that waits for changes of a table; the receiver replies within 1.25 s.
 constexpr milliseconds feed_call_timeout{1'600};
 /// The latency between gateways is about a millisecond.
@@ -78,7 +81,7 @@
 
 void peer_calls::collect(const std::string& address, std::string changes, collector_callback on_reply)
 {
-    auto request = make_request(address, gateway::commit_path, std::move(changes));
+    auto request = make_request(address, commit_path, std::move(changes));
     request.timeout = collect_timeout;
     request.connect_timeout = collect_connect_timeout;
     m_client.send(std::move(request), [on_reply = std::move(on_reply)](http_client_reply reply)
@@ -100,7 +103,7 @@
 
 void peer_calls::query_rows(const std::string& address, std::string query, peer_callback on_rows)
 {
-    send_idempotent(make_request(address, gateway::row_lookup_path, std::move(query)), row_query_timeout,
+    send_idempotent(make_request(address, row_lookup_path, std::move(query)), row_query_timeout,
                     [address, on_rows = std::move(on_rows)](std::optional<std::string> rows)
                     {
                         if (!rows)
@@ -114,25 +117,31 @@
 
 void peer_calls::overdraft(const std::string& address, std::string message, peer_callback on_reply)
 {
-    send_idempotent(make_request(address, gateway::overdraft_path, std::move(message)), holder_timeout,
+    send_idempotent(make_request(address, overdraft_path, std::move(message)), holder_timeout,
                     std::move(on_reply));
 }
 
 void peer_calls::feed(const std::string& address, std::string request, peer_callback on_reply)
 {
-    send_idempotent(make_request(address, gateway::feed_path, std::move(request)), feed_call_timeout,
+    send_idempotent(make_request(address, feed_path, std::move(request)), feed_call_timeout,
                     std::move(on_reply));
 }
 
 void peer_calls::quota(const std::string& address, std::string request, peer_callback on_reply)
 {
-    send_idempotent(make_request(address, gateway::quota_path, std::move(request)), holder_timeout,
+    send_idempotent(make_request(address, quota_path, std::move(request)), holder_timeout,
                     std::move(on_reply));
 }
 
 void peer_calls::load_digest(const std::string& address, std::string digest, peer_callback on_reply)
 {
-    send_idempotent(make_request(address, gateway::load_path, std::move(digest)), load_digest_timeout,
+    send_idempotent(make_request(address, load_path, std::move(digest)), load_digest_timeout,
+                    std::move(on_reply));
+}
+
+void peer_calls::suspicions(const std::string& address, std::string news, peer_callback on_reply)
+{
+    send_idempotent(make_request(address, suspicions_path, std::move(news)), suspicions_timeout,
                     std::move(on_reply));
 }
 
--- a/src/gateway/peer_calls.hpp
+++ b/src/gateway/peer_calls.hpp
@@ -1,6 +1,6 @@
 /// @file
 /// HTTP calls between gateways: forwarded commits, queries of cached rows, table feeds, overdrafts, quota
-/// permits and load digests.
+/// permits, load digests and suspected requests.
 #pragma once
 
 #include "masticcourse/gateway/collected_rows.hpp"
@@ -14,6 +14,24 @@
 namespace masticcourse::gateway::detail
 {
 
+/// @name Paths of the calls
+/// @{
+/// Commits that the receiver batches.
+inline constexpr const char* commit_path = "/commits";
+/// Rows in the receiver's cache.
+inline constexpr const char* row_lookup_path = "/rows";
+/// Overdrafts that the receiver may grant.
+inline constexpr const char* overdraft_path = "/overdraft";
+/// Permits from the quota slices held by the receiver.
+inline constexpr const char* quota_path = "/quota";
+/// The load of targets.
+inline constexpr const char* load_path = "/load";
+/// Tables that the sender follows through the receiver.
+inline constexpr const char* feed_path = "/feed";
+/// Requests that are suspected to end targets.
+inline constexpr const char* suspicions_path = "/suspicions";
+/// @}
+
 /// Client side.
 class peer_calls
 {
@@ -26,6 +44,7 @@
     void feed(const std::string& address, std::string request, peer_callback on_reply);
     void quota(const std::string& address, std::string request, peer_callback on_reply);
     void load_digest(const std::string& address, std::string digest, peer_callback on_reply);
+    void suspicions(const std::string& address, std::string news, peer_callback on_reply);
 
   private:
     /// Sends a request that may safely be repeated.
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -1,6 +1,7 @@
 #include "masticcourse/gateway/peer_directory.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -23,6 +24,9 @@
 constexpr milliseconds max_store_exclusion{2'400};
 constexpr int store_exclusion_divisor = 2;
 
+/// The gateways next in order that are told news directly; small sites need no second hop.
+constexpr std::size_t flood_direct_neighbours = 8;
+
 /// Time that an unresponsive gateway has to reply to a probe before further requests are sent to it.
 constexpr milliseconds probe_timeout{1'000};
 
@@ -96,6 +100,32 @@
     return chosen;
 }
 
+std::vector<std::string> peer_directory::flood_neighbours(time_point now) const
+{
+    std::vector<std::string> ring;
+    std::ranges::transform(m_others, std::back_inserter(ring), &peer::address);
+    std::ranges::sort(ring);
+    std::ranges::rotate(ring, std::ranges::upper_bound(ring, m_self.address));
+    std::vector<std::string> chosen;
+    std::size_t next = 0;
+    for (std::size_t distance = 0; distance < ring.size();
+         distance = distance < flood_direct_neighbours ? distance + 1 : distance * 2)
+    {
+        // Unresponsive gateways are replaced by the ones behind them.
+        next = std::max(next, distance);
+        while (next < ring.size() && unresponsive(ring[next], now))
+        {
+            ++next;
+        }
+        if (next < ring.size())
+        {
+            chosen.push_back(ring[next]);
+            ++next;
+        }
+    }
+    return chosen;
+}
+
 std::optional<std::string> peer_directory::collector_of(std::string_view partition, time_point now,
                                                         bool self_store_unreachable) const
 {
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -55,6 +55,8 @@
         return "targets_full";
     case refusal_reason::target_failed:
         return "target_failed";
+    case refusal_reason::poison_request:
+        return "poison_request";
     case refusal_reason::deadline_passed:
         break;
     }
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -237,6 +237,8 @@
           .protocol = protocol,
           .targets = targets,
           .scheduler = scheduler,
+          .poison = poison,
+          .suspicions = suspicions,
           .spending = spending,
           .turns = turns,
           .overdrafts = overdrafts,
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -112,6 +112,14 @@
                                      time.delays(),    time.clock(),  time.clock(), metrics};
     gateway::target_table targets;
     gateway::request_scheduler scheduler;
+    gateway::poison_detection poison;
+    gateway::poison_exchange suspicions{{.detection = poison,
+                                         .peers = peers,
+                                         .send = nullptr,
+                                         .delay = time.delays(),
+                                         .clock = time.clock(),
+                                         .self = "self",
+                                         .metrics = metrics}};
     stub_protocol protocol;
     /// What a check of a target finds.
     server_state checked_state = server_state::listening;
--- a/tests/unit/gateway_fixture.hpp
+++ b/tests/unit/gateway_fixture.hpp
@@ -47,21 +47,17 @@
                    .stop_grace = std::chrono::seconds{8}},
                   protocol, store, peers, platform::make_table_decoders(), metrics)
     {
-        boost::asio::post(
-            threads.context(),
-            [this]
-            {
-                store.serve(gateway::gateway::commit_path, [this](const auto& request, const auto& exchange)
-                            { gateway.serve_commits(request, exchange); });
-                store.serve(gateway::gateway::overdraft_path,
-                            [this](const auto& request, const auto& exchange)
-                            { gateway.serve_overdraft(request, exchange); });
-                store.serve(gateway::gateway::feed_path, [this](const auto& request, const auto& exchange)
-                            { gateway.serve_feed(request, exchange); });
-                store.start();
-                gateway.start();
-                started = true;
-            });
+        boost::asio::post(threads.context(),
+                          [this]
+                          {
+                              for (auto& it : gateway.peer_handlers())
+                              {
+                                  store.serve(it.path, std::move(it.handler));
+                              }
+                              store.start();
+                              gateway.start();
+                              started = true;
+                          });
     }
     gateway_process(const gateway_process&) = delete;
     gateway_process(gateway_process&&) = delete;
--- a/tests/unit/test_gateway_poison_requests.cpp
+++ b/tests/unit/test_gateway_poison_requests.cpp
@@ -8,10 +8,13 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <numeric>
 #include <set>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 using namespace masticcourse;
@@ -55,7 +58,11 @@
             m_gateways.push_back(
                 std::make_unique<gateway_process>(loopback(platform.store.port()), "g" + std::to_string(n)));
         }
-        std::ranges::for_each(m_gateways, [this](const auto& it) { platform.wait_ready(*it); });
+        for (const auto& it : m_gateways)
+        {
+            platform.wait_ready(*it);
+            REQUIRE(eventually([&] { return known_peers(*it) == gateways - 1; }));
+        }
     }
     ending_fleet(const ending_fleet&) = delete;
     ending_fleet(ending_fleet&&) = delete;
@@ -72,6 +79,19 @@
         return fetch(platform.client, make_request(gateway, path, id));
     }
 
+    void send_later(std::size_t gateway, const std::string& path, const std::string& id,
+                    http_reply_callback on_reply)
+    {
+        platform.client.send(make_request(gateway, path, id), std::move(on_reply));
+    }
+
+    /// @return how many answers the targets hold back
+    [[nodiscard]] int held() const
+    {
+        return std::accumulate(targets.begin(), targets.end(), 0,
+                               [](int sum, const auto& it) { return sum + it->held(); });
+    }
+
     /// Leaves a kept connection from a gateway to each of the targets of the plain service, by as many
     /// requests at once as all targets answer together.
     void keep_connections(std::size_t gateway, const std::string& path)
@@ -85,11 +105,6 @@
                 make_request(gateway, path, "warm-" + std::to_string(n)), [&](const http_client_reply& reply)
                 { answered.update([&](int& count) { count += reply.status == 200 ? 1 : 0; }); });
         }
-        const auto held = [this]
-        {
-            return std::accumulate(targets.begin(), targets.end(), 0,
-                                   [](int sum, const auto& it) { return sum + it->held(); });
-        };
         CHECK(eventually([&] { return held() == static_cast<int>(requests); }));
         std::ranges::for_each(targets, [](const auto& it) { it->release(); });
         REQUIRE(answered.wait([](int count) { return count == static_cast<int>(requests); }));
@@ -113,6 +128,14 @@
         platform.store.put("servers", added->id(), added->registry_entry(service));
     }
 
+    /// @return the number of other gateways that a gateway knows
+    static std::size_t known_peers(gateway_process& gateway)
+    {
+        std::promise<std::size_t> known;
+        boost::asio::post(gateway.threads.context(), [&] { known.set_value(gateway.peers.size()); });
+        return known.get_future().get();
+    }
+
     [[nodiscard]] http_client_request make_request(std::size_t gateway, const std::string& path,
                                                    const std::string& id) const
     {
@@ -188,8 +211,68 @@
                     CHECK_FALSE(promises_not_run(reply));
                 }
                 CHECK(fleet.ends.size() <= max_ends);
+                const auto refused = fleet.send(0, "/" + route + "/end/1", "last");
+                CHECK(refused.status == 400);
+                CHECK(refused.body.find(R"("title":"poison_request")") != std::string::npos);
+                CHECK(refused.body.find(R"("ran":"unknown")") != std::string::npos);
+                CHECK(refused.header("Retry-After"));
                 CHECK(fleet.send(0, "/" + route + "/other", "innocent").status == 200);
             }
         }
     }
 }
+
+// Guards against: targets that come back, at the same address, ended again and again by the same request.
+TEST_CASE("a request is refused after three ends as well if the targets start again")
+{
+    for (const auto down_for : {1ms, 50ms})
+    {
+        CAPTURE(down_for.count());
+        ending_fleet fleet{2};
+        std::ranges::for_each(fleet.targets, [&](const auto& it) { it->restart_after(down_for); });
+        for (std::size_t n = 0; n < 10; ++n)
+        {
+            const auto reply = fleet.send(n % 2, "/look/end/1", "r" + std::to_string(n));
+            CHECK_FALSE(promises_not_run(reply));
+            std::this_thread::sleep_for(down_for);
+        }
+        CHECK(fleet.ends.size() <= max_ends);
+    }
+}
+
+// Guards against: work that was under way at a target that ended is refused together with the request at
+// fault.
+TEST_CASE("requests that are lost with a target that another request ends are answered by others")
+{
+    ending_fleet fleet{2};
+    constexpr std::size_t innocents = 2 * targets_per_service;
+    std::ranges::for_each(fleet.targets, [](const auto& it) { it->hold(); });
+    synchronized_value<std::vector<int>> statuses;
+    for (std::size_t n = 0; n < innocents; ++n)
+    {
+        fleet.send_later(n % 2, "/often/innocent/" + std::to_string(n), "i" + std::to_string(n),
+                         [&](const http_client_reply& reply)
+                         { statuses.update([&](auto& all) { all.push_back(reply.status); }); });
+    }
+    CHECK(eventually([&] { return fleet.held() == static_cast<int>(innocents); }));
+    for (std::size_t n = 0; n < 4; ++n)
+    {
+        CHECK_FALSE(promises_not_run(fleet.send(n % 2, "/look/end/1", "p" + std::to_string(n))));
+    }
+    CHECK(fleet.ends.size() == max_ends);
+    std::ranges::for_each(fleet.targets, [](const auto& it) { it->release(); });
+    REQUIRE(statuses.wait([](const auto& all) { return all.size() == innocents; }));
+    CHECK(std::ranges::count(statuses.get(), 200) == static_cast<int>(innocents));
+}
+
+// Guards against: connections that break, without the end of a target, taken for ends.
+TEST_CASE("a request whose connections are closed without an answer is not refused as one that ends targets")
+{
+    ending_fleet fleet{2};
+    fleet.keep_connections(0, "/look/warm");
+    for (std::size_t n = 0; n < 10; ++n)
+    {
+        CHECK(fleet.send(n % 2, "/look/drop/1", "r" + std::to_string(n)).status == 502);
+    }
+    CHECK(fleet.ends.size() == 0);
+}
