A request that has failed at one target is not called unexecuted when no other can be reached

Callers saw: 503, 'not run', for an idempotent request that a target had run and answered with a status of its own 5xx, if the next targets took no connection. Cause: the repeat after such an answer did not record that the request had run. Class: the last error alone decides the promise. Change: it does. Checked: the new row of 'a request that may have run is never reported as not executed' failed (503) and passes (502).

--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -32,6 +32,7 @@
     end_attempt(retry ? health_signal::failed : health_signal::healthy);
     if (retry && can_retry())
     {
+        m_may_have_executed = true;
         dispatch();
         return;
     }
--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -148,6 +148,7 @@
     const std::array table{
         row{"connection lost", [](upstream_request& it) { it.fail(http_failure::broken); }},
         row{"no answer in time", [](upstream_request& it) { it.fail(http_failure::timeout); }},
+        row{"failed there", [](upstream_request& it) { it.end(500); }},
     };
     for (const auto& it : table)
     {
