Homes: an idempotent call that targets lose is given up after three of them, and is not called unexecuted for its last attempt

Seen: a call whose answer each of six targets lost ran at all six: nothing but the list of targets and the retry budget ended it. Change: a call counts the attempts that may have run, ends after three, and is reported as unknown if only the last one has not run. Checked: the new case of 'at most once' failed (6 runs) and passes (3). The report of a last attempt that was refused after a lost one is by reading; its case passed before too.

--- a/src/control/entry_dispatch.cpp
+++ b/src/control/entry_dispatch.cpp
@@ -118,6 +118,10 @@
     when_durable(state, call.intent, intent_is_durable{call.ref, call.intent});
 }
 
+/// Targets at which an idempotent call may be lost before it is given up. A call that takes its targets down
+/// must not reach all of a service; innocent ones hardly ever lose three.
+constexpr std::uint32_t max_lost_attempts = 3;
+
 problem no_target(const call_row& call)
 {
     return {problem_id::no_target, ran_state::no,
@@ -297,10 +301,11 @@
     leave_target(state, call);
     withdraw(state, call);
     call.tried.push_back(call.target);
+    call.lost_attempts += failure.ran == ran_state::no ? 0 : 1;
     call.phase = call_phase::waiting_turn;
     const auto view = view_service(state, call);
     const bool another = std::ranges::any_of(view.targets, &target_view::usable);
-    if (!another || !state.retries.try_retry())
+    if (!another || call.lost_attempts >= max_lost_attempts || !state.retries.try_retry())
     {
         finish_without_turn(state, call.ref, failure);
         return;
--- a/src/control/entry_outcomes.cpp
+++ b/src/control/entry_outcomes.cpp
@@ -176,6 +176,12 @@
     call.phase = call_phase::withdrawing;
     call.finished = state.now;
     call.failure = failure;
+    if (call.lost_attempts > 0 && failure.ran == ran_state::no)
+    {
+        // Only the last attempt has not run.
+        call.failure.ran = ran_state::unknown;
+        call.failure.retry_after.reset();
+    }
     run_withdrawal(state, call);
     clear_active(state, ref);
     refuse_behind(state, ref);
--- a/src/control/entry_state.hpp
+++ b/src/control/entry_state.hpp
@@ -164,6 +164,8 @@
     core_time finished{};
     std::optional<reservation> reserved;
     std::vector<process_name> tried;
+    /// Attempts that may have run and brought no outcome.
+    std::uint32_t lost_attempts = 0;
     /// The record of its present intent; 0 if there is none from this home.
     journal_ticket intent = 0;
     /// The withdrawal that has to be durable before a caller is told that the call did not run; 0 if none.
--- a/tests/unit/test_system.cpp
+++ b/tests/unit/test_system.cpp
@@ -488,6 +488,30 @@
         CHECK(ran_in(f.ask(1, call_of(program, "k", true))) == "unknown");
         CHECK(f.world.runs_of({program, {"k"}}) == 1);
     }
+    SUBCASE("an idempotent call that each target loses is given up after three, and not called unexecuted")
+    {
+        // Guards against: one call goes through all targets of a service and takes each of them down.
+        constexpr std::size_t tools = 6;
+        for (const bool last_refuses : {false, true})
+        {
+            CAPTURE(last_refuses);
+            fixture many({.tools = tools});
+            const auto first = many.world.options().models;
+            const auto lossy = last_refuses ? std::size_t{1} : tools;
+            const auto program = many.create(0);
+            for (std::size_t n = 0; n < tools; ++n)
+            {
+                n < lossy ? many.world.lose_backend_answers(first + n, 100)
+                          : many.world.kill_target(first + n, false);
+            }
+            auto call = call_of(program, "k", true);
+            call.body = json{{"service", "tool"}, {"input", "x"}, {"idempotent", true}}.dump();
+            const auto answer = many.ask(0, call);
+            CHECK(answer.status != 200);
+            CHECK(ran_in(answer) != "no");
+            CHECK(many.world.runs_of({program, {"k"}}) == (last_refuses ? 1 : 3));
+        }
+    }
     SUBCASE("the target process dies with the action under way")
     {
         f.start(8, {.turns = 30, .tool = 100});
