Soak: requests under which targets end and come back, repeated by their callers beside all other faults

Checked while it goes on: no attempt is sent more often than its route allows, no content ends more than three targets while gateways hear of each other (three for each gateway under faults that part or kill them), and nothing else is refused with 400.

--- a/src/gateway/request_fingerprint.cpp
+++ b/src/gateway/request_fingerprint.cpp
@@ -34,8 +34,8 @@
         std::array<unsigned char, sizeof(size)> size_bytes{};
         std::memcpy(size_bytes.data(), &size, sizeof(size));
         crypto_generichash_update(&m_state, size_bytes.data(), size_bytes.size());
-        crypto_generichash_update(&m_state, reinterpret_cast<const unsigned char*>(field.data()),
-                                  field.size());
+        const void* const bytes = field.data();
+        crypto_generichash_update(&m_state, static_cast<const unsigned char*>(bytes), field.size());
     }
 
     [[nodiscard]] request_fingerprint finish()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -27,7 +27,7 @@
         self.ledger.budgets.setdefault(program, 0)
         if kind == "turn":
             self.ledger.turns[request_id] = promises.Turn(headers.get("Masticcourse-Previous-Turn", ""), body)
-        if kind not in ("lookup", "plan"):
+        if kind not in ("lookup", "plan", "poison"):
             self.ledger.once_only.add(request_id)
         headers = {wire.REQUEST_ID: request_id, "Masticcourse-Program-Id": program,
                    "Masticcourse-Deadline-Ms": str(DEADLINE_MS), **headers}
@@ -101,6 +101,17 @@
             await asyncio.gather(*(Caller(f"{self.name}-{number}-{n}", self.fleet, self.ledger, n)
                                    .turn(program, budget, previous) for n in range(8)))
 
+    async def poison(self, until):
+        """Repeats requests under which targets end, each one more often than it may end them."""
+        number = 0
+        while asyncio.get_running_loop().time() < until:
+            number += 1
+            path = f"{promises.POISON}{self.name}-{number}"
+            for _ in range(TRIES):
+                await self.call("poison", f"{self.name}-x{number}", path, {}, "poison")
+                await asyncio.sleep(self.random.uniform(0.0, 0.3))
+            await asyncio.sleep(self.random.uniform(0.5, 1.5))
+
     async def run(self, until):
         number = 0
         while asyncio.get_running_loop().time() < until:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -11,6 +11,11 @@
 # Kinds of requests that are answered by events: turns that are kept, and plans, which are not and may be resumed.
 STREAMS = ("turn", "plan")
 MOST_TOKENS = TOKENS_PER_EVENT * MOST_EVENTS
+# The paths of requests under which targets end.
+POISON = "/lookup/poison-"
+# The most targets that one attempt may reach, and that may end under one content while gateways hear of each other.
+MOST_ATTEMPTS = 2
+MOST_ENDS = 3
 # From a draining target's entry to the last request that may reach it.
 DRAIN_S = 2.0
 
@@ -48,6 +53,11 @@
     planned_only: bool = False
     # The seed plays all kinds of programs and faults.
     wide: bool = False
+    # The seed plays requests under which targets end.
+    poison: bool = False
+    # How often targets ended, by the path of the request.
+    ends: Counter = field(default_factory=Counter)
+    gateways: int = 1
     faults: list = field(default_factory=list)
     by_kind: dict = field(default_factory=lambda: defaultdict(Counter))
 
@@ -74,6 +84,16 @@
         if self.planned_only and since is not None and now > since + DRAIN_S:
             self.broken("drain", f"{request_id} reached {target} {now - since:.1f} s after it began to leave")
 
+    def on_end(self, target, path, request_id):
+        """A target ends under a request."""
+        self.ends[path] += 1
+        # Gateways that are killed, paused or cut off from each other each find out by themselves.
+        most = MOST_ENDS if self.planned_only else MOST_ENDS * self.gateways
+        if self.ends[path] > most:
+            self.broken("repeats", f"{path} ended {self.ends[path]} targets, the last one {target} by {request_id}")
+        if self.runs[request_id] > MOST_ATTEMPTS:
+            self.broken("repeats", f"{request_id} was sent {self.runs[request_id]} times")
+
     def on_answer(self, kind, request_id, program, answer):
         """A caller's request has ended; an answer with status 0 is none."""
         status = answer.status
@@ -82,6 +102,8 @@
             self.refused[request_id] = status
             if self.runs[request_id]:
                 self.broken("not run", f"{request_id} was refused with {status} and had run")
+        if status == 400 and kind != "poison":
+            self.broken("repeats", f"{request_id} was refused with 400")
         if status in (404, 410) and (kind != "turn" or self.turns[request_id].previous):
             self.broken("lost", f"{request_id} got {status}")
         if kind in STREAMS and status == 200:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -38,6 +38,14 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def stop(self):
+        """New connections are refused, open ones are reset, as if the process behind the address had ended."""
+        self.server.close()
+        self.reset_all()
+
+    async def start_again(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+
     def set_mode(self, mode):
         self.mode = mode
         if mode is Mode.RESET:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,8 @@
 # Seeds from there on also play budgets without kept turns, resumed streams, targets that start again under their names
 # and rows of other writers. Those below stay as they were when they failed once.
 WIDE_SEEDS = 1000
+# Seeds from there on also play requests under which targets end.
+POISON_SEEDS = 2000
 # Gateways share out the right to allow overdrafts within that time of their start.
 BUCKETS_S = 5.0
 # A run that is not over by then hangs: programs under way at the end of the faults take half a minute at most.
@@ -54,7 +56,7 @@
 
 
 async def run_seed(build, folder, seed):
-    ledger = Ledger(planned_only=seed % 4 == 0, wide=seed >= WIDE_SEEDS)
+    ledger = Ledger(planned_only=seed % 4 == 0, wide=seed >= WIDE_SEEDS, poison=seed >= POISON_SEEDS, gateways=GATEWAYS)
     fleet = Fleet(build, folder, GATEWAYS)
     targets = [Target(ledger, f"i-{service}-{n}", service, service == "model", seed)
                for service in ("model", "desk2") for n in range(3)]
@@ -69,10 +71,15 @@
         await asyncio.sleep(BUCKETS_S if ledger.wide else 1.0)
         until = asyncio.get_running_loop().time() + FAULTS_S
         callers = [Caller(f"c{n}", fleet, ledger, seed) for n in range(CALLERS)]
-        await asyncio.wait_for(asyncio.gather(faults.run(until), *(it.run(until) for it in callers)), LONGEST_S)
+        work = [it.run(until) for it in callers]
+        if ledger.poison:
+            work.append(Caller("x", fleet, ledger, seed).poison(until))
+        await asyncio.wait_for(asyncio.gather(faults.run(until), *work), LONGEST_S)
         await check_recovery(fleet, ledger, seed)
     finally:
         await fleet.stop()
+    if ledger.poison and not ledger.ends:
+        ledger.broken("service", "no target ended under a request")
     if not ledger.whole:
         ledger.broken("service", "no turn was answered whole")
     return ledger, faults
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -45,6 +45,13 @@
         for writer in list(self.connections):
             reset(writer)
 
+    async def end(self):
+        """Its process ends, and another one takes its place after a while."""
+        self.proxy.stop()
+        self.start_again()
+        await asyncio.sleep(self.random.uniform(0.1, 1.5))
+        await self.proxy.start_again()
+
     async def serve(self, reader, writer):
         self.connections.add(writer)
         try:
@@ -73,6 +80,10 @@
 
     async def run(self, request, request_id, headers, writer):
         self.ledger.on_run(self.name, request_id, request.body, asyncio.get_running_loop().time())
+        if promises.POISON in request.start:
+            self.ledger.on_end(self.name, request.start.split()[1], request_id)
+            self.ending = asyncio.create_task(self.end())
+            return False
         headers |= {wire.SIGNATURE: f"by-{self.name}", "Masticcourse-Instance-Load": f"{self.busy},0,{self.SLOTS}"}
         if self.ledger.wide and self.framing.random() < UNFRAMED:
             return await self.run_unframed(request, request_id, headers, writer)
--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -119,9 +119,11 @@
         std::ranges::for_each(config.routes, [&](route& one) { one.max_attempts = it.max_attempts; });
         world.config = std::make_shared<const gateway_config>(std::move(config));
         const auto view = world.send(world.make_request(it.route, "r"));
-        for (std::size_t n = 0; n < world.sent.size(); ++n)
+        // Each failure may cause a retry.
+        std::size_t failed = 0;
+        while (failed < world.sent.size())
         {
-            const auto attempt = world.sent[n];
+            const auto attempt = world.sent[failed++];
             CHECK(attempt->request.may_resend == false);
             attempt->fail(http_failure::broken, {.sends = 1, .kept_connection = true});
         }
--- a/tests/unit/test_gateway_poison_detection.cpp
+++ b/tests/unit/test_gateway_poison_detection.cpp
@@ -209,13 +209,14 @@
     std::mt19937_64 random{test_seed().value};
     for (int run = 0; run < 200; ++run)
     {
-        std::vector<suspicion_report> reports;
-        for (int n = 0; n < 8; ++n)
+        constexpr std::size_t count = 8;
+        std::vector<suspicion_report> reports(count);
+        for (auto& it : reports)
         {
-            reports.push_back({.request = request_number(random() % 2),
-                               .state = {.generation = static_cast<std::uint32_t>(random() % 3),
-                                         .ends = static_cast<std::uint32_t>(random() % 3)},
-                               .age = milliseconds{5}});
+            it = {.request = request_number(random() % 2),
+                  .state = {.generation = static_cast<std::uint32_t>(random() % 3),
+                            .ends = static_cast<std::uint32_t>(random() % 3)},
+                  .age = milliseconds{5}};
         }
         poison_detection one;
         poison_detection other;
--- a/tests/unit/test_gateway_poison_requests.cpp
+++ b/tests/unit/test_gateway_poison_requests.cpp
@@ -188,8 +188,8 @@
 // many further targets to their end as the route allows in one attempt.
 TEST_CASE("once three targets have ended under a request, no further attempt of its caller reaches a target")
 {
-    constexpr int attempts = 6;
-    for (const std::size_t gateways : {1, 2})
+    constexpr std::size_t attempts = 6;
+    for (const auto gateways : {std::size_t{1}, std::size_t{2}})
     {
         for (const std::string route : {"look", "once", "often", "order", "turn", "plan"})
         {
@@ -204,7 +204,7 @@
                 {
                     fleet.keep_connections(n, "/look/warm");
                 }
-                for (int n = 0; n < attempts; ++n)
+                for (std::size_t n = 0; n < attempts; ++n)
                 {
                     const auto reply =
                         fleet.send(n % gateways, "/" + route + "/end/1", "r" + std::to_string(n));
