Smaller files: the gateway's state, the rows it follows and what peers may call stand apart; one decoder of counts; tests of attempts in a file of their own

No behaviour changes, but a count over 32 bits in a message of quotas is refused now as in messages of load, not cut.

--- a/src/gateway/cbor_messages.hpp
+++ b/src/gateway/cbor_messages.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <exception>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
@@ -53,6 +54,17 @@
     return it.get<Unsigned>();
 }
 
+/// @throws std::invalid_argument unless the value is an unsigned integer of 32 bits
+[[nodiscard]] inline std::uint32_t to_count(const nlohmann::json& it)
+{
+    const auto count = to_unsigned<std::uint64_t>(it);
+    if (count > std::numeric_limits<std::uint32_t>::max())
+    {
+        throw std::invalid_argument("count out of range");
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
 /// @return the result of @a read for the document; nothing if it throws or @a bytes is not valid CBOR
 template <typename Read>
 [[nodiscard]] auto decode_cbor(const std::string& bytes, Read read)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,14 +1,9 @@
-#include "masticcourse/gateway/gateway.hpp"
-
-#include "peer_calls.hpp"
+#include "gateway_state.hpp"
 
 #include "masticcourse/gateway/io_delay.hpp"
-#include "masticcourse/gateway/peer_list.hpp"
-#include "masticcourse/gateway/row_fault_log.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
-#include <array>
 #include <random>
 #include <utility>
 
@@ -22,9 +17,6 @@
 /// takes a few milliseconds unless the network fails.
 constexpr server_check_options target_check{
     .connect_timeout = milliseconds{100}, .settle_time = milliseconds{10}, .max_tries = 3};
-/// How long a registry entry that vanished around a store outage may take to reappear before its target is
-/// removed.
-constexpr milliseconds vanished_entry_grace{2'000};
 /// Interval between sweeps of the tables for expired entries.
 constexpr milliseconds sweep_period{100};
 /// Shortest time between two updates of the configuration and of the targets: far below the time in which a
@@ -50,69 +42,6 @@
 
 } // namespace
 
-struct gateway::state
-{
-    state(boost::asio::io_context& io, gateway_options given_options,
-          const gateway_protocol& request_protocol, row_store& table_store, peer_directory& directory,
-          table_decoders row_decoders, metrics_registry& metrics);
-
-    void start();
-    void stop(std::function<void()> callback);
-    void serve(http_request request, std::shared_ptr<http_exchange> exchange);
-    void apply_config_row(const stored_row& row);
-    void apply_target_row(const stored_row& row);
-    void apply_target_snapshot(const std::vector<stored_row>& rows);
-    /// @return whether the row holds a usable target
-    bool put_target(const stored_row& row);
-    /// Replies to a peer that follows a table through this gateway.
-    void serve_feed(const std::string& bytes, const std::shared_ptr<http_exchange>& exchange);
-    [[nodiscard]] milliseconds removal_grace() const;
-    [[nodiscard]] bool ready() const;
-    void sweep();
-    void schedule_sweep();
-    void check_stopped();
-
-    boost::asio::io_context& context;
-    gateway_options options;
-    const gateway_protocol& protocol;
-    row_store& store;
-    peer_directory& peers;
-    random_seed seed;
-    table_decoders decoders;
-    metrics_registry& registry;
-    delay_function delay;
-    config_holder config;
-    target_table targets;
-    http_client client;
-    detail::peer_calls peer_client;
-    commit_queue local_commits;
-    commit_router commits;
-    collected_rows shared_rows;
-    program_spending spending;
-    turn_store turns;
-    bucket_ownership overdraft_buckets;
-    overdraft overdrafts;
-    bucket_ownership quota_buckets;
-    workspace_quotas quotas;
-    request_scheduler scheduler;
-    poison_detection poison;
-    poison_exchange suspicions;
-    forwarding_services services;
-    feed_context feeds;
-    peer_list gateways;
-    table_follower config_rows;
-    table_follower target_rows;
-    std::unique_ptr<http_server> frontend;
-    std::unique_ptr<http_server> readiness;
-    std::unique_ptr<http_server> metrics_server;
-    std::function<void()> on_stopped;
-    std::optional<time_point> stopping_since;
-    row_fault_log row_faults;
-    std::optional<time_point> last_sweep;
-    bool was_ready = false;
-    bool accepting_stopped = false;
-};
-
 gateway::state::state(boost::asio::io_context& io, gateway_options given_options,
                       const gateway_protocol& request_protocol, row_store& table_store,
                       peer_directory& directory, table_decoders row_decoders, metrics_registry& metrics)
@@ -281,101 +210,6 @@
         });
 }
 
-milliseconds gateway::state::removal_grace() const
-{
-    // Measured from the store's return, not from when the entry vanished: an entry that vanishes later than
-    // that was deregistered, and requests still sent to it would arrive after it has stopped serving.
-    const auto since_return = std::chrono::floor<milliseconds>(target_rows.time_since_failure());
-    return std::max(milliseconds{0}, vanished_entry_grace - since_return);
-}
-
-void gateway::state::apply_config_row(const stored_row& row)
-{
-    if (row.removed)
-    {
-        return;
-    }
-    auto decoded = decoders.decode_config(row);
-    if (!decoded)
-    {
-        return;
-    }
-    if (const auto* const fault = std::get_if<row_decode_error>(&*decoded))
-    {
-        // The current configuration stays in force.
-        row_faults.report(row.name, row.version, fault->message);
-        return;
-    }
-    if (!config.adopt(std::get<gateway_config>(std::move(*decoded))))
-    {
-        return;
-    }
-    quotas.set_config(config.current());
-    scheduler.set_config(config.current());
-    const auto& limits = config.current()->limits;
-    frontend->set_limits({.max_body = limits.max_body,
-                          .max_header = limits.max_header,
-                          .header_timeout = limits.header_timeout,
-                          .idle_timeout = limits.idle_timeout});
-    log_event(event_id::config_applied, {{"version", std::to_string(config.current()->version)},
-                                         {"row_version", std::to_string(row.version)},
-                                         {"routes", std::to_string(config.current()->routes.size())}});
-}
-
-void gateway::state::apply_target_row(const stored_row& row)
-{
-    const auto now = monotonic_now();
-    if (row.removed)
-    {
-        if (targets.remove({row.name.key}, now, removal_grace()))
-        {
-            log_event(event_id::target_lost,
-                      {{"target", row.name.key}, {"grace_ms", std::to_string(removal_grace().count())}});
-        }
-        sweep();
-        return;
-    }
-    put_target(row);
-}
-
-bool gateway::state::put_target(const stored_row& row)
-{
-    const auto decoded = decoders.decode_target(row);
-    if (const auto* const fault = std::get_if<row_decode_error>(&decoded))
-    {
-        row_faults.report(row.name, row.version, fault->message);
-        targets.withdraw({row.name.key});
-        return false;
-    }
-    row_faults.clear(row.name);
-    const auto& record = std::get<target_record>(decoded);
-    if (targets.put(record))
-    {
-        log_event(event_id::target_available,
-                  {{"target", record.id.value},
-                   {"started_ms", std::to_string(record.started.time_since_epoch().count())},
-                   {"service", record.service.value},
-                   {"address", record.address},
-                   {"draining", record.draining ? "yes" : "no"},
-                   {"row_version", std::to_string(row.version)}});
-    }
-    return true;
-}
-
-void gateway::state::apply_target_snapshot(const std::vector<stored_row>& rows)
-{
-    std::vector<target_id> present;
-    for (const auto& it : rows)
-    {
-        if (put_target(it))
-        {
-            present.push_back({it.name.key});
-        }
-    }
-    targets.retain(present, monotonic_now(), removal_grace());
-    log_event(event_id::registry_read, {{"targets", std::to_string(present.size())}});
-}
-
 void gateway::state::sweep()
 {
     const auto now = monotonic_now();
@@ -414,23 +248,6 @@
     check_stopped();
 }
 
-void gateway::state::serve_feed(const std::string& bytes, const std::shared_ptr<http_exchange>& exchange)
-{
-    const auto request = decode_relay_request(bytes);
-    const std::array followers{std::pair{std::string{peer_list::table_name}, &gateways.table()},
-                               std::pair{decoders.config_table, &config_rows},
-                               std::pair{decoders.target_table, &target_rows}};
-    const auto is_requested = [&request](const auto& it) { return request && it.first == request->table; };
-    const auto it = std::ranges::find_if(followers, is_requested);
-    if (it == followers.end())
-    {
-        exchange->respond(detail::to_response(std::nullopt));
-        return;
-    }
-    it->second->serve(*request, [exchange](const relay_reply& reply)
-                      { exchange->respond(detail::to_response(std::optional{encode(reply)})); });
-}
-
 void gateway::state::check_stopped()
 {
     const auto waited = monotonic_now() - *stopping_since;
@@ -479,31 +296,4 @@
     m_state->stop(std::move(on_stopped));
 }
 
-std::vector<peer_handler> gateway::peer_handlers()
-{
-    // Replies with what is made of the body of the call, or with an error if that is nothing.
-    const auto reply_with = [](auto read)
-    {
-        return [read](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
-        { exchange->respond(detail::to_response(read(request.body))); };
-    };
-    auto& it = *m_state;
-    return {
-        {detail::commit_path,
-         [&it](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
-         {
-             it.commits.collect(request.body, [exchange](const collector_reply& reply)
-                                { exchange->respond(detail::to_response(reply)); });
-         }},
-        {detail::feed_path, [&it](const http_request& request, const std::shared_ptr<http_exchange>& exchange)
-         { it.serve_feed(request.body, exchange); }},
-        {detail::row_lookup_path,
-         reply_with([&it](const auto& body) { return it.shared_rows.read_cached(body); })},
-        {detail::overdraft_path, reply_with([&it](const auto& body) { return it.overdrafts.serve(body); })},
-        {detail::quota_path,
-         reply_with([&it](const auto& body) { return it.quotas.handle_peer_request(body); })},
-        {detail::load_path, reply_with([&it](const auto& body) { return it.scheduler.serve_digest(body); })},
-        {detail::suspicions_path, reply_with([&it](const auto& body) { return it.suspicions.serve(body); })}};
-}
-
 } // namespace masticcourse::gateway
--- /dev/null
+++ b/src/gateway/gateway_state.hpp
@@ -0,0 +1,83 @@
+/// @file
+/// The components of a gateway, and what connects them.
+#pragma once
+
+#include "peer_calls.hpp"
+
+#include "masticcourse/gateway/gateway.hpp"
+#include "masticcourse/gateway/peer_list.hpp"
+#include "masticcourse/gateway/row_fault_log.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticcourse::gateway
+{
+
+struct gateway::state
+{
+    state(boost::asio::io_context& io, gateway_options given_options,
+          const gateway_protocol& request_protocol, row_store& table_store, peer_directory& directory,
+          table_decoders row_decoders, metrics_registry& metrics);
+
+    void start();
+    void stop(std::function<void()> callback);
+    void serve(http_request request, std::shared_ptr<http_exchange> exchange);
+    void apply_config_row(const stored_row& row);
+    void apply_target_row(const stored_row& row);
+    void apply_target_snapshot(const std::vector<stored_row>& rows);
+    /// @return whether the row holds a usable target
+    bool put_target(const stored_row& row);
+    /// Replies to a peer that follows a table through this gateway.
+    void serve_feed(const std::string& bytes, const std::shared_ptr<http_exchange>& exchange);
+    [[nodiscard]] milliseconds removal_grace() const;
+    [[nodiscard]] bool ready() const;
+    void sweep();
+    void schedule_sweep();
+    void check_stopped();
+
+    boost::asio::io_context& context;
+    gateway_options options;
+    const gateway_protocol& protocol;
+    row_store& store;
+    peer_directory& peers;
+    random_seed seed;
+    table_decoders decoders;
+    metrics_registry& registry;
+    delay_function delay;
+    config_holder config;
+    target_table targets;
+    http_client client;
+    detail::peer_calls peer_client;
+    commit_queue local_commits;
+    commit_router commits;
+    collected_rows shared_rows;
+    program_spending spending;
+    turn_store turns;
+    bucket_ownership overdraft_buckets;
+    overdraft overdrafts;
+    bucket_ownership quota_buckets;
+    workspace_quotas quotas;
+    request_scheduler scheduler;
+    poison_detection poison;
+    poison_exchange suspicions;
+    forwarding_services services;
+    feed_context feeds;
+    peer_list gateways;
+    table_follower config_rows;
+    table_follower target_rows;
+    std::unique_ptr<http_server> frontend;
+    std::unique_ptr<http_server> readiness;
+    std::unique_ptr<http_server> metrics_server;
+    std::function<void()> on_stopped;
+    std::optional<time_point> stopping_since;
+    row_fault_log row_faults;
+    std::optional<time_point> last_sweep;
+    bool was_ready = false;
+    bool accepting_stopped = false;
+};
+
+} // namespace masticcourse::gateway
--- a/src/gateway/poison_messages.cpp
+++ b/src/gateway/poison_messages.cpp
@@ -15,13 +15,9 @@
 using detail::decode_cbor;
 using detail::encode_cbor;
 using detail::require_array;
+using detail::to_count;
 using nlohmann::json;
 
-std::uint32_t to_count(const json& it)
-{
-    return detail::to_unsigned<std::uint32_t>(it);
-}
-
 json from_report(const suspicion_report& it)
 {
     return json::array({to_string(it.request), it.state.generation, it.state.ends,
--- a/src/gateway/quota/quota_messages.cpp
+++ b/src/gateway/quota/quota_messages.cpp
@@ -13,13 +13,9 @@
 using detail::decode_cbor;
 using detail::encode_cbor;
 using detail::require_array;
+using detail::to_count;
 using nlohmann::json;
 
-std::uint32_t to_count(const json& it)
-{
-    return detail::to_unsigned<std::uint32_t>(it);
-}
-
 milliseconds to_duration(const json& it)
 {
     return milliseconds{to_count(it)};
--- a/src/gateway/scheduling/load_messages.cpp
+++ b/src/gateway/scheduling/load_messages.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <stdexcept>
 
 namespace masticcourse::gateway
@@ -16,6 +15,7 @@
 using detail::decode_cbor;
 using detail::encode_cbor;
 using detail::require_array;
+using detail::to_count;
 using nlohmann::json;
 
 /// Maximum length of the name of a gateway, a run, a target or a service.
@@ -24,16 +24,6 @@
 constexpr double percent = 100;
 constexpr std::uint32_t max_time_percent = 1'000'000;
 
-std::uint32_t to_count(const json& it)
-{
-    const auto count = detail::to_unsigned<std::uint64_t>(it);
-    if (count > std::numeric_limits<std::uint32_t>::max())
-    {
-        throw std::invalid_argument("count out of range");
-    }
-    return static_cast<std::uint32_t>(count);
-}
-
 std::string to_name(const json& it)
 {
     const auto& name = it.get_ref<const std::string&>();
