A gateway that starts or shuts down is told of requests under which targets end

A gateway that shuts down leaves the list of gateways at once and serves its callers' connections for seconds; nobody told it. Change: such a gateway, and one that has just started, subscribes with two others, which tell it the news for 30 s.

--- a/include/masticcourse/gateway/poison_exchange.hpp
+++ b/include/masticcourse/gateway/poison_exchange.hpp
@@ -44,8 +44,9 @@
 
     explicit poison_exchange(dependencies services);
 
-    /// Asks another gateway for all it suspects; used after the start.
-    void fetch();
+    /// Asks other gateways for all they suspect, and to be told the news from then on. Used after the start
+    /// and before the end, when this gateway serves callers but is not in the list of all others.
+    void subscribe();
 
     /// Tells the other gateways of a request whose suspicion has changed.
     /// @param on_told called once the neighbours have confirmed it, after a short time at the latest
@@ -75,7 +76,11 @@
         std::vector<telling_ptr> tellings;
     };
 
-    void fetch_from(int tries_left);
+    void subscribe(int tries_left);
+    void subscribe_to(const std::string& gateway, int tries_left);
+    /// @return the gateways that are told what is new here
+    [[nodiscard]] std::vector<std::string> neighbours(time_point now) const;
+    void add_subscriber(const std::string& gateway, time_point now);
     static void finish(telling& it);
     void send(const std::string& neighbour);
     void on_reply(const std::string& neighbour, const std::vector<telling_ptr>& confirmed,
@@ -92,6 +97,8 @@
     counter& m_failed;
     gauge& m_quarantined;
     std::unordered_map<std::string, outbox> m_outboxes;
+    /// Gateways that have subscribed here, and until when they are told.
+    std::unordered_map<std::string, time_point> m_subscribers;
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/poison_messages.hpp
+++ b/include/masticcourse/gateway/poison_messages.hpp
@@ -20,7 +20,7 @@
 {
     /// Address of the sender, which needs not to be told the same again.
     std::string sender;
-    /// The sender has just started and asks for all suspicions.
+    /// The sender asks for all suspicions, and to be told the news from now on.
     bool wants_all = false;
     std::vector<suspicion_report> reports;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -161,7 +161,7 @@
         {
             config_rows.start();
             target_rows.start();
-            suspicions.fetch();
+            suspicions.subscribe();
         });
     overdraft_buckets.start();
     schedule_sweep();
@@ -241,6 +241,8 @@
     stopping_since = monotonic_now();
     sweep();
     gateways.leave();
+    // The others leave this gateway out from now on, and callers keep using their connections to it.
+    suspicions.subscribe();
     frontend->announce_close();
     overdraft_buckets.leave([this](std::size_t bucket) { return overdrafts.idle(bucket); });
     // Permits granted to peers expire by themselves.
--- a/src/gateway/poison_exchange.cpp
+++ b/src/gateway/poison_exchange.cpp
@@ -12,9 +12,14 @@
 /// How long the answer to a caller may wait for the neighbours. They confirm within a few milliseconds; one
 /// that does not must not hold the answer up.
 constexpr milliseconds max_telling_time{50};
-/// How often, and at which interval, a gateway that has started asks for what the others suspect.
-constexpr int max_fetches = 5;
-constexpr milliseconds fetch_retry_interval{500};
+/// Gateways that one subscribes to; one of them may be about to end as well.
+constexpr std::size_t subscriptions = 2;
+constexpr int max_subscription_tries = 5;
+constexpr milliseconds subscription_retry_interval{500};
+/// Longer than a gateway takes to be known to all others, or to end.
+constexpr seconds subscription_lifetime{30};
+/// Bounds what a gateway sends if many others start at once.
+constexpr std::size_t max_subscribers = 32;
 
 } // namespace
 
@@ -30,34 +35,61 @@
 {
 }
 
-void poison_exchange::fetch()
+void poison_exchange::subscribe()
 {
-    fetch_from(max_fetches);
+    subscribe(max_subscription_tries);
 }
 
-void poison_exchange::fetch_from(int tries_left)
+void poison_exchange::subscribe(int tries_left)
 {
-    const auto now = m_services.clock();
-    const auto chosen = m_services.peers.choose(1, now);
-    if (chosen.empty() || tries_left == 0)
+    for (const auto& it : m_services.peers.choose(subscriptions, m_services.clock()))
     {
-        return;
+        subscribe_to(it, tries_left);
     }
+}
+
+void poison_exchange::subscribe_to(const std::string& gateway, int tries_left)
+{
     m_messages.add();
-    m_services.send(chosen.front(), encode(suspicion_news{.sender = m_services.self, .wants_all = true}),
-                    [this, tries_left, from = chosen.front()](const std::optional<std::string>& bytes)
+    m_services.send(gateway, encode(suspicion_news{.sender = m_services.self, .wants_all = true}),
+                    [this, tries_left, gateway](const std::optional<std::string>& bytes)
                     {
                         if (const auto reply = bytes ? decode_suspicion_reply(*bytes) : std::nullopt)
                         {
-                            merge(reply->reports, from);
+                            merge(reply->reports, gateway);
                             return;
                         }
                         m_failed.add();
-                        m_services.delay(fetch_retry_interval,
-                                         [this, tries_left] { fetch_from(tries_left - 1); });
+                        if (tries_left > 1)
+                        {
+                            m_services.delay(subscription_retry_interval,
+                                             [this, tries_left] { subscribe(tries_left - 1); });
+                        }
                     });
 }
 
+std::vector<std::string> poison_exchange::neighbours(time_point now) const
+{
+    auto all = m_services.peers.flood_neighbours(now);
+    for (const auto& [gateway, until] : m_subscribers)
+    {
+        if (now < until && std::ranges::find(all, gateway) == all.end())
+        {
+            all.push_back(gateway);
+        }
+    }
+    return all;
+}
+
+void poison_exchange::add_subscriber(const std::string& gateway, time_point now)
+{
+    std::erase_if(m_subscribers, [now](const auto& it) { return now >= it.second; });
+    if (m_subscribers.size() < max_subscribers)
+    {
+        m_subscribers[gateway] = now + subscription_lifetime;
+    }
+}
+
 void poison_exchange::finish(telling& it)
 {
     if (const auto on_told = std::exchange(it.on_told, nullptr))
@@ -69,10 +101,10 @@
 void poison_exchange::tell(const request_fingerprint& request, std::function<void()> on_told)
 {
     on_change();
-    const auto neighbours = m_services.peers.flood_neighbours(m_services.clock());
+    const auto told = neighbours(m_services.clock());
     const auto telling_state =
-        std::make_shared<telling>(telling{.unconfirmed = neighbours.size(), .on_told = std::move(on_told)});
-    if (neighbours.empty())
+        std::make_shared<telling>(telling{.unconfirmed = told.size(), .on_told = std::move(on_told)});
+    if (told.empty())
     {
         finish(*telling_state);
         return;
@@ -81,7 +113,7 @@
     {
         m_services.delay(max_telling_time, [telling_state] { finish(*telling_state); });
     }
-    for (const auto& it : neighbours)
+    for (const auto& it : told)
     {
         auto& box = m_outboxes[it];
         box.waiting.insert(request);
@@ -153,6 +185,7 @@
     suspicion_reply reply{.reports = newer_than(news->reports)};
     if (news->wants_all)
     {
+        add_subscriber(news->sender, m_services.clock());
         reply.reports = m_services.detection.reports(max_suspicion_reports, m_services.clock());
     }
     merge(news->reports, news->sender);
@@ -190,7 +223,7 @@
         return;
     }
     on_change();
-    for (const auto& it : m_services.peers.flood_neighbours(now))
+    for (const auto& it : neighbours(now))
     {
         if (it != sender)
         {
--- a/tests/unit/test_gateway_poison_detection.cpp
+++ b/tests/unit/test_gateway_poison_detection.cpp
@@ -418,13 +418,37 @@
     all.time.run(50ms);
     CHECK(told);
     CHECK(all.refusing(request_number(1)) == 40 - 13);
-    // A gateway that has just started asks another one for what it has missed.
+    // A gateway that has just started asks others for what it has missed.
     all[1].silent = false;
-    all[1].exchange.fetch();
+    all[1].exchange.subscribe();
     all.time.run(5s);
     CHECK(all[1].detection.quarantine(request_number(1), all.time.clock()()));
 }
 
+// Guards against: a gateway that is shutting down, or has just started, still serves the attempts of a
+// caller, but is not in the list of the others and is told nothing.
+TEST_CASE("a gateway that is not in the list of the others is told the news once it has subscribed")
+{
+    exchanging_gateways all(4);
+    for (std::size_t n = 0; n < 3; ++n)
+    {
+        all[n].peers.set({{.address = "g0"}, {.address = "g1"}, {.address = "g2"}});
+    }
+    end_targets(all[0].detection, request_number(1), 3, all.time.clock()());
+    all[0].exchange.tell(request_number(1));
+    all.time.run(10ms);
+    CHECK(all.refusing(request_number(1)) == 3);
+    all[3].exchange.subscribe();
+    all.time.run(10ms);
+    CHECK(all.refusing(request_number(1)) == 4);
+    end_targets(all[0].detection, request_number(2), 3, all.time.clock()());
+    bool told = false;
+    all[0].exchange.tell(request_number(2), [&] { told = true; });
+    all.time.run(10ms);
+    CHECK(told);
+    CHECK(all.refusing(request_number(2)) == 4);
+}
+
 // Load: a crash of many targets gives all gateways news about many requests at once.
 TEST_CASE("news that come up while a message is on the way go into the next one")
 {
