A request whose content was answered lately is not refused as one that ends targets

Change: a gateway remembers the contents answered within ten seconds, and refuses none of them; a report that is not taken over in full is no news, so that gateways don't pass it on to each other without end (by reading; also at the bound of the quarantine).

--- a/include/masticcourse/gateway/poison_detection.hpp
+++ b/include/masticcourse/gateway/poison_detection.hpp
@@ -63,12 +63,19 @@
     std::size_t max_quarantined = 32;
     /// Requests that are remembered; beyond, the least suspected ones are forgotten first.
     std::size_t max_requests = 1'024;
+    /// How long the answer to a request shows that its content does not end targets.
+    milliseconds answered_memory = std::chrono::seconds{10};
+    /// Answered requests that are remembered; a request replaces the one that shares its slot.
+    std::size_t answered_slots = 1'024;
 };
 
 class poison_detection
 {
   public:
-    explicit poison_detection(poison_options options = {}) : m_options(options) {}
+    explicit poison_detection(poison_options options = {})
+        : m_options(options), m_answered(options.answered_slots)
+    {
+    }
 
     /// @return whether no request is suspected or has been lately
     [[nodiscard]] bool empty() const
@@ -113,6 +120,14 @@
         time_point changed_at{};
     };
 
+    struct answered_request
+    {
+        request_fingerprint request;
+        time_point at{};
+    };
+
+    [[nodiscard]] answered_request& slot_of(const request_fingerprint& request);
+    [[nodiscard]] bool answered_lately(const request_fingerprint& request, time_point now);
     [[nodiscard]] milliseconds quarantine_after(const suspicion& state) const;
     [[nodiscard]] time_point forgotten_at(const entry& it) const;
     [[nodiscard]] bool is_quarantined(const entry& it, time_point now) const;
@@ -124,6 +139,7 @@
 
     poison_options m_options;
     std::unordered_map<request_fingerprint, entry, request_fingerprint_hash> m_entries;
+    std::vector<answered_request> m_answered;
 };
 
 } // namespace masticcourse::gateway
--- a/src/gateway/forwarded_request_failures.cpp
+++ b/src/gateway/forwarded_request_failures.cpp
@@ -217,7 +217,7 @@
 
 void forwarded_request::record_target_response()
 {
-    if (!m_services.poison.empty() && m_services.poison.record_response(content(), m_services.clock()))
+    if (m_services.poison.record_response(content(), m_services.clock()))
     {
         m_services.suspicions.tell(content());
     }
--- a/src/gateway/poison_detection.cpp
+++ b/src/gateway/poison_detection.cpp
@@ -75,8 +75,20 @@
     return set(request, state, now, now);
 }
 
+poison_detection::answered_request& poison_detection::slot_of(const request_fingerprint& request)
+{
+    return m_answered[request.low % m_answered.size()];
+}
+
+bool poison_detection::answered_lately(const request_fingerprint& request, time_point now)
+{
+    const auto& slot = slot_of(request);
+    return slot.request == request && now < slot.at + m_options.answered_memory;
+}
+
 bool poison_detection::record_response(const request_fingerprint& request, time_point now)
 {
+    slot_of(request) = {.request = request, .at = now};
     const auto state = find(request, now);
     if (state.ends == 0)
     {
@@ -88,7 +100,8 @@
 
 bool poison_detection::merge(const suspicion_report& report, time_point now)
 {
-    if (report.state <= find(request_fingerprint{report.request}, now))
+    const auto known = find(report.request, now);
+    if (report.state <= known)
     {
         return false;
     }
@@ -97,8 +110,8 @@
     {
         return false;
     }
-    set(report.request, reported.state, reported.changed_at, now);
-    return true;
+    // What is not taken over in full is no news: gateways would pass it on to each other without end.
+    return set(report.request, reported.state, reported.changed_at, now) != known;
 }
 
 suspicion poison_detection::set(const request_fingerprint& request, suspicion state, time_point changed_at,
@@ -106,7 +119,8 @@
 {
     make_room(now);
     auto& stored = m_entries[request];
-    if (!is_quarantined(stored, now) && quarantined(now) >= m_options.max_quarantined)
+    const bool too_many = !is_quarantined(stored, now) && quarantined(now) >= m_options.max_quarantined;
+    if (too_many || answered_lately(request, now))
     {
         state.ends = std::min(state.ends, m_options.max_ends - 1);
     }
--- a/tests/unit/test_gateway_poison_detection.cpp
+++ b/tests/unit/test_gateway_poison_detection.cpp
@@ -166,6 +166,26 @@
     CHECK_FALSE(detection.record_response(request_number(2), start));
 }
 
+// Load: a service of three targets, all of which end under one request while others are under way at each of
+// them.
+TEST_CASE(
+    "a content that was answered lately is not refused, whatever targets end under it, here or elsewhere")
+{
+    poison_detection detection;
+    const auto popular = request_number(1);
+    detection.record_response(popular, start);
+    end_targets(detection, popular, 5, start + 1s);
+    CHECK(detection.find(popular, start + 1s).ends == 2);
+    CHECK_FALSE(detection.quarantine(popular, start + 1s));
+    // A report from a gateway that saw no answer is not taken over in full, and is no news the second time.
+    const suspicion_report report{.request = popular, .state = {.generation = 0, .ends = 4}, .age = 0ms};
+    CHECK_FALSE(detection.merge(report, start + 1s));
+    CHECK_FALSE(detection.quarantine(popular, start + 1s));
+    // Without an answer for a while it counts like any other.
+    end_targets(detection, popular, 1, start + 11s);
+    CHECK(detection.quarantine(popular, start + 11s));
+}
+
 // Load: targets crash again and again, many at once, while popular and single requests are repeated.
 TEST_CASE("under crashes of many targets no request is refused that is not at fault")
 {
--- a/tests/unit/test_gateway_response_ends.cpp
+++ b/tests/unit/test_gateway_response_ends.cpp
@@ -174,7 +174,7 @@
             CAPTURE(kind);
             CAPTURE(body);
             scripted_target_fixture world{
-                {{response_head("a1") + framed(kind, body), connection_end::close},
+                {{response_head("a1") + "Connection: close\r\n" + framed(kind, body), connection_end::close},
                  {response_head("a2") + framed(framing::chunks, first_event), connection_end::close}}};
             const auto reply = world.platform.send(world.gateway, "/turn/1", "a1");
             CHECK(reply.status == 200);
