--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -33,7 +33,6 @@
     CHECK(body_of(*over) == "over_budget");
 }
 
-constexpr int status_unavailable = 503;
 constexpr int status_bad_gateway = 502;
 
 } // namespace
