--- a/review/3/case.py
+++ b/review/3/case.py
@@ -154,8 +154,12 @@
 async def main():
     folder = tempfile.mkdtemp()
     case = Case(folder)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         return await asyncio.wait_for(case.run(), 100)
+    except asyncio.CancelledError:
+        case.note("the case was ended from outside")
+        return 2
     except Exception as error:  # The case could not run; the record says why.
         case.note(f"the case failed: {error!r}")
         return 2
