Budgets: a refusal logs the row that it rests on, and where that row was read

`turn_over_budget` (2307) tells the row's tokens, reservations by turn, version and source; a conflict that `commit_queue` reports from its cache is told from one of the store, also in the messages between gateways (a fourth element, which gateways of earlier versions ignore; without it the source counts as a cache). No decision changes.

--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -11,6 +11,7 @@
 #include "masticcourse/gateway/row_cache.hpp"
 #include "masticcourse/gateway/row_store.hpp"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -18,6 +19,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -34,6 +36,17 @@
     time_point expires;
 };
 
+/// Where a row was read.
+enum class row_source : std::uint8_t
+{
+    /// A gateway's cache: others may have written the row since, any time ago.
+    cache,
+    /// The store, after the call that asked for the row.
+    store,
+};
+
+[[nodiscard]] std::string_view to_string(row_source source);
+
 struct change_result
 {
     /// `done`, `conflict`, or `unknown` if the change expired.
@@ -41,6 +54,8 @@
     row_version version = 0;
     /// After a conflict: the current row that the condition names, if it exists.
     std::optional<stored_row> current;
+    /// Where `current` was read, or found absent.
+    row_source current_source = row_source::cache;
 };
 
 using change_callback = std::function<void(const change_result&)>;
--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -101,6 +101,8 @@
         /// The row as last read or written; empty if unknown.
         std::optional<spending_row> row;
         row_version version = 0;
+        /// Where the row was read.
+        row_source source = row_source::cache;
         std::vector<pending_reservation> pending;
         std::vector<settlement> settlements;
         /// A read or a write is in progress.
@@ -120,10 +122,13 @@
     /// for them, and keeps them pending otherwise.
     static void admit_pending(program_entry& entry, spending_row& next,
                               std::vector<pending_reservation>& admitted);
+    static void log_refusal(const program_entry& entry, const spending_row& row,
+                            const reservation_request& request);
     void on_written(const program_id& id, const spending_row& next, std::vector<pending_reservation> admitted,
                     const std::vector<settlement>& settled, const change_result& result);
     /// @param fresh whether the row was just read from the store, not from a cache
-    static void apply_row(program_entry& entry, const std::optional<stored_row>& row, bool fresh);
+    static void apply_row(program_entry& entry, const std::optional<stored_row>& row, row_source source,
+                          bool fresh);
     void schedule_flush(const program_id& id, program_entry& entry);
 
     row_store& m_store;
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -45,6 +45,7 @@
     attempt_failed = 2304,
     overdraft_drawn = 2305,
     target_ended = 2306,
+    turn_over_budget = 2307,
     shard_claimed = 3001,
     shard_released = 3002,
     shard_lost = 3003,
@@ -199,6 +200,11 @@
                      "of the same `content`, which are refused for `quarantine_ms`.",
                      "With 3 ends or more: find the caller by `workspace`, `route` and `request`, and the "
                      "fault in the target."},
+    event_definition{
+        event_id::turn_over_budget, "turn_over_budget", event_severity::info,
+        "A program's budget does not cover a turn; the fields say what the program's row held (`spent`, and "
+        "`reserved` by running turns), its `version`, and where the row was read (`row`).",
+        "None, unless turns named in `reserved` have ended: follow their ids."},
     event_definition{event_id::shard_claimed, "shard_claimed", event_severity::info,
                      "This process took a shard; its epoch rose.", "None."},
     event_definition{event_id::shard_released, "shard_released", event_severity::info,
--- a/src/gateway/commit_codec.cpp
+++ b/src/gateway/commit_codec.cpp
@@ -86,8 +86,8 @@
 
 json to_json(const change_result& it)
 {
-    return json::array(
-        {static_cast<int>(it.outcome), it.version, it.current ? to_json(*it.current) : json{}});
+    return json::array({static_cast<int>(it.outcome), it.version, it.current ? to_json(*it.current) : json{},
+                        static_cast<int>(it.current_source)});
 }
 
 /// @param last the greatest enumerator
@@ -111,6 +111,12 @@
     {
         result.current = to_row(row);
     }
+    // Gateways of earlier versions do not state the source.
+    constexpr std::size_t source_index = 3;
+    if (it.size() > source_index)
+    {
+        result.current_source = to_enum(it.at(source_index), row_source::store);
+    }
     return result;
 }
 
--- a/src/gateway/commit_queue.cpp
+++ b/src/gateway/commit_queue.cpp
@@ -67,6 +67,11 @@
 
 } // namespace
 
+std::string_view to_string(row_source source)
+{
+    return source == row_source::store ? "store" : "cache";
+}
+
 commit_queue::commit_queue(row_store& store, delay_function delay, clock_function clock, random_seed seed,
                            std::size_t cache_bytes)
     : m_store(store), m_delay(std::move(delay)), m_clock(std::move(clock)), m_cached_rows(cache_bytes),
@@ -149,7 +154,9 @@
     for (auto& it : stale)
     {
         const auto current = *m_cached_rows.find(it.change.condition->name);
-        resolve(it, {.outcome = store_outcome::conflict, .current = current});
+        resolve(
+            it,
+            {.outcome = store_outcome::conflict, .current = current, .current_source = row_source::cache});
     }
 }
 
@@ -230,7 +237,8 @@
     for (auto& it : conflicts)
     {
         resolve(it, {.outcome = store_outcome::conflict,
-                     .current = find_row(reply.current, it.change.condition->name)});
+                     .current = find_row(reply.current, it.change.condition->name),
+                     .current_source = row_source::store});
     }
 }
 
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -1,6 +1,7 @@
 #include "masticcourse/gateway/program_spending.hpp"
 
 #include "masticcourse/gateway/partition.hpp"
+#include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -50,6 +51,11 @@
     return reply.rows.empty() ? std::nullopt : std::optional{reply.rows.front()};
 }
 
+row_source source_of(const query_reply& reply)
+{
+    return reply.from_cache ? row_source::cache : row_source::store;
+}
+
 } // namespace
 
 program_spending::program_spending(row_store& store, commit_sink& commits, delay_function delay,
@@ -88,7 +94,7 @@
                       auto& entry = m_programs[id];
                       if (reply.answered && !entry.row && !entry.busy)
                       {
-                          apply_row(entry, first_row(reply), !reply.from_cache);
+                          apply_row(entry, first_row(reply), source_of(reply), !reply.from_cache);
                       }
                       on_end();
                   });
@@ -207,7 +213,7 @@
                       read_entry.busy = false;
                       if (reply.answered)
                       {
-                          apply_row(read_entry, first_row(reply), !reply.from_cache);
+                          apply_row(read_entry, first_row(reply), source_of(reply), !reply.from_cache);
                           process_pending(id);
                           return;
                       }
@@ -222,8 +228,10 @@
                   });
 }
 
-void program_spending::apply_row(program_entry& entry, const std::optional<stored_row>& row, bool fresh)
+void program_spending::apply_row(program_entry& entry, const std::optional<stored_row>& row,
+                                 row_source source, bool fresh)
 {
+    entry.source = source;
     entry.version = row ? row->version : 0;
     // A row that cannot be decoded counts as an exhausted budget, so no turn runs on a guess.
     constexpr token_count exhausted_tokens = token_count{1} << 40U;
@@ -253,6 +261,7 @@
         }
         else if (it.fresh)
         {
+            log_refusal(entry, next, it.request);
             complete(it, reservation_outcome::over_budget);
         }
         else
@@ -264,6 +273,24 @@
                          std::make_move_iterator(stale.end()));
 }
 
+void program_spending::log_refusal(const program_entry& entry, const spending_row& row,
+                                   const reservation_request& request)
+{
+    std::string reserved;
+    for (const auto& it : row.reserved)
+    {
+        reserved += (reserved.empty() ? "" : ",") + it.request.value + ':' + std::to_string(it.tokens);
+    }
+    log_event(event_id::turn_over_budget, {{"request", request.request.value},
+                                           {"program", request.program.value},
+                                           {"most", std::to_string(request.tokens)},
+                                           {"budget", std::to_string(request.budget)},
+                                           {"spent", std::to_string(row.spent)},
+                                           {"reserved", reserved},
+                                           {"version", std::to_string(entry.version)},
+                                           {"row", std::string{to_string(entry.source)}}});
+}
+
 void program_spending::write(const program_id& id, program_entry& entry)
 {
     entry.busy = true;
@@ -336,7 +363,7 @@
     if (result.outcome == store_outcome::conflict)
     {
         entry.settlements.insert(entry.settlements.begin(), settled.begin(), settled.end());
-        apply_row(entry, result.current, true);
+        apply_row(entry, result.current, result.current_source, true);
     }
     else
     {
