Budgets: a conflict that a collector reports from its cache is no reason to refuse a turn

Cause: the collector of a partition rejects changes whose condition is older than the row that it has cached, and hands out that row. While it was frozen, others wrote in its place, so the row was outdated; `program_spending` took every conflict's row for one that had just been read from the store, and refused for good on it. Ruled out: a settlement that was lost (the store's row was right), a frozen gateway that refuses by itself (the refusals came from the two others). Change: a row counts as current only if the result says that it was read from the store. One from a cache, or from a gateway of an earlier version that says nothing, still saves a failed write, and a refusal then reads the store first. Why it works: no row reaches `admit_pending` as fresh but those of a query that bypassed the caches and of a condition that the store itself found failed.

--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -126,9 +126,7 @@
                             const reservation_request& request);
     void on_written(const program_id& id, const spending_row& next, std::vector<pending_reservation> admitted,
                     const std::vector<settlement>& settled, const change_result& result);
-    /// @param fresh whether the row was just read from the store, not from a cache
-    static void apply_row(program_entry& entry, const std::optional<stored_row>& row, row_source source,
-                          bool fresh);
+    static void apply_row(program_entry& entry, const std::optional<stored_row>& row, row_source source);
     void schedule_flush(const program_id& id, program_entry& entry);
 
     row_store& m_store;
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -94,7 +94,7 @@
                       auto& entry = m_programs[id];
                       if (reply.answered && !entry.row && !entry.busy)
                       {
-                          apply_row(entry, first_row(reply), source_of(reply), !reply.from_cache);
+                          apply_row(entry, first_row(reply), source_of(reply));
                       }
                       on_end();
                   });
@@ -213,7 +213,7 @@
                       read_entry.busy = false;
                       if (reply.answered)
                       {
-                          apply_row(read_entry, first_row(reply), source_of(reply), !reply.from_cache);
+                          apply_row(read_entry, first_row(reply), source_of(reply));
                           process_pending(id);
                           return;
                       }
@@ -229,7 +229,7 @@
 }
 
 void program_spending::apply_row(program_entry& entry, const std::optional<stored_row>& row,
-                                 row_source source, bool fresh)
+                                 row_source source)
 {
     entry.source = source;
     entry.version = row ? row->version : 0;
@@ -237,7 +237,10 @@
     constexpr token_count exhausted_tokens = token_count{1} << 40U;
     entry.row =
         row ? decode_spending(row->value).value_or(spending_row{.spent = exhausted_tokens}) : spending_row{};
-    std::ranges::for_each(entry.pending, [fresh](pending_reservation& it) { it.fresh = it.fresh || fresh; });
+    if (source == row_source::store)
+    {
+        std::ranges::for_each(entry.pending, [](pending_reservation& it) { it.fresh = true; });
+    }
 }
 
 void program_spending::admit_pending(program_entry& entry, spending_row& next,
@@ -363,7 +366,7 @@
     if (result.outcome == store_outcome::conflict)
     {
         entry.settlements.insert(entry.settlements.begin(), settled.begin(), settled.end());
-        apply_row(entry, result.current, result.current_source, true);
+        apply_row(entry, result.current, result.current_source);
     }
     else
     {
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -1,10 +1,5 @@
 // Budgets enforced by several gateways that share only the store.
-#include "masticcourse/gateway/commit_router.hpp"
-#include "masticcourse/gateway/program_spending.hpp"
-
-#include "support/memory_rows.hpp"
-#include "support/test_seed.hpp"
-#include "support/virtual_time.hpp"
+#include "support/spending_world.hpp"
 
 #include <doctest/doctest.h>
 
@@ -20,85 +15,6 @@
 using namespace masticcourse::testing;
 using namespace std::chrono_literals;
 
-namespace
-{
-
-/// Sends a message to the gateway with the given address.
-using member_call = std::function<void(const std::string&, const std::string&, const collector_callback&)>;
-
-struct gateway_member
-{
-    gateway_member(row_table& rows, virtual_time& time, const std::string& address, const member_call& call)
-        : store(rows, time.delays()), peers({address, 1}, derive_seed(test_seed(), address)),
-          queue(store, time.delays(), time.clock(), derive_seed(test_seed(), address)),
-          commits(queue, store, peers, call, time.delays(), time.clock()),
-          spending(store, commits, time.delays(), time.clock())
-    {
-    }
-
-    memory_store store;
-    peer_directory peers;
-    commit_queue queue;
-    commit_router commits;
-    program_spending spending;
-};
-
-struct spending_world
-{
-    virtual_time time;
-    row_table rows;
-    std::vector<std::unique_ptr<gateway_member>> gateways;
-    std::map<std::string, reservation_outcome> outcomes;
-    bool collects = false;
-
-    /// @param collecting whether commits are sent through collectors
-    explicit spending_world(std::size_t count, bool collecting = false) : collects(collecting)
-    {
-        for (std::size_t n = 0; n < count; ++n)
-        {
-            gateways.push_back(make(n, count));
-        }
-    }
-
-    std::unique_ptr<gateway_member> make(std::size_t n, std::size_t count)
-    {
-        const auto call =
-            [this](const std::string& to, const std::string& bytes, const collector_callback& on_reply)
-        {
-            time.delays()(1ms, [this, to, bytes, on_reply]
-                          { gateways[std::stoul(to)]->commits.collect(bytes, on_reply); });
-        };
-        auto made = std::make_unique<gateway_member>(rows, time, std::to_string(n), call);
-        std::vector<peer> peers;
-        for (std::size_t other = 0; collects && other < count; ++other)
-        {
-            peers.push_back({std::to_string(other), 1});
-        }
-        made->peers.set(std::move(peers));
-        return made;
-    }
-
-    void reserve(std::size_t at, const std::string& request, token_count tokens, token_count budget,
-                 bool first_turn = false, milliseconds lifetime = 3s)
-    {
-        gateways[at]->spending.reserve({.program = {"p"},
-                                        .request = {request},
-                                        .tokens = tokens,
-                                        .budget = budget,
-                                        .first_turn = first_turn,
-                                        .expires = time.now() + lifetime},
-                                       [this, request](reservation_outcome it) { outcomes[request] = it; });
-    }
-
-    [[nodiscard]] bool has(const std::string& request, reservation_outcome outcome) const
-    {
-        const auto it = outcomes.find(request);
-        return it != outcomes.end() && it->second == outcome;
-    }
-};
-
-} // namespace
-
 TEST_CASE("spending rows round-trip, and malformed ones are rejected")
 {
     const spending_row row{.spent = 12, .reserved = {{{"a"}, 3}, {{"b"}, 4}}};
