Budgets: a turn is refused only by a row that was read after the turn arrived

Cause: a reservation that arrives while the program's row is being read, or while a write of it is failing, was marked as read freshly when that call returned. The store had read the row earlier, by the whole duration of the call: some milliseconds on a calm store, up to the call's timeout of 2.5 s on a slow one. Evidence: found by looking for the same cause on related paths; the test's line is turn_over_budget ... spent=0 reserved=one:60,two:30 version=1 row=store for a turn that came after "one" was settled in the store. Change: an entry knows since when the store has confirmed its row (the start of the call), and a reservation knows when it was requested; a refusal needs the first not to be earlier than the second. A write that succeeds confirms the row too, which saves the read that a waiting reservation needed before. Test: "a turn is not refused because of a call to the store that began before the turn arrived" failed before.

--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -86,8 +86,7 @@
         /// Holds a `charge_callback` if the entry charges tokens already delivered; charges are never
         /// refused.
         std::variant<reservation_callback, charge_callback> on_result;
-        /// Whether the row has been read from the store since the reservation was requested.
-        bool fresh = false;
+        time_point requested;
         /// For a charge: the tokens that exceed the budget.
         token_count excess_tokens = 0;
     };
@@ -103,6 +102,8 @@
         row_version version = 0;
         /// Where the row was read.
         row_source source = row_source::cache;
+        /// The store held the row at some time after this; empty if the row comes from a cache.
+        std::optional<time_point> confirmed_since;
         std::vector<pending_reservation> pending;
         std::vector<settlement> settlements;
         /// A read or a write is in progress.
@@ -125,8 +126,11 @@
     static void log_refusal(const program_entry& entry, const spending_row& row,
                             const reservation_request& request);
     void on_written(const program_id& id, const spending_row& next, std::vector<pending_reservation> admitted,
-                    const std::vector<settlement>& settled, const change_result& result);
-    static void apply_row(program_entry& entry, const std::optional<stored_row>& row, row_source source);
+                    const std::vector<settlement>& settled, time_point submitted,
+                    const change_result& result);
+    /// @param asked_at start of the call that returned the row
+    static void apply_row(program_entry& entry, const std::optional<stored_row>& row, row_source source,
+                          time_point asked_at);
     void schedule_flush(const program_id& id, program_entry& entry);
 
     row_store& m_store;
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -89,12 +89,12 @@
 {
     m_programs[id].last_used = m_clock();
     m_store.query(query_of(id, true),
-                  [this, id, on_end = std::move(on_end)](const query_reply& reply)
+                  [this, id, asked_at = m_clock(), on_end = std::move(on_end)](const query_reply& reply)
                   {
                       auto& entry = m_programs[id];
                       if (reply.answered && !entry.row && !entry.busy)
                       {
-                          apply_row(entry, first_row(reply), source_of(reply));
+                          apply_row(entry, first_row(reply), source_of(reply), asked_at);
                       }
                       on_end();
                   });
@@ -110,7 +110,8 @@
         // Probably a new program: a write conditional on the absence of the row saves the read.
         entry.row.emplace();
     }
-    entry.pending.push_back({std::move(request), std::move(on_result)});
+    entry.pending.push_back(
+        {.request = std::move(request), .on_result = std::move(on_result), .requested = m_clock()});
     process_pending(id);
 }
 
@@ -143,7 +144,8 @@
     // If the turn's own reservation is being written, this settles it.
     entry.settlements.push_back({turn.request, turn.tokens});
     turn.expires = m_clock() + settlement_timeout;
-    entry.pending.push_back({.request = std::move(turn), .on_result = std::move(on_durable)});
+    entry.pending.push_back(
+        {.request = std::move(turn), .on_result = std::move(on_durable), .requested = m_clock()});
     schedule_flush(id, entry);
 }
 
@@ -207,13 +209,13 @@
     auto& entry = m_programs[id];
     entry.busy = true;
     m_store.query(query_of(id, allow_cached),
-                  [this, id](const query_reply& reply)
+                  [this, id, asked_at = m_clock()](const query_reply& reply)
                   {
                       auto& read_entry = m_programs[id];
                       read_entry.busy = false;
                       if (reply.answered)
                       {
-                          apply_row(read_entry, first_row(reply), source_of(reply));
+                          apply_row(read_entry, first_row(reply), source_of(reply), asked_at);
                           process_pending(id);
                           return;
                       }
@@ -229,18 +231,15 @@
 }
 
 void program_spending::apply_row(program_entry& entry, const std::optional<stored_row>& row,
-                                 row_source source)
+                                 row_source source, time_point asked_at)
 {
     entry.source = source;
+    entry.confirmed_since = source == row_source::store ? std::optional{asked_at} : std::nullopt;
     entry.version = row ? row->version : 0;
     // A row that cannot be decoded counts as an exhausted budget, so no turn runs on a guess.
     constexpr token_count exhausted_tokens = token_count{1} << 40U;
     entry.row =
         row ? decode_spending(row->value).value_or(spending_row{.spent = exhausted_tokens}) : spending_row{};
-    if (source == row_source::store)
-    {
-        std::ranges::for_each(entry.pending, [](pending_reservation& it) { it.fresh = true; });
-    }
 }
 
 void program_spending::admit_pending(program_entry& entry, spending_row& next,
@@ -262,7 +261,7 @@
                 std::clamp(next.committed() - it.request.budget, token_count{0}, it.request.tokens);
             admitted.push_back(std::move(it));
         }
-        else if (it.fresh)
+        else if (entry.confirmed_since && *entry.confirmed_since >= it.requested)
         {
             log_refusal(entry, next, it.request);
             complete(it, reservation_outcome::over_budget);
@@ -341,13 +340,14 @@
                       .expires = expires};
     auto shared_admitted = std::make_shared<std::vector<pending_reservation>>(std::move(admitted));
     m_commits.submit(partition_of(id.value), std::move(change),
-                     [this, id, next, shared_admitted, settled](const auto& result)
-                     { on_written(id, next, std::move(*shared_admitted), settled, result); });
+                     [this, id, next, shared_admitted, settled, submitted = m_clock()](const auto& result)
+                     { on_written(id, next, std::move(*shared_admitted), settled, submitted, result); });
 }
 
 void program_spending::on_written(const program_id& id, const spending_row& next,
                                   std::vector<pending_reservation> admitted,
-                                  const std::vector<settlement>& settled, const change_result& result)
+                                  const std::vector<settlement>& settled, time_point submitted,
+                                  const change_result& result)
 {
     auto& entry = m_programs[id];
     entry.busy = false;
@@ -355,6 +355,8 @@
     {
         entry.row = next;
         entry.version = result.version;
+        entry.source = row_source::store;
+        entry.confirmed_since = submitted;
         std::ranges::for_each(admitted, [](const pending_reservation& it)
                               { complete(it, reservation_outcome::granted); });
         process_pending(id);
@@ -366,7 +368,7 @@
     if (result.outcome == store_outcome::conflict)
     {
         entry.settlements.insert(entry.settlements.begin(), settled.begin(), settled.end());
-        apply_row(entry, result.current, result.current_source);
+        apply_row(entry, result.current, result.current_source, submitted);
     }
     else
     {
--- a/tests/unit/test_gateway_budget_refusals.cpp
+++ b/tests/unit/test_gateway_budget_refusals.cpp
@@ -39,6 +39,24 @@
     CHECK(world.has("four", reservation_outcome::over_budget));
 }
 
+// Guards against programs that are ended by a row that was read before the refused turn arrived: a slow store
+// replies long after it has read the row, and turns that arrive meanwhile join the call.
+TEST_CASE("a turn is not refused because of a call to the store that began before the turn arrived")
+{
+    spending_world world{2};
+    world.reserve(1, "one", 60, 100, true);
+    world.time.run(100ms);
+    world.gateways[0]->store.latency = 400ms;
+    world.gateways[1]->spending.settle({"p"}, {"one"}, 5);
+    // Expects no row, and fails at the store 100 ms before "one" is settled there.
+    world.reserve(0, "two", 30, 100, true);
+    world.time.run(350ms);
+    world.reserve(0, "three", 60, 100);
+    world.time.run(2s);
+    CHECK(world.has("two", reservation_outcome::granted));
+    CHECK(world.has("three", reservation_outcome::granted));
+}
+
 TEST_CASE("where a row was read passes between gateways; gateways of earlier versions do not state it")
 {
     const stored_row row{.name = {"spending", "p"}, .value = "v", .version = 3};
