Shutdown: a stopping gateway waits until its last turns are settled

Cause: the tokens of an ended turn are written up to 300 ms after it, to share a write with the program's next reservation. The shutdown waits for open exchanges and for commits that were submitted, and knew nothing of settlements and overdraft charges that had not been submitted yet. It ended the process, and the reservation stayed in the row. Evidence: the refusals rest on the store's row (row=store) with reserved=<first turn>:288 and spent=0; the log of the stopped gateway has request_answered at :01.659 and :01.662 and process_stopped at :01.697, 35 ms later. Change: `program_spending::unwritten()` counts what is not being written yet; `check_stopped` waits for it like for commits, within the grace period, and `drain_timed_out` counts it. This mends the planned stop only: a kill or a freeze in the same 300 ms leaves the same row.

--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -7,6 +7,7 @@
 #include "masticcourse/gateway/commit_queue.hpp"
 #include "masticcourse/gateway/spending_row.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -76,6 +77,9 @@
     /// @param on_durable called when the charge is durable; never called if the charge fails
     void charge(reservation_request turn, charge_callback on_durable);
 
+    /// @return the number of settlements and charges that are not being written yet
+    [[nodiscard]] std::size_t unwritten() const;
+
     /// Evicts programs without recent turns from the cache; their rows are read again when needed.
     void evict_idle(time_point now);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -263,7 +263,8 @@
     // Releasing buckets needs the store, so shutdown does not wait for it while the store is unreachable.
     const bool buckets_released =
         (overdraft_buckets.release_finished() && quota_buckets.release_finished()) || !store.reachable();
-    const bool idle = frontend->open_exchanges() == 0 && commits.pending() == 0 && buckets_released;
+    const auto unwritten = commits.pending() + spending.unwritten();
+    const bool idle = frontend->open_exchanges() == 0 && unwritten == 0 && buckets_released;
     // After `stop_accepting`, idle connections get the server's grace period for requests in transit.
     const bool settled = waited >= readiness_propagation_time + http_limits{}.stop_grace + sweep_period;
     if ((settled && idle) || must_exit)
@@ -271,7 +272,7 @@
         if (!idle)
         {
             log_event(event_id::drain_timed_out, {{"requests", std::to_string(frontend->open_exchanges())},
-                                                  {"commits", std::to_string(commits.pending())}});
+                                                  {"commits", std::to_string(unwritten)}});
         }
         on_stopped();
         return;
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -149,6 +149,19 @@
     schedule_flush(id, entry);
 }
 
+std::size_t program_spending::unwritten() const
+{
+    const auto count = [](std::size_t sum, const auto& it)
+    {
+        const auto& entry = it.second;
+        const auto is_charge = [](const pending_reservation& one)
+        { return std::holds_alternative<charge_callback>(one.on_result); };
+        return sum + entry.settlements.size() +
+               static_cast<std::size_t>(std::ranges::count_if(entry.pending, is_charge));
+    };
+    return std::accumulate(m_programs.begin(), m_programs.end(), std::size_t{0}, count);
+}
+
 void program_spending::complete(const pending_reservation& it, reservation_outcome outcome)
 {
     if (const auto* const on_reserved = std::get_if<reservation_callback>(&it.on_result))
--- a/standins/platform_target.cpp
+++ b/standins/platform_target.cpp
@@ -2,6 +2,7 @@
 
 #include "masticcourse/net/sse.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -18,10 +19,10 @@
 
 platform_target::platform_target(boost::asio::io_context& context, const std::string& address, std::string id,
                                  bool streaming)
-    : m_incarnation(std::move(id)), m_streaming(streaming),
+    : m_context(context), m_incarnation(std::move(id)), m_streaming(streaming),
       m_server(std::make_unique<http_server>(context, address, http_limits{},
                                              [this](const auto& request, const auto& exchange)
-                                             { handle_request(request, *exchange); }))
+                                             { handle_request(request, exchange); }))
 {
 }
 
@@ -45,13 +46,20 @@
     return m_requests;
 }
 
-void platform_target::handle_request(const http_request& request, http_exchange& exchange)
+void platform_target::set_response_time(std::chrono::milliseconds time)
+{
+    m_response_time = time;
+}
+
+void platform_target::handle_request(const http_request& request,
+                                     const std::shared_ptr<http_exchange>& exchange)
 {
     constexpr int misdirected = 421;
     const auto id = request.header("Masticcourse-Request-Id").value_or("");
     if (request.header("Masticcourse-Expect-Instance").value_or(m_incarnation) != m_incarnation)
     {
-        exchange.respond({.status = misdirected, .body = "{}", .headers = {{"Masticcourse-Request-Id", id}}});
+        exchange->respond(
+            {.status = misdirected, .body = "{}", .headers = {{"Masticcourse-Request-Id", id}}});
         return;
     }
     {
@@ -63,15 +71,16 @@
                                            {"Masticcourse-Instance-Load", "1,0,4"}};
     if (!m_streaming)
     {
-        exchange.respond({.body = "answer to " + id, .headers = headers});
+        exchange->respond({.body = "answer to " + id, .headers = headers});
         return;
     }
-    exchange.begin_stream(200, headers);
+    exchange->begin_stream(200, headers);
     for (int n = 1; n <= events_per_response; ++n)
     {
-        exchange.write(format_sse({.id = std::to_string(n), .data = id + "-" + std::to_string(n)}));
+        exchange->write(format_sse({.id = std::to_string(n), .data = id + "-" + std::to_string(n)}));
     }
-    exchange.end_stream();
+    auto end = std::make_shared<boost::asio::steady_timer>(m_context, m_response_time.load());
+    end->async_wait([end, exchange](const auto&) { exchange->end_stream(); });
 }
 
 } // namespace masticcourse::standins
--- a/standins/platform_target.hpp
+++ b/standins/platform_target.hpp
@@ -5,6 +5,8 @@
 
 #include "masticcourse/net/http_server.hpp"
 
+#include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -30,14 +32,18 @@
     [[nodiscard]] std::uint16_t port() const;
     /// @return the entry of this target in the target registry
     [[nodiscard]] std::string registry_entry(const std::string& service, const std::string& state) const;
+    /// Delays the end of streamed responses.
+    void set_response_time(std::chrono::milliseconds time);
     /// @return the executed requests
     [[nodiscard]] std::vector<http_request> requests() const;
 
   private:
-    void handle_request(const http_request& request, http_exchange& exchange);
+    void handle_request(const http_request& request, const std::shared_ptr<http_exchange>& exchange);
 
+    boost::asio::io_context& m_context;
     std::string m_incarnation;
     bool m_streaming;
+    std::atomic<std::chrono::milliseconds> m_response_time{};
     mutable std::mutex m_mutex;
     std::vector<http_request> m_requests;
     std::unique_ptr<http_server> m_server;
--- a/tests/unit/test_gateway_loopback.cpp
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -2,20 +2,49 @@
 // access through a peer, graceful shutdown.
 #include "gateway_fixture.hpp"
 
+#include "masticcourse/gateway/partition.hpp"
+#include "masticcourse/gateway/spending_row.hpp"
+
 #include <doctest/doctest.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <future>
+#include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 using namespace masticcourse;
 using namespace masticcourse::testing;
 using namespace std::chrono_literals;
 using standins::table_fault;
 
+namespace
+{
+
+/// Reads a program's row from the store.
+std::optional<gateway::spending_row> read_spending(gateway_process& through, const std::string& program)
+{
+    std::promise<gateway::query_reply> promise;
+    boost::asio::post(through.threads.context(),
+                      [&]
+                      {
+                          through.store.query({.table = "spending",
+                                               .partition = gateway::partition_of(program),
+                                               .from = program,
+                                               .to = program + ' '},
+                                              [&](gateway::query_reply it)
+                                              { promise.set_value(std::move(it)); });
+                      });
+    const auto reply = promise.get_future().get();
+    return reply.rows.empty() ? std::nullopt : gateway::decode_spending(reply.rows.front().value);
+}
+
+} // namespace
+
 TEST_CASE("a turn, a tool call, and the next turn through another gateway")
 {
     platform_fixture world;
@@ -128,6 +157,29 @@
     CHECK(eventually([&] { return stopped.load(); }));
 }
 
+// Guards against programs that are refused for good because a stopped gateway left the reservations of its
+// last turns in their budgets.
+TEST_CASE("a stopping gateway writes what its last turns cost before it exits")
+{
+    platform_fixture world;
+    gateway_process stopping{loopback(world.store.port()), "stopping"};
+    gateway_process other{loopback(world.store.port()), "other"};
+    world.wait_ready(stopping);
+    world.wait_ready(other);
+    std::atomic<bool> stopped = false;
+    boost::asio::post(stopping.threads.context(), [&] { stopping.gateway.stop([&] { stopped = true; }); });
+    // The turn begins before new connections are refused, and ends when only its settlement is left to do.
+    std::this_thread::sleep_for(2'300ms);
+    world.engine.set_response_time(900ms);
+    REQUIRE(world.send(stopping, "/turn/1", "a1").status == 200);
+    REQUIRE(eventually([&] { return stopped.load(); }));
+    stopping.threads.stop();
+    const auto row = read_spending(other, "p");
+    REQUIRE(row);
+    CHECK(row->reserved.empty());
+    CHECK(row->spent == 30);
+}
+
 TEST_CASE(
     "a target whose entry vanishes more than two seconds after the store's return gets no more requests")
 {
