Budgets: a stored turn tells what it cost, and no turn is refused before those that hold reservations are looked up

From the end of a turn until its settlement was written (300 ms, longer in a slow store), only the memory of one gateway knew what the turn had cost. Killed or frozen in that time, it left the turn's maximum reserved, and the program's next turn got 402 at a gateway that nothing disturbed. The refusals rest on the store's row, which holds the reservation; nobody else could end it. Ruled out: the stop alone (mended before), the caches (row=store). Change: - A stored turn's record holds its tokens; it is durable before the last byte goes out. - A refusal needs evidence (`budget_evidence`): the store's row, read after the turn arrived, and for each reservation in it that it is of a turn that runs here, or that a lookup found no end of it. A turn that has ended is settled by who finds it. What can't be looked up gives 503, never 402. Running turns are not looked up again for 300 ms. - Settling is idempotent by the reservation. A row remembers the last 16 turns settled by others, so a gateway that never heard that its reservation was written does not reserve again. - A turn that no record tells of (routes that store none, refused turns) is settled in the moment of its end instead of 300 ms later: the message leaves before the last byte does. - A settlement whose write failed for 20 s is no longer dropped, but tried again for ten minutes. - A refused reservation no longer causes a write.

--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -4,10 +4,13 @@
 #pragma once
 
 #include "masticcourse/core/ids.hpp"
+#include "masticcourse/gateway/budget_evidence.hpp"
 #include "masticcourse/gateway/commit_queue.hpp"
+#include "masticcourse/gateway/finished_turns.hpp"
 #include "masticcourse/gateway/spending_row.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -24,10 +27,22 @@
     granted,
     /// The remaining budget does not cover the turn.
     over_budget,
-    /// The store did not answer in time; the reservation may or may not have been written.
+    /// The store did not answer in time; the reservation may or may not have been written, and the turn may
+    /// or may not fit the budget.
     unavailable,
 };
 
+/// When a settlement is written.
+enum class settlement_timing : std::uint8_t
+{
+    /// Together with the program's next reservation, or a short time later. If this process ends before, the
+    /// stored turn tells its tokens, or the turn was broken off and counts at its maximum.
+    joined,
+    /// At once: no other record tells how the turn ended, so the write leaves this process before the caller
+    /// can know of the end.
+    immediate,
+};
+
 using reservation_callback = std::function<void(reservation_outcome)>;
 /// Receives the number of tokens of the charge that exceed the budget.
 using charge_callback = std::function<void(token_count)>;
@@ -50,7 +65,9 @@
 class program_spending
 {
   public:
-    program_spending(row_store& store, commit_sink& commits, delay_function delay, clock_function clock);
+    /// @param turns tells how turns that other gateways served have ended
+    program_spending(row_store& store, commit_sink& commits, finished_turns& turns, delay_function delay,
+                     clock_function clock);
 
     /// Whether a turn may be sent to a target before its reservation is durable: the locally known budget
     /// covers it with a safety margin, so the reservation is unlikely to be refused.
@@ -64,12 +81,14 @@
     /// store is unreachable.
     void look_up(const program_id& id, std::function<void()> on_end);
 
-    /// Reserves tokens; calls back once. A refusal is always based on a read of the row made after this call.
+    /// Reserves tokens; calls back once. A refusal is based on a read of the row that began after this call,
+    /// and on the turns in that row that have not ended.
     void reserve(reservation_request request, reservation_callback on_result);
 
     /// Replaces the reservation of a finished turn, granted or not, by the @a tokens that it delivered. A
     /// reservation that has not been written yet is cancelled without calling its callback.
-    void settle(const program_id& id, const request_id& request, token_count tokens);
+    void settle(const program_id& id, const request_id& request, token_count tokens,
+                settlement_timing timing = settlement_timing::joined);
 
     /// Charges the tokens that a finished turn delivered without a durable reservation, even if they exceed
     /// the budget.
@@ -98,6 +117,17 @@
     {
         request_id request;
         token_count tokens = 0;
+        /// Another gateway served the turn, and may settle it too.
+        bool recovered = false;
+        time_point expires;
+    };
+    /// A write in progress.
+    struct pending_write
+    {
+        spending_row next;
+        std::vector<pending_reservation> admitted;
+        std::vector<settlement> settled;
+        time_point submitted;
     };
     struct program_entry
     {
@@ -106,39 +136,46 @@
         row_version version = 0;
         /// Where the row was read.
         row_source source = row_source::cache;
-        /// The store held the row at some time after this; empty if the row comes from a cache.
-        std::optional<time_point> confirmed_since;
+        budget_evidence evidence;
         std::vector<pending_reservation> pending;
         std::vector<settlement> settlements;
-        /// A read or a write is in progress.
+        /// A read, a write or lookups of turns are in progress.
         bool busy = false;
         bool flush_scheduled = false;
         time_point last_used;
     };
 
     static void complete(const pending_reservation& it, reservation_outcome outcome);
+    void queue_settlement(const program_id& id, settlement ended);
     void process_pending(const program_id& id);
     /// @param allow_cached whether a copy cached by another gateway is acceptable: a write based on a stale
     /// version fails, but a refusal must be based on the row in the store
     void read(const program_id& id, bool allow_cached);
+    void retry_read(const program_id& id);
     void write(const program_id& id, program_entry& entry);
+    /// Applies the settlements to a copy of the row, and admits the pending reservations that fit.
+    [[nodiscard]] pending_write prepare_write(program_entry& entry) const;
     void expire_pending(program_entry& entry);
-    /// Adds the pending reservations that fit the budget to @a next. Refuses the others if the row is fresh
-    /// for them, and keeps them pending otherwise.
-    static void admit_pending(program_entry& entry, spending_row& next,
-                              std::vector<pending_reservation>& admitted);
-    static void log_refusal(const program_entry& entry, const spending_row& row,
-                            const reservation_request& request);
-    void on_written(const program_id& id, const spending_row& next, std::vector<pending_reservation> admitted,
-                    const std::vector<settlement>& settled, time_point submitted,
-                    const change_result& result);
+    /// Adds the pending reservations that fit the budget to a write. Refuses the others if there is evidence
+    /// for it, and keeps them pending otherwise.
+    void admit_pending(program_entry& entry, pending_write& write) const;
+    /// @return whether the reservation was refused
+    bool try_refuse(const program_entry& entry, const spending_row& row, const pending_reservation& it) const;
+    void on_written(const program_id& id, pending_write write, const change_result& result);
+    /// Obtains what the refusal of the pending reservations lacks.
+    void gather_evidence(const program_id& id, program_entry& entry);
+    void look_up_turns(const program_id& id, const std::vector<request_id>& turns);
+    void on_turn_end(const program_id& id, const request_id& turn, time_point asked_at, const turn_end& end);
     /// @param asked_at start of the call that returned the row
     static void apply_row(program_entry& entry, const std::optional<stored_row>& row, row_source source,
                           time_point asked_at);
+    static void log_refusal(const program_entry& entry, const spending_row& row,
+                            const reservation_request& request);
     void schedule_flush(const program_id& id, program_entry& entry);
 
     row_store& m_store;
     commit_sink& m_commits;
+    finished_turns& m_turns;
     delay_function m_delay;
     clock_function m_clock;
     std::unordered_map<program_id, program_entry> m_programs;
--- a/include/masticcourse/gateway/spending_row.hpp
+++ b/include/masticcourse/gateway/spending_row.hpp
@@ -26,12 +26,19 @@
     /// Tokens of settled turns.
     token_count spent = 0;
     std::vector<token_reservation> reserved;
+    /// Turns that were settled by another gateway than the one that served them, oldest first. The one that
+    /// served them may not know yet that its reservation was written, and must not reserve again.
+    std::vector<request_id> recovered;
 
     /// @return the tokens spent and reserved
     [[nodiscard]] token_count committed() const;
     [[nodiscard]] bool has_reservation(const request_id& request) const;
+    /// @return whether the row holds the turn's reservation, or its tokens after recover()
+    [[nodiscard]] bool accounts_for(const request_id& request) const;
     /// Replaces a reservation by the tokens that the turn delivered. Does nothing if there is no reservation.
     void settle(const request_id& request, token_count used_tokens);
+    /// Like settle(), for a turn that another gateway served.
+    void recover(const request_id& request, token_count used_tokens);
 };
 
 [[nodiscard]] std::string encode(const spending_row& row);
--- a/include/masticcourse/gateway/turn_store.hpp
+++ b/include/masticcourse/gateway/turn_store.hpp
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "masticcourse/gateway/commit_queue.hpp"
-#include "masticcourse/gateway/program_spending.hpp"
+#include "masticcourse/gateway/finished_turns.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -30,6 +30,8 @@
     std::string output;
     /// Failure domain of the target that ran the turn; empty if unknown.
     failure_domain_name domain;
+    /// Tokens that the turn generated; empty in records of gateways of earlier versions.
+    std::optional<token_count> tokens;
 
     friend bool operator==(const turn_record&, const turn_record&) = default;
 };
@@ -97,7 +99,7 @@
 /// Receives whether the turn was stored durably.
 using save_callback = std::function<void(bool)>;
 
-class turn_store
+class turn_store final : public finished_turns
 {
   public:
     /// @param row_bytes maximum size of a store row
@@ -107,6 +109,8 @@
     /// turns are cached.
     void load_chain(const request_id& last, chain_callback on_chain);
 
+    void find_end(const request_id& turn, turn_end_callback on_end) override;
+
     /// Stores a turn durably; retries until @a expires.
     void save(const request_id& id, turn_record turn, time_point expires, save_callback on_saved);
 
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -46,6 +46,7 @@
     overdraft_drawn = 2305,
     target_ended = 2306,
     turn_over_budget = 2307,
+    turn_recovered = 2308,
     shard_claimed = 3001,
     shard_released = 3002,
     shard_lost = 3003,
@@ -205,6 +206,11 @@
         "A program's budget does not cover a turn; the fields say what the program's row held (`spent`, and "
         "`reserved` by running turns), its `version`, and where the row was read (`row`).",
         "None, unless turns named in `reserved` have ended: follow their ids."},
+    event_definition{
+        event_id::turn_recovered, "turn_recovered", event_severity::info,
+        "A turn that another gateway served has ended, but its reservation was still in the program's row; "
+        "this gateway settles it from the stored turn.",
+        "Single ones follow the end or a pause of a gateway; otherwise look for one that can't write."},
     event_definition{event_id::shard_claimed, "shard_claimed", event_severity::info,
                      "This process took a shard; its epoch rose.", "None."},
     event_definition{event_id::shard_released, "shard_released", event_severity::info,
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -221,7 +221,7 @@
     }
     const auto& context = *m_request.program;
     const reservation_request reservation{.program = context.program,
-                                          .request = m_request.id,
+                                          .request = turn_id(),
                                           .tokens = context.max_tokens,
                                           .budget = *context.budget,
                                           .first_turn = !previous_turn().has_value(),
@@ -290,7 +290,7 @@
 {
     if (m_overdraft_requested && outcome == reservation_outcome::granted)
     {
-        m_services.overdrafts.clear(m_request.program->program, m_request.id);
+        m_services.overdrafts.clear(m_request.program->program, turn_id());
     }
     if (m_finished)
     {
@@ -311,6 +311,11 @@
         }
         return;
     case reservation_outcome::over_budget:
+        if (!m_overdraft_requested)
+        {
+            // Nothing was reserved, and nothing has been sent to the caller.
+            m_reservation = reservation_state::not_needed;
+        }
         if (sent)
         {
             // The request has been sent to a target, so it can no longer be reported as not executed.
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -23,7 +23,7 @@
 /// State of the token reservation of a request.
 enum class reservation_state : std::uint8_t
 {
-    /// The request has no budget.
+    /// The request has no budget, or its tokens have been settled.
     not_needed,
     pending,
     granted,
@@ -72,9 +72,13 @@
     void schedule_overdraft();
     void request_overdraft();
     void on_overdraft_result(token_count granted);
-    /// Called when the request ends: settles the tokens sent to the caller with the budget, and with the
-    /// overdraft if they were sent before the reservation was durable.
-    void settle_budget();
+    /// Called when the request ends, before the caller can tell: settles the tokens sent to the caller with
+    /// the budget, and with the overdraft if they were sent before the reservation was durable.
+    void settle_budget(settlement_timing timing);
+    /// @return when the tokens of a request that ends with @a outcome are settled
+    [[nodiscard]] settlement_timing timing_of(request_outcome outcome) const;
+    /// @return the tokens in all events received so far
+    [[nodiscard]] token_count generated_tokens() const;
     /// Whether all output so far may be sent to the caller before the reservation is durable.
     [[nodiscard]] bool within_overdraft() const;
     [[nodiscard]] token_count tokens_per_event() const;
@@ -203,7 +207,7 @@
     /// Whether the turn is stored for the turns that continue it.
     [[nodiscard]] bool is_retained() const;
     [[nodiscard]] std::optional<request_id> previous_turn() const;
-    /// The id under which the turn is stored.
+    /// The id under which the turn is stored, and under which it is accounted for in its program's budget.
     [[nodiscard]] request_id turn_id() const;
 
     forwarding_services& m_services;
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -48,7 +48,8 @@
     turn_record turn{.ancestors = std::move(m_chain.turns),
                      .input = m_request.body,
                      .output = m_progress->event_data(),
-                     .domain = m_last_domain};
+                     .domain = m_last_domain,
+                     .tokens = generated_tokens()};
     m_services.turns.save(turn_id(), std::move(turn), m_deadline,
                           [self = shared_from_this()](bool stored)
                           {
@@ -92,6 +93,7 @@
         return;
     }
     send_stream_head();
+    settle_budget(timing_of(request_outcome::answered));
     m_exchange->end_stream();
     finish(request_outcome::answered, is_retained() ? "turn stored" : "stream complete");
 }
@@ -148,7 +150,7 @@
     {
         m_services.scheduler.cancel(*m_held);
     }
-    settle_budget();
+    settle_budget(timing_of(outcome));
     m_exchange.reset();
     m_chain = {};
     m_pending_output.clear();
--- a/src/gateway/forwarded_request_overdraft.cpp
+++ b/src/gateway/forwarded_request_budget.cpp
@@ -1,8 +1,10 @@
-// Overdrafts: output that may be sent before the reservation is durable.
+// Budget of a turn: overdrafts, which let output be sent before the reservation is durable, and settlement.
 #include "forwarded_request.hpp"
 
 #include "masticcourse/telemetry/log.hpp"
 
+#include <utility>
+
 namespace masticcourse::gateway::detail
 {
 
@@ -41,7 +43,7 @@
     }
     const auto& context = *m_request.program;
     m_overdraft_requested = true;
-    m_services.overdrafts.draw(context.program, m_request.id, context.max_tokens,
+    m_services.overdrafts.draw(context.program, turn_id(), context.max_tokens,
                                [self = shared_from_this()](token_count granted)
                                { self->on_overdraft_result(granted); });
 }
@@ -52,7 +54,7 @@
     if (m_finished || m_reservation != reservation_state::pending)
     {
         // Either none of the overdraft was used, or the turn is already accounted for in a durable row.
-        m_services.overdrafts.clear(context.program, m_request.id);
+        m_services.overdrafts.clear(context.program, turn_id());
         return;
     }
     log_event(event_id::overdraft_drawn, {{"request", m_request.id.value},
@@ -79,38 +81,59 @@
     }
 }
 
-void forwarded_request::settle_budget()
+void forwarded_request::settle_budget(settlement_timing timing)
 {
-    if (m_reservation == reservation_state::not_needed)
+    const auto state = std::exchange(m_reservation, reservation_state::not_needed);
+    if (state == reservation_state::not_needed)
     {
         return;
     }
     const auto& context = *m_request.program;
-    const auto tokens = m_stream_head_sent ? m_progress->event_count() * tokens_per_event() : 0;
-    const bool forwarded_early = m_overdraft_requested && m_reservation == reservation_state::pending;
+    const auto tokens = m_stream_head_sent ? generated_tokens() : 0;
+    const bool forwarded_early = m_overdraft_requested && state == reservation_state::pending;
     if (forwarded_early)
     {
-        m_services.overdrafts.settle(context.program, m_request.id, tokens);
+        m_services.overdrafts.settle(context.program, turn_id(), tokens);
     }
     if (!forwarded_early || tokens == 0)
     {
-        m_services.spending.settle(context.program, m_request.id, tokens);
+        m_services.spending.settle(context.program, turn_id(), tokens, timing);
         return;
     }
     m_services.spending.charge(
-        {.program = context.program, .request = m_request.id, .tokens = tokens, .budget = *context.budget},
+        {.program = context.program, .request = turn_id(), .tokens = tokens, .budget = *context.budget},
         [&overdrafts = m_services.overdrafts, program = context.program,
-         request = m_request.id](token_count excess)
+         request = turn_id()](token_count excess)
         {
             // Tokens in excess of the budget are charged to the program's overdraft permanently.
             overdrafts.settle(program, request, excess);
         });
 }
 
+settlement_timing forwarded_request::timing_of(request_outcome outcome) const
+{
+    switch (outcome)
+    {
+    case request_outcome::answered:
+        return m_turn_durable ? settlement_timing::joined : settlement_timing::immediate;
+    case request_outcome::refused:
+        return settlement_timing::immediate;
+    case request_outcome::broken_off:
+    case request_outcome::cancelled:
+        break;
+    }
+    // Until it is settled, a turn that did not end whole counts at its maximum.
+    return settlement_timing::joined;
+}
+
 bool forwarded_request::within_overdraft() const
 {
-    return m_overdraft_granted > 0 && !is_retained() &&
-           m_progress->event_count() * tokens_per_event() <= m_overdraft_granted;
+    return m_overdraft_granted > 0 && !is_retained() && generated_tokens() <= m_overdraft_granted;
+}
+
+token_count forwarded_request::generated_tokens() const
+{
+    return m_progress->event_count() * tokens_per_event();
 }
 
 token_count forwarded_request::tokens_per_event() const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,8 +60,8 @@
           [this](const auto& address, auto bytes, auto on_rows)
           { peer_client.query_rows(address, std::move(bytes), std::move(on_rows)); },
           monotonic_now),
-      spending(shared_rows, commits, delay, monotonic_now),
       turns(shared_rows, commits, options.cache_bytes, options.row_bytes),
+      spending(shared_rows, commits, turns, delay, monotonic_now),
       overdraft_buckets(overdraft_ownership_terms(), store, peers,
                         {options.peer_address, random_incarnation()}, delay, monotonic_now, boottime_now,
                         derive_seed(seed, "overdraft buckets")),
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -55,8 +55,8 @@
     commit_queue local_commits;
     commit_router commits;
     collected_rows shared_rows;
-    program_spending spending;
     turn_store turns;
+    program_spending spending;
     bucket_ownership overdraft_buckets;
     overdraft overdrafts;
     bucket_ownership quota_buckets;
--- a/src/gateway/spending_row.cpp
+++ b/src/gateway/spending_row.cpp
@@ -1,12 +1,22 @@
 #include "masticcourse/gateway/spending_row.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <nlohmann/json.hpp>
 #include <numeric>
 
 namespace masticcourse::gateway
 {
 
+namespace
+{
+
+/// Recovered turns remembered per row. A gateway learns within the turn's lifetime that its reservation was
+/// written, and only a few of a program's turns are recovered in that time.
+constexpr std::size_t max_recovered = 16;
+
+} // namespace
+
 token_count spending_row::committed() const
 {
     return std::accumulate(reserved.begin(), reserved.end(), spent,
@@ -18,6 +28,25 @@
     return std::ranges::find(reserved, request, &token_reservation::request) != reserved.end();
 }
 
+bool spending_row::accounts_for(const request_id& request) const
+{
+    return has_reservation(request) || std::ranges::find(recovered, request) != recovered.end();
+}
+
+void spending_row::recover(const request_id& request, token_count used_tokens)
+{
+    if (!has_reservation(request))
+    {
+        return;
+    }
+    settle(request, used_tokens);
+    recovered.push_back(request);
+    if (recovered.size() > max_recovered)
+    {
+        recovered.erase(recovered.begin());
+    }
+}
+
 void spending_row::settle(const request_id& request, token_count used_tokens)
 {
     const auto erased =
@@ -29,7 +58,13 @@
 {
     nlohmann::json reserved = nlohmann::json::object();
     std::ranges::for_each(row.reserved, [&](const auto& it) { reserved[it.request.value] = it.tokens; });
-    return nlohmann::json{{"spent", row.spent}, {"reserved", reserved}}.dump();
+    nlohmann::json document{{"spent", row.spent}, {"reserved", reserved}};
+    if (!row.recovered.empty())
+    {
+        std::ranges::for_each(row.recovered,
+                              [&](const auto& it) { document["recovered"].push_back(it.value); });
+    }
+    return document.dump();
 }
 
 std::optional<spending_row> decode_spending(const std::string& text)
@@ -40,6 +75,13 @@
     {
         return std::nullopt;
     }
+    // Gateways of earlier versions write no recovered turns.
+    const auto recovered = document.value("recovered", nlohmann::json::array());
+    const auto is_text = [](const auto& it) { return it.is_string(); };
+    if (!recovered.is_array() || !std::ranges::all_of(recovered, is_text))
+    {
+        return std::nullopt;
+    }
     spending_row row{.spent = document["spent"].get<token_count>()};
     for (const auto& [request, tokens] : document["reserved"].items())
     {
@@ -49,6 +91,8 @@
         }
         row.reserved.push_back({{request}, tokens.get<token_count>()});
     }
+    std::ranges::for_each(recovered,
+                          [&](const auto& it) { row.recovered.push_back({it.template get<std::string>()}); });
     return row;
 }
 
--- a/src/gateway/turn_store.cpp
+++ b/src/gateway/turn_store.cpp
@@ -54,6 +54,10 @@
     {
         document["domain"] = turn.domain.value;
     }
+    if (turn.tokens)
+    {
+        document["tokens"] = *turn.tokens;
+    }
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
     std::vector<std::string> chunks;
@@ -95,6 +99,10 @@
     {
         turn.domain = {document["domain"].get<std::string>()};
     }
+    if (document.contains("tokens") && document["tokens"].is_number_integer())
+    {
+        turn.tokens = document["tokens"].get<token_count>();
+    }
     return turn;
 }
 
@@ -240,6 +248,23 @@
                   });
 }
 
+void turn_store::find_end(const request_id& turn, turn_end_callback on_end)
+{
+    fetch(turn,
+          [on_end = std::move(on_end)](chain_outcome outcome, const turn_ptr& record)
+          {
+              if (outcome == chain_outcome::unavailable)
+              {
+                  on_end({.progress = turn_progress::unknown});
+                  return;
+              }
+              // A record without a count doesn't tell what the turn cost, so it counts at its maximum.
+              const bool counted = record && record->tokens;
+              on_end({.progress = counted ? turn_progress::finished : turn_progress::unfinished,
+                      .tokens = counted ? *record->tokens : 0});
+          });
+}
+
 void turn_store::save(const request_id& id, turn_record turn, time_point expires, save_callback on_saved)
 {
     row_change change{.expires = expires};
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -101,8 +101,8 @@
     row_table rows;
     memory_store store{rows, time.delays()};
     gateway::commit_queue commits{store, time.delays(), time.clock(), test_seed()};
-    gateway::program_spending spending{store, commits, time.delays(), time.clock()};
     gateway::turn_store turns{store, commits, 1'000'000, 10'000};
+    gateway::program_spending spending{store, commits, turns, time.delays(), time.clock()};
     gateway::peer_directory peers{{.address = "self"}, test_seed()};
     gateway::bucket_ownership buckets = make_ownership(gateway::overdraft_ownership_terms());
     gateway::overdraft overdrafts{buckets, nullptr, time.clock()};
--- a/tests/support/spending_world.hpp
+++ b/tests/support/spending_world.hpp
@@ -9,6 +9,7 @@
 #include "masticcourse/gateway/commit_router.hpp"
 #include "masticcourse/gateway/partition.hpp"
 #include "masticcourse/gateway/program_spending.hpp"
+#include "masticcourse/gateway/turn_store.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -28,11 +29,15 @@
 
 struct gateway_member
 {
+    static constexpr std::size_t cache_bytes = 1'000'000;
+    static constexpr std::size_t row_bytes = 10'000;
+
     gateway_member(row_table& rows, virtual_time& time, const std::string& address, const member_call& call)
         : store(rows, time.delays()), peers({address, 1}, gateway::derive_seed(test_seed(), address)),
           queue(store, time.delays(), time.clock(), gateway::derive_seed(test_seed(), address)),
           commits(queue, store, peers, call, time.delays(), time.clock()),
-          spending(store, commits, time.delays(), time.clock())
+          turns(store, commits, cache_bytes, row_bytes),
+          spending(store, commits, turns, time.delays(), time.clock())
     {
     }
 
@@ -40,6 +45,7 @@
     gateway::peer_directory peers;
     gateway::commit_queue queue;
     gateway::commit_router commits;
+    gateway::turn_store turns;
     gateway::program_spending spending;
 };
 
@@ -48,6 +54,7 @@
     virtual_time time;
     row_table rows;
     std::vector<std::unique_ptr<gateway_member>> gateways;
+    std::vector<std::unique_ptr<gateway_member>> killed;
     std::map<std::string, gateway::reservation_outcome> outcomes;
     bool collects = false;
     /// A gateway that replies to no messages of others.
@@ -87,6 +94,27 @@
         return made;
     }
 
+    /// Stores a turn with the given number of tokens, as at its end.
+    void store_turn(std::size_t at, const std::string& request, token_count tokens)
+    {
+        gateways[at]->turns.save({request}, {.input = "in", .output = "out", .tokens = tokens},
+                                 time.now() + gateway::seconds{3}, [](bool) {});
+    }
+
+    /// Replaces a gateway by a new process.
+    void restart(std::size_t at)
+    {
+        // The object stays alive, since pending timers refer to it.
+        killed.push_back(std::exchange(gateways[at], make(at, gateways.size())));
+    }
+
+    /// @return the program's row in the store
+    [[nodiscard]] std::optional<gateway::spending_row> row() const
+    {
+        const auto reply = rows.read({.table = "spending", .partition = gateway::partition_of("p")});
+        return reply.rows.empty() ? std::nullopt : gateway::decode_spending(reply.rows.front().value);
+    }
+
     /// @return the gateway that writes the commits of the program
     [[nodiscard]] std::size_t collector() const
     {
--- a/tests/unit/test_gateway_collected_rows.cpp
+++ b/tests/unit/test_gateway_collected_rows.cpp
@@ -48,8 +48,8 @@
                   [&world](const auto& to, const auto& bytes, const auto& on_rows)
                   { world.query_rows(to, bytes, on_rows); },
                   world.time.clock()),
-              spending(shared_rows, commits, world.time.delays(), world.time.clock()),
-              turns(shared_rows, commits, cache_bytes, row_bytes)
+              turns(shared_rows, commits, cache_bytes, row_bytes),
+              spending(shared_rows, commits, turns, world.time.delays(), world.time.clock())
         {
         }
 
@@ -58,8 +58,8 @@
         commit_queue local_commits;
         commit_router commits;
         collected_rows shared_rows;
-        program_spending spending;
         turn_store turns;
+        program_spending spending;
     };
 
     peer_read_world()
--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -2,6 +2,8 @@
 // callers are told.
 #include "support/forwarding_world.hpp"
 
+#include "masticcourse/gateway/partition.hpp"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -287,6 +289,52 @@
     }
 }
 
+// Guards against budgets that stay short because the gateway is killed after the end of a turn that no record
+// but the settlement tells of.
+TEST_CASE("what a turn cost is written at its end if no stored turn tells it")
+{
+    struct ending
+    {
+        const char* route;
+        bool refused;
+        bool joined;
+    };
+    for (const auto& it :
+         {ending{"stream", false, false}, ending{"plan", false, false}, ending{"turn", false, true},
+          ending{"stream", true, false}, ending{"turn", true, false}})
+    {
+        CAPTURE(it.route);
+        CAPTURE(it.refused);
+        forwarding_fixture world;
+        const auto view = world.send(world.make_budgeted_request(it.route, "a"));
+        world.time.run(100ms);
+        if (it.refused)
+        {
+            world.last()->refuse();
+            world.last()->refuse();
+        }
+        else
+        {
+            world.last()->begin(200);
+            world.last()->event(1, "one");
+            world.last()->end(200);
+        }
+        // One transaction for the stored turn, and one for the settlement.
+        world.time.run(25ms);
+        REQUIRE(view->ended);
+        const auto read_row = [&world]
+        {
+            const auto rows = world.rows.read({.table = "spending", .partition = partition_of("p")}).rows;
+            REQUIRE(rows.size() == 1);
+            return decode_spending(rows.front().value).value();
+        };
+        CHECK(read_row().reserved.empty() == !it.joined);
+        world.time.run(1s);
+        CHECK(read_row().reserved.empty());
+        CHECK(read_row().spent == (it.refused ? 0 : 10));
+    }
+}
+
 TEST_CASE("no token of a stream with a budget is sent before its reservation is durable, stored or not")
 {
     for (const auto* route : {"stream", "plan"})
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -17,13 +17,16 @@
 
 TEST_CASE("spending rows round-trip, and malformed ones are rejected")
 {
-    const spending_row row{.spent = 12, .reserved = {{{"a"}, 3}, {{"b"}, 4}}};
+    const spending_row row{.spent = 12, .reserved = {{{"a"}, 3}, {{"b"}, 4}}, .recovered = {{"c"}}};
     const auto read = decode_spending(encode(row));
     REQUIRE(read);
+    CHECK(read->accounts_for({"c"}));
+    CHECK_FALSE(read->has_reservation({"c"}));
     CHECK(read->committed() == 19);
     CHECK(read->has_reservation({"b"}));
     for (const auto* text :
-         {"", "{}", "[1]", R"({"spent":"x","reserved":{}})", R"({"spent":1,"reserved":{"a":"b"}})"})
+         {"", "{}", "[1]", R"({"spent":"x","reserved":{}})", R"({"spent":1,"reserved":{"a":"b"}})",
+          R"({"spent":1,"reserved":{},"recovered":{}})", R"({"spent":1,"reserved":{},"recovered":[1]})"})
     {
         CHECK_FALSE(decode_spending(text));
     }
@@ -107,6 +110,24 @@
     CHECK(world.has("c", reservation_outcome::granted));
 }
 
+// Guards against programs that stay short of tokens after an outage longer than one write is retried.
+TEST_CASE("a turn that ends in a long outage is settled once the store is back")
+{
+    spending_world world{1};
+    world.reserve(0, "a", 60, 100, true);
+    world.time.run(100ms);
+    world.gateways[0]->store.mode = store_mode::unresponsive;
+    world.gateways[0]->spending.settle({"p"}, {"a"}, 5);
+    world.time.run(45s);
+    CHECK(world.gateways[0]->commits.pending() + world.gateways[0]->spending.unwritten() == 1);
+    world.gateways[0]->store.mode = store_mode::available;
+    world.time.run(1s);
+    REQUIRE(world.row());
+    CHECK(world.row()->reserved.empty());
+    CHECK(world.row()->spent == 5);
+    CHECK(world.gateways[0]->commits.pending() + world.gateways[0]->spending.unwritten() == 0);
+}
+
 TEST_CASE("while the store is unreachable nothing is granted, and reservations expire")
 {
     spending_world world{1};
@@ -170,10 +191,7 @@
             world.gateways[at]->store.mode = modes.at(random_below(modes.size()));
             if (random_below(40) == 0)
             {
-                // The process loses its state. The object stays alive, since pending timers still refer to
-                // it.
-                static std::vector<std::unique_ptr<gateway_member>> lost_gateways;
-                lost_gateways.push_back(std::exchange(world.gateways[at], world.make(at, 3)));
+                world.restart(at);
             }
             const auto name = std::to_string(next_request++);
             counted[name] = 0;
