Capacity measurements: the series over entries, targets and shards stand once

`memory.cpp` and `rest.cpp` each built worlds that differ in one option by the same loops; `measured_world` does it for both. No size, name or unit changed.

--- a/bench/capacity/measured_world.cpp
+++ b/bench/capacity/measured_world.cpp
@@ -1,6 +1,7 @@
 #include "measured_world.hpp"
 
 #include <algorithm>
+#include <initializer_list>
 #include <stdexcept>
 #include <utility>
 
@@ -115,4 +116,47 @@
     return m_all;
 }
 
+namespace
+{
+
+/// @param set_size stores a size in the options of a world
+template <typename Size, typename SetSize>
+series by_option(const std::string& per, std::initializer_list<Size> sizes, const SetSize& set_size,
+                 const world_measure& measure)
+{
+    series found(per);
+    for (const auto size : sizes)
+    {
+        auto options = daemon_options();
+        set_size(options, size);
+        tests::system_world world(options);
+        settle(world);
+        measure(found, world, static_cast<double>(size));
+    }
+    return found;
+}
+
+} // namespace
+
+series by_entries(const std::string& per, const world_measure& measure)
+{
+    const auto set_size = [](tests::system_options& options, std::size_t size) { options.entries = size; };
+    return by_option(per, {std::size_t{2}, std::size_t{4}, std::size_t{8}, std::size_t{16}}, set_size,
+                     measure);
+}
+
+series by_targets(const std::string& per, const world_measure& measure)
+{
+    const auto set_size = [](tests::system_options& options, std::size_t size) { options.models = size; };
+    return by_option(per, {std::size_t{4}, std::size_t{8}, std::size_t{16}, std::size_t{32}}, set_size,
+                     measure);
+}
+
+series by_shards(const std::string& per, const world_measure& measure)
+{
+    const auto set_size = [](tests::system_options& options, shard_index size) { options.shards = size; };
+    return by_option(per, {shard_index{16}, shard_index{64}, shard_index{128}, shard_index{256}}, set_size,
+                     measure);
+}
+
 } // namespace masticcourse::capacity
--- a/bench/capacity/measured_world.hpp
+++ b/bench/capacity/measured_world.hpp
@@ -7,6 +7,7 @@
 #include "support/system_world.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -45,4 +46,14 @@
     std::vector<measurement> m_all;
 };
 
+/// Measures a settled world.
+using world_measure = std::function<void(series& into, tests::system_world& world, double size)>;
+
+/// @name Series over settled worlds that differ in one option
+/// @{
+[[nodiscard]] series by_entries(const std::string& per, const world_measure& measure);
+[[nodiscard]] series by_targets(const std::string& per, const world_measure& measure);
+[[nodiscard]] series by_shards(const std::string& per, const world_measure& measure);
+/// @}
+
 } // namespace masticcourse::capacity
--- a/bench/capacity/memory.cpp
+++ b/bench/capacity/memory.cpp
@@ -77,54 +77,13 @@
     return found;
 }
 
-series by_shards()
-{
-    series found("shards");
-    for (const shard_index size : {16U, 64U, 128U, 256U})
-    {
-        auto options = daemon_options();
-        options.shards = size;
-        tests::system_world world(options);
-        settle(world);
-        weigh(found, world, static_cast<double>(size));
-    }
-    return found;
-}
-
-series by_targets()
-{
-    series found("targets");
-    for (const std::size_t size : {4U, 8U, 16U, 32U})
-    {
-        auto options = daemon_options();
-        options.models = size;
-        tests::system_world world(options);
-        settle(world);
-        weigh(found, world, static_cast<double>(size));
-    }
-    return found;
-}
-
-series by_entries()
-{
-    series found("entries (links)");
-    for (const std::size_t size : {2U, 4U, 8U, 16U})
-    {
-        auto options = daemon_options();
-        options.entries = size;
-        tests::system_world world(options);
-        settle(world);
-        weigh(found, world, static_cast<double>(size));
-    }
-    return found;
-}
-
 } // namespace
 
 std::vector<measurement> measure_memory()
 {
     std::vector<measurement> all;
-    for (const auto& it : {by_programs(), by_turns(), by_text(), by_shards(), by_targets(), by_entries()})
+    for (const auto& it : {by_programs(), by_turns(), by_text(), by_shards("shards", weigh),
+                           by_targets("targets", weigh), by_entries("entries (links)", weigh)})
     {
         all.insert(all.end(), it.all().begin(), it.all().end());
     }
--- a/bench/capacity/rest.cpp
+++ b/bench/capacity/rest.cpp
@@ -42,34 +42,6 @@
     into.add("store writes at rest", "1/s", size, static_cast<double>(store_writes(passed)) / seconds);
 }
 
-series by_entries()
-{
-    series found("entries");
-    for (const std::size_t size : {2U, 4U, 8U, 16U})
-    {
-        auto options = daemon_options();
-        options.entries = size;
-        tests::system_world world(options);
-        settle(world);
-        watch(found, world, static_cast<double>(size));
-    }
-    return found;
-}
-
-series by_targets()
-{
-    series found("targets");
-    for (const std::size_t size : {4U, 8U, 16U, 32U})
-    {
-        auto options = daemon_options();
-        options.models = size;
-        tests::system_world world(options);
-        settle(world);
-        watch(found, world, static_cast<double>(size));
-    }
-    return found;
-}
-
 series by_programs()
 {
     series found("programs that hold engine memory");
@@ -86,26 +58,13 @@
     return found;
 }
 
-series by_shards()
-{
-    series found("shards");
-    for (const shard_index size : {16U, 64U, 128U, 256U})
-    {
-        auto options = daemon_options();
-        options.shards = size;
-        tests::system_world world(options);
-        settle(world);
-        watch(found, world, static_cast<double>(size));
-    }
-    return found;
-}
-
 } // namespace
 
 std::vector<measurement> measure_rest()
 {
     std::vector<measurement> all;
-    for (const auto& it : {by_entries(), by_targets(), by_programs(), by_shards()})
+    for (const auto& it : {by_entries("entries", watch), by_targets("targets", watch), by_programs(),
+                           by_shards("shards", watch)})
     {
         all.insert(all.end(), it.all().begin(), it.all().end());
     }
