--- a/include/masticcourse/gateway/budget_evidence.hpp
+++ b/include/masticcourse/gateway/budget_evidence.hpp
@@ -69,8 +69,8 @@
     }
     /// @}
 
-    /// @param row       the row as it would be refused on
-    /// @param requested when the turn to refuse arrived
+    /// @param row       the row that does not cover the turn to refuse
+    /// @param requested when that turn arrived
     [[nodiscard]] refusal_basis basis(const spending_row& row, time_point requested, time_point now) const;
 
     /// @return the turns whose reservations have to be looked up before a turn that arrived at @a requested
--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -41,7 +41,7 @@
 {
     /// A gateway's cache: others may have written the row since, any time ago.
     cache,
-    /// The store, after the call that asked for the row.
+    /// The store, after the call that returned the row had begun.
     store,
 };
 
--- a/src/gateway/spending_table.hpp
+++ b/src/gateway/spending_table.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// The table with the spending rows of programs.
+/// The table with the spending rows of programs, and how long a write to it is retried.
 #pragma once
 
 #include "masticcourse/gateway/partition.hpp"
