Followed tables: the log names the source, and the age of what a decision rests on

Cause: no line told how old the tables were when a request was refused or sent, nor whether a gateway followed another one, the store, or an entry of a gateway that is gone.

Change: E4009 at each change of source (age, number of possible sources, length of the list); age_ms in E4007; tables_ms in E2301 and E2302; histogram masticcourse_table_age_seconds, the age that each table had reached when it was confirmed again. Sum of timeouts: tables_ms over 2,000 while E4007 lines follow one another. Stale source: tables_ms small at a wrong decision. List of gateways that are gone: E4009 with more gateways than there are.

No decision changes.

--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -57,6 +57,9 @@
     clock_function boottime_clock;
     /// Each component that is created from the context derives its own seed.
     random_seed seed;
+    /// Receives, with the name of a table, the age that it had reached when it was confirmed again. May be
+    /// empty.
+    std::function<void(const std::string& table, duration age)> record_age = {};
 };
 
 class table_follower
@@ -77,6 +80,8 @@
     /// @return the time since this gateway last failed to reach the store, or the gateways that it follows
     /// had no way to it
     [[nodiscard]] duration time_since_failure() const;
+    /// @return the time since the table was last known to be current; the longest duration if it never was
+    [[nodiscard]] duration age() const;
     /// @return whether the table has been read but not been confirmed for longer than any call takes
     [[nodiscard]] bool out_of_date() const;
 
@@ -93,6 +98,9 @@
 
     void follow();
     void follow_later(milliseconds delay);
+    /// Logs what is followed from now on if it is not what was followed before.
+    /// @param source the address of a gateway, or "store"
+    void note_source(const std::string& source);
     /// @return how long a call may wait so that the pause before it does not delay the next confirmation
     [[nodiscard]] milliseconds wait_after_pause(milliseconds wait) const;
     void follow_peer(const std::string& address);
@@ -127,6 +135,8 @@
     time_point m_store_until{};
     /// Earliest time for the next call to the store while there are sources.
     time_point m_next_store_call{};
+    /// What is followed: the address of a gateway, or "store".
+    std::string m_source;
     bool m_store_failing = false;
     milliseconds m_retry_delay{};
     /// The pause before the current call.
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -95,6 +95,12 @@
     /// @return the gateway through which this one follows tables; nothing if it follows them in the store
     [[nodiscard]] std::optional<std::string> feed_source(time_point now) const;
 
+    /// @return the number of gateways that this one may follow, responsive or not; 0 if it is a root
+    [[nodiscard]] std::size_t feed_sources() const
+    {
+        return m_feed_tree.sources().size();
+    }
+
     /// Records that a peer did its work: it responds and reaches the store.
     void answered(const std::string& address);
     /// Records that a peer responded, which says nothing about whether it reaches the store.
--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -53,6 +53,8 @@
     overdraft& overdrafts;
     workspace_quotas& quotas;
     const row_store& store;
+    /// Age of what this gateway knows of the configuration and of the targets: the greater of the two.
+    std::function<duration()> table_age;
     delay_function delay;
     clock_function clock;
     metrics_registry& metrics;
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -69,6 +69,7 @@
     quota_holder_failed = 4006,
     feed_source_failed = 4007,
     load_collector_failed = 4008,
+    feed_source_changed = 4009,
     target_available = 5001,
     target_lost = 5003,
     target_fence_raised = 5004,
@@ -280,6 +281,11 @@
         "The gateway that adds up the load of targets did not answer, or another one has taken its place "
         "(`why`); views of the load are incomplete for one interval.",
         "Look at that gateway if it recurs."},
+    event_definition{event_id::feed_source_changed, "feed_source_changed", event_severity::info,
+                     "This gateway follows a table through another gateway from now on, or in the store "
+                     "(`source`). `age_ms` is the age of what it knows, `sources` the number of gateways "
+                     "that it may follow, `gateways` the number in its list.",
+                     "None. The age of a table stays below two seconds while the store can be reached."},
     event_definition{event_id::target_available, "target_available", event_severity::info,
                      "A target takes work.", "None."},
     event_definition{event_id::target_lost, "target_lost", event_severity::warning,
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -50,6 +50,11 @@
     return std::chrono::floor<milliseconds>(std::clamp<duration>(it, duration{}, unknown_age));
 }
 
+std::string to_log_text(duration age)
+{
+    return age < unknown_age ? std::to_string(to_milliseconds(age).count()) : "unknown";
+}
+
 } // namespace
 
 table_follower::table_follower(feed_context context, followed_table table, follower_callbacks callbacks)
@@ -68,7 +73,9 @@
 {
     const auto now = m_context.clock();
     const auto source = m_context.peers.feed_source(now);
-    if (source && now >= m_store_until)
+    const bool through_peer = source && now >= m_store_until;
+    note_source(through_peer ? *source : "store");
+    if (through_peer)
     {
         follow_peer(*source);
     }
@@ -88,6 +95,19 @@
     m_context.delay(delay, [this] { follow(); });
 }
 
+void table_follower::note_source(const std::string& source)
+{
+    if (std::exchange(m_source, source) == source)
+    {
+        return;
+    }
+    log_event(event_id::feed_source_changed, {{"source", source},
+                                              {"table", m_table.name},
+                                              {"age_ms", to_log_text(age())},
+                                              {"sources", std::to_string(m_context.peers.feed_sources())},
+                                              {"gateways", std::to_string(m_context.peers.size() + 1)}});
+}
+
 milliseconds table_follower::wait_after_pause(milliseconds wait) const
 {
     return std::max(milliseconds{0}, wait - m_pause);
@@ -107,8 +127,10 @@
     if (!reply)
     {
         m_context.peers.failed(address, m_context.clock());
-        log_event(event_id::feed_source_failed,
-                  {{"source", address}, {"table", m_table.name}, {"why", "no reply"}});
+        log_event(event_id::feed_source_failed, {{"source", address},
+                                                 {"table", m_table.name},
+                                                 {"why", "no reply"},
+                                                 {"age_ms", to_log_text(age())}});
         follow();
         return;
     }
@@ -275,6 +297,10 @@
 
 void table_follower::confirm(time_point at)
 {
+    if (m_context.record_age && m_confirmed_at)
+    {
+        m_context.record_age(m_table.name, age());
+    }
     m_confirmed_at = std::max(at, m_confirmed_at.value_or(at));
     m_store_failing = false;
     m_retry_delay = initial_retry_delay;
@@ -291,6 +317,11 @@
     return std::min(m_context.store.time_since_failure(), time_since_feed_failure());
 }
 
+duration table_follower::age() const
+{
+    return m_confirmed_at ? m_context.boottime_clock() - *m_confirmed_at : duration::max();
+}
+
 bool table_follower::out_of_date() const
 {
     return m_confirmed_at && m_context.boottime_clock() - *m_confirmed_at > max_source_age;
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -13,7 +13,8 @@
                                      gateway_request request, std::shared_ptr<http_exchange> exchange,
                                      std::function<void(request_outcome)> on_finished)
     : m_services(services), m_config(std::move(config)), m_request(std::move(request)),
-      m_exchange(std::move(exchange)), m_on_finished(std::move(on_finished)), m_started(services.clock())
+      m_exchange(std::move(exchange)), m_on_finished(std::move(on_finished)), m_started(services.clock()),
+      m_table_age(services.table_age())
 {
 }
 
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -221,6 +221,8 @@
     std::optional<quota_permit> m_permit;
     time_point m_started;
     time_point m_deadline;
+    /// Age of the configuration and of the targets at the last decision: on arrival, then at each send.
+    duration m_table_age{};
     bool m_finished = false;
 
     /// @name Turn
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -178,7 +178,8 @@
         {"budget", program && program->budget ? std::to_string(*program->budget) : "-"},
         {"most", program ? std::to_string(program->max_tokens) : "-"},
         {"previous", program && program->previous_turn ? program->previous_turn->value : "-"},
-        {"ms", std::to_string(elapsed.count())}};
+        {"ms", std::to_string(elapsed.count())},
+        {"tables_ms", std::to_string(std::chrono::floor<milliseconds>(m_table_age).count())}};
     std::ranges::move(body_fields(), std::back_inserter(fields));
     log_event(outcome == request_outcome::answered ? event_id::request_answered : event_id::request_failed,
               fields);
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -196,6 +196,7 @@
     m_body_report = {};
     m_unfinished_bytes = 0;
     m_attempt_started = m_services.clock();
+    m_table_age = m_services.table_age();
     m_suspicion_at_send =
         m_services.poison.empty() ? suspicion{} : m_services.poison.find(content(), m_attempt_started);
     m_first_event_time.reset();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -110,6 +110,7 @@
                .overdrafts = overdrafts,
                .quotas = quotas,
                .store = store,
+               .table_age = [this] { return std::max(config_rows.age(), target_rows.age()); },
                .delay = delay,
                .clock = monotonic_now,
                .metrics = registry,
@@ -122,7 +123,16 @@
             .delay = delay,
             .clock = monotonic_now,
             .boottime_clock = boottime_now,
-            .seed = seed},
+            .seed = seed,
+            .record_age =
+                [this](const std::string& table, duration age)
+            {
+                registry
+                    .get_histogram("masticcourse_table_age_seconds",
+                                   "Age that a followed table had reached when it was confirmed again.",
+                                   {{"table", table}})
+                    .record(std::chrono::floor<std::chrono::microseconds>(age));
+            }},
       gateways(feeds, options.node, {options.peer_address, options.cores, options.own_domain}),
       config_rows(feeds, {.name = decoders.config_table, .min_interval = table_update_interval},
                   {.on_snapshot = [this](const auto& rows)
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -244,6 +244,7 @@
           .overdrafts = overdrafts,
           .quotas = quotas,
           .store = store,
+          .table_age = [] { return gateway::duration{}; },
           .delay = time.delays(),
           .clock = time.clock(),
           .metrics = metrics}
