Known red: gateways in touch act on tables older than two seconds

Fleets of 13 and 127 gateways in virtual time; sets of gateways of a failure domain, the roots first, are cut off, frozen, dark, killed, slow, without the store or replaced at another address, for 0.5 to 6 s. One assertion: what a gateway acts on that has not been disturbed for 3 s is at most 2 s old.

--- a/tests/support/feed_fleet.cpp
+++ b/tests/support/feed_fleet.cpp
@@ -29,6 +29,54 @@
     return std::chrono::floor<gateway::seconds>(at.time_since_epoch()).count();
 }
 
+/// A gateway process: whether it runs, and what is wrong with it.
+class process_state
+{
+  public:
+    explicit process_state(virtual_time& time) : m_time(time) {}
+
+    /// Runs @a action now, or once the process goes on; never if it has been stopped.
+    void run(std::function<void()> action)
+    {
+        if (stopped)
+        {
+            return;
+        }
+        if (const auto now = m_time.now(); now < frozen_until)
+        {
+            m_time.delays()(std::chrono::ceil<milliseconds>(frozen_until - now),
+                            [this, action = std::move(action)]() mutable { run(std::move(action)); });
+            return;
+        }
+        action();
+    }
+    [[nodiscard]] bool cut_off() const
+    {
+        return m_time.now() < cut_off_until;
+    }
+    [[nodiscard]] bool without_store() const
+    {
+        return m_time.now() < without_store_until || cut_off();
+    }
+    [[nodiscard]] milliseconds send_delay() const
+    {
+        return m_time.now() < slow_until ? slow_delay : milliseconds{0};
+    }
+
+    bool stopped = false;
+    bool silent = false;
+    time_point frozen_until{};
+    time_point cut_off_until{};
+    time_point without_store_until{};
+    time_point slow_until{};
+    /// The end of the last disturbance.
+    time_point disturbed_until{};
+
+  private:
+    static constexpr milliseconds slow_delay{700};
+    virtual_time& m_time;
+};
+
 } // namespace
 
 bool rated_store::count(std::size_t& counter, std::map<std::int64_t, std::size_t>& by_second,
@@ -161,7 +209,7 @@
 class feed_fleet::store_port final : public gateway::row_store
 {
   public:
-    store_port(feed_fleet& fleet, const bool& stopped) : m_fleet(fleet), m_stopped(stopped) {}
+    store_port(feed_fleet& fleet, process_state& process) : m_fleet(fleet), m_process(process) {}
 
     void transact(const gateway::row_transaction& transaction,
                   gateway::transaction_callback on_reply) override
@@ -171,7 +219,8 @@
             fail(call_timeout, [on_reply] { on_reply({.outcome = gateway::store_outcome::refused}); });
             return;
         }
-        m_fleet.store.transact(transaction, unless_stopped(std::move(on_reply)));
+        m_fleet.store.transact(transaction,
+                               delivered<gateway::transaction_reply>(std::move(on_reply), call_timeout));
     }
     void query(const gateway::row_query& query, gateway::query_callback on_reply) override
     {
@@ -180,7 +229,7 @@
             fail(call_timeout, [on_reply] { on_reply({.answered = false}); });
             return;
         }
-        m_fleet.store.query(query, unless_stopped(std::move(on_reply)));
+        m_fleet.store.query(query, delivered<gateway::query_reply>(std::move(on_reply), call_timeout));
     }
     void list_partitions(const std::string& table, gateway::partitions_callback on_reply) override
     {
@@ -189,7 +238,8 @@
             fail(call_timeout, [on_reply] { on_reply({}); });
             return;
         }
-        m_fleet.store.list_partitions(table, unless_stopped(std::move(on_reply)));
+        m_fleet.store.list_partitions(
+            table, delivered<gateway::partitions_reply>(std::move(on_reply), call_timeout));
     }
     void check_path() override
     {
@@ -203,11 +253,12 @@
             fail(call_timeout + wait, [on_reply] { on_reply({}); });
             return;
         }
-        m_fleet.store.follow(table, version, wait, unless_stopped(std::move(on_reply)));
+        m_fleet.store.follow(table, version, wait,
+                             delivered<gateway::feed_reply>(std::move(on_reply), call_timeout));
     }
     [[nodiscard]] bool reachable() const override
     {
-        return m_fleet.m_store_mode == store_mode::available;
+        return m_fleet.m_store_mode == store_mode::available && !m_process.without_store();
     }
     [[nodiscard]] std::optional<gateway::duration> direct_path_down_for() const override
     {
@@ -230,7 +281,6 @@
             return false;
         }
         ++m_fleet.store.usage.reads;
-        m_last_failure = m_fleet.time.now();
         return true;
     }
     /// @param timeout when a call fails that the store does not answer
@@ -240,54 +290,53 @@
         m_fleet.time.delays()(refusing ? store_latency : timeout,
                               [this, reply = std::move(reply)]
                               {
-                                  if (!m_stopped)
-                                  {
-                                      reply();
-                                  }
+                                  m_process.run(
+                                      [this, reply]
+                                      {
+                                          m_last_failure = m_fleet.time.now();
+                                          reply();
+                                      });
                               });
     }
+    /// @return a callback that passes a reply on when the process runs; the reply is lost if the gateway is
+    /// cut off from the store when it arrives
     template <typename Reply>
-    [[nodiscard]] std::function<void(Reply)> unless_stopped(std::function<void(Reply)> on_reply)
+    [[nodiscard]] std::function<void(Reply)> delivered(std::function<void(Reply)> on_reply,
+                                                       milliseconds timeout)
     {
-        return [this, on_reply = std::move(on_reply)](Reply reply)
+        return [this, timeout, on_reply = std::move(on_reply)](Reply reply)
         {
-            if (!m_stopped)
+            if (m_process.without_store())
             {
-                on_reply(std::move(reply));
+                fail(timeout, [on_reply] { on_reply({}); });
+                return;
             }
+            m_process.run([on_reply, reply = std::move(reply)] { on_reply(reply); });
         };
     }
 
     feed_fleet& m_fleet;
-    const bool& m_stopped;
+    process_state& m_process;
     time_point m_last_failure{};
 };
 
 class feed_fleet::member
 {
   public:
-    member(feed_fleet& owner, const std::string& own_address, const std::string& failure_domain)
-        : fleet(owner), address(own_address), domain(failure_domain), store(owner, stopped),
+    member(feed_fleet& owner, const std::string& own_address, const std::string& failure_domain,
+           const std::string& own_node)
+        : fleet(owner), address(own_address), domain(failure_domain), node(own_node), process(owner.time),
+          store(owner, process),
           peers({own_address, 1, {failure_domain}}, derive_seed(test_seed(), own_address)),
           feeds{.store = store,
                 .peers = peers,
                 .relay = [this](const auto& to, const auto& bytes, const auto& on_reply)
                 { fleet.relay(*this, to, bytes, on_reply); },
-                .delay =
-                    [this](milliseconds after, const std::function<void()>& action)
-                {
-                    fleet.time.delays()(after,
-                                        [this, action]
-                                        {
-                                            if (!stopped)
-                                            {
-                                                action();
-                                            }
-                                        });
-                },
+                .delay = [this](milliseconds after, const std::function<void()>& action)
+                { fleet.time.delays()(after, [this, action] { process.run(action); }); },
                 .clock = owner.time.clock(),
                 .boottime_clock = owner.time.clock()},
-          list(feeds, own_address, {own_address, 1, {failure_domain}}),
+          list(feeds, own_node, {own_address, 1, {failure_domain}}),
           config(feeds, {.name = config_table, .min_interval = milliseconds{50}},
                  callbacks_for(config_table)),
           targets(feeds, {.name = target_table, .min_interval = milliseconds{50}},
@@ -317,8 +366,8 @@
     feed_fleet& fleet;
     std::string address;
     std::string domain;
-    bool stopped = false;
-    bool silent = false;
+    std::string node;
+    process_state process;
     std::size_t served = 0;
     /// Gateways to which this one keeps a connection.
     std::set<std::string> connections;
@@ -365,7 +414,13 @@
 
 void feed_fleet::add(const std::string& address, const std::string& failure_domain)
 {
-    auto& it = m_members[address] = std::make_unique<member>(*this, address, failure_domain);
+    add(address, failure_domain, address);
+}
+
+void feed_fleet::add(const std::string& address, const std::string& failure_domain, const std::string& node)
+{
+    auto& it = m_members[address] = std::make_unique<member>(*this, address, failure_domain, node);
+    it->process.disturbed_until = time.now();
     constexpr int start_spread_ms = 300;
     time.delays()(milliseconds{std::uniform_int_distribution<int>{0, start_spread_ms}(m_random)},
                   [one = it.get()] { one->start(); });
@@ -385,8 +440,8 @@
     std::ranges::for_each(choose(share),
                           [](member* it)
                           {
-                              it->silent = true;
-                              it->stopped = true;
+                              it->process.silent = true;
+                              it->process.stopped = true;
                           });
 }
 
@@ -394,11 +449,9 @@
 {
     for (auto* const it : choose(share))
     {
-        it->stopped = true;
         const auto address = it->address;
         const auto domain = it->domain;
-        m_stopped.push_back(std::move(m_members[address]));
-        m_members.erase(address);
+        stop(address);
         time.delays()(downtime, [this, address, domain] { add(address, domain); });
     }
 }
@@ -424,7 +477,7 @@
     auto shortest = gateway::duration::max();
     for (const auto& [address, it] : m_members)
     {
-        if (!it->stopped && !it->store.turned_away)
+        if (!it->process.stopped && !it->store.turned_away)
         {
             shortest = std::min(shortest, it->targets.time_since_failure());
         }
@@ -435,7 +488,7 @@
 std::size_t feed_fleet::running() const
 {
     return static_cast<std::size_t>(
-        std::ranges::count_if(m_members, [](const auto& it) { return !it.second->stopped; }));
+        std::ranges::count_if(m_members, [](const auto& it) { return !it.second->process.stopped; }));
 }
 
 std::size_t feed_fleet::knowing(const std::string& table, const std::string& key,
@@ -444,7 +497,7 @@
     const auto knows = [&](const auto& it)
     {
         const auto row = it.second->rows.find({table, key});
-        return !it.second->stopped && row != it.second->rows.end() && row->second.value == value;
+        return !it.second->process.stopped && row != it.second->rows.end() && row->second.value == value;
     };
     return static_cast<std::size_t>(std::ranges::count_if(m_members, knows));
 }
@@ -454,7 +507,7 @@
     std::vector<std::size_t> sizes;
     for (const auto& [address, it] : m_members)
     {
-        if (!it->stopped)
+        if (!it->process.stopped)
         {
             sizes.push_back(it->peers.size() + 1);
         }
@@ -478,52 +531,185 @@
 {
     ++messages;
     const auto answered = std::make_shared<bool>(false);
-    const auto answer = [answered, sender = &from, on_reply](const std::optional<std::string>& text)
+    const auto answer = [answered, &from, on_reply](const std::optional<std::string>& text)
     {
-        if (!std::exchange(*answered, true) && !sender->stopped)
-        {
-            on_reply(text);
-        }
+        from.process.run(
+            [answered, on_reply, text]
+            {
+                if (!std::exchange(*answered, true))
+                {
+                    on_reply(text);
+                }
+            });
     };
     const auto it = m_members.find(to);
-    if (it == m_members.end())
+    if (it == m_members.end() && !m_dark.contains(to))
     {
         // No process listens there: the connection is refused.
         time.delays()(message_latency, [answer] { answer(std::nullopt); });
         return;
     }
+    auto* const receiver = it == m_members.end() ? nullptr : it->second.get();
+    const auto is_cut = [&from, receiver]
+    { return from.process.cut_off() || receiver == nullptr || receiver->process.cut_off(); };
     const bool connected = from.connections.contains(to);
+    const bool silent = is_cut() || receiver->process.silent;
     time.delays()(connected ? relay_timeout : connect_timeout,
-                  [answer, connected, silent = it->second->silent]
+                  [answer, connected, silent]
                   {
                       if (connected || silent)
                       {
                           answer(std::nullopt);
                       }
                   });
-    auto* const receiver = it->second.get();
-    if (receiver->silent)
+    if (silent)
     {
         return;
     }
-    from.connections.insert(to);
-    time.delays()(message_latency,
-                  [this, receiver, bytes, answer]
+    if (!connected)
+    {
+        from.connections.insert(to);
+        time.delays()(relay_timeout, [answer] { answer(std::nullopt); });
+    }
+    const auto serve = [this, receiver, bytes, answer, is_cut]
+    {
+        const auto request = gateway::decode_relay_request(bytes);
+        if (!request)
+        {
+            answer(std::nullopt);
+            return;
+        }
+        ++receiver->served;
+        receiver->follower_of(request->table)
+            .serve(*request,
+                   [this, receiver, answer, is_cut](const gateway::relay_reply& reply)
+                   {
+                       time.delays()(message_latency + receiver->process.send_delay(),
+                                     [answer, is_cut, text = gateway::encode(reply)]
+                                     {
+                                         if (!is_cut())
+                                         {
+                                             answer(text);
+                                         }
+                                     });
+                   });
+    };
+    time.delays()(message_latency + from.process.send_delay(),
+                  [receiver, serve, answer, is_cut]
                   {
-                      const auto request = gateway::decode_relay_request(bytes);
-                      if (receiver->stopped || !request)
+                      if (is_cut())
+                      {
+                          return;
+                      }
+                      if (receiver->process.stopped)
                       {
                           answer(std::nullopt);
                           return;
                       }
-                      ++receiver->served;
-                      receiver->follower_of(request->table)
-                          .serve(*request,
-                                 [this, answer](const gateway::relay_reply& reply) {
-                                     time.delays()(message_latency,
-                                                   [answer, text = gateway::encode(reply)] { answer(text); });
-                                 });
+                      receiver->process.run(serve);
+                  });
+}
+
+void feed_fleet::stop(const std::string& address)
+{
+    auto& it = m_members[address];
+    it->process.stopped = true;
+    m_stopped.push_back(std::move(it));
+    m_members.erase(address);
+}
+
+void feed_fleet::disturb(const std::string& address, gateway_fault fault, milliseconds span)
+{
+    auto& it = *m_members.at(address);
+    const auto until = time.now() + span;
+    const auto domain = it.domain;
+    const auto node = it.node;
+    it.process.disturbed_until = std::max(it.process.disturbed_until, until);
+    switch (fault)
+    {
+    case gateway_fault::cut_off:
+        it.process.cut_off_until = until;
+        return;
+    case gateway_fault::frozen:
+        it.process.frozen_until = until;
+        return;
+    case gateway_fault::slow:
+        it.process.slow_until = until;
+        return;
+    case gateway_fault::without_store:
+        it.process.without_store_until = until;
+        return;
+    case gateway_fault::dark:
+    case gateway_fault::replaced:
+        m_dark.insert(address);
+        break;
+    case gateway_fault::killed:
+        break;
+    }
+    stop(address);
+    const bool replaced = fault == gateway_fault::replaced;
+    const auto next = replaced ? domain + " r" + std::to_string(m_replacements++) : address;
+    time.delays()(span,
+                  [this, next, domain, node]
+                  {
+                      m_dark.erase(next);
+                      add(next, domain, node);
                   });
 }
 
+std::vector<std::string> feed_fleet::undisturbed(const std::string& failure_domain) const
+{
+    std::vector<std::string> found;
+    for (const auto& [address, it] : m_members)
+    {
+        if (it->domain == failure_domain && !it->process.stopped && it->process.disturbed_until <= time.now())
+        {
+            found.push_back(address);
+        }
+    }
+    return found;
+}
+
+std::vector<std::string> feed_fleet::roots_among(const std::vector<std::string>& addresses) const
+{
+    std::vector<std::string> roots;
+    std::ranges::copy_if(addresses, std::back_inserter(roots),
+                         [this](const auto& it) { return m_members.at(it)->peers.feed_sources() == 0; });
+    return roots;
+}
+
+void feed_fleet::publish(const std::string& table)
+{
+    auto& times = m_published[table];
+    times.push_back(time.now());
+    store.put(table, "published", std::to_string(times.size()));
+}
+
+bool feed_fleet::in_touch(const member& it) const
+{
+    constexpr gateway::seconds contact_time{3};
+    return !it.process.stopped && it.process.disturbed_until + contact_time <= time.now();
+}
+
+gateway::duration feed_fleet::age_of_knowledge(const member& it, const std::string& table) const
+{
+    const auto& times = m_published.at(table);
+    const auto row = it.rows.find({table, "published"});
+    const auto known = row == it.rows.end() ? std::size_t{0} : std::stoul(row->second.value);
+    return known < times.size() ? time.now() - times[known] : gateway::duration{};
+}
+
+gateway::duration feed_fleet::oldest_knowledge(const std::string& table) const
+{
+    gateway::duration oldest{};
+    for (const auto& [address, it] : m_members)
+    {
+        if (in_touch(*it))
+        {
+            oldest = std::max(oldest, age_of_knowledge(*it, table));
+        }
+    }
+    return oldest;
+}
+
 } // namespace masticcourse::testing
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -92,6 +93,25 @@
     std::list<waiting_feed> m_feeds;
 };
 
+/// What is wrong with a gateway for a while.
+enum class gateway_fault : std::uint8_t
+{
+    /// Nothing that it sends or is sent arrives.
+    cut_off,
+    /// Its process does not run; what arrives is handled when it goes on.
+    frozen,
+    /// It is gone without a reset, and starts again afterwards.
+    dark,
+    /// It is gone, connections to it are refused, and it starts again afterwards.
+    killed,
+    /// What it sends to other gateways arrives late.
+    slow,
+    /// The store does not answer it.
+    without_store,
+    /// It is gone without a reset, and a gateway of the same name starts at another address afterwards.
+    replaced,
+};
+
 class feed_fleet
 {
   public:
@@ -114,6 +134,19 @@
     void freeze(double share);
     /// The gateways selected by @a share are killed and start again after @a downtime.
     void restart(double share, gateway::milliseconds downtime);
+    /// Disturbs a gateway for @a span.
+    void disturb(const std::string& address, gateway_fault fault, gateway::milliseconds span);
+    /// @return the addresses of the gateways of a failure domain that are not disturbed
+    [[nodiscard]] std::vector<std::string> undisturbed(const std::string& failure_domain) const;
+    /// @return those of @a addresses that follow the store
+    [[nodiscard]] std::vector<std::string> roots_among(const std::vector<std::string>& addresses) const;
+
+    /// Writes a row of which the fleet remembers when each value was written.
+    void publish(const std::string& table);
+    /// @return the longest time for which a row written by publish() has been newer than what a gateway in
+    /// touch acts on. A gateway is in touch if it has not been disturbed for three seconds.
+    [[nodiscard]] gateway::duration oldest_knowledge(const std::string& table) const;
+
     /// Behaviour of the store toward all gateways: available, refusing or unresponsive.
     void set_store_mode(store_mode mode);
     /// The gateways selected by @a share reach the store through peers only, from now on.
@@ -146,6 +179,10 @@
     friend class member;
     class store_port;
 
+    [[nodiscard]] gateway::duration age_of_knowledge(const member& it, const std::string& table) const;
+    [[nodiscard]] bool in_touch(const member& it) const;
+    void add(const std::string& address, const std::string& failure_domain, const std::string& node);
+    void stop(const std::string& address);
     void relay(member& from, const std::string& to, const std::string& bytes,
                const gateway::peer_callback& on_reply);
     [[nodiscard]] std::vector<member*> choose(double share);
@@ -155,6 +192,11 @@
     std::vector<std::unique_ptr<member>> m_stopped;
     store_mode m_store_mode = store_mode::available;
     bool m_went_back = false;
+    /// When the values of published rows were written, by table.
+    std::map<std::string, std::vector<gateway::time_point>> m_published;
+    /// Addresses of gateways that are gone without a reset.
+    std::set<std::string> m_dark;
+    std::size_t m_replacements = 0;
     std::minstd_rand m_random{7};
 };
 
--- /dev/null
+++ b/tests/unit/test_gateway_feed_age.cpp
@@ -0,0 +1,141 @@
+// The age of what gateways act on, behind any set of other gateways that are silent, gone, slow or out of
+// date.
+#include "support/feed_fleet.hpp"
+#include "support/test_seed.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace masticcourse;
+using namespace masticcourse::gateway;
+using namespace masticcourse::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// The shortest time in which a deployment wants a change to be in force, and a leaving target left alone.
+constexpr milliseconds smallest_bound{2'000};
+
+constexpr std::array tables{feed_fleet::config_table, feed_fleet::target_table};
+
+constexpr std::array faults{gateway_fault::cut_off, gateway_fault::frozen, gateway_fault::dark,
+                            gateway_fault::killed,  gateway_fault::slow,   gateway_fault::without_store,
+                            gateway_fault::replaced};
+
+struct fleet_size
+{
+    std::size_t gateways = 0;
+    std::size_t domains = 0;
+};
+
+/// A fleet in which both tables change, and sets of gateways are disturbed again and again.
+class disturbed_fleet
+{
+  public:
+    disturbed_fleet(fleet_size size, std::uint64_t seed)
+        : m_fleet(size.gateways, size.domains), m_domains(size.domains), m_random(seed)
+    {
+        std::ranges::for_each(tables, [this](const auto* it) { m_fleet.publish(it); });
+        m_fleet.time.run(20s);
+    }
+
+    /// @param most_at_once the largest number of gateways of a failure domain disturbed together
+    /// @return the oldest knowledge that a gateway in touch acted on
+    duration oldest_knowledge_within(seconds span, std::size_t most_at_once)
+    {
+        constexpr milliseconds step{20};
+        duration oldest{};
+        const auto end = m_fleet.time.now() + span;
+        while (m_fleet.time.now() < end)
+        {
+            change_tables();
+            disturb(most_at_once);
+            m_fleet.time.run(step);
+            for (const auto* const it : tables)
+            {
+                oldest = std::max(oldest, m_fleet.oldest_knowledge(it));
+            }
+        }
+        return oldest;
+    }
+
+  private:
+    milliseconds draw(milliseconds least, milliseconds most)
+    {
+        return milliseconds{
+            std::uniform_int_distribution<milliseconds::rep>{least.count(), most.count()}(m_random)};
+    }
+
+    void change_tables()
+    {
+        if (m_fleet.time.now() >= m_next_change)
+        {
+            m_fleet.publish(tables[static_cast<std::size_t>(draw(0ms, 1ms).count())]);
+            m_next_change = m_fleet.time.now() + draw(20ms, 1'500ms);
+        }
+    }
+
+    void disturb(std::size_t most_at_once)
+    {
+        if (m_fleet.time.now() < m_next_fault)
+        {
+            return;
+        }
+        m_next_fault = m_fleet.time.now() + draw(300ms, 4s);
+        const auto domain = "domain " + std::to_string(m_random() % m_domains);
+        auto chosen = m_fleet.undisturbed(domain);
+        std::ranges::shuffle(chosen, m_random);
+        // The roots come first: most others depend on them.
+        const auto roots = m_fleet.roots_among(chosen);
+        std::ranges::stable_partition(chosen, [&roots](const auto& it)
+                                      { return std::ranges::find(roots, it) != roots.end(); });
+        const auto most = std::min(most_at_once, chosen.size());
+        chosen.resize(most == 0 ? 0 : 1 + m_random() % most);
+        const auto fault = faults.at(m_random() % faults.size());
+        const auto span = draw(500ms, 6s);
+        for (const auto& it : chosen)
+        {
+            m_fleet.disturb(it, fault, span);
+        }
+    }
+
+    feed_fleet m_fleet;
+    std::size_t m_domains;
+    std::minstd_rand m_random;
+    time_point m_next_change{};
+    time_point m_next_fault{};
+};
+
+} // namespace
+
+// Guards against a gateway that refuses a route, or sends to a target, by tables older than the deployment
+// allows, because the gateways that it follows are silent, gone or behind themselves.
+TEST_CASE("what a gateway in touch acts on is never older than the bound, whatever others do")
+{
+    struct drawn_case
+    {
+        fleet_size size;
+        std::size_t most_at_once;
+        std::uint64_t days;
+        seconds length;
+    };
+    for (const auto& it : {drawn_case{{.gateways = 13, .domains = 3}, 4, 12, 120s},
+                           drawn_case{{.gateways = 127, .domains = 5}, 20, 2, 60s}})
+    {
+        for (std::uint64_t day = 0; day < it.days; ++day)
+        {
+            const auto seed = test_seed().value + day;
+            CAPTURE(it.size.gateways);
+            CAPTURE(seed);
+            disturbed_fleet fleet{it.size, seed};
+            CHECK(fleet.oldest_knowledge_within(it.length, it.most_at_once) <= smallest_bound);
+        }
+    }
+}
