Followed tables: the age of what is acted on is bounded by design, and each decision asks for it

What callers saw: a gateway that was itself well, in reach of the store, refused with 404 what a change had added two seconds before, and sent requests to a target that had said longer ago that it leaves.

Cause: sources were asked one after another, 1.6 s each, the store last; knowledge of up to 2.0 s counted as confirmed; the time a reply was on its way, or lay before a paused process, was not counted; and nothing that decides asked for the age. Class: the age of a belief is the sum of timeouts along the way, and a final answer rests on it.

Change: - A table not confirmed by late_after() (1.15 s at a root, 50 ms more at each depth) is read from the store at once, while the call under way goes on, whoever is silent. Further reads of a store that does not answer share a rate, as before. - A confirmation counts from when it was true: from the call, or the end of the store's wait; through a gateway, minus its stated age and the time on the way (Feed-Held-Ms beside the reply; gateways of earlier versions leave it out and ignore it). - Above 1.6 s (max_table_age) nothing is decided: the request waits for a read of the store, at most 300 ms, else 503. If the store does not answer that read it is away: requests are served by what is known, 404 and 401 become 503.

Now at 13, 127 and 625 gateways nothing above 1.6 s is acted on, no gateway in touch was ever undecided, and no gateway took its table for newer than it was by over 1 ms.

--- a/include/masticcourse/gateway/feed/feed_messages.hpp
+++ b/include/masticcourse/gateway/feed/feed_messages.hpp
@@ -4,6 +4,7 @@
 
 #include "masticcourse/gateway/row_store.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,8 +33,25 @@
     /// Time since the sender, or a gateway that it follows, last had no way to the table: neither directly
     /// nor through a peer.
     milliseconds since_failure{};
+    /// Time from the receipt of the request to the reply. Sent beside the encoded reply, so that gateways of
+    /// earlier versions understand both.
+    milliseconds held{};
 };
 
+/// A reply as the requester receives it.
+struct relayed_reply
+{
+    /// The encoded relay_reply.
+    std::string bytes;
+    /// relay_reply::held; nothing if the sender is of a version that does not state it.
+    std::optional<milliseconds> held;
+};
+
+/// Receives the reply of a gateway, or nothing if there was none.
+using relay_callback = std::function<void(std::optional<relayed_reply>)>;
+/// Sends an encoded relay_request to the gateway at @a address.
+using relay_call = std::function<void(const std::string& address, std::string bytes, relay_callback)>;
+
 /// @name Wire format between gateways: CBOR arrays with a fixed order of elements
 /// @{
 [[nodiscard]] std::string encode(const relay_request& request);
--- a/include/masticcourse/gateway/feed/feed_tree.hpp
+++ b/include/masticcourse/gateway/feed/feed_tree.hpp
@@ -45,9 +45,16 @@
         return m_sources;
     }
 
+    /// @return the number of gateways between this one and the store if none has failed; 0 for a root
+    [[nodiscard]] std::size_t depth() const
+    {
+        return m_depth;
+    }
+
   private:
     peer m_self;
     std::vector<std::string> m_sources;
+    std::size_t m_depth = 0;
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -4,13 +4,17 @@
 ///
 /// - A gateway that waits for changes gets a reply whenever its source has heard from the store, changes or
 ///   not. So what any gateway knows is hardly older than what the roots know, however deep the tree is.
-/// - Each reply states how old the sender's knowledge is. If it is too old, or there is no reply, the next
-///   source is asked, and then the store. The gateways share the rate of these calls to the store.
+/// - Each reply states how old the sender's knowledge is, and the time that the reply was on its way is
+/// added.
+///   If the knowledge is too old, or there is no reply, the next source is asked, and then the store.
+/// - If the table has not been confirmed by a certain age (late_after()), the store is read while the call
+///   under way goes on. If it does not answer, the gateways share the rate of further reads.
 /// - Rows carry versions and older ones are ignored, so that a change of the source never sets a row back.
 #pragma once
 
 #include "masticcourse/gateway/commit_queue.hpp"
 #include "masticcourse/gateway/feed/feed_messages.hpp"
+#include "masticcourse/gateway/feed/table_age.hpp"
 #include "masticcourse/gateway/feed/table_mirror.hpp"
 #include "masticcourse/gateway/peer_directory.hpp"
 #include "masticcourse/gateway/row_store.hpp"
@@ -21,6 +25,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace masticcourse::gateway
@@ -49,8 +54,7 @@
 {
     row_store& store;
     peer_directory& peers;
-    /// Sends a relay_request to another gateway.
-    peer_call relay;
+    relay_call relay;
     delay_function delay;
     clock_function clock;
     /// Clock that also advances while the VM is suspended; ages are measured with it.
@@ -82,8 +86,13 @@
     [[nodiscard]] duration time_since_failure() const;
     /// @return the time since the table was last known to be current; the longest duration if it never was
     [[nodiscard]] duration age() const;
-    /// @return whether the table has been read but not been confirmed for longer than any call takes
-    [[nodiscard]] bool out_of_date() const;
+    /// @return whether requests may be decided by the table
+    [[nodiscard]] table_currency currency() const;
+
+    /// Reads the store if the table is out of date.
+    /// @param on_done called once the table is current or the store counts as away, after read_patience at
+    /// the latest
+    void refresh(std::function<void()> on_done);
 
     /// Replies to a gateway that follows the table through this one: at once if there are changes, otherwise
     /// when the store has been heard from.
@@ -93,32 +102,75 @@
     struct waiting_peer
     {
         row_version after = 0;
+        /// When its request was received; boot time.
+        time_point received;
         reply_callback on_reply;
     };
 
     void follow();
-    void follow_later(milliseconds delay);
+    void follow_later(milliseconds pause);
     /// Logs what is followed from now on if it is not what was followed before.
     /// @param source the address of a gateway, or "store"
-    void note_source(const std::string& source);
-    /// @return how long a call may wait so that the pause before it does not delay the next confirmation
-    [[nodiscard]] milliseconds wait_after_pause(milliseconds wait) const;
-    void follow_peer(const std::string& address);
-    void on_relayed(const std::string& address, const std::optional<std::string>& bytes);
-    void on_stale_source(const std::string& address, milliseconds age);
+    /// @return whether it was something else
+    bool note_source(const std::string& source);
+    /// @name The call or pause under way
+    /// Each has a number. What an earlier call brings is used, but does not start the next one.
+    /// @{
+    /// @param waits whether a call may be overtaken by a read of the store
+    [[nodiscard]] std::uint64_t begin_call(bool waits);
+    [[nodiscard]] bool is_current(std::uint64_t call) const
+    {
+        return call == m_call;
+    }
+    /// @}
+    void follow_peer(const std::string& address, bool source_changed);
+    /// @param sent when the request was sent; boot time
+    void on_relayed(std::uint64_t call, const std::string& address, time_point sent,
+                    const std::optional<relayed_reply>& reply);
+    /// @return when the store was last known to have no later changes than @a reply tells; boot time
+    [[nodiscard]] time_point evidence_of(const relay_reply& reply, time_point sent,
+                                         std::optional<milliseconds> held) const;
+    /// @param evidence when the reply's knowledge was valid; boot time
+    void use_reply(const relay_reply& reply, time_point evidence);
+    void on_stale_source(const std::string& address);
     void follow_store();
-    void on_feed(const feed_reply& reply);
+    /// Asks the store for changes.
+    /// @param wait how long the store may wait for some
+    void read_changes(milliseconds wait);
+    void on_feed(std::uint64_t call, time_point sent, milliseconds wait, const feed_reply& reply);
+    /// Reads the whole table.
     void read();
-    void read_partitions(std::vector<std::string> partitions, query_reply so_far);
+    void read_partitions(time_point sent, std::vector<std::string> partitions, query_reply so_far);
     void on_store_failed();
     void load(const std::vector<stored_row>& rows, row_version version);
     /// @return whether any row was applied
     bool apply(const std::vector<stored_row>& rows, row_version version);
-    /// Records that the store had no changes after m_version at @a at, and replies to the waiting gateways.
+    /// @name Age of the table
+    /// @{
+    /// @return the time until the table is late; 0 or less if it is
+    [[nodiscard]] milliseconds time_until_late() const;
+    /// Checks after @a delay whether the table is late; replaces an earlier check.
+    void check_age_after(milliseconds delay);
+    /// Reads the store if the table has not been confirmed in time.
+    void check_age();
+    /// Reads the store unless it is being read, or this gateway's turn has not come yet.
+    /// @return whether it is being read
+    bool read_store_now(std::string_view why);
+    /// Takes this gateway's turn to read the store although there are gateways to follow.
+    void take_turn();
+    [[nodiscard]] bool reads_store() const
+    {
+        return m_reading_since.has_value();
+    }
+    /// Calls those who wait for a refresh.
+    void end_refresh();
+    /// @}
+    /// Records that the store had no changes after m_version at @a at, in boot time, and replies to the
+    /// waiting gateways.
     void confirm(time_point at);
     void reply_to_all();
     [[nodiscard]] duration time_since_feed_failure() const;
-    [[nodiscard]] relay_reply reply_after(row_version after) const;
+    [[nodiscard]] relay_reply reply_to(const waiting_peer& it) const;
     [[nodiscard]] milliseconds random_part_of(milliseconds interval);
 
     feed_context m_context;
@@ -141,6 +193,13 @@
     milliseconds m_retry_delay{};
     /// The pause before the current call.
     milliseconds m_pause{};
+    /// Number of the call or pause under way.
+    std::uint64_t m_call = 0;
+    /// Since when the store is being read by a call that does not wait for changes; boot time.
+    std::optional<time_point> m_reading_since;
+    /// Number of the last check of the age; earlier ones are void.
+    std::uint64_t m_age_check = 0;
+    std::vector<std::function<void()>> m_on_refreshed;
     std::map<std::uint64_t, waiting_peer> m_waiting;
     std::uint64_t m_last_waiting = 0;
     std::minstd_rand m_random;
--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -100,6 +100,8 @@
     unknown_key,
     /// The access key is not in the current configuration, which may be outdated.
     key_undecided,
+    /// The configuration or the targets may have changed since they were read, and the store did not tell.
+    tables_out_of_date,
     /// The workspace has used up its quota.
     over_quota,
     /// No gateway that holds a slice of the workspace's quota is reachable.
--- a/include/masticcourse/gateway/peer_directory.hpp
+++ b/include/masticcourse/gateway/peer_directory.hpp
@@ -95,6 +95,12 @@
     /// @return the gateway through which this one follows tables; nothing if it follows them in the store
     [[nodiscard]] std::optional<std::string> feed_source(time_point now) const;
 
+    /// @return the number of gateways between this one and the store if none has failed; 0 for a root
+    [[nodiscard]] std::size_t feed_depth() const
+    {
+        return m_feed_tree.depth();
+    }
+
     /// @return the number of gateways that this one may follow, responsive or not; 0 if it is a root
     [[nodiscard]] std::size_t feed_sources() const
     {
--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -8,10 +8,14 @@
 /// - A request of a workspace with a quota is sent only with a permit that is valid at that moment. Each
 /// possible execution needs its own permit.
 /// - A request under which several targets have ended, one after another, is sent to no more of them.
+/// - Nothing is decided by tables that are out of date: the store is read first, and if it neither replies
+/// nor counts as away, the request is refused as not executed. While the store is away, requests are sent by
+/// what is known, but none is finally refused by it.
 /// - While a scheduled service is short of room, requests are held back before their first attempt, or
 /// refused.
 #pragma once
 
+#include "masticcourse/gateway/feed/table_age.hpp"
 #include "masticcourse/gateway/gateway_request.hpp"
 #include "masticcourse/gateway/overdraft.hpp"
 #include "masticcourse/gateway/poison_detection.hpp"
@@ -38,6 +42,15 @@
 /// Finds out whether a target still accepts connections; see http_client::check_server().
 using check_target_function = std::function<void(const std::string& address, server_check_callback)>;
 
+/// The tables by which requests are decided; see followed_tables.
+struct table_view
+{
+    std::function<duration()> age;
+    std::function<table_currency()> currency;
+    /// Tries to make the tables current, then calls the argument.
+    std::function<void(std::function<void()>)> refresh;
+};
+
 /// Dependencies of request forwarding. They must outlive every request.
 struct forwarding_services
 {
@@ -53,8 +66,8 @@
     overdraft& overdrafts;
     workspace_quotas& quotas;
     const row_store& store;
-    /// Age of what this gateway knows of the configuration and of the targets: the greater of the two.
-    std::function<duration()> table_age;
+    /// Age and currency of what this gateway knows of the configuration and of the targets.
+    table_view tables;
     delay_function delay;
     clock_function clock;
     metrics_registry& metrics;
@@ -76,6 +89,10 @@
 
 [[nodiscard]] std::string_view to_string(request_outcome outcome);
 
+/// @return Retry-After of a request that is refused because of tables that are out of date, spread by its id:
+/// all callers of a gateway are refused in the same moment
+[[nodiscard]] milliseconds tables_retry_after(const request_id& id);
+
 /// Starts forwarding a request. Its state exists until it is answered or its caller disconnects.
 /// @param config      configuration in force on arrival; used until the request ends
 /// @param on_finished called exactly once
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -70,6 +70,7 @@
     feed_source_failed = 4007,
     load_collector_failed = 4008,
     feed_source_changed = 4009,
+    table_late = 4010,
     target_available = 5001,
     target_lost = 5003,
     target_fence_raised = 5004,
@@ -286,6 +287,11 @@
                      "(`source`). `age_ms` is the age of what it knows, `sources` the number of gateways "
                      "that it may follow, `gateways` the number in its list.",
                      "None. The age of a table stays below two seconds while the store can be reached."},
+    event_definition{
+        event_id::table_late, "table_late", event_severity::warning,
+        "Nothing confirmed a followed table in time through its `source`, or a request waits for "
+        "it (`why`): the store is read meanwhile.",
+        "Look at the gateway that is the source, and at the network to the store, if it recurs."},
     event_definition{event_id::target_available, "target_available", event_severity::info,
                      "A target takes work.", "None."},
     event_definition{event_id::target_lost, "target_lost", event_severity::warning,
--- a/src/gateway/feed/feed_tree.cpp
+++ b/src/gateway/feed/feed_tree.cpp
@@ -29,6 +29,7 @@
 void feed_tree::set(std::span<const peer> others)
 {
     m_sources.clear();
+    m_depth = 0;
     const auto own_rank = rank_of(m_self);
     std::vector<feed_rank> higher;
     for (const auto& it : others)
@@ -57,6 +58,7 @@
     {
         position = parent_of(position);
         add_source(position);
+        ++m_depth;
     }
     for (std::size_t root = 0; root < feed_roots; ++root)
     {
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace masticcourse::gateway
@@ -12,18 +13,12 @@
 namespace
 {
 
-/// How long one call waits for changes. A longer wait lets an unresponsive connection hide changes for
-/// longer, a shorter one costs more calls.
-constexpr milliseconds feed_timeout{1'000};
 /// How long a source may wait before it replies: longer than feed_timeout, so that it replies earlier only if
 /// the roots hear from the store in time.
 constexpr milliseconds relay_timeout{1'250};
 /// Knowledge older than this means that a root has not heard from the store in time, so this gateway finds
 /// out whether it can reach the store itself.
 constexpr milliseconds late_confirmation{1'150};
-/// Knowledge older than this means that the source has lost its own source: it is confirmed once per
-/// feed_timeout, and one call may fail in between.
-constexpr milliseconds max_source_age{2'000};
 /// How long the store is followed after a source was found to be out of date.
 constexpr milliseconds source_avoidance{2'000};
 /// The interval between two calls to the store of a gateway whose sources are out of date. Its growth with
@@ -74,10 +69,10 @@
     const auto now = m_context.clock();
     const auto source = m_context.peers.feed_source(now);
     const bool through_peer = source && now >= m_store_until;
-    note_source(through_peer ? *source : "store");
+    const bool changed = note_source(through_peer ? *source : "store");
     if (through_peer)
     {
-        follow_peer(*source);
+        follow_peer(*source, changed);
     }
     else if (m_loaded)
     {
@@ -89,41 +84,55 @@
     }
 }
 
-void table_follower::follow_later(milliseconds delay)
+std::uint64_t table_follower::begin_call(bool waits)
 {
-    m_pause = delay;
-    m_context.delay(delay, [this] { follow(); });
+    m_reading_since = waits ? std::nullopt : std::optional{m_context.boottime_clock()};
+    return ++m_call;
 }
 
-void table_follower::note_source(const std::string& source)
+void table_follower::follow_later(milliseconds pause)
+{
+    m_pause = pause;
+    m_context.delay(pause,
+                    [this, call = begin_call(true)]
+                    {
+                        if (is_current(call))
+                        {
+                            follow();
+                        }
+                    });
+}
+
+bool table_follower::note_source(const std::string& source)
 {
     if (std::exchange(m_source, source) == source)
     {
-        return;
+        return false;
     }
     log_event(event_id::feed_source_changed, {{"source", source},
                                               {"table", m_table.name},
                                               {"age_ms", to_log_text(age())},
                                               {"sources", std::to_string(m_context.peers.feed_sources())},
                                               {"gateways", std::to_string(m_context.peers.size() + 1)}});
+    return true;
 }
 
-milliseconds table_follower::wait_after_pause(milliseconds wait) const
-{
-    return std::max(milliseconds{0}, wait - m_pause);
-}
-
-void table_follower::follow_peer(const std::string& address)
+void table_follower::follow_peer(const std::string& address, bool source_changed)
 {
-    const relay_request request{
-        .table = m_table.name, .after = m_version, .wait = wait_after_pause(relay_timeout)};
+    // A source that was not followed before may know more, so it replies at once.
+    const bool waits = !m_loaded || !source_changed;
+    const auto wait = waits ? std::max(milliseconds{0}, relay_timeout - m_pause) : milliseconds{0};
+    const relay_request request{.table = m_table.name, .after = m_version, .wait = wait};
     m_context.relay(address, encode(request),
-                    [this, address](const std::optional<std::string>& bytes) { on_relayed(address, bytes); });
+                    [this, call = begin_call(true), address,
+                     sent = m_context.boottime_clock()](const std::optional<relayed_reply>& reply)
+                    { on_relayed(call, address, sent, reply); });
 }
 
-void table_follower::on_relayed(const std::string& address, const std::optional<std::string>& bytes)
+void table_follower::on_relayed(std::uint64_t call, const std::string& address, time_point sent,
+                                const std::optional<relayed_reply>& relayed)
 {
-    const auto reply = bytes ? decode_relay_reply(*bytes, m_table.name) : std::nullopt;
+    const auto reply = relayed ? decode_relay_reply(relayed->bytes, m_table.name) : std::nullopt;
     if (!reply)
     {
         m_context.peers.failed(address, m_context.clock());
@@ -131,38 +140,59 @@
                                                  {"table", m_table.name},
                                                  {"why", "no reply"},
                                                  {"age_ms", to_log_text(age())}});
-        follow();
+        if (is_current(call))
+        {
+            follow();
+        }
         return;
     }
     m_context.peers.responded(address);
-    m_feed_failed_at = m_context.boottime_clock() - reply->since_failure;
-    const bool late = reply->version > 0 && reply->age > late_confirmation;
-    if (reply->since_failure < recent_failure || late)
+    const auto evidence = evidence_of(*reply, sent, relayed->held);
+    use_reply(*reply, evidence);
+    if (!is_current(call))
     {
-        m_context.store.check_path();
+        return;
     }
-    const auto version_before = m_version;
-    if (reply->snapshot && (!m_loaded || reply->version >= m_version))
+    if (!m_loaded || time_until_late() <= milliseconds{0})
     {
-        load(reply->rows, reply->version);
+        on_stale_source(address);
+        return;
     }
-    else if (m_loaded && !reply->snapshot)
+    follow_later(reply->rows.empty() ? milliseconds{0} : m_table.min_interval);
+}
+
+time_point table_follower::evidence_of(const relay_reply& reply, time_point sent,
+                                       std::optional<milliseconds> held) const
+{
+    const auto now = m_context.boottime_clock();
+    const auto on_the_way = held ? std::max<duration>(now - sent - *held, duration{}) : duration{};
+    return now - reply.age - on_the_way;
+}
+
+void table_follower::use_reply(const relay_reply& reply, time_point evidence)
+{
+    m_feed_failed_at = m_context.boottime_clock() - reply.since_failure;
+    const bool late = reply.version > 0 && reply.age > late_confirmation;
+    if (reply.since_failure < recent_failure || late)
     {
-        apply(reply->rows, reply->version);
+        m_context.store.check_path();
     }
-    if (reply->age > max_source_age || !m_loaded)
+    const auto version_before = m_version;
+    if (reply.snapshot && (!m_loaded || reply.version >= m_version))
     {
-        on_stale_source(address, reply->age);
-        return;
+        load(reply.rows, reply.version);
     }
-    if (reply->version >= version_before)
+    else if (m_loaded && !reply.snapshot)
     {
-        confirm(m_context.boottime_clock() - reply->age);
+        apply(reply.rows, reply.version);
+    }
+    if (m_loaded && reply.version >= version_before && reply.age < unknown_age)
+    {
+        confirm(evidence);
     }
-    follow_later(reply->rows.empty() ? milliseconds{0} : m_table.min_interval);
 }
 
-void table_follower::on_stale_source(const std::string& address, milliseconds age)
+void table_follower::on_stale_source(const std::string& address)
 {
     const auto now = m_context.clock();
     if (now < m_next_store_call)
@@ -170,50 +200,69 @@
         follow_later(initial_retry_delay);
         return;
     }
-    const auto interval =
-        m_context.peers.scaled_interval(min_fallback_interval, fallback_interval_per_gateway);
-    m_next_store_call = now + interval / 2 + random_part_of(interval / 2);
+    take_turn();
     m_store_until = now + source_avoidance;
     log_event(event_id::feed_source_failed, {{"source", address},
                                              {"table", m_table.name},
                                              {"why", "out of date"},
-                                             {"age_ms", std::to_string(age.count())}});
+                                             {"age_ms", to_log_text(age())}});
     follow();
 }
 
 void table_follower::follow_store()
 {
-    m_context.store.follow(m_table.name, m_version, wait_after_pause(feed_timeout),
-                           [this](const feed_reply& reply) { on_feed(reply); });
+    // A reply with changes may have been sent at any time of its wait, so it confirms the table as of the
+    // call. The next call only waits until a whole wait after that.
+    const auto next = m_confirmed_at.value_or(time_point{}) + feed_timeout;
+    const auto left = std::chrono::ceil<milliseconds>(next - m_context.boottime_clock());
+    read_changes(std::clamp(left, milliseconds{0}, feed_timeout));
+}
+
+void table_follower::read_changes(milliseconds wait)
+{
+    m_context.store.follow(m_table.name, m_version, wait,
+                           [this, call = begin_call(wait > milliseconds{0}),
+                            sent = m_context.boottime_clock(), wait](const feed_reply& reply)
+                           { on_feed(call, sent, wait, reply); });
 }
 
-void table_follower::on_feed(const feed_reply& reply)
+void table_follower::on_feed(std::uint64_t call, time_point sent, milliseconds wait, const feed_reply& reply)
 {
-    switch (reply.outcome)
+    if (reply.outcome == feed_outcome::changed)
+    {
+        const bool changed = apply(reply.rows, reply.version);
+        // Without changes the store has waited for the whole time.
+        const auto evidence = reply.rows.empty() ? sent + wait : sent;
+        confirm(std::min(evidence, m_context.boottime_clock()));
+        if (is_current(call))
+        {
+            follow_later(changed ? m_table.min_interval : milliseconds{0});
+        }
+        return;
+    }
+    if (!is_current(call))
     {
-    case feed_outcome::failed:
-        on_store_failed();
         return;
-    case feed_outcome::history_truncated:
+    }
+    if (reply.outcome == feed_outcome::history_truncated)
+    {
         read();
         return;
-    case feed_outcome::changed:
-        break;
     }
-    const bool changed = apply(reply.rows, reply.version);
-    confirm(m_context.boottime_clock());
-    follow_later(changed ? m_table.min_interval : milliseconds{0});
+    on_store_failed();
 }
 
 void table_follower::read()
 {
+    std::ignore = begin_call(false);
+    const auto sent = m_context.boottime_clock();
     if (!m_table.partitioned)
     {
-        read_partitions({""}, {});
+        read_partitions(sent, {""}, {});
         return;
     }
     m_context.store.list_partitions(m_table.name,
-                                    [this](partitions_reply reply)
+                                    [this, sent](partitions_reply reply)
                                     {
                                         if (!reply.answered)
                                         {
@@ -226,23 +275,24 @@
                                         {
                                             partitions.emplace_back();
                                         }
-                                        read_partitions(std::move(partitions), {.version = reply.version});
+                                        read_partitions(sent, std::move(partitions),
+                                                        {.version = reply.version});
                                     });
 }
 
-void table_follower::read_partitions(std::vector<std::string> partitions, query_reply so_far)
+void table_follower::read_partitions(time_point sent, std::vector<std::string> partitions, query_reply so_far)
 {
     if (partitions.empty())
     {
         load(so_far.rows, so_far.version);
-        confirm(m_context.boottime_clock());
+        confirm(sent);
         follow_later(milliseconds{0});
         return;
     }
     const row_query query{.table = m_table.name, .partition = partitions.back()};
     partitions.pop_back();
     m_context.store.query(query,
-                          [this, partitions = std::move(partitions),
+                          [this, sent, partitions = std::move(partitions),
                            so_far = std::move(so_far)](const query_reply& reply) mutable
                           {
                               if (!reply.answered)
@@ -254,7 +304,7 @@
                               // two reads.
                               so_far.version = so_far.version > 0 ? so_far.version : reply.version;
                               std::ranges::copy(reply.rows, std::back_inserter(so_far.rows));
-                              read_partitions(std::move(partitions), std::move(so_far));
+                              read_partitions(sent, std::move(partitions), std::move(so_far));
                           });
 }
 
@@ -267,8 +317,10 @@
         // The followers learn at once that the store may be away.
         reply_to_all();
     }
+    end_refresh();
     const auto delay = m_retry_delay / 2 + random_part_of(m_retry_delay / 2);
     m_retry_delay = std::min(m_retry_delay * 2, max_retry_delay);
+    check_age_after(delay);
     follow_later(delay);
 }
 
@@ -297,16 +349,105 @@
 
 void table_follower::confirm(time_point at)
 {
-    if (m_context.record_age && m_confirmed_at)
+    if (!m_confirmed_at || at > *m_confirmed_at)
     {
-        m_context.record_age(m_table.name, age());
+        if (m_context.record_age && m_confirmed_at)
+        {
+            m_context.record_age(m_table.name, age());
+        }
+        m_confirmed_at = at;
+    }
+    if (const auto left = time_until_late(); left > milliseconds{0})
+    {
+        m_store_failing = false;
+        m_retry_delay = initial_retry_delay;
+        check_age_after(left);
+        end_refresh();
     }
-    m_confirmed_at = std::max(at, m_confirmed_at.value_or(at));
-    m_store_failing = false;
-    m_retry_delay = initial_retry_delay;
     reply_to_all();
 }
 
+milliseconds table_follower::time_until_late() const
+{
+    const auto limit = late_after(m_context.peers.feed_depth(), m_table.min_interval);
+    return std::chrono::ceil<milliseconds>(limit - age());
+}
+
+void table_follower::check_age_after(milliseconds delay)
+{
+    m_context.delay(delay,
+                    [this, check = ++m_age_check]
+                    {
+                        if (check == m_age_check)
+                        {
+                            check_age();
+                        }
+                    });
+}
+
+void table_follower::check_age()
+{
+    if (!m_loaded)
+    {
+        return;
+    }
+    if (const auto left = time_until_late(); left > milliseconds{0})
+    {
+        check_age_after(left);
+        return;
+    }
+    if (!read_store_now("not confirmed in time"))
+    {
+        check_age_after(std::chrono::ceil<milliseconds>(m_next_store_call - m_context.clock()));
+    }
+}
+
+bool table_follower::read_store_now(std::string_view why)
+{
+    const bool must_wait = m_store_failing && m_context.clock() < m_next_store_call;
+    if (!m_loaded || reads_store() || must_wait)
+    {
+        return reads_store();
+    }
+    log_event(event_id::table_late, {{"table", m_table.name},
+                                     {"source", m_source},
+                                     {"age_ms", to_log_text(age())},
+                                     {"why", std::string{why}}});
+    take_turn();
+    read_changes(milliseconds{0});
+    return true;
+}
+
+void table_follower::take_turn()
+{
+    const auto interval =
+        m_context.peers.scaled_interval(min_fallback_interval, fallback_interval_per_gateway);
+    m_next_store_call = m_context.clock() + interval / 2 + random_part_of(interval / 2);
+}
+
+void table_follower::refresh(std::function<void()> on_done)
+{
+    if (currency() != table_currency::out_of_date)
+    {
+        on_done();
+        return;
+    }
+    m_on_refreshed.push_back(std::move(on_done));
+    if (m_on_refreshed.size() == 1)
+    {
+        m_context.delay(read_patience, [this] { end_refresh(); });
+    }
+    read_store_now("a request waits");
+}
+
+void table_follower::end_refresh()
+{
+    for (const auto& it : std::exchange(m_on_refreshed, {}))
+    {
+        it();
+    }
+}
+
 duration table_follower::time_since_feed_failure() const
 {
     return m_feed_failed_at ? m_context.boottime_clock() - *m_feed_failed_at : duration{unknown_age};
@@ -322,26 +463,34 @@
     return m_confirmed_at ? m_context.boottime_clock() - *m_confirmed_at : duration::max();
 }
 
-bool table_follower::out_of_date() const
+table_currency table_follower::currency() const
 {
-    return m_confirmed_at && m_context.boottime_clock() - *m_confirmed_at > max_source_age;
+    if (age() <= max_table_age)
+    {
+        return table_currency::current;
+    }
+    const bool unanswered = m_reading_since && m_context.boottime_clock() - *m_reading_since >= read_patience;
+    // A read that the store refused because of its rate limit says nothing about whether it is away.
+    const bool failed = m_store_failing && m_context.store.time_since_failure() <= age();
+    return unanswered || failed ? table_currency::store_away : table_currency::out_of_date;
 }
 
 void table_follower::serve(const relay_request& request, reply_callback on_reply)
 {
+    const auto received = m_context.boottime_clock();
     if (m_loaded && m_mirror.last_change() > request.after)
     {
-        on_reply(reply_after(request.after));
+        on_reply(reply_to({request.after, received, {}}));
         return;
     }
     const auto id = ++m_last_waiting;
-    m_waiting.emplace(id, waiting_peer{request.after, std::move(on_reply)});
+    m_waiting.emplace(id, waiting_peer{request.after, received, std::move(on_reply)});
     m_context.delay(std::min(request.wait, m_loaded ? relay_timeout : initial_read_time),
                     [this, id]
                     {
                         if (const auto it = m_waiting.extract(id))
                         {
-                            it.mapped().on_reply(reply_after(it.mapped().after));
+                            it.mapped().on_reply(reply_to(it.mapped()));
                         }
                     });
 }
@@ -350,23 +499,25 @@
 {
     for (const auto& [id, it] : std::exchange(m_waiting, {}))
     {
-        it.on_reply(reply_after(it.after));
+        it.on_reply(reply_to(it));
     }
 }
 
-relay_reply table_follower::reply_after(row_version after) const
+relay_reply table_follower::reply_to(const waiting_peer& it) const
 {
-    relay_reply reply{.version = m_version, .age = unknown_age};
+    const auto now = m_context.boottime_clock();
+    relay_reply reply{.version = m_version, .age = unknown_age, .held = to_milliseconds(now - it.received)};
     if (m_confirmed_at)
     {
-        reply.age = to_milliseconds(m_context.boottime_clock() - *m_confirmed_at);
+        // Rounded up, as a follower that takes the table for older errs on the safe side.
+        reply.age = to_milliseconds(age() + milliseconds{1});
     }
     reply.since_failure = to_milliseconds(time_since_feed_failure());
     if (!m_loaded)
     {
         return reply;
     }
-    auto changes = after > 0 ? m_mirror.changes_after(after) : std::nullopt;
+    auto changes = it.after > 0 ? m_mirror.changes_after(it.after) : std::nullopt;
     reply.snapshot = !changes;
     reply.rows = changes ? std::move(*changes) : m_mirror.rows();
     return reply;
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -14,7 +14,7 @@
                                      std::function<void(request_outcome)> on_finished)
     : m_services(services), m_config(std::move(config)), m_request(std::move(request)),
       m_exchange(std::move(exchange)), m_on_finished(std::move(on_finished)), m_started(services.clock()),
-      m_table_age(services.table_age())
+      m_table_age(services.tables.age())
 {
 }
 
@@ -25,7 +25,7 @@
     m_deadline = m_started + m_request.timeout.value_or(milliseconds{60'000});
     if (m_route == nullptr)
     {
-        refuse(refusal_reason::no_route, ran_state::no, "no route for " + m_request.host);
+        refuse_without_route();
         return;
     }
     if (!authorize() || refuse_quarantined())
@@ -118,11 +118,27 @@
     refuse(refusal_reason::quota_undecided, ran, "no holder of the quota answers", refusal.retry_after);
 }
 
-bool forwarded_request::authorize()
+void forwarded_request::refuse_without_route()
+{
+    if (configuration_is_current())
+    {
+        refuse(refusal_reason::no_route, ran_state::no, "no route for " + m_request.host);
+        return;
+    }
+    refuse(refusal_reason::tables_out_of_date, ran_state::no,
+           "no route for " + m_request.host + " in a configuration that may be out of date",
+           store_unavailable_retry_after);
+}
+
+bool forwarded_request::configuration_is_current() const
 {
     // While the store is unreachable, other gateways may already use a newer configuration.
-    const bool current = m_services.store.reachable();
-    const auto access = check_access(*m_config, *m_route, m_request.access_key, current);
+    return m_services.store.reachable() && m_services.tables.currency() == table_currency::current;
+}
+
+bool forwarded_request::authorize()
+{
+    const auto access = check_access(*m_config, *m_route, m_request.access_key, configuration_is_current());
     m_request.access_key.clear();
     switch (access.outcome)
     {
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -54,6 +54,10 @@
     /// @name Admission and preparation
     /// @{
     void set_deadline();
+    /// Refuses the request, finally only if the configuration is current.
+    void refuse_without_route();
+    /// @return whether a request may be finally refused by the configuration
+    [[nodiscard]] bool configuration_is_current() const;
     /// Checks the access key; refuses the request if it is not valid.
     [[nodiscard]] bool authorize();
     /// Assigns the request to its workspace and qualifies its program and turn ids with the workspace's name.
@@ -99,6 +103,9 @@
     /// Sends the request to a target as soon as the workspace's quota allows.
     void dispatch();
     void dispatch_with_permit();
+    /// Makes sure that the targets are known as they are now, as far as the store tells.
+    /// @return whether a target may be chosen now; otherwise the request waits for the store or was refused
+    [[nodiscard]] bool tables_usable();
     /// Asks for admission before the first attempt.
     /// @return whether the request may be sent now; otherwise it is held back or has been refused
     [[nodiscard]] bool request_admission();
@@ -223,6 +230,8 @@
     time_point m_deadline;
     /// Age of the configuration and of the targets at the last decision: on arrival, then at each send.
     duration m_table_age{};
+    /// The tables were out of date, and a refresh was requested.
+    bool m_tables_refreshed = false;
     bool m_finished = false;
 
     /// @name Turn
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -154,7 +154,7 @@
         on_deadline();
         return;
     }
-    if (refuse_quarantined() || !request_admission())
+    if (refuse_quarantined() || !tables_usable() || !request_admission())
     {
         return;
     }
@@ -167,6 +167,31 @@
     send_to(chosen->record);
 }
 
+bool forwarded_request::tables_usable()
+{
+    if (m_services.tables.currency() != table_currency::out_of_date)
+    {
+        m_tables_refreshed = false;
+        return true;
+    }
+    if (std::exchange(m_tables_refreshed, true))
+    {
+        refuse(m_may_have_executed ? refusal_reason::target_failed : refusal_reason::tables_out_of_date,
+               m_may_have_executed ? ran_state::unknown : ran_state::no,
+               "the targets may have changed, and the store does not tell", tables_retry_after(m_request.id));
+        return false;
+    }
+    m_services.tables.refresh(
+        [self = shared_from_this()]
+        {
+            if (!self->m_finished)
+            {
+                self->dispatch();
+            }
+        });
+    return false;
+}
+
 void forwarded_request::refuse_without_target()
 {
     if (m_may_have_executed)
@@ -196,7 +221,7 @@
     m_body_report = {};
     m_unfinished_bytes = 0;
     m_attempt_started = m_services.clock();
-    m_table_age = m_services.table_age();
+    m_table_age = m_services.tables.age();
     m_suspicion_at_send =
         m_services.poison.empty() ? suspicion{} : m_services.poison.find(content(), m_attempt_started);
     m_first_event_time.reset();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -110,7 +110,9 @@
                .overdrafts = overdrafts,
                .quotas = quotas,
                .store = store,
-               .table_age = [this] { return std::max(config_rows.age(), target_rows.age()); },
+               .tables = {.age = [this] { return tables.age(); },
+                          .currency = [this] { return tables.currency(); },
+                          .refresh = [this](const auto& on_done) { tables.refresh(on_done); }},
                .delay = delay,
                .clock = monotonic_now,
                .metrics = registry,
@@ -140,7 +142,8 @@
                    .on_change = [this](const auto& row) { apply_config_row(row); }}),
       target_rows(feeds, {.name = decoders.target_table, .min_interval = table_update_interval},
                   {.on_snapshot = [this](const auto& rows) { apply_target_snapshot(rows); },
-                   .on_change = [this](const auto& row) { apply_target_row(row); }})
+                   .on_change = [this](const auto& row) { apply_target_row(row); }}),
+      tables(config_rows, target_rows)
 {
 }
 
@@ -208,9 +211,40 @@
                                                   .retry_after = no_configuration_retry_after}));
         return;
     }
+    if (tables.currency() != table_currency::out_of_date)
+    {
+        forward(std::move(decoded_request), std::move(exchange));
+        return;
+    }
+    tables.refresh(
+        [this, received = monotonic_now(), it = std::move(decoded_request),
+         exchange = std::move(exchange)]() mutable
+        {
+            if (it.timeout)
+            {
+                *it.timeout -= std::chrono::floor<milliseconds>(monotonic_now() - received);
+            }
+            forward(std::move(it), std::move(exchange));
+        });
+}
+
+void gateway::state::forward(gateway_request request, std::shared_ptr<http_exchange> exchange)
+{
+    if (tables.currency() == table_currency::out_of_date)
+    {
+        log_event(event_id::request_refused,
+                  {{"request", request.id.value},
+                   {"reason", "tables_out_of_date"},
+                   {"tables_ms", std::to_string(std::chrono::floor<milliseconds>(tables.age()).count())}});
+        exchange->respond(protocol.encode(
+            refusal{.reason = refusal_reason::tables_out_of_date,
+                    .detail = "the configuration may have changed, and the store does not tell",
+                    .retry_after = tables_retry_after(request.id)}));
+        return;
+    }
     const auto started = monotonic_now();
     forward_request(
-        services, config.current(), std::move(decoded_request), std::move(exchange),
+        services, config.current(), std::move(request), std::move(exchange),
         [this, started](request_outcome outcome)
         {
             const std::vector<metric_label> labels{{"end", std::string{to_string(outcome)}}};
@@ -223,7 +257,7 @@
 void gateway::state::sweep()
 {
     const auto now = monotonic_now();
-    const bool registry_unreachable = !store.reachable() || target_rows.out_of_date();
+    const bool registry_unreachable = !store.reachable() || target_rows.currency() != table_currency::current;
     if (registry_unreachable && last_sweep)
     {
         targets.extend_grace(now - *last_sweep);
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -18,11 +18,11 @@
     const auto it = std::ranges::find_if(followers, is_requested);
     if (it == followers.end())
     {
-        exchange->respond(detail::to_response(std::nullopt));
+        exchange->respond(detail::to_response(std::optional<std::string>{}));
         return;
     }
     it->second->serve(*request, [exchange](const relay_reply& reply)
-                      { exchange->respond(detail::to_response(std::optional{encode(reply)})); });
+                      { exchange->respond(detail::to_response(reply)); });
 }
 std::vector<peer_handler> gateway::peer_handlers()
 {
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -4,6 +4,7 @@
 
 #include "peer_calls.hpp"
 
+#include "masticcourse/gateway/feed/followed_tables.hpp"
 #include "masticcourse/gateway/gateway.hpp"
 #include "masticcourse/gateway/peer_list.hpp"
 #include "masticcourse/gateway/row_fault_log.hpp"
@@ -26,6 +27,8 @@
     void start();
     void stop(std::function<void()> callback);
     void serve(http_request request, std::shared_ptr<http_exchange> exchange);
+    /// Forwards a request whose tables have been made current as far as that is possible.
+    void forward(gateway_request request, std::shared_ptr<http_exchange> exchange);
     void apply_config_row(const stored_row& row);
     void apply_target_row(const stored_row& row);
     void apply_target_snapshot(const std::vector<stored_row>& rows);
@@ -69,6 +72,7 @@
     peer_list gateways;
     table_follower config_rows;
     table_follower target_rows;
+    followed_tables tables;
     std::unique_ptr<http_server> frontend;
     std::unique_ptr<http_server> readiness;
     std::unique_ptr<http_server> metrics_server;
--- a/src/gateway/peer_calls.cpp
+++ b/src/gateway/peer_calls.cpp
@@ -40,6 +40,9 @@
 /// Header: for how long the collector has been unable to reach the store, in ms.
 const std::string unreachable_for_header = "Lacked-Store-Ms";
 
+/// Header: how long the gateway held a request for changes before it replied, in ms.
+const std::string feed_held_header = "Feed-Held-Ms";
+
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 constexpr int status_store_unreachable = 503;
@@ -53,10 +56,10 @@
             .headers = {{"Content-Type", "application/cbor"}}};
 }
 
-milliseconds read_unreachable_for(const http_client_reply& reply)
+std::optional<milliseconds> read_milliseconds(const http_client_reply& reply, const std::string& header)
 {
-    const auto text = reply.header(unreachable_for_header);
-    return milliseconds{text ? std::atoll(text->c_str()) : 0};
+    const auto text = reply.header(header);
+    return text ? std::optional{milliseconds{std::atoll(text->c_str())}} : std::nullopt;
 }
 
 collector_reply to_collector_reply(http_client_reply reply)
@@ -71,7 +74,8 @@
         return {collector_outcome::collected, std::move(reply.body)};
     case status_store_unreachable:
         return {.outcome = collector_outcome::store_unreachable,
-                .unreachable_for = read_unreachable_for(reply)};
+                .unreachable_for =
+                    read_milliseconds(reply, unreachable_for_header).value_or(milliseconds{0})};
     default:
         return {};
     }
@@ -88,7 +92,8 @@
                   { on_reply(to_collector_reply(std::move(reply))); });
 }
 
-void peer_calls::send_idempotent(http_client_request request, milliseconds timeout, peer_callback on_reply)
+void peer_calls::send_idempotent(http_client_request request, milliseconds timeout,
+                                 std::function<void(std::optional<http_client_reply>)> on_reply)
 {
     request.timeout = timeout;
     request.connect_timeout = std::min(timeout, max_connect_timeout);
@@ -97,10 +102,17 @@
                   [on_reply = std::move(on_reply)](http_client_reply reply)
                   {
                       const bool read = reply.failure == http_failure::none && reply.status == status_ok;
-                      on_reply(read ? std::optional{std::move(reply.body)} : std::nullopt);
+                      on_reply(read ? std::optional{std::move(reply)} : std::nullopt);
                   });
 }
 
+void peer_calls::send_idempotent(http_client_request request, milliseconds timeout, peer_callback on_reply)
+{
+    send_idempotent(std::move(request), timeout,
+                    [on_reply = std::move(on_reply)](std::optional<http_client_reply> reply)
+                    { on_reply(reply ? std::optional{std::move(reply->body)} : std::nullopt); });
+}
+
 void peer_calls::query_rows(const std::string& address, std::string query, peer_callback on_rows)
 {
     send_idempotent(make_request(address, row_lookup_path, std::move(query)), row_query_timeout,
@@ -121,10 +133,19 @@
                     std::move(on_reply));
 }
 
-void peer_calls::feed(const std::string& address, std::string request, peer_callback on_reply)
+void peer_calls::feed(const std::string& address, std::string request, relay_callback on_reply)
 {
     send_idempotent(make_request(address, feed_path, std::move(request)), feed_call_timeout,
-                    std::move(on_reply));
+                    [on_reply = std::move(on_reply)](std::optional<http_client_reply> reply)
+                    {
+                        if (!reply)
+                        {
+                            on_reply(std::nullopt);
+                            return;
+                        }
+                        const auto held = read_milliseconds(*reply, feed_held_header);
+                        on_reply(relayed_reply{.bytes = std::move(reply->body), .held = held});
+                    });
 }
 
 void peer_calls::quota(const std::string& address, std::string request, peer_callback on_reply)
@@ -161,6 +182,14 @@
     return {.status = status_bad_request, .body = "{}"};
 }
 
+http_response to_response(const relay_reply& reply)
+{
+    return {.status = status_ok,
+            .content_type = "application/cbor",
+            .body = encode(reply),
+            .headers = {{feed_held_header, std::to_string(reply.held.count())}}};
+}
+
 http_response to_response(std::optional<std::string> reply)
 {
     if (!reply)
--- a/src/gateway/peer_calls.hpp
+++ b/src/gateway/peer_calls.hpp
@@ -5,9 +5,11 @@
 
 #include "masticcourse/gateway/collected_rows.hpp"
 #include "masticcourse/gateway/commit_router.hpp"
+#include "masticcourse/gateway/feed/feed_messages.hpp"
 #include "masticcourse/net/http_client.hpp"
 #include "masticcourse/net/http_message.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -41,13 +43,16 @@
     void collect(const std::string& address, std::string changes, collector_callback on_reply);
     void query_rows(const std::string& address, std::string query, peer_callback on_rows);
     void overdraft(const std::string& address, std::string message, peer_callback on_reply);
-    void feed(const std::string& address, std::string request, peer_callback on_reply);
+    void feed(const std::string& address, std::string request, relay_callback on_reply);
     void quota(const std::string& address, std::string request, peer_callback on_reply);
     void load_digest(const std::string& address, std::string digest, peer_callback on_reply);
     void suspicions(const std::string& address, std::string news, peer_callback on_reply);
 
   private:
     /// Sends a request that may safely be repeated.
+    /// @param on_reply receives the reply, or nothing unless it is complete and has status 200
+    void send_idempotent(http_client_request request, milliseconds timeout,
+                         std::function<void(std::optional<http_client_reply>)> on_reply);
     void send_idempotent(http_client_request request, milliseconds timeout, peer_callback on_reply);
 
     http_client m_client;
@@ -56,6 +61,7 @@
 /// @name Server side
 /// @{
 [[nodiscard]] http_response to_response(const collector_reply& reply);
+[[nodiscard]] http_response to_response(const relay_reply& reply);
 /// @param reply nothing if the request could not be decoded
 [[nodiscard]] http_response to_response(std::optional<std::string> reply);
 /// @}
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -2,6 +2,7 @@
 
 #include "forwarded_request.hpp"
 
+#include <functional>
 #include <utility>
 
 namespace masticcourse::gateway
@@ -37,6 +38,8 @@
         return "unknown_key";
     case refusal_reason::key_undecided:
         return "key_undecided";
+    case refusal_reason::tables_out_of_date:
+        return "tables_out_of_date";
     case refusal_reason::over_quota:
         return "over_quota";
     case refusal_reason::quota_undecided:
@@ -63,6 +66,14 @@
     return "deadline_passed";
 }
 
+milliseconds tables_retry_after(const request_id& id)
+{
+    // The store is read again within about this time.
+    constexpr milliseconds least{200};
+    constexpr std::size_t spread_ms = 400;
+    return least + milliseconds{static_cast<milliseconds::rep>(std::hash<request_id>{}(id) % spread_ms)};
+}
+
 void forward_request(forwarding_services& services, config_ptr config, gateway_request request,
                      std::shared_ptr<http_exchange> exchange,
                      std::function<void(request_outcome)> on_finished)
--- a/tests/support/feed_fleet.cpp
+++ b/tests/support/feed_fleet.cpp
@@ -527,18 +527,18 @@
 }
 
 void feed_fleet::relay(member& from, const std::string& to, const std::string& bytes,
-                       const gateway::peer_callback& on_reply)
+                       const gateway::relay_callback& on_reply)
 {
     ++messages;
     const auto answered = std::make_shared<bool>(false);
-    const auto answer = [answered, &from, on_reply](const std::optional<std::string>& text)
+    const auto answer = [answered, &from, on_reply](const std::optional<gateway::relayed_reply>& reply)
     {
         from.process.run(
-            [answered, on_reply, text]
+            [answered, on_reply, reply]
             {
                 if (!std::exchange(*answered, true))
                 {
-                    on_reply(text);
+                    on_reply(reply);
                 }
             });
     };
@@ -584,12 +584,13 @@
             .serve(*request,
                    [this, receiver, answer, is_cut](const gateway::relay_reply& reply)
                    {
+                       const gateway::relayed_reply sent{.bytes = gateway::encode(reply), .held = reply.held};
                        time.delays()(message_latency + receiver->process.send_delay(),
-                                     [answer, is_cut, text = gateway::encode(reply)]
+                                     [answer, is_cut, sent]
                                      {
                                          if (!is_cut())
                                          {
-                                             answer(text);
+                                             answer(sent);
                                          }
                                      });
                    });
@@ -699,17 +700,30 @@
     return known < times.size() ? time.now() - times[known] : gateway::duration{};
 }
 
-gateway::duration feed_fleet::oldest_knowledge(const std::string& table) const
+feed_fleet::knowledge feed_fleet::knowledge_of(const std::string& table) const
 {
-    gateway::duration oldest{};
+    knowledge found;
     for (const auto& [address, it] : m_members)
     {
-        if (in_touch(*it))
+        if (it->process.stopped || time.now() < it->process.frozen_until)
         {
-            oldest = std::max(oldest, age_of_knowledge(*it, table));
+            continue;
         }
+        const auto age = age_of_knowledge(*it, table);
+        const auto& follower = it->follower_of(table);
+        if (follower.loaded())
+        {
+            found.understated = std::max(found.understated, age - follower.age());
+        }
+        if (!in_touch(*it))
+        {
+            continue;
+        }
+        const bool decides = follower.currency() != gateway::table_currency::out_of_date;
+        found.undecided += decides ? 0 : 1;
+        found.oldest = std::max(found.oldest, decides ? age : gateway::duration{});
     }
-    return oldest;
+    return found;
 }
 
 } // namespace masticcourse::testing
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -143,9 +143,18 @@
 
     /// Writes a row of which the fleet remembers when each value was written.
     void publish(const std::string& table);
-    /// @return the longest time for which a row written by publish() has been newer than what a gateway in
-    /// touch acts on. A gateway is in touch if it has not been disturbed for three seconds.
-    [[nodiscard]] gateway::duration oldest_knowledge(const std::string& table) const;
+    /// What gateways know of the rows written by publish().
+    struct knowledge
+    {
+        /// The longest time for which a row has been newer than what a gateway in touch acts on. A gateway is
+        /// in touch if it has not been disturbed for three seconds.
+        gateway::duration oldest{};
+        /// The longest time by which a gateway, disturbed or not, takes its table for newer than it is.
+        gateway::duration understated{};
+        /// Gateways in touch that act on nothing because their table is out of date.
+        std::size_t undecided = 0;
+    };
+    [[nodiscard]] knowledge knowledge_of(const std::string& table) const;
 
     /// Behaviour of the store toward all gateways: available, refusing or unresponsive.
     void set_store_mode(store_mode mode);
@@ -184,7 +193,7 @@
     void add(const std::string& address, const std::string& failure_domain, const std::string& node);
     void stop(const std::string& address);
     void relay(member& from, const std::string& to, const std::string& bytes,
-               const gateway::peer_callback& on_reply);
+               const gateway::relay_callback& on_reply);
     [[nodiscard]] std::vector<member*> choose(double share);
 
     std::map<std::string, std::unique_ptr<member>> m_members;
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -244,7 +244,14 @@
           .overdrafts = overdrafts,
           .quotas = quotas,
           .store = store,
-          .table_age = [] { return gateway::duration{}; },
+          .tables = {.age = [] { return gateway::duration{}; },
+                     .currency = [this] { return currency; },
+                     .refresh =
+                         [this](const auto& on_done)
+                     {
+                         ++refreshes;
+                         time.delays()(refresh_time, on_done);
+                     }},
           .delay = time.delays(),
           .clock = time.clock(),
           .metrics = metrics}
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -121,6 +121,13 @@
                                          .self = "self",
                                          .metrics = metrics}};
     stub_protocol protocol;
+    /// @name The tables of targets and of the configuration
+    /// @{
+    gateway::table_currency currency = gateway::table_currency::current;
+    /// Time that a refresh of them takes.
+    gateway::milliseconds refresh_time{10};
+    std::size_t refreshes = 0;
+    /// @}
     /// What a check of a target finds.
     server_state checked_state = server_state::listening;
     std::vector<upstream_request_ptr> sent;
--- a/tests/unit/test_gateway_feed_age.cpp
+++ b/tests/unit/test_gateway_feed_age.cpp
@@ -20,9 +20,6 @@
 namespace
 {
 
-/// The shortest time in which a deployment wants a change to be in force, and a leaving target left alone.
-constexpr milliseconds smallest_bound{2'000};
-
 constexpr std::array tables{feed_fleet::config_table, feed_fleet::target_table};
 
 constexpr std::array faults{gateway_fault::cut_off, gateway_fault::frozen, gateway_fault::dark,
@@ -47,11 +44,11 @@
     }
 
     /// @param most_at_once the largest number of gateways of a failure domain disturbed together
-    /// @return the oldest knowledge that a gateway in touch acted on
-    duration oldest_knowledge_within(seconds span, std::size_t most_at_once)
+    /// @return the worst of what gateways knew
+    feed_fleet::knowledge worst_within(seconds span, std::size_t most_at_once)
     {
         constexpr milliseconds step{20};
-        duration oldest{};
+        feed_fleet::knowledge worst;
         const auto end = m_fleet.time.now() + span;
         while (m_fleet.time.now() < end)
         {
@@ -60,10 +57,13 @@
             m_fleet.time.run(step);
             for (const auto* const it : tables)
             {
-                oldest = std::max(oldest, m_fleet.oldest_knowledge(it));
+                const auto now = m_fleet.knowledge_of(it);
+                worst.oldest = std::max(worst.oldest, now.oldest);
+                worst.understated = std::max(worst.understated, now.understated);
+                worst.undecided = std::max(worst.undecided, now.undecided);
             }
         }
-        return oldest;
+        return worst;
     }
 
   private:
@@ -127,7 +127,8 @@
         seconds length;
     };
     for (const auto& it : {drawn_case{{.gateways = 13, .domains = 3}, 4, 12, 120s},
-                           drawn_case{{.gateways = 127, .domains = 5}, 20, 2, 60s}})
+                           drawn_case{{.gateways = 127, .domains = 5}, 20, 2, 60s},
+                           drawn_case{{.gateways = 625, .domains = 5}, 60, 1, 15s}})
     {
         for (std::uint64_t day = 0; day < it.days; ++day)
         {
@@ -135,7 +136,10 @@
             CAPTURE(it.size.gateways);
             CAPTURE(seed);
             disturbed_fleet fleet{it.size, seed};
-            CHECK(fleet.oldest_knowledge_within(it.length, it.most_at_once) <= smallest_bound);
+            const auto worst = fleet.worst_within(it.length, it.most_at_once);
+            CHECK(worst.oldest <= max_table_age);
+            CHECK(worst.undecided == 0);
+            CHECK(worst.understated <= 1ms);
         }
     }
 }
