Streams: the end of an event is looked for once, not again with each chunk

What callers would see: a target that sends a long event takes the gateway's processor; all other requests wait.

Cause: with each chunk the unfinished event was searched from its start, so the time grew with the square of its length.

Change: the search goes on where it ended. Events, splits and order as before (test_gateway_stream_progress, test_gateway_response_ends).

--- a/include/masticcourse/gateway/stream_progress.hpp
+++ b/include/masticcourse/gateway/stream_progress.hpp
@@ -77,10 +77,19 @@
 
   private:
     void on_event(const sse_event& event);
+    /// Removes the longest prefix that ends with an event's blank line from the partial input.
+    [[nodiscard]] std::string take_complete_events();
 
     std::optional<sse_parser> m_parser;
     /// Bytes after the last complete event.
     std::string m_partial;
+    /// @name Positions in m_partial
+    /// @{
+    /// Start of the last line.
+    std::size_t m_line_start = 0;
+    /// No line ends before it, after the start of the last line.
+    std::size_t m_scanned = 0;
+    /// @}
     std::string m_event_data;
     token_count m_event_count = 0;
     std::optional<std::string> m_last_event_id;
--- a/src/gateway/stream_progress.cpp
+++ b/src/gateway/stream_progress.cpp
@@ -1,5 +1,6 @@
 #include "masticcourse/gateway/stream_progress.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <utility>
@@ -10,29 +11,6 @@
 namespace
 {
 
-/// @return the length of the longest prefix of @a text that ends with an event's blank line; 0 if there is
-/// none
-std::size_t complete_events_length(std::string_view text)
-{
-    std::size_t length = 0;
-    std::size_t line_start = 0;
-    while (true)
-    {
-        const auto end = text.find_first_of("\r\n", line_start);
-        if (end == std::string_view::npos)
-        {
-            return length;
-        }
-        const bool crlf = text.substr(end, 2) == "\r\n";
-        const auto next = end + (crlf ? 2 : 1);
-        if (end == line_start)
-        {
-            length = next;
-        }
-        line_start = next;
-    }
-}
-
 std::optional<std::uint64_t> to_number(const std::string& id)
 {
     std::uint64_t number = 0;
@@ -59,6 +37,8 @@
 void stream_progress::begin_attempt()
 {
     m_partial.clear();
+    m_line_start = 0;
+    m_scanned = 0;
     m_out_of_order = false;
     m_parser.emplace([this](const sse_event& event) { on_event(event); });
 }
@@ -78,8 +58,7 @@
     const auto event_data_size = m_event_data.size();
     const auto last_event_id = m_last_event_id;
     m_partial += chunk;
-    auto complete = m_partial.substr(0, complete_events_length(m_partial));
-    m_partial.erase(0, complete.size());
+    auto complete = take_complete_events();
     const bool too_long = m_partial.size() > sse_parser::default_max_event;
     if (too_long || !m_parser->feed(chunk) || m_out_of_order)
     {
@@ -92,8 +71,36 @@
     return complete;
 }
 
+std::string stream_progress::take_complete_events()
+{
+    std::size_t length = 0;
+    // The search goes on where the last chunk ended, or an event of many chunks would be read once for each.
+    auto end = m_partial.find_first_of("\r\n", m_scanned);
+    while (end != std::string::npos)
+    {
+        const bool is_blank = end == m_line_start;
+        const bool crlf = m_partial.compare(end, 2, "\r\n") == 0;
+        const auto next = end + (crlf ? 2 : 1);
+        if (!is_blank && m_partial[end] == '\r' && next == m_partial.size())
+        {
+            // Its line feed may be in the next chunk.
+            break;
+        }
+        length = is_blank ? next : length;
+        m_line_start = next;
+        end = m_partial.find_first_of("\r\n", next);
+    }
+    m_scanned = std::min(end, m_partial.size()) - length;
+    m_line_start -= length;
+    auto complete = m_partial.substr(0, length);
+    m_partial.erase(0, length);
+    return complete;
+}
+
 std::string stream_progress::take_remainder()
 {
+    m_line_start = 0;
+    m_scanned = 0;
     return std::exchange(m_partial, {});
 }
 
