Responses of targets are limited in size, each and all together

What callers would see: a target that sends bytes without end, in a body, a chunk's extension or trailers, makes the gateway exceed its memory; it is killed, with the requests of all others.

Cause: the client read bodies without a limit, and buffered the framing of chunks without a limit. Time was bounded before (the caller's deadline); memory only by what a target could send in it.

Change: http_response_limits.

--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -45,6 +45,9 @@
     failure_domain_name own_domain;
     /// Size of the turn cache.
     std::size_t cache_bytes = 0;
+    /// Memory for the bodies of targets' responses while they are being received. One response may use half
+    /// of it.
+    std::size_t response_bytes = std::size_t{64} * 1024 * 1024;
     /// Maximum size of one row of the store.
     std::size_t row_bytes = 0;
     /// Time between the stop signal and the moment the process is killed.
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -7,8 +7,10 @@
 #include "masticcourse/net/http_message.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -164,12 +166,22 @@
     virtual void cancel() = 0;
 };
 
+/// Limits for the bodies of responses, streamed or not. A response that exceeds one is cut off as if its
+/// connection had broken: a server may send without end.
+struct http_response_limits
+{
+    /// Size of one body.
+    std::size_t max_body = std::numeric_limits<std::size_t>::max();
+    /// Size of all bodies together while they are being received.
+    std::size_t max_total = std::numeric_limits<std::size_t>::max();
+};
+
 /// Thread-safe; callbacks run on the context's threads. The client must be destroyed before its context,
 /// because it holds open sockets.
 class http_client
 {
   public:
-    explicit http_client(boost::asio::io_context& context);
+    explicit http_client(boost::asio::io_context& context, http_response_limits limits = {});
     http_client(const http_client&) = delete;
     http_client(http_client&&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -47,9 +47,10 @@
                       peer_directory& directory, table_decoders row_decoders, metrics_registry& metrics)
     : context(io), options(std::move(given_options)), protocol(request_protocol), store(table_store),
       peers(directory), seed(make_random_seed()), decoders(std::move(row_decoders)), registry(metrics),
-      delay(make_io_delay(context)), client(context), peer_client(context),
-      local_commits(store, delay, monotonic_now, derive_seed(seed, "commits"),
-                    options.cache_bytes / row_cache_divisor),
+      delay(make_io_delay(context)),
+      client(context, {.max_body = options.response_bytes / 2, .max_total = options.response_bytes}),
+      peer_client(context), local_commits(store, delay, monotonic_now, derive_seed(seed, "commits"),
+                                          options.cache_bytes / row_cache_divisor),
       commits(
           local_commits, store, peers,
           [this](const auto& address, auto bytes, auto on_reply)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -55,8 +55,9 @@
 class http_client::pool
 {
   public:
-    explicit pool(boost::asio::io_context& context)
-        : m_context(context), m_connections(std::make_shared<detail::connection_pool>())
+    pool(boost::asio::io_context& context, http_response_limits limits)
+        : m_context(context), m_connections(std::make_shared<detail::connection_pool>()),
+          m_memory(std::make_shared<detail::response_memory>(limits))
     {
     }
 
@@ -64,7 +65,7 @@
                                                                        http_chunk_callback on_chunk,
                                                                        http_reply_callback on_reply) const
     {
-        return std::make_shared<detail::http_transfer>(m_context, m_connections, std::move(request),
+        return std::make_shared<detail::http_transfer>(m_context, m_connections, m_memory, std::move(request),
                                                        std::move(on_chunk), std::move(on_reply));
     }
 
@@ -79,9 +80,13 @@
   private:
     boost::asio::io_context& m_context;
     std::shared_ptr<detail::connection_pool> m_connections;
+    std::shared_ptr<detail::response_memory> m_memory;
 };
 
-http_client::http_client(boost::asio::io_context& context) : m_pool(std::make_shared<pool>(context)) {}
+http_client::http_client(boost::asio::io_context& context, http_response_limits limits)
+    : m_pool(std::make_shared<pool>(context, limits))
+{
+}
 
 http_client::~http_client() = default;
 
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -33,8 +34,11 @@
     /// Sets the socket's options after the connection was established.
     void set_options();
 
+    /// Limits what is read ahead: a response's header, and a chunk's header with its extensions.
+    static constexpr std::size_t max_buffer = std::size_t{128} * 1024;
+
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_buffer};
     deadline timer;
     /// Whether the connection has already served a request.
     bool reused = false;
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -91,9 +91,9 @@
 } // namespace
 
 http_transfer::http_transfer(asio::io_context& context, std::shared_ptr<connection_pool> pool,
-                             http_client_request request, http_chunk_callback on_chunk,
-                             http_reply_callback on_reply)
-    : m_context(context), m_pool(std::move(pool)), m_request(std::move(request)),
+                             std::shared_ptr<response_memory> memory, http_client_request request,
+                             http_chunk_callback on_chunk, http_reply_callback on_reply)
+    : m_context(context), m_pool(std::move(pool)), m_memory(std::move(memory)), m_request(std::move(request)),
       m_on_chunk(std::move(on_chunk)), m_on_reply(std::move(on_reply)),
       m_deadline(std::chrono::steady_clock::now() + m_request.timeout)
 {
@@ -279,7 +279,10 @@
         const auto [read_ec, n] =
             co_await http::async_read_some(connection->socket, connection->buffer, parser, use_tuple);
         ec = read_ec == http::error::need_buffer ? error_code{} : read_ec;
-        deliver_chunk({m_read_buffer.data(), m_read_buffer.size() - body.size});
+        if (!deliver_chunk({m_read_buffer.data(), m_read_buffer.size() - body.size}))
+        {
+            ec = http::error::body_limit;
+        }
         if (is_streaming() && n > 0)
         {
             set_timer(connection);
@@ -297,11 +300,15 @@
     return m_on_chunk && !m_response_mismatched && m_reply.status / 100 == status_class_success;
 }
 
-void http_transfer::deliver_chunk(std::string_view chunk)
+bool http_transfer::deliver_chunk(std::string_view chunk)
 {
     if (chunk.empty())
     {
-        return;
+        return true;
+    }
+    if (!m_memory->reserve(chunk.size(), m_reserved))
+    {
+        return false;
     }
     m_reply.body_report.bytes += chunk.size();
     if (is_streaming())
@@ -312,6 +319,7 @@
     {
         m_reply.body += chunk;
     }
+    return true;
 }
 
 bool http_transfer::may_retry(const http_connection& connection) const
@@ -373,6 +381,7 @@
         connection->close();
     }
     m_reply.send_report = m_send_report;
+    m_memory->release(std::exchange(m_reserved, 0));
     const auto on_reply = std::exchange(m_on_reply, nullptr);
     m_on_chunk = nullptr;
     m_request.on_head = nullptr;
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "http_connection.hpp"
+#include "response_memory.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -25,7 +26,8 @@
   public:
     /// @param on_chunk if empty, the whole body is returned in the reply
     http_transfer(boost::asio::io_context& context, std::shared_ptr<connection_pool> pool,
-                  http_client_request request, http_chunk_callback on_chunk, http_reply_callback on_reply);
+                  std::shared_ptr<response_memory> memory, http_client_request request,
+                  http_chunk_callback on_chunk, http_reply_callback on_reply);
 
     void start();
     void cancel() override;
@@ -44,7 +46,8 @@
     boost::asio::awaitable<bool> read_head(connection_ptr connection, reply_parser& parser);
     boost::asio::awaitable<bool> read_body(connection_ptr connection, reply_parser& parser);
     [[nodiscard]] std::chrono::milliseconds remaining_time() const;
-    void deliver_chunk(std::string_view chunk);
+    /// @return false if the body exceeds a limit
+    [[nodiscard]] bool deliver_chunk(std::string_view chunk);
 
     [[nodiscard]] bool may_retry(const http_connection& connection) const;
     [[nodiscard]] bool is_streaming() const;
@@ -56,6 +59,9 @@
 
     boost::asio::io_context& m_context;
     std::shared_ptr<connection_pool> m_pool;
+    std::shared_ptr<response_memory> m_memory;
+    /// Memory reserved for the body.
+    std::size_t m_reserved = 0;
     http_client_request m_request;
     http_chunk_callback m_on_chunk;
     http_reply_callback m_on_reply;
--- a/tests/unit/gateway_fixture.hpp
+++ b/tests/unit/gateway_fixture.hpp
@@ -43,6 +43,8 @@
                    .peer_address = peer_address,
                    .own_domain = {"here"},
                    .cache_bytes = 1'000'000,
+                   // What a VM of 88 MB gets, the smallest of a deployment.
+                   .response_bytes = 5'500'000,
                    .row_bytes = 10'000,
                    .stop_grace = std::chrono::seconds{8}},
                   protocol, store, peers, platform::make_table_decoders(), metrics)
