List of gateways: no earlier process of a gateway's own VM, and each address once

What callers could see: a gateway follows, or sends commits to, gateways that are gone, and learns late of changes.

Class: identity taken from the address alone.

Change: its own entry is left out by the VM's name as well; an address counts once.

Evidence: test_gateway_peers, 'the list holds no earlier process ...', failed before with 2 and 3 entries for 1.

--- a/include/masticcourse/gateway/peer_list.hpp
+++ b/include/masticcourse/gateway/peer_list.hpp
@@ -55,6 +55,8 @@
     void load(const std::vector<stored_row>& rows);
     void schedule_update();
     void update_peers();
+    /// @return the gateways whose entries have not expired, except this one
+    [[nodiscard]] std::vector<peer> current_peers() const;
     void update_periodically();
     [[nodiscard]] milliseconds jittered(milliseconds interval);
 
--- a/src/gateway/peer_list.cpp
+++ b/src/gateway/peer_list.cpp
@@ -157,16 +157,26 @@
 void peer_list::update_peers()
 {
     m_update_scheduled = false;
+    m_context.peers.set(current_peers());
+}
+
+std::vector<peer> peer_list::current_peers() const
+{
     const auto now = m_context.clock();
     std::vector<peer> peers;
     for (const auto& [node, it] : m_entries)
     {
-        if (now - it.seen_at < entry_ttl)
+        // An entry of this VM with another address is an earlier process's.
+        if (node != m_node && now - it.seen_at < entry_ttl)
         {
             peers.push_back(it.gateway);
         }
     }
-    m_context.peers.set(std::move(peers));
+    // A VM that was renamed is listed under both names for a while.
+    std::ranges::sort(peers, {}, &peer::address);
+    const auto repeated = std::ranges::unique(peers, {}, &peer::address);
+    peers.erase(repeated.begin(), repeated.end());
+    return peers;
 }
 
 void peer_list::update_periodically()
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -169,6 +169,28 @@
     return figures;
 }
 
+/// A gateway that discovers others through the store.
+struct listed_gateway
+{
+    /// @param node the name of its VM; its address if empty
+    listed_gateway(virtual_time& time, row_table& rows, const std::string& address,
+                   const std::string& node = "")
+        : directory({address, 1}, derive_seed(test_seed(), address)), store(rows, time.delays()),
+          list({.store = store,
+                .peers = directory,
+                .relay = [](const auto&, const auto&, const auto& on_reply) { on_reply(std::nullopt); },
+                .delay = time.delays(),
+                .clock = time.clock(),
+                .boottime_clock = time.clock(),
+                .seed = derive_seed(test_seed(), address)},
+               node.empty() ? address : node, {address, 1})
+    {
+    }
+    peer_directory directory;
+    memory_store store;
+    peer_list list;
+};
+
 } // namespace
 
 TEST_CASE("all gateways select the same collector, and partitions are distributed by weight")
@@ -358,27 +380,9 @@
 {
     virtual_time time;
     row_table rows;
-    struct member
-    {
-        member(virtual_time& time, row_table& rows, const std::string& name)
-            : directory({name, 1}, derive_seed(test_seed(), name)), store(rows, time.delays()),
-              list({.store = store,
-                    .peers = directory,
-                    .relay = [](const auto&, const auto&, const auto& on_reply) { on_reply(std::nullopt); },
-                    .delay = time.delays(),
-                    .clock = time.clock(),
-                    .boottime_clock = time.clock(),
-                    .seed = derive_seed(test_seed(), name)},
-                   name, {name, 1})
-        {
-        }
-        peer_directory directory;
-        memory_store store;
-        peer_list list;
-    };
-    member one{time, rows, "one:1"};
-    member two{time, rows, "two:1"};
-    member three{time, rows, "three:1"};
+    listed_gateway one{time, rows, "one:1"};
+    listed_gateway two{time, rows, "two:1"};
+    listed_gateway three{time, rows, "three:1"};
     one.list.start();
     two.list.start();
     three.list.start();
@@ -396,6 +400,27 @@
     CHECK(seen_by_one() == 0);
 }
 
+// Guards against a gateway that follows, or sends commits to, the earlier process of its own VM or a process
+// that is listed twice, after VMs came back at other addresses or under other names.
+TEST_CASE("the list holds no earlier process of a gateway's own VM, and each address once")
+{
+    virtual_time time;
+    row_table rows;
+    const auto list = [&rows](const std::string& node, const std::string& address)
+    { std::ignore = rows.apply({.puts = {{{peer_list::table_name, node}, address + " 1 "}}}); };
+    list("other", "old-name:1");
+    list("renamed", "old-name:1");
+    listed_gateway gateway{time, rows, "new-address:1", "vm"};
+    gateway.list.start();
+    time.run(4s);
+    CHECK(gateway.directory.size() == 1);
+    // A write of the earlier process that was under way when its VM lost power.
+    list("vm", "old-address:1");
+    time.run(2s);
+    CHECK_FALSE(gateway.directory.contains("old-address:1"));
+    CHECK(gateway.directory.size() == 1);
+}
+
 // Load pattern: a store outage of seconds under full load. If senders considered their collectors failed
 // meanwhile, they would all write directly after it, the partitions would stay overloaded, and collectors
 // would keep missing their reply time.
