--- a/tests/unit/test_gateway_feed_age.cpp
+++ b/tests/unit/test_gateway_feed_age.cpp
@@ -128,7 +128,7 @@
     };
     for (const auto& it : {drawn_case{{.gateways = 13, .domains = 3}, 4, 12, 120s},
                            drawn_case{{.gateways = 127, .domains = 5}, 20, 2, 60s},
-                           drawn_case{{.gateways = 625, .domains = 5}, 60, 1, 15s}})
+                           drawn_case{{.gateways = 625, .domains = 5}, 60, 1, 10s}})
     {
         for (std::uint64_t day = 0; day < it.days; ++day)
         {
@@ -143,3 +143,44 @@
         }
     }
 }
+
+// Load pattern: all roots of a failure domain go silent in the same moment. Only those that follow a root
+// directly turn to the store, a number that does not grow with the fleet.
+TEST_CASE("when all roots of a failure domain go, the store is asked by those that followed them directly")
+{
+    struct sized_case
+    {
+        fleet_size size;
+        gateway_fault fault = gateway_fault::dark;
+    };
+    for (const auto& it : {sized_case{{.gateways = 13, .domains = 3}, gateway_fault::dark},
+                           sized_case{{.gateways = 127, .domains = 5}, gateway_fault::frozen},
+                           sized_case{{.gateways = 625, .domains = 5}, gateway_fault::cut_off}})
+    {
+        CAPTURE(it.size.gateways);
+        CAPTURE(static_cast<int>(it.fault));
+        feed_fleet fleet{it.size.gateways, it.size.domains};
+        std::ranges::for_each(tables, [&fleet](const auto* table) { fleet.publish(table); });
+        fleet.time.run(12s);
+        const auto usage_within = [&fleet](seconds span)
+        {
+            const auto before = fleet.store.usage;
+            fleet.time.run(span);
+            return fleet.store.usage - before;
+        };
+        const auto at_rest = usage_within(5s).reads;
+        const auto roots = fleet.roots_among(fleet.undisturbed("domain 0"));
+        CHECK(roots.size() == feed_roots);
+        for (const auto& root : roots)
+        {
+            fleet.disturb(root, it.fault, 8s);
+        }
+        const auto affected = std::min(it.size.gateways / it.size.domains, feed_roots * (feed_fanout + 1));
+        // Each of them asks for each of the three tables at most twice a second.
+        const auto used = usage_within(5s);
+        CHECK(used.reads <= at_rest + affected * 3 * 2 * 5);
+        CHECK(used.refused == 0);
+        MESSAGE(it.size.gateways, " gateways: ", at_rest, " reads in 5 s at rest, ", used.reads,
+                " without the roots of a domain");
+    }
+}
--- a/tests/unit/test_gateway_peers.cpp
+++ b/tests/unit/test_gateway_peers.cpp
@@ -406,8 +406,9 @@
 {
     virtual_time time;
     row_table rows;
-    const auto list = [&rows](const std::string& node, const std::string& address)
-    { std::ignore = rows.apply({.puts = {{{peer_list::table_name, node}, address + " 1 "}}}); };
+    const auto list = [&rows](const std::string& node, const std::string& address) {
+        std::ignore = rows.apply({.puts = {{{peer_list::table_name, node}, address + " 1 "}}});
+    };
     list("other", "old-name:1");
     list("renamed", "old-name:1");
     listed_gateway gateway{time, rows, "new-address:1", "vm"};
