--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -76,8 +76,9 @@
     void schedule_overdraft();
     void request_overdraft();
     void on_overdraft_result(token_count granted);
-    /// Called when the request ends, before the caller can tell: settles the tokens sent to the caller with
-    /// the budget, and with the overdraft if they were sent before the reservation was durable.
+    /// Called when the request ends: settles the tokens sent to the caller with the budget, and with the
+    /// overdraft if they were sent before the reservation was durable. The end of a complete stream is sent
+    /// after this, a refusal before.
     void settle_budget(settlement_timing timing);
     /// @return when the tokens of a request that ends with @a outcome are settled
     [[nodiscard]] settlement_timing timing_of(request_outcome outcome) const;
--- a/src/gateway/gateway_peers.cpp
+++ b/src/gateway/gateway_peers.cpp
@@ -24,6 +24,7 @@
     it->second->serve(*request, [exchange](const relay_reply& reply)
                       { exchange->respond(detail::to_response(reply)); });
 }
+
 std::vector<peer_handler> gateway::peer_handlers()
 {
     // Replies with what is made of the body of the call, or with an error if that is nothing.
@@ -50,4 +51,5 @@
         {detail::load_path, reply_with([&it](const auto& body) { return it.scheduler.serve_digest(body); })},
         {detail::suspicions_path, reply_with([&it](const auto& body) { return it.suspicions.serve(body); })}};
 }
+
 } // namespace masticcourse::gateway
