--- a/tests/unit/test_gateway_endless_responses.cpp
+++ b/tests/unit/test_gateway_endless_responses.cpp
@@ -53,7 +53,7 @@
     return std::string{size.data()} + "\r\n" + body + "\r\n";
 }
 
-const std::string filler(64 * 1024, 'x');
+const std::string filler(std::size_t{64} * 1024, 'x');
 const std::string event = "data: " + std::string(1'000, 'y') + "\n\n";
 
 const std::vector<endless_response> responses{
