Followed tables: both are refreshed at once, and a refresh ends by its own timer

Found by reading: a request that waits for both tables waited for one after the other, up to twice read_patience; and the timer of an earlier refresh ended a later one early, which refused requests before their read could reply. No test failed.

--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -4,9 +4,8 @@
 ///
 /// - A gateway that waits for changes gets a reply whenever its source has heard from the store, changes or
 ///   not. So what any gateway knows is hardly older than what the roots know, however deep the tree is.
-/// - Each reply states how old the sender's knowledge is, and the time that the reply was on its way is
-/// added.
-///   If the knowledge is too old, or there is no reply, the next source is asked, and then the store.
+/// - Each reply states how old the sender's knowledge is; the time on the way is added. If the knowledge is
+///   too old, or there is no reply, the next source is asked, and then the store.
 /// - If the table has not been confirmed by a certain age (late_after()), the store is read while the call
 ///   under way goes on. If it does not answer, the gateways share the rate of further reads.
 /// - Rows carry versions and older ones are ignored, so that a change of the source never sets a row back.
@@ -200,6 +199,8 @@
     /// Number of the last check of the age; earlier ones are void.
     std::uint64_t m_age_check = 0;
     std::vector<std::function<void()>> m_on_refreshed;
+    /// Number of the last refresh; the timers of earlier ones are void.
+    std::uint64_t m_refresh = 0;
     std::map<std::uint64_t, waiting_peer> m_waiting;
     std::uint64_t m_last_waiting = 0;
     std::minstd_rand m_random;
--- a/src/gateway/feed/followed_tables.cpp
+++ b/src/gateway/feed/followed_tables.cpp
@@ -1,6 +1,7 @@
 #include "masticcourse/gateway/feed/followed_tables.hpp"
 
 #include <algorithm>
+#include <memory>
 
 namespace masticcourse::gateway
 {
@@ -18,7 +19,15 @@
 
 void followed_tables::refresh(const std::function<void()>& on_done)
 {
-    m_config.refresh([this, on_done] { m_targets.refresh(on_done); });
+    const auto on_table = [on_done, pending = std::make_shared<int>(2)]
+    {
+        if (--*pending == 0)
+        {
+            on_done();
+        }
+    };
+    m_config.refresh(on_table);
+    m_targets.refresh(on_table);
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -435,7 +435,14 @@
     m_on_refreshed.push_back(std::move(on_done));
     if (m_on_refreshed.size() == 1)
     {
-        m_context.delay(read_patience, [this] { end_refresh(); });
+        m_context.delay(read_patience,
+                        [this, refresh = ++m_refresh]
+                        {
+                            if (refresh == m_refresh)
+                            {
+                                end_refresh();
+                            }
+                        });
     }
     read_store_now("a request waits");
 }
