Test of response ends: the gateway starts after the registry has been set up

Cause, from its log: the fixture's gateway started before the fixture replaced i-engine by i-scripted. It read the registry between the two writes (E3204 with i-engine, E5003 target_lost 0.2 ms later), and the request came before the second change, which the gateway takes over 50 ms after the first. Not a fault of the gateway: for that moment no target was registered.

Change: the registry is set up before the gateway starts.

--- a/tests/unit/test_gateway_response_ends.cpp
+++ b/tests/unit/test_gateway_response_ends.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <sstream>
 #include <string>
 
@@ -17,24 +18,34 @@
 namespace
 {
 
-/// A gateway whose engine or plain service is a scripted server.
+/// A platform on which a scripted server is registered in place of the engine or of the plain service.
+struct scripted_platform : platform_fixture
+{
+    /// @param service which the scripted server takes over: "llm" or "app"
+    scripted_platform(std::uint16_t port, const std::string& service)
+    {
+        const std::string entry = R"({"service":")" + service + R"(","address":")" + loopback(port) +
+                                  R"(","zone":"here","version":"v1","slots":4,"state":"ready",)"
+                                  R"("coldRemainingMs":0,"sequence":1})";
+        store.remove("servers", service == "llm" ? "i-engine" : "i-app");
+        store.put("servers", "i-scripted", entry);
+    }
+};
+
+/// A gateway whose engine or plain service is a scripted server. The gateway starts last, so that it never
+/// reads the registry halfway through the change.
 struct scripted_target_fixture
 {
     /// @param service which the scripted server takes over: "llm" or "app"
     explicit scripted_target_fixture(std::vector<scripted_response> responses,
                                      const std::string& service = "llm")
-        : target(std::move(responses))
+        : target(std::move(responses)), platform(target.port(), service)
     {
-        const std::string entry = R"({"service":")" + service + R"(","address":")" + loopback(target.port()) +
-                                  R"(","zone":"here","version":"v1","slots":4,"state":"ready",)"
-                                  R"("coldRemainingMs":0,"sequence":1})";
-        platform.store.remove("servers", service == "llm" ? "i-engine" : "i-app");
-        platform.store.put("servers", "i-scripted", entry);
         platform.wait_ready(gateway);
     }
 
     scripted_server target;
-    platform_fixture platform;
+    scripted_platform platform;
     gateway_process gateway{loopback(platform.store.port()), "only"};
 };
 
