--- a/cmake/extra.cmake
+++ b/cmake/extra.cmake
@@ -18,5 +18,15 @@
 # 2012, 2016: gateways that shut down or had just started were not told of them.
 add_test(NAME gateway_soak.poison_requests
   COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/soak/soak.py --build ${CMAKE_BINARY_DIR} --list 2001 2012 2016)
+# Gateways under callers and targets that send much at once, or slowly, with the limit of memory of small VMs.
+add_test(NAME gateway_memory.bodies
+  COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/memory/memory_test.py --build ${CMAKE_BINARY_DIR}
+  --case "targets read slowly" --case "all at once" --case "take long" --case "repeats" --case "turns" --case "reject"
+  --case "least memory")
+add_test(NAME gateway_memory.callers
+  COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/memory/memory_test.py --build ${CMAKE_BINARY_DIR}
+  --case "silent" --case "stop in" --case "idle connections, 88" --case "read slowly, 88" --case "large responses"
+  --case "wait before")
+set_tests_properties(gateway_memory.bodies gateway_memory.callers PROPERTIES TIMEOUT 300)
 # The home withdraws an intent that the store has taken unseen, and dies with the target process named there.
 add_test(NAME system_soak.withdrawn_intent COMMAND system-soak --list 12852)
--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -103,6 +103,12 @@
         return m_cached_rows;
     }
 
+    /// Limits the cache of rows, in bytes.
+    void set_cache_capacity(std::size_t bytes)
+    {
+        m_cached_rows.set_capacity(bytes);
+    }
+
   private:
     /// Enough for the rows of a few thousand programs at a few hundred bytes each.
     static constexpr std::size_t default_cache_bytes = 2'000'000;
--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "masticcourse/gateway/peer_directory.hpp"
 #include "masticcourse/gateway/quota/quota_terms.hpp"
 #include "masticcourse/gateway/request_forwarding.hpp"
+#include "masticcourse/memory/memory_account.hpp"
 #include "masticcourse/net/http_server.hpp"
 #include "masticcourse/telemetry/metrics.hpp"
 
@@ -43,11 +44,18 @@
     /// Address at which peer gateways reach this one.
     std::string peer_address;
     failure_domain_name own_domain;
-    /// Size of the turn cache.
+    /// Maximum size of the turn cache.
     std::size_t cache_bytes = 0;
-    /// Memory for the bodies of targets' responses while they are being received. One response may use half
-    /// of it.
-    std::size_t response_bytes = std::size_t{64} * 1024 * 1024;
+    /// The size in bytes that the process must not exceed; 0 without a limit.
+    std::size_t memory_bytes = 0;
+    /// Resident size of the process before it holds anything for others, in bytes.
+    std::size_t base_memory_bytes = 0;
+    /// @return the resident size of the process in bytes; if empty, only what is accounted for counts
+    std::function<std::optional<std::size_t>()> resident_memory = nullptr;
+    /// The account of what is held for others; shared with the client of the store. Null without a limit.
+    memory_account_ptr memory = nullptr;
+    /// Connections of callers; see http_limits::max_connections.
+    std::size_t max_connections = 20'000;
     /// Maximum size of one row of the store.
     std::size_t row_bytes = 0;
     /// Time between the stop signal and the moment the process is killed.
--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -12,6 +12,7 @@
 #include "masticcourse/net/http_message.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -71,7 +72,14 @@
     /// Path and query, as received.
     std::string target;
     std::string host;
+    /// The body; its beginning only if there is a `rest`.
     std::string body;
+    /// The part of the body that its caller has yet to send; null if the body is whole.
+    std::shared_ptr<http_body_source> rest;
+    /// Size of the whole body in bytes, if it is known.
+    std::optional<std::uint64_t> body_length;
+    /// Digest of a body that was passed on without being held whole, once all of it was seen.
+    std::optional<std::string> body_digest;
     /// Headers forwarded to the target unchanged.
     std::vector<http_header> headers;
     /// How long the caller waits for the response.
@@ -119,6 +127,10 @@
     /// Targets have ended under requests with the same content, one after another.
     poison_request,
     deadline_passed,
+    /// There is no memory for the request.
+    memory_full,
+    /// The caller stopped sending the body.
+    body_stalled,
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason);
--- a/include/masticcourse/gateway/request_fingerprint.hpp
+++ b/include/masticcourse/gateway/request_fingerprint.hpp
@@ -11,6 +11,8 @@
 #include <string>
 #include <string_view>
 
+#include <sodium/crypto_generichash.h>
+
 namespace masticcourse::gateway
 {
 
@@ -35,6 +37,21 @@
     }
 };
 
+/// Digest of a body that is not held whole, over its parts in order.
+class body_hash
+{
+  public:
+    body_hash();
+
+    void add(std::string_view part);
+
+    /// @return the digest of all parts together, as bytes; nothing may be added after it
+    [[nodiscard]] std::string finish();
+
+  private:
+    crypto_generichash_state m_state{};
+};
+
 /// @return the fingerprint of workspace, route, method, path and body; for a stream also of its program and
 /// of the turn that it continues, since its body is only what is new. Ids, deadlines and budgets differ
 /// between attempts and are left out.
--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -11,6 +11,9 @@
 /// - Nothing is decided by tables that are out of date: the store is read first, and if it neither replies
 /// nor counts as away, the request is refused as not executed. While the store is away, requests are sent by
 /// what is known, but none is finally refused by it.
+/// - A long body is passed on while its caller sends it, and a long response while its target does; neither
+/// is held whole, but for a turn that is to be stored. What is held is reserved first; without room, a
+/// request is refused before any part of it reaches a target.
 /// - While a scheduled service is short of room, requests are held back before their first attempt, or
 /// refused.
 #pragma once
@@ -24,6 +27,7 @@
 #include "masticcourse/gateway/route_table.hpp"
 #include "masticcourse/gateway/scheduling/request_scheduler.hpp"
 #include "masticcourse/gateway/turn_store.hpp"
+#include "masticcourse/memory/memory_shares.hpp"
 #include "masticcourse/net/http_server.hpp"
 #include "masticcourse/telemetry/metrics.hpp"
 
@@ -71,6 +75,9 @@
     delay_function delay;
     clock_function clock;
     metrics_registry& metrics;
+    /// Where the memory for requests and responses is reserved; null without a limit.
+    memory_account_ptr memory;
+    memory_shares& shares;
     failure_domain_name own_domain;
     /// Name of this gateway's VM.
     std::string own_name;
@@ -93,6 +100,9 @@
 /// all callers of a gateway are refused in the same moment
 [[nodiscard]] milliseconds tables_retry_after(const request_id& id);
 
+/// @return Retry-After of a request for which there is no memory, spread by its id
+[[nodiscard]] milliseconds memory_retry_after(const request_id& id);
+
 /// Starts forwarding a request. Its state exists until it is answered or its caller disconnects.
 /// @param config      configuration in force on arrival; used until the request ends
 /// @param on_finished called exactly once
--- a/include/masticcourse/gateway/row_cache.hpp
+++ b/include/masticcourse/gateway/row_cache.hpp
@@ -25,7 +25,10 @@
     /// version is cached.
     void put(const stored_row& row);
 
-    /// @return the cached row, or null; valid until the next put()
+    /// Changes the capacity and evicts what is over it.
+    void set_capacity(std::size_t bytes);
+
+    /// @return the cached row, or null; valid until the next put() or set_capacity()
     [[nodiscard]] const stored_row* find(const row_name& name) const;
 
     /// @return the cached rows of @a table with keys in [from, to), sorted by key
@@ -40,6 +43,7 @@
   private:
     using row_list = std::list<stored_row>;
 
+    void evict();
     void evict_oldest();
 
     std::size_t m_capacity;
--- a/include/masticcourse/gateway/stream_progress.hpp
+++ b/include/masticcourse/gateway/stream_progress.hpp
@@ -21,7 +21,8 @@
 class stream_progress
 {
   public:
-    stream_progress();
+    /// @param keeps_data whether event_data() is needed
+    explicit stream_progress(bool keeps_data = true);
     // The parser's callback captures `this`.
     stream_progress(const stream_progress&) = delete;
     stream_progress(stream_progress&&) = delete;
@@ -58,7 +59,7 @@
     {
         return m_event_count;
     }
-    /// Data of all events so far, each followed by a line feed.
+    /// Data of all events so far, each followed by a line feed, if it is kept.
     [[nodiscard]] const std::string& event_data() const
     {
         return m_event_data;
@@ -80,6 +81,7 @@
     /// Removes the longest prefix that ends with an event's blank line from the partial input.
     [[nodiscard]] std::string take_complete_events();
 
+    bool m_keeps_data;
     std::optional<sse_parser> m_parser;
     /// Bytes after the last complete event.
     std::string m_partial;
--- a/include/masticcourse/gateway/turn_store.hpp
+++ b/include/masticcourse/gateway/turn_store.hpp
@@ -50,6 +50,8 @@
     explicit turn_cache(std::size_t capacity_bytes) : m_capacity(capacity_bytes) {}
 
     void put(const request_id& id, turn_ptr turn);
+    /// Changes the capacity and evicts what is over it.
+    void set_capacity(std::size_t bytes);
     /// @return null if the turn is not cached
     [[nodiscard]] turn_ptr get(const request_id& id);
     [[nodiscard]] std::size_t bytes() const
@@ -66,6 +68,7 @@
     using entry_list = std::list<entry>;
 
     [[nodiscard]] static std::size_t size_of(const entry& it);
+    void evict();
 
     std::size_t m_capacity;
     std::size_t m_bytes = 0;
@@ -114,6 +117,12 @@
     /// Stores a turn durably; retries until @a expires.
     void save(const request_id& id, turn_record turn, time_point expires, save_callback on_saved);
 
+    /// The local cache of turns.
+    [[nodiscard]] turn_cache& cache()
+    {
+        return m_cache;
+    }
+
   private:
     struct chain_load;
 
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -4,6 +4,8 @@
 /// says what is true of all connections on which the request was sent, not only of the last one.
 #pragma once
 
+#include "masticcourse/memory/memory_account.hpp"
+#include "masticcourse/net/http_body.hpp"
 #include "masticcourse/net/http_message.hpp"
 
 #include <chrono>
@@ -37,7 +39,13 @@
     std::string method = "GET";
     /// Path and query, percent-encoded.
     std::string target = "/";
+    /// The body; its beginning if there is a `rest`.
     std::string body;
+    /// Where the rest of the body is read from while it is sent; null if `body` is all of it. It is read only
+    /// once the connection is established and all before it has been written.
+    std::shared_ptr<http_body_source> rest;
+    /// Size of the whole body in bytes, with the `rest`; if it is not known, the body is sent in chunks.
+    std::optional<std::uint64_t> body_length;
     std::vector<http_header> headers;
     /// Limits the whole request; for a streamed response, the time without any data.
     std::chrono::milliseconds timeout{10'000};
@@ -54,6 +62,8 @@
     http_head_filter is_matching_response;
     /// Called once with the response's status and headers, before any part of its body.
     http_head_callback on_head;
+    /// Whether the body of a streamed response is delivered in parts whatever its status is.
+    bool stream_any_status = false;
 };
 
 /// Whether a server was found to accept connections.
@@ -137,6 +147,8 @@
     int status = 0;
     std::vector<http_header> headers;
     std::string body;
+    /// Size of the body in bytes, if the header states it.
+    std::optional<std::uint64_t> stated_length;
     http_body_report body_report;
     http_send_report send_report;
 
@@ -164,16 +176,24 @@
     /// Closes the connection, which the server can observe. Thread-safe; `on_end` is still called exactly
     /// once.
     virtual void cancel() = 0;
+
+    /// Stops reading the response, so that the server has to wait; a part that is being read is still
+    /// delivered. The timeout does not run meanwhile. Thread-safe.
+    virtual void pause() = 0;
+
+    /// Reads on. Thread-safe.
+    virtual void resume() = 0;
 };
 
-/// Limits for the bodies of responses, streamed or not. A response that exceeds one is cut off as if its
-/// connection had broken: a server may send without end.
+/// Limits for the bodies of responses that are collected, not streamed. A response that exceeds one is cut
+/// off as if its connection had broken: a server may send without end.
 struct http_response_limits
 {
-    /// Size of one body.
+    /// Size of one body in bytes.
     std::size_t max_body = std::numeric_limits<std::size_t>::max();
-    /// Size of all bodies together while they are being received.
-    std::size_t max_total = std::numeric_limits<std::size_t>::max();
+    /// Where the bodies are counted while they are received; may be null. Nobody but the sender of the
+    /// request knows whether it can do without the response, so none is cut off for lack of room.
+    memory_account_ptr memory = nullptr;
 };
 
 /// Thread-safe; callbacks run on the context's threads. The client must be destroyed before its context,
@@ -193,7 +213,9 @@
     void send(http_client_request request, http_reply_callback on_reply);
 
     /// Sends a request whose response is delivered incrementally.
-    /// @param on_chunk receives each part of a 2xx response's body; any other body is in the reply as a whole
+    /// @param on_chunk receives each part of a 2xx response's body; any other body is in the reply as a
+    /// whole,
+    ///                 unless `stream_any_status` is set
     /// @param on_end   called exactly once, after the last part
     /// @return a handle for cancelling; destroying it does not cancel the request
     std::shared_ptr<http_stream> open_stream(http_client_request request, http_chunk_callback on_chunk,
--- a/include/masticcourse/net/http_message.hpp
+++ b/include/masticcourse/net/http_message.hpp
@@ -3,7 +3,10 @@
 #pragma once
 
 #include "masticcourse/core/problem.hpp"
+#include "masticcourse/net/http_body.hpp"
 
+#include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,8 +33,14 @@
     std::string method;
     /// Path and query, still percent-encoded.
     std::string target;
+    /// The body; its beginning only if there is a `rest`.
     std::string body;
     std::vector<http_header> headers;
+    /// The part of the body that has not been read yet; null if the body is whole. See
+    /// http_limits::stream_body_above.
+    std::shared_ptr<http_body_source> rest;
+    /// Size of the whole body in bytes, if the header states it.
+    std::optional<std::uint64_t> stated_length;
 
     /// @return the value of the first header named @a name, compared case-insensitively
     [[nodiscard]] std::optional<std::string> header(std::string_view name) const;
--- a/include/masticcourse/net/http_server.hpp
+++ b/include/masticcourse/net/http_server.hpp
@@ -3,13 +3,16 @@
 /// from any thread.
 #pragma once
 
+#include "masticcourse/memory/memory_account.hpp"
 #include "masticcourse/net/http_message.hpp"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +42,11 @@
     /// Sends the header of a streamed response. The content type defaults to `text/event-stream`.
     virtual void begin_stream(int status, std::vector<http_header> headers) = 0;
 
+    /// Sends the header of a response whose body follows in parts, with the headers as they are.
+    /// @param length size of the body in bytes; if it is not known, the body is sent in chunks
+    virtual void begin_body(int status, std::vector<http_header> headers,
+                            std::optional<std::uint64_t> length) = 0;
+
     /// Sends a part of a streamed response. If more than `http_limits::max_stream_backlog` bytes are waiting
     /// to be written because the caller reads too slowly, the connection is closed.
     virtual void write(std::string chunk) = 0;
@@ -46,6 +54,10 @@
     /// Ends a streamed response.
     virtual void end_stream() = 0;
 
+    /// Sets a callback for the parts of a streamed response that have been handed to the network. It is
+    /// called on an I/O thread with their size in bytes.
+    virtual void on_written(std::function<void(std::size_t)> callback) = 0;
+
     /// Sets a callback for the caller disconnecting before the end of the response. It is called at most
     /// once: on an I/O thread, or directly from this function if the session is already gone.
     virtual void on_closed(std::function<void()> callback) = 0;
@@ -67,13 +79,26 @@
     std::chrono::milliseconds idle_timeout{60'000};
     /// For one write to the caller to complete.
     std::chrono::milliseconds write_timeout{30'000};
+    /// Within each such span of waiting for a body, at least `min_body_progress` bytes of it must arrive.
+    std::chrono::milliseconds body_progress_timeout{5'000};
+    std::size_t min_body_progress = std::size_t{4} * 1024;
     /// How long idle connections stay open after `stop_accepting`, so that requests already in transit are
     /// still served.
     std::chrono::milliseconds stop_grace{500};
-    /// Connections over this limit receive a 503 response and are closed.
+    /// For a further connection the one that has been idle longest is closed. If none is idle, the further
+    /// one receives a 503 response and is closed.
     std::size_t max_connections = 20'000;
     /// Bytes of a streamed response that may be queued for a slow caller.
     std::size_t max_stream_backlog = std::size_t{8} * 1024 * 1024;
+    /// Bodies that are larger are passed to the handler before they have been read; see http_request::rest.
+    std::size_t stream_body_above = std::numeric_limits<std::size_t>::max();
+    /// Where the memory that the server holds is reserved; null without a limit. Connections and requests for
+    /// which there is no room receive a 503 response.
+    memory_account_ptr memory;
+    /// Reserved for each request in addition to its header and body.
+    std::size_t request_memory = 0;
+    /// Makes the response to a request for which there is no room; if empty, a problem document.
+    std::function<http_response()> make_memory_full_response;
 };
 
 /// Serves HTTP on one address. Malformed requests and requests over the limits never reach the handler; they
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -14,7 +14,11 @@
                                      std::function<void(request_outcome)> on_finished)
     : m_services(services), m_config(std::move(config)), m_request(std::move(request)),
       m_exchange(std::move(exchange)), m_on_finished(std::move(on_finished)), m_started(services.clock()),
-      m_table_age(services.tables.age())
+      m_table_age(services.tables.age()), m_upload_memory(services.memory, memory_use::uploads),
+      m_body_memory(services.memory, memory_use::whole_bodies),
+      m_event_memory(services.memory, memory_use::whole_bodies),
+      m_turn_memory(services.memory, memory_use::turns),
+      m_response_memory(services.memory, memory_use::responses)
 {
 }
 
@@ -50,6 +54,10 @@
                milliseconds{0});
         return;
     }
+    if (!claim_memory())
+    {
+        return;
+    }
     if (m_quota_workspace != nullptr)
     {
         // The quota is checked before any other work is done for the request.
@@ -60,10 +68,27 @@
 }
 
 void forwarded_request::begin()
+{
+    if (!m_request.rest)
+    {
+        prepare();
+    }
+    else if (is_retained())
+    {
+        read_whole_body();
+    }
+    else
+    {
+        set_up_upload();
+        prepare();
+    }
+}
+
+void forwarded_request::prepare()
 {
     if (is_stream())
     {
-        m_progress.emplace();
+        m_progress.emplace(is_retained());
     }
     if (has_budget())
     {
@@ -295,6 +320,12 @@
     case chain_outcome::found:
         break;
     }
+    // The prompt is copied to be sent.
+    if (!m_turn_memory.reserve(2 * chain.prompt.size()))
+    {
+        refuse_without_memory();
+        return;
+    }
     m_chain = std::move(chain);
     m_chain_loaded = true;
     if (!m_await_reservation || m_reservation == reservation_state::granted)
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -3,14 +3,18 @@
 #pragma once
 
 #include "response_end.hpp"
+#include "upload_body.hpp"
 
 #include "masticcourse/gateway/request_forwarding.hpp"
 #include "masticcourse/gateway/stream_progress.hpp"
 #include "masticcourse/telemetry/event.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace masticcourse::gateway::detail
@@ -29,6 +33,10 @@
     granted,
 };
 
+/// Whether callers take the status as a guarantee that the request was not executed. Such a status is valid
+/// only from a target that explicitly states so.
+[[nodiscard]] bool implies_not_executed(int status);
+
 /// An attempt whose response was lost with its connection.
 struct lost_attempt
 {
@@ -62,7 +70,18 @@
     [[nodiscard]] bool authorize();
     /// Assigns the request to its workspace and qualifies its program and turn ids with the workspace's name.
     void set_workspace(const workspace& owner);
+    /// Claims the memory for the request, and what a long body takes while it is passed on.
+    /// @return false if the request was refused because there is no room
+    [[nodiscard]] bool claim_memory();
+    void refuse_without_memory();
     void begin();
+    /// Reads the rest of a body that is needed whole.
+    void read_whole_body();
+    void on_body_part(http_body_part part);
+    void on_body_stalled();
+    /// Prepares passing a long body on while it is read.
+    void set_up_upload();
+    void prepare();
     void start_budgeted_turn();
     void reserve();
     void load_chain();
@@ -154,12 +173,16 @@
     void on_complete_response(http_client_reply reply);
     void end_attempt(health_signal signal);
     [[nodiscard]] bool can_retry() const;
+    /// Whether the body can be sent from its beginning.
+    [[nodiscard]] bool has_body() const;
     /// @}
 
     /// @name Suspicion of ending targets
     /// @{
     /// @return the fingerprint by which all attempts with the same content are known
     [[nodiscard]] const request_fingerprint& content() const;
+    /// Whether the content is known: a body that is passed on has been seen whole.
+    [[nodiscard]] bool knows_content() const;
     /// Refuses the request if it is in quarantine.
     /// @return whether it was refused
     [[nodiscard]] bool refuse_quarantined();
@@ -173,7 +196,10 @@
     /// @name Streamed response
     /// @{
     void on_chunk(std::string_view chunk);
+    void on_events(std::string_view chunk);
     void on_stream_complete();
+    /// Reserves memory for the output that waits, and for what a turn keeps.
+    [[nodiscard]] bool hold_output(std::size_t received);
     /// Abandons a target that has stalled in the middle of a stream that another target can resume.
     void check_stall();
     /// Whether events of the response have been received already.
@@ -187,6 +213,18 @@
     [[nodiscard]] bool can_forward_output() const;
     void send_stream_head();
     void forward_output();
+    /// Collects the body of a response, or passes it on if it is long.
+    void on_body(std::string_view chunk);
+    /// Whether the response is the final one, whatever its body contains.
+    [[nodiscard]] bool is_final_response() const;
+    void begin_body();
+    void watch_writes();
+    void write_to_caller(std::string part);
+    void on_written(std::size_t size);
+    /// Reads on from the target, or lets it wait, depending on how much the caller has yet to read.
+    void adjust_reading();
+    /// Whether a response may go on past its deadline because only its caller is slow to read it.
+    [[nodiscard]] bool waits_for_slow_caller() const;
     void store_turn();
     /// Ends the caller's stream once all output has been sent and, if the turn is stored, is durable.
     void finish_stream();
@@ -306,9 +344,36 @@
     /// Output that is sent to the caller once the reservation is durable.
     std::string m_pending_output;
     time_point m_last_chunk_time;
+    /// The header of the response has been sent to the caller.
     bool m_stream_head_sent = false;
     bool m_stream_complete = false;
     /// @}
+
+    /// @name Bodies that are passed on, and the memory that is held
+    /// @{
+    std::shared_ptr<upload_body> m_upload;
+    memory_share m_memory_share;
+    /// A long body under way.
+    memory_lease m_upload_memory;
+    /// A long body that is needed whole: a turn's input.
+    memory_lease m_body_memory;
+    /// An event that has not ended.
+    memory_lease m_event_memory;
+    /// The prompt of a turn, and its output until it is stored.
+    memory_lease m_turn_memory;
+    /// What is collected of a response, or waits to be sent to the caller.
+    memory_lease m_response_memory;
+    /// The collected part of a response's body.
+    std::string m_response_body;
+    /// Size of the response's body in bytes, if it is known.
+    std::optional<std::uint64_t> m_response_length;
+    /// Bytes of a response that is passed on.
+    std::uint64_t m_passed_on = 0;
+    /// Bytes that have been passed to the caller's connection and not been written yet.
+    std::size_t m_unwritten = 0;
+    /// The target has to wait until the caller has read more.
+    bool m_reading_paused = false;
+    /// @}
 };
 
 } // namespace masticcourse::gateway::detail
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -4,6 +4,7 @@
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <utility>
 
@@ -13,6 +14,20 @@
 namespace
 {
 
+/// Responses up to this size are collected, so that one that breaks off can be replaced by another attempt's.
+constexpr std::size_t max_collected_body = std::size_t{64} * 1024;
+/// How much of a response its caller may have yet to read, in bytes, before the target has to wait: without
+/// and with room to read ahead.
+constexpr std::size_t response_window = std::size_t{64} * 1024;
+constexpr std::size_t max_read_ahead = std::size_t{6} * 1024 * 1024;
+/// @name Responses that only their callers' reading holds up at the deadline
+/// They go on if at most so many bytes are left, and for so long.
+/// @{
+constexpr std::uint64_t max_late_body = std::uint64_t{16} * 1024 * 1024;
+constexpr milliseconds max_slow_caller_time{60'000};
+constexpr milliseconds slow_caller_check_interval{250};
+/// @}
+
 bool is_server_error(int status)
 {
     constexpr int server_error_class = 5;
@@ -21,10 +36,17 @@
 
 } // namespace
 
+bool implies_not_executed(int status)
+{
+    constexpr std::array statuses{408, 421, 429, 503};
+    return std::ranges::find(statuses, status) != statuses.end();
+}
+
 void forwarded_request::on_complete_response(http_client_reply reply)
 {
     record_target_response();
-    const bool retry = m_route->repeatable() && is_server_error(m_response_head->status);
+    const bool retry =
+        m_route->repeatable() && is_server_error(m_response_head->status) && !m_stream_head_sent;
     if (m_response_head->success())
     {
         record_performance();
@@ -36,9 +58,16 @@
         dispatch();
         return;
     }
+    if (m_stream_head_sent)
+    {
+        m_exchange->end_stream();
+        finish(request_outcome::answered, "response passed on");
+        return;
+    }
+    m_response_body += reply.body;
     m_exchange->respond({.status = m_response_head->status,
                          .content_type = {},
-                         .body = std::move(reply.body),
+                         .body = std::move(m_response_body),
                          .headers = std::move(m_response_head->headers)});
     finish(request_outcome::answered, "response complete");
 }
@@ -68,19 +97,113 @@
     if (!std::exchange(m_stream_head_sent, true))
     {
         m_exchange->begin_stream(m_stream_head->status, m_stream_head->headers);
+        watch_writes();
     }
 }
 
+bool forwarded_request::is_final_response() const
+{
+    const auto& head = *m_response_head;
+    const bool usable = head.success() ? head.authentic : !implies_not_executed(head.status);
+    return !head.not_executed && usable && !has_streamed_events();
+}
+
+void forwarded_request::on_body(std::string_view chunk)
+{
+    if (!is_final_response())
+    {
+        // The request is repeated or refused whatever the rest is.
+        return;
+    }
+    if (m_stream_head_sent)
+    {
+        write_to_caller(std::string{chunk});
+        return;
+    }
+    const bool held = m_response_memory.reserve(chunk.size());
+    m_response_body += chunk;
+    if (!held || m_response_body.size() > max_collected_body)
+    {
+        begin_body();
+    }
+}
+
+void forwarded_request::begin_body()
+{
+    m_stream_head_sent = true;
+    m_exchange->begin_body(m_response_head->status, m_response_head->headers, m_response_length);
+    watch_writes();
+    write_to_caller(std::exchange(m_response_body, {}));
+    m_response_memory.reset();
+}
+
+void forwarded_request::watch_writes()
+{
+    m_exchange->on_written(
+        [weak = weak_from_this()](std::size_t size)
+        {
+            if (const auto self = weak.lock())
+            {
+                self->on_written(size);
+            }
+        });
+}
+
+void forwarded_request::write_to_caller(std::string part)
+{
+    m_passed_on += part.size();
+    m_unwritten += part.size();
+    m_exchange->write(std::move(part));
+    adjust_reading();
+}
+
+void forwarded_request::on_written(std::size_t size)
+{
+    m_unwritten -= std::min(size, m_unwritten);
+    adjust_reading();
+}
+
+void forwarded_request::adjust_reading()
+{
+    if (m_finished || !m_upstream)
+    {
+        return;
+    }
+    const auto waiting = m_unwritten + m_pending_output.size();
+    const auto& memory = m_services.memory;
+    const bool has_room =
+        waiting <= max_read_ahead && (!memory || memory->has_room(memory_use::read_ahead, response_window));
+    const bool pause = waiting > response_window && !has_room;
+    const bool resume = waiting <= response_window / 2 || has_room;
+    if (pause && !std::exchange(m_reading_paused, true))
+    {
+        m_upstream->pause();
+    }
+    else if (resume && std::exchange(m_reading_paused, false))
+    {
+        m_upstream->resume();
+    }
+}
+
+bool forwarded_request::waits_for_slow_caller() const
+{
+    const bool passes_on = m_stream_head_sent && !m_progress && m_unwritten > 0;
+    const bool ends_soon = m_response_length && *m_response_length - m_passed_on <= max_late_body;
+    return passes_on && ends_soon && m_services.clock() < m_deadline + max_slow_caller_time;
+}
+
 void forwarded_request::forward_output()
 {
     if (!can_forward_output() || !m_stream_head)
     {
+        adjust_reading();
         return;
     }
     if (!m_pending_output.empty())
     {
         send_stream_head();
-        m_exchange->write(std::exchange(m_pending_output, {}));
+        write_to_caller(std::exchange(m_pending_output, {}));
+        m_response_memory.reset();
     }
     finish_stream();
 }
@@ -136,6 +259,11 @@
     {
         return;
     }
+    if (waits_for_slow_caller())
+    {
+        schedule(slow_caller_check_interval, &forwarded_request::on_deadline);
+        return;
+    }
     refuse(refusal_reason::deadline_passed, may_have_run() ? ran_state::unknown : ran_state::no,
            "the deadline passed");
 }
@@ -153,8 +281,20 @@
     settle_budget(timing_of(outcome));
     m_exchange.reset();
     m_chain = {};
-    m_pending_output.clear();
-    m_request.body.clear();
+    m_pending_output = {};
+    m_response_body = {};
+    m_request.body = {};
+    m_request.rest.reset();
+    if (m_upload)
+    {
+        m_upload->close();
+    }
+    m_memory_share = {};
+    m_upload_memory.reset();
+    m_body_memory.reset();
+    m_event_memory.reset();
+    m_turn_memory.reset();
+    m_response_memory.reset();
     const auto on_finished = std::exchange(m_on_finished, nullptr);
     on_finished(outcome);
 }
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -158,7 +158,7 @@
     {
         return;
     }
-    const auto* const chosen = choose_next_target();
+    const auto* const chosen = has_body() ? choose_next_target() : nullptr;
     if (chosen == nullptr)
     {
         refuse_without_target();
@@ -222,9 +222,13 @@
     m_unfinished_bytes = 0;
     m_attempt_started = m_services.clock();
     m_table_age = m_services.tables.age();
-    m_suspicion_at_send =
-        m_services.poison.empty() ? suspicion{} : m_services.poison.find(content(), m_attempt_started);
+    m_suspicion_at_send = m_services.poison.empty() || !knows_content()
+                              ? suspicion{}
+                              : m_services.poison.find(content(), m_attempt_started);
     m_first_event_time.reset();
+    m_response_body.clear();
+    m_response_length.reset();
+    m_reading_paused = false;
     if (m_progress)
     {
         m_events_before_attempt = m_progress->event_count();
@@ -245,7 +249,14 @@
     const auto attempt = m_attempt_id;
     auto request =
         m_services.protocol.encode(m_request, m_chain.prompt + m_request.body, target, time_left());
+    if (m_upload)
+    {
+        m_upload->restart();
+        request.rest = m_upload;
+        request.body_length = m_upload->length();
+    }
     request.timeout = time_left();
+    request.stream_any_status = true;
     request.connect_timeout = target_connect_timeout;
     // Each send is a decision of this request, which counts it and asks for a permit.
     request.may_resend = false;
@@ -265,14 +276,10 @@
     };
     request.on_head = [if_current_attempt](const http_client_reply& reply)
     { if_current_attempt([&](forwarded_request& it) { it.on_head(reply); }); };
-    http_chunk_callback on_chunk;
-    if (is_stream())
-    {
-        on_chunk = [if_current_attempt](std::string_view chunk)
-        { if_current_attempt([&](forwarded_request& it) { it.on_chunk(chunk); }); };
-    }
+    const auto on_chunk = [if_current_attempt](std::string_view chunk)
+    { if_current_attempt([&](forwarded_request& it) { it.on_chunk(chunk); }); };
     m_upstream = m_services.open_stream(
-        std::move(request), std::move(on_chunk),
+        std::move(request), on_chunk,
         [if_current_attempt](http_client_reply reply)
         { if_current_attempt([&](forwarded_request& it) { it.on_reply(std::move(reply)); }); });
 }
--- a/src/gateway/forwarded_request_failures.cpp
+++ b/src/gateway/forwarded_request_failures.cpp
@@ -12,7 +12,7 @@
 
 bool forwarded_request::can_retry() const
 {
-    return m_attempt_count < m_route->max_attempts && time_left() > milliseconds{0};
+    return has_body() && m_attempt_count < m_route->max_attempts && time_left() > milliseconds{0};
 }
 
 bool forwarded_request::may_have_run() const
@@ -67,8 +67,11 @@
     log_retry(reason);
     m_may_have_executed = true;
     m_checking_target = true;
-    // The check may end after the request, when its body is gone.
-    std::ignore = content();
+    if (knows_content())
+    {
+        // The check may end after the request, when its body is gone.
+        std::ignore = content();
+    }
     const lost_attempt lost{.target = *m_target,
                             .reason = std::string{reason},
                             .suspicion_at_send = m_suspicion_at_send,
@@ -81,7 +84,8 @@
 void forwarded_request::on_target_checked(const lost_attempt& lost, server_state state)
 {
     m_checking_target = false;
-    const bool ended = state == server_state::ended;
+    // A target that ends before it has read the whole request does not end because of it.
+    const bool ended = state == server_state::ended && (m_content || knows_content());
     if (ended)
     {
         record_target_end(lost);
@@ -131,14 +135,16 @@
     // Where a single attempt is allowed, an idle connection that was closed must not cost its caller the
     // answer: the request reaches no other target by being sent to the same one again.
     const auto max_sends = std::max<std::uint32_t>(m_route->max_attempts, 2);
-    return m_route->repeatable() && m_attempt_count < max_sends && time_left() > milliseconds{0};
+    return has_body() && m_route->repeatable() && m_attempt_count < max_sends &&
+           time_left() > milliseconds{0};
 }
 
 bool forwarded_request::may_go_on()
 {
     const bool can_resume = !m_progress || m_progress->can_resume();
-    return m_route->repeatable() && can_resume && can_retry() &&
-           !m_services.poison.quarantine(content(), m_services.clock());
+    const bool passed_on = m_stream_head_sent && !m_progress;
+    return m_route->repeatable() && can_resume && !passed_on && can_retry() &&
+           !(knows_content() && m_services.poison.quarantine(content(), m_services.clock()));
 }
 
 void forwarded_request::retry_or_refuse(std::string_view reason)
@@ -168,7 +174,7 @@
 
 bool forwarded_request::refuse_quarantined()
 {
-    if (m_services.poison.empty())
+    if (m_services.poison.empty() || !knows_content())
     {
         return false;
     }
@@ -188,9 +194,9 @@
 
 bool forwarded_request::is_suspected() const
 {
-    if (m_services.poison.empty())
+    if (m_services.poison.empty() || !knows_content())
     {
-        return false;
+        return m_saw_target_end;
     }
     // After a crash of many targets popular requests are suspected as well. Only their own repeats are kept
     // apart, until there is more evidence.
@@ -217,7 +223,7 @@
 
 void forwarded_request::record_target_response()
 {
-    if (m_services.poison.record_response(content(), m_services.clock()))
+    if (knows_content() && m_services.poison.record_response(content(), m_services.clock()))
     {
         m_services.suspicions.tell(content());
     }
--- a/src/gateway/forwarded_request_response.cpp
+++ b/src/gateway/forwarded_request_response.cpp
@@ -4,31 +4,16 @@
 #include "masticcourse/telemetry/log.hpp"
 
 #include <algorithm>
-#include <array>
 #include <iterator>
 #include <utility>
 
 namespace masticcourse::gateway::detail
 {
 
-namespace
-{
-
-constexpr int status_misdirected = 421;
-
-/// Whether callers take the status as a guarantee that the request was not executed. Such a status is valid
-/// only from a target that explicitly states so.
-bool implies_not_executed(int status)
-{
-    constexpr std::array statuses{408, status_misdirected, 429, 503};
-    return std::ranges::find(statuses, status) != statuses.end();
-}
-
-} // namespace
-
 void forwarded_request::on_head(const http_client_reply& reply)
 {
     m_response_head = m_services.protocol.decode(reply);
+    m_response_length = reply.stated_length;
     if (m_response_head->load)
     {
         m_services.targets.report(m_target->instance(), *m_response_head->load, m_services.clock());
@@ -168,7 +153,7 @@
 
 event_field forwarded_request::content_field() const
 {
-    return {"content", to_string(content())};
+    return {"content", knows_content() ? to_string(content()) : "-"};
 }
 
 std::vector<event_field> forwarded_request::body_fields() const
--- a/src/gateway/forwarded_request_stream.cpp
+++ b/src/gateway/forwarded_request_stream.cpp
@@ -15,11 +15,26 @@
 /// Shorter pauses can be caused by network delay and CPU contention alone.
 constexpr milliseconds min_stall_timeout{600};
 
+/// Longest output of a turn that is stored, in bytes: more than one transaction of the store takes, so that a
+/// longer one could never be stored.
+constexpr std::size_t max_turn_output = std::size_t{1} << 20U;
+
 milliseconds stall_timeout(const route& route)
 {
     return std::max(min_stall_timeout, route.event_gap * stall_gap_factor);
 }
 
+/// @return false if there is no room for a lease of that size
+bool resize(memory_lease& lease, std::size_t size)
+{
+    if (size > lease.size())
+    {
+        return lease.reserve(size - lease.size());
+    }
+    lease.set(size);
+    return true;
+}
+
 } // namespace
 
 bool forwarded_request::is_stream() const
@@ -34,7 +49,21 @@
 
 void forwarded_request::on_chunk(std::string_view chunk)
 {
-    if (!m_response_head || !m_response_head->authentic)
+    if (!m_response_head)
+    {
+        return;
+    }
+    if (is_stream() && m_response_head->success())
+    {
+        on_events(chunk);
+        return;
+    }
+    on_body(chunk);
+}
+
+void forwarded_request::on_events(std::string_view chunk)
+{
+    if (!m_response_head->authentic)
     {
         return;
     }
@@ -51,6 +80,11 @@
         return;
     }
     m_pending_output += *text;
+    if (!hold_output(chunk.size()))
+    {
+        on_response_lost("the response is too long to be kept, or there is no memory for it");
+        return;
+    }
     if (m_route->resumable && has_streamed_events())
     {
         m_request.last_event_id = m_progress->last_event_id();
@@ -62,6 +96,20 @@
     forward_output();
 }
 
+bool forwarded_request::hold_output(std::size_t received)
+{
+    // The output is collected in a string that may have grown to twice its size.
+    const bool too_long = m_progress->event_data().size() > max_turn_output;
+    if (is_retained() && (too_long || !m_turn_memory.reserve(2 * received)))
+    {
+        return false;
+    }
+    // An event that has not ended is kept twice, as it came and as it is understood so far, in strings that
+    // may have grown to twice their size.
+    return resize(m_event_memory, 4 * m_progress->unfinished_bytes()) &&
+           resize(m_response_memory, m_pending_output.size());
+}
+
 void forwarded_request::on_stream_complete()
 {
     m_pending_output += m_progress->take_remainder();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,6 +30,11 @@
 /// The cache for rows of the partitions whose commits this gateway batches gets the size of the turn cache
 /// divided by this.
 constexpr std::size_t row_cache_divisor = 2;
+/// Bodies of callers that are larger are passed on while they are read, in bytes.
+constexpr std::size_t max_short_body = std::size_t{32} * 1024;
+/// What forwarding a request takes beside its header and body, in bytes: its state, the exchange with its
+/// target, and the buffers of both connections.
+constexpr std::size_t request_memory = std::size_t{24} * 1024;
 /// Retry-After of a process that has read no configuration yet.
 constexpr milliseconds no_configuration_retry_after{300};
 
@@ -47,10 +52,10 @@
                       peer_directory& directory, table_decoders row_decoders, metrics_registry& metrics)
     : context(io), options(std::move(given_options)), protocol(request_protocol), store(table_store),
       peers(directory), seed(make_random_seed()), decoders(std::move(row_decoders)), registry(metrics),
-      delay(make_io_delay(context)),
-      client(context, {.max_body = options.response_bytes / 2, .max_total = options.response_bytes}),
-      peer_client(context), local_commits(store, delay, monotonic_now, derive_seed(seed, "commits"),
-                                          options.cache_bytes / row_cache_divisor),
+      delay(make_io_delay(context)), shares(options.memory), client(context),
+      peer_client(context, options.memory),
+      local_commits(store, delay, monotonic_now, derive_seed(seed, "commits"),
+                    options.cache_bytes / row_cache_divisor),
       commits(
           local_commits, store, peers,
           [this](const auto& address, auto bytes, auto on_reply)
@@ -97,6 +102,7 @@
                   .clock = monotonic_now,
                   .self = options.peer_address,
                   .metrics = registry}),
+      memory(options, turns, local_commits, registry),
       services{.open_stream = [this](auto request, auto on_chunk, auto on_reply)
                { return client.open_stream(std::move(request), std::move(on_chunk), std::move(on_reply)); },
                .check_target = [this](const auto& address, auto on_result)
@@ -117,6 +123,8 @@
                .delay = delay,
                .clock = monotonic_now,
                .metrics = registry,
+               .memory = options.memory,
+               .shares = shares,
                .own_domain = options.own_domain,
                .own_name = options.node},
       feeds{.store = store,
@@ -151,7 +159,7 @@
 void gateway::state::start()
 {
     frontend =
-        std::make_unique<http_server>(context, options.frontend_address, http_limits{},
+        std::make_unique<http_server>(context, options.frontend_address, frontend_limits(),
                                       [this](http_request request, std::shared_ptr<http_exchange> exchange)
                                       { serve(std::move(request), std::move(exchange)); });
     readiness = std::make_unique<http_server>(
@@ -181,6 +189,38 @@
     schedule_sweep();
 }
 
+http_limits gateway::state::frontend_limits()
+{
+    http_limits limits{.max_connections = options.max_connections,
+                       .stream_body_above = max_short_body,
+                       .memory = options.memory,
+                       .request_memory = request_memory,
+                       .make_memory_full_response = [this] { return refuse_without_memory(); }};
+    if (const auto current = config.current())
+    {
+        limits.max_body = current->limits.max_body;
+        limits.max_header = current->limits.max_header;
+        limits.header_timeout = current->limits.header_timeout;
+        limits.idle_timeout = current->limits.idle_timeout;
+    }
+    return limits;
+}
+
+http_response gateway::state::refuse_without_memory()
+{
+    // The request has not been read, so that it has no id.
+    const request_id refusal_id{std::to_string(++memory_refusals)};
+    registry
+        .get_counter("masticcourse_memory_refusals_total", "Requests refused because there was no memory.")
+        .add();
+    log_event(event_id::request_refused, {{"reason", "memory_full"},
+                                          {"held", std::to_string(options.memory->held())},
+                                          {"capacity", std::to_string(options.memory->capacity())}});
+    return protocol.encode(refusal{.reason = refusal_reason::memory_full,
+                                   .detail = "no memory is left for a further request",
+                                   .retry_after = memory_retry_after(refusal_id)});
+}
+
 void gateway::state::schedule_sweep()
 {
     sweep();
@@ -265,6 +305,7 @@
     }
     last_sweep = now;
     targets.expire(now);
+    memory.update(now);
     scheduler.sweep(now);
     poison.sweep(now);
     spending.evict_idle(now);
--- a/src/gateway/gateway_rows.cpp
+++ b/src/gateway/gateway_rows.cpp
@@ -48,11 +48,7 @@
     }
     quotas.set_config(config.current());
     scheduler.set_config(config.current());
-    const auto& limits = config.current()->limits;
-    frontend->set_limits({.max_body = limits.max_body,
-                          .max_header = limits.max_header,
-                          .header_timeout = limits.header_timeout,
-                          .idle_timeout = limits.idle_timeout});
+    frontend->set_limits(frontend_limits());
     log_event(event_id::config_applied, {{"version", std::to_string(config.current()->version)},
                                          {"row_version", std::to_string(row.version)},
                                          {"routes", std::to_string(config.current()->routes.size())}});
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -2,6 +2,7 @@
 /// The components of a gateway, and what connects them.
 #pragma once
 
+#include "memory_monitor.hpp"
 #include "peer_calls.hpp"
 
 #include "masticcourse/gateway/feed/followed_tables.hpp"
@@ -9,6 +10,7 @@
 #include "masticcourse/gateway/peer_list.hpp"
 #include "masticcourse/gateway/row_fault_log.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -36,6 +38,10 @@
     bool put_target(const stored_row& row);
     /// Replies to a peer that follows a table through this gateway.
     void serve_feed(const std::string& bytes, const std::shared_ptr<http_exchange>& exchange);
+    /// @return the limits for callers' connections, with those of the configuration if there is one
+    [[nodiscard]] http_limits frontend_limits();
+    /// The response to a request for which there was no memory when it came.
+    [[nodiscard]] http_response refuse_without_memory();
     [[nodiscard]] milliseconds removal_grace() const;
     [[nodiscard]] bool ready() const;
     void sweep();
@@ -53,6 +59,7 @@
     delay_function delay;
     config_holder config;
     target_table targets;
+    memory_shares shares;
     http_client client;
     detail::peer_calls peer_client;
     commit_queue local_commits;
@@ -67,6 +74,7 @@
     request_scheduler scheduler;
     poison_detection poison;
     poison_exchange suspicions;
+    memory_monitor memory;
     forwarding_services services;
     feed_context feeds;
     peer_list gateways;
@@ -82,6 +90,8 @@
     std::optional<time_point> last_sweep;
     bool was_ready = false;
     bool accepting_stopped = false;
+    /// Refusals for lack of memory; spreads the times at which the callers return.
+    std::uint64_t memory_refusals = 0;
 };
 
 } // namespace masticcourse::gateway
--- a/src/gateway/peer_calls.hpp
+++ b/src/gateway/peer_calls.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace masticcourse::gateway::detail
 {
@@ -38,7 +39,11 @@
 class peer_calls
 {
   public:
-    explicit peer_calls(boost::asio::io_context& context) : m_client(context) {}
+    /// @param memory where replies are counted while they are received; may be null
+    peer_calls(boost::asio::io_context& context, memory_account_ptr memory)
+        : m_client(context, {.memory = std::move(memory)})
+    {
+    }
 
     void collect(const std::string& address, std::string changes, collector_callback on_reply);
     void query_rows(const std::string& address, std::string query, peer_callback on_rows);
--- a/src/gateway/request_fingerprint.cpp
+++ b/src/gateway/request_fingerprint.cpp
@@ -6,7 +6,6 @@
 #include <array>
 #include <charconv>
 #include <cstring>
-#include <sodium/crypto_generichash.h>
 
 namespace masticcourse::gateway
 {
@@ -70,6 +69,24 @@
 
 } // namespace
 
+body_hash::body_hash()
+{
+    crypto_generichash_init(&m_state, nullptr, 0, crypto_generichash_BYTES);
+}
+
+void body_hash::add(std::string_view part)
+{
+    const void* const bytes = part.data();
+    crypto_generichash_update(&m_state, static_cast<const unsigned char*>(bytes), part.size());
+}
+
+std::string body_hash::finish()
+{
+    std::array<unsigned char, crypto_generichash_BYTES> bytes{};
+    crypto_generichash_final(&m_state, bytes.data(), bytes.size());
+    return {bytes.begin(), bytes.end()};
+}
+
 request_fingerprint fingerprint_of(const gateway_request& request, const route& route)
 {
     field_hash hash;
@@ -77,7 +94,7 @@
     hash.add(route.name);
     hash.add(request.method);
     hash.add(request.target);
-    hash.add(request.body);
+    hash.add(request.body_digest ? *request.body_digest : request.body);
     if (route.kind == request_kind::stream && request.program)
     {
         hash.add(request.program->program.value);
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -60,6 +60,10 @@
         return "target_failed";
     case refusal_reason::poison_request:
         return "poison_request";
+    case refusal_reason::memory_full:
+        return "memory_full";
+    case refusal_reason::body_stalled:
+        return "body_stalled";
     case refusal_reason::deadline_passed:
         break;
     }
@@ -74,6 +78,15 @@
     return least + milliseconds{static_cast<milliseconds::rep>(std::hash<request_id>{}(id) % spread_ms)};
 }
 
+milliseconds memory_retry_after(const request_id& id)
+{
+    // Room comes back as bodies reach their targets, within tenths of a second; the spread keeps the callers
+    // from returning together.
+    constexpr milliseconds least{300};
+    constexpr std::size_t spread_ms = 700;
+    return least + milliseconds{static_cast<milliseconds::rep>(std::hash<request_id>{}(id) % spread_ms)};
+}
+
 void forward_request(forwarding_services& services, config_ptr config, gateway_request request,
                      std::shared_ptr<http_exchange> exchange,
                      std::function<void(request_outcome)> on_finished)
--- a/src/gateway/row_cache.cpp
+++ b/src/gateway/row_cache.cpp
@@ -32,6 +32,17 @@
     m_rows.push_front(row);
     m_index[row.name] = m_rows.begin();
     m_bytes += size_of(row);
+    evict();
+}
+
+void row_cache::set_capacity(std::size_t bytes)
+{
+    m_capacity = bytes;
+    evict();
+}
+
+void row_cache::evict()
+{
     while (m_bytes > m_capacity && m_rows.size() > 1)
     {
         evict_oldest();
--- a/src/gateway/stream_progress.cpp
+++ b/src/gateway/stream_progress.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-stream_progress::stream_progress()
+stream_progress::stream_progress(bool keeps_data) : m_keeps_data(keeps_data)
 {
     begin_attempt();
 }
@@ -47,7 +47,10 @@
 {
     m_out_of_order =
         m_out_of_order || (event.id && m_last_event_id && is_not_after(*event.id, *m_last_event_id));
-    m_event_data.append(event.data).append("\n");
+    if (m_keeps_data)
+    {
+        m_event_data.append(event.data).append("\n");
+    }
     m_last_event_id = event.id;
     ++m_event_count;
 }
--- a/src/gateway/turn_store.cpp
+++ b/src/gateway/turn_store.cpp
@@ -123,6 +123,17 @@
     m_entries.push_front({id, std::move(turn)});
     m_index[id] = m_entries.begin();
     m_bytes += size_of(m_entries.front());
+    evict();
+}
+
+void turn_cache::set_capacity(std::size_t bytes)
+{
+    m_capacity = bytes;
+    evict();
+}
+
+void turn_cache::evict()
+{
     while (m_bytes > m_capacity && m_entries.size() > 1)
     {
         m_bytes -= size_of(m_entries.back());
--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -53,12 +53,12 @@
     return headers;
 }
 
-http_request to_request(http::request<http::string_body>& message)
+http_request to_request(const http::request_header<>& header, std::string body)
 {
-    return {.method = std::string(message.method_string()),
-            .target = std::string(message.target()),
-            .body = std::move(message.body()),
-            .headers = to_headers(message)};
+    return {.method = std::string(header.method_string()),
+            .target = std::string(header.target()),
+            .body = std::move(body),
+            .headers = to_headers(header)};
 }
 
 http::response<http::string_body> to_message(http_response response, unsigned version, bool keep_alive)
@@ -89,6 +89,22 @@
     return message;
 }
 
+http::response<http::empty_body> to_body_head(int status, const std::vector<http_header>& headers,
+                                              std::optional<std::uint64_t> length, unsigned version,
+                                              bool keep_alive)
+{
+    auto message = make_head<http::empty_body>(status, headers, version, keep_alive);
+    if (length)
+    {
+        message.content_length(*length);
+    }
+    else
+    {
+        message.chunked(version >= 11);
+    }
+    return message;
+}
+
 chunk_framing make_chunk_framing(std::size_t size, bool chunked)
 {
     if (!chunked)
--- a/src/net/http_answer.hpp
+++ b/src/net/http_answer.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,8 +21,7 @@
 
 [[nodiscard]] std::vector<http_header> to_headers(const beast_http::fields& fields);
 
-/// Moves the body out of @a message.
-[[nodiscard]] http_request to_request(beast_http::request<beast_http::string_body>& message);
+[[nodiscard]] http_request to_request(const beast_http::request_header<>& header, std::string body);
 
 [[nodiscard]] beast_http::response<beast_http::string_body> to_message(http_response response,
                                                                        unsigned version, bool keep_alive);
@@ -29,6 +29,13 @@
 [[nodiscard]] beast_http::response<beast_http::empty_body>
 to_stream_head(int status, const std::vector<http_header>& headers, unsigned version, bool keep_alive);
 
+/// The header of a response whose body follows in parts.
+/// @param length size of the body in bytes, if it is known; otherwise the body is sent in chunks, or to a
+/// caller of HTTP/1.0 until the connection closes
+[[nodiscard]] beast_http::response<beast_http::empty_body>
+to_body_head(int status, const std::vector<http_header>& headers, std::optional<std::uint64_t> length,
+             unsigned version, bool keep_alive);
+
 /// The bytes before and after one chunk of a chunked body.
 struct chunk_framing
 {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -57,7 +57,7 @@
   public:
     pool(boost::asio::io_context& context, http_response_limits limits)
         : m_context(context), m_connections(std::make_shared<detail::connection_pool>()),
-          m_memory(std::make_shared<detail::response_memory>(limits))
+          m_limits(std::move(limits))
     {
     }
 
@@ -65,7 +65,7 @@
                                                                        http_chunk_callback on_chunk,
                                                                        http_reply_callback on_reply) const
     {
-        return std::make_shared<detail::http_transfer>(m_context, m_connections, m_memory, std::move(request),
+        return std::make_shared<detail::http_transfer>(m_context, m_connections, m_limits, std::move(request),
                                                        std::move(on_chunk), std::move(on_reply));
     }
 
@@ -80,11 +80,11 @@
   private:
     boost::asio::io_context& m_context;
     std::shared_ptr<detail::connection_pool> m_connections;
-    std::shared_ptr<detail::response_memory> m_memory;
+    http_response_limits m_limits;
 };
 
 http_client::http_client(boost::asio::io_context& context, http_response_limits limits)
-    : m_pool(std::make_shared<pool>(context, limits))
+    : m_pool(std::make_shared<pool>(context, std::move(limits)))
 {
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,6 +4,8 @@
 #include "tcp_acceptor.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <iterator>
 #include <utility>
 
@@ -70,7 +72,10 @@
     static void accept_session(const state_ptr& state, boost::asio::ip::tcp::socket socket)
     {
         const auto session = std::make_shared<detail::http_session>(std::move(socket), state);
-        if (at_connection_limit(*state))
+        const bool at_limit = at_connection_limit(*state);
+        const bool has_memory = session->reserve_connection();
+        const bool idle_closed = (at_limit || !has_memory) && close_idle_sessions(*state);
+        if (at_limit && !idle_closed)
         {
             session->reject_connection();
         }
@@ -86,6 +91,30 @@
         return state.sessions.size() >= state.limits.max_connections;
     }
 
+    /// Closes the sessions that have been idle longest, a part of all at a time, so that the search for them
+    /// costs little for each further connection.
+    /// @return whether there was one
+    [[nodiscard]] static bool close_idle_sessions(detail::http_server_state& state)
+    {
+        constexpr std::size_t closed_divisor = 64;
+        using idle_session =
+            std::pair<std::chrono::steady_clock::time_point, std::shared_ptr<detail::http_session>>;
+        std::vector<idle_session> idle;
+        for_each_session(state,
+                         [&idle](detail::http_session& it)
+                         {
+                             if (const auto since = it.idle_since())
+                             {
+                                 idle.emplace_back(*since, it.shared_from_this());
+                             }
+                         });
+        const auto count = std::min(idle.size(), idle.size() / closed_divisor + 1);
+        const auto last = idle.begin() + static_cast<std::ptrdiff_t>(count);
+        std::ranges::partial_sort(idle, last, {}, &idle_session::first);
+        std::for_each(idle.begin(), last, [](const idle_session& it) { it.second->close_if_idle(); });
+        return count > 0;
+    }
+
     template <typename Action>
     static void for_each_session(detail::http_server_state& state, Action action)
     {
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -2,7 +2,6 @@
 #include "http_session.hpp"
 
 #include "http_answer.hpp"
-#include "session_exchange.hpp"
 #include "use_tuple.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,7 +12,8 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <exception>
+#include <array>
+#include <chrono>
 #include <utility>
 
 namespace masticcourse::detail
@@ -28,18 +28,11 @@
 
 constexpr std::size_t read_size = std::size_t{16} * 1024;
 /// Maximum number of bytes of pipelined requests that are buffered while a response is in progress.
-constexpr std::size_t max_read_ahead = std::size_t{64} * 1024;
-/// How long to wait for the caller to close the connection after the last response.
+constexpr std::size_t max_read_ahead = std::size_t{16} * 1024;
+/// How long to wait for the caller to send more or to close the connection after the last response.
 constexpr std::chrono::milliseconds linger_timeout{1'000};
-
-/// Guards against request smuggling. Only the transfer encoding `chunked` on its own is supported here; with
-/// any other encoding, a proxy could take as the body what this parser would read as the next request.
-/// @return whether another implementation may determine a different end of the body
-bool has_ambiguous_length(const http::request<http::string_body>& message)
-{
-    const auto encoding = message[http::field::transfer_encoding];
-    return !encoding.empty() && !boost::beast::iequals(encoding, "chunked");
-}
+/// What an open connection takes while it is idle, in bytes: its session, its buffer and its coroutine.
+constexpr std::size_t connection_memory = std::size_t{6} * 1024;
 
 /// Counts a request in `http_server_state::open_exchanges` for the lifetime of this object.
 class open_exchange_guard
@@ -66,8 +59,18 @@
 
 http_session::http_session(asio::ip::tcp::socket socket, std::shared_ptr<http_server_state> server)
     : m_socket(std::move(socket)), m_server(std::move(server)), m_deadline(m_socket.get_executor()),
-      m_wake(m_socket.get_executor(), asio::steady_timer::time_point::max())
+      m_wake(m_socket.get_executor(), asio::steady_timer::time_point::max()),
+      m_part_wanted(m_socket.get_executor(), asio::steady_timer::time_point::max()),
+      m_connection_memory(m_server->limits.memory, memory_use::connections),
+      m_incoming_memory(m_server->limits.memory, memory_use::incoming),
+      m_request_memory(m_server->limits.memory, memory_use::requests),
+      m_response_memory(m_server->limits.memory, memory_use::responses)
+{
+}
+
+bool http_session::reserve_connection()
 {
+    return m_connection_memory.reserve(connection_memory);
 }
 
 void http_session::serve()
@@ -106,6 +109,24 @@
                });
 }
 
+void http_session::close_if_idle()
+{
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this()]
+               {
+                   if (self->m_idle)
+                   {
+                       self->close();
+                   }
+               });
+}
+
+std::optional<std::chrono::steady_clock::time_point> http_session::idle_since() const
+{
+    const std::chrono::steady_clock::duration since{m_idle_since.load()};
+    return since.count() == 0 ? std::nullopt : std::optional{std::chrono::steady_clock::time_point{since}};
+}
+
 void http_session::abort()
 {
     asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
@@ -130,24 +151,33 @@
     }
     std::optional<open_exchange_guard> open_exchange(m_server);
     request_parser parser;
-    if (const auto ec = co_await read_request(parser))
+    std::string body;
+    m_memory_full = false;
+    if (const auto ec = co_await read_request(parser, body))
     {
+        body = {};
+        m_incoming_memory.reset();
         co_await reject_request(ec);
         co_return false;
     }
-    dispatch(parser);
-    const auto done = co_await (send_response() || watch_connection());
+    dispatch(parser, std::move(body));
+    const auto done = co_await (send_response() || watch_connection(parser));
     m_response.written = done.index() == 0 && std::get<0>(done);
+    deliver_part({.data = {}, .progress = body_progress::broken});
+    m_request_memory.reset();
+    m_response_memory.reset();
     open_exchange.reset();
     if (!m_response.written)
     {
         co_return false;
     }
     m_response.on_closed = nullptr;
+    m_response.on_written = nullptr;
     if (!m_request.keep_alive)
     {
         co_await linger();
     }
+    free_buffer();
     co_return m_request.keep_alive;
 }
 
@@ -158,88 +188,27 @@
         co_return true;
     }
     m_idle = true;
+    m_idle_since = std::chrono::steady_clock::now().time_since_epoch().count();
     close_after(m_server->stopping ? m_server->limits.stop_grace : m_server->limits.idle_timeout);
-    const auto [ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(read_size), use_tuple);
+    const auto [ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(idle_read_size), use_tuple);
     m_deadline.clear();
     m_idle = false;
+    m_idle_since = 0;
     m_buffer.commit(n);
     co_return !ec;
 }
 
-asio::awaitable<error_code> http_session::read_request(request_parser& parser)
-{
-    parser.header_limit(static_cast<std::uint32_t>(m_server->limits.max_header));
-    parser.body_limit(m_server->limits.max_body);
-    // Only the receiving direction is shut down, so that the time-out response can still be sent.
-    const auto stop_reading = [weak = weak_from_this()]
-    {
-        if (const auto self = weak.lock())
-        {
-            error_code ignored;
-            self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_receive, ignored);
-        }
-    };
-    const auto limits = m_server->limits;
-    const bool separate_header_timeout = limits.header_timeout.count() > 0;
-    m_deadline.set(separate_header_timeout ? limits.header_timeout : limits.read_timeout, stop_reading);
-    auto [ec, n] = co_await http::async_read_header(m_socket, m_buffer, parser, use_tuple);
-    if (!ec && has_ambiguous_length(parser.get()))
-    {
-        ec = http::error::bad_transfer_encoding;
-    }
-    if (!ec && separate_header_timeout)
-    {
-        m_deadline.set(limits.read_timeout, stop_reading);
-    }
-    if (!ec && !parser.is_done() && boost::beast::iequals(parser.get()[http::field::expect], "100-continue"))
-    {
-        static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-        const auto written = co_await asio::async_write(m_socket, asio::buffer(continue_response), use_tuple);
-        ec = std::get<0>(written);
-    }
-    if (!ec)
-    {
-        const auto body_read = co_await http::async_read(m_socket, m_buffer, parser, use_tuple);
-        ec = std::get<0>(body_read);
-    }
-    m_deadline.clear();
-    co_return ec;
-}
-
-asio::awaitable<void> http_session::reject_request(error_code ec)
-{
-    const auto error_response = error_response_for(ec, m_deadline.expired());
-    m_request = {};
-    if (error_response && co_await write_response(*error_response))
-    {
-        co_await linger();
-    }
-}
-
-void http_session::dispatch(request_parser& parser)
+void http_session::free_buffer()
 {
-    auto& message = parser.get();
-    m_request = {.keep_alive = message.keep_alive(),
-                 .head_only = message.method() == http::verb::head,
-                 .version = message.version()};
-    m_response = {.number = m_response.number + 1};
-    m_caller_disconnected = false;
-    const auto exchange = make_session_exchange(weak_from_this(), m_response.number);
-    try
-    {
-        m_server->handler(to_request(message), exchange);
-    }
-    catch (const std::exception& error)
+    if (m_buffer.size() == 0 && m_buffer.capacity() > idle_read_size)
     {
-        // It is unknown whether the handler took effect before it threw.
-        exchange->respond(problem_response(
-            {.id = problem_id::outcome_unknown, .ran = ran_state::unknown, .detail = error.what()}, 500));
+        m_buffer.shrink_to_fit();
     }
 }
 
-asio::awaitable<void> http_session::watch_connection()
+asio::awaitable<void> http_session::watch_connection(request_parser& parser)
 {
-    error_code ec;
+    auto ec = co_await read_rest(parser);
     while (!ec && m_buffer.size() < max_read_ahead)
     {
         const auto [read_ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(read_size), use_tuple);
@@ -261,19 +230,32 @@
 asio::awaitable<void> http_session::linger()
 {
     // Closing a socket with unread input resets the connection, which may discard the response in transit.
+    // A caller that is still sending a long body reads the response only after it.
     error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    close_after(linger_timeout);
+    m_socket.non_blocking(true, ignored);
+    const auto end = std::chrono::steady_clock::now() + m_server->limits.read_timeout;
     m_buffer.clear();
+    m_buffer.shrink_to_fit();
     error_code ec;
-    while (!ec)
+    while (!ec && std::chrono::steady_clock::now() < end)
     {
-        const auto read = co_await m_socket.async_read_some(m_buffer.prepare(read_size), use_tuple);
-        ec = std::get<0>(read);
+        close_after(linger_timeout);
+        ec = std::get<0>(co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, use_tuple));
+        ec = ec ? ec : discard_input();
     }
     m_deadline.clear();
 }
 
+error_code http_session::discard_input()
+{
+    // Nothing is held for a caller that is only waited for.
+    std::array<char, read_size> buffer;
+    error_code ec;
+    m_socket.read_some(asio::buffer(buffer), ec);
+    return ec == asio::error::would_block ? error_code{} : ec;
+}
+
 void http_session::handle_disconnect()
 {
     m_caller_disconnected = true;
@@ -300,6 +282,7 @@
     error_code ignored;
     m_socket.close(ignored);
     m_wake.cancel();
+    m_part_wanted.cancel();
 }
 
 void http_session::register_session()
@@ -312,6 +295,7 @@
 {
     m_finished = true;
     close();
+    deliver_part({.data = {}, .progress = body_progress::broken});
     if (!m_response.written)
     {
         handle_disconnect();
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -3,19 +3,24 @@
 #pragma once
 
 #include "deadline.hpp"
+#include "read_pace.hpp"
 
+#include "masticcourse/memory/memory_account.hpp"
+#include "masticcourse/net/http_body.hpp"
 #include "masticcourse/net/http_server.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -29,6 +34,9 @@
 
 class http_session;
 
+/// Size of the buffer of an idle connection, in bytes. Most requests fit into it.
+inline constexpr std::size_t idle_read_size = std::size_t{2} * 1024;
+
 /// State shared by all connections of one server.
 struct http_server_state
 {
@@ -57,6 +65,13 @@
     /// Closes the connection after `http_limits::stop_grace` if it is idle, otherwise after the current
     /// response. Thread-safe.
     void stop();
+    /// Closes the connection if it is idle. Thread-safe.
+    void close_if_idle();
+    /// @return since when the connection has been idle; nothing while a request is in progress. Thread-safe.
+    [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> idle_since() const;
+    /// Reserves the memory that an open connection takes.
+    /// @return false if there is no room
+    [[nodiscard]] bool reserve_connection();
     /// Closes immediately. Thread-safe.
     void abort();
 
@@ -64,19 +79,28 @@
     /// @{
     void post_response(std::uint64_t exchange, http_response response);
     void post_stream(std::uint64_t exchange, int status, std::vector<http_header> headers);
+    void post_body(std::uint64_t exchange, int status, std::vector<http_header> headers,
+                   std::optional<std::uint64_t> length);
     void post_chunk(std::uint64_t exchange, std::string chunk);
     void post_end(std::uint64_t exchange);
     void post_dropped(std::uint64_t exchange);
     void post_on_closed(std::uint64_t exchange, std::function<void()> callback);
+    void post_on_written(std::uint64_t exchange, std::function<void(std::size_t)> callback);
+    /// Asks for the next part of the request's body.
+    void post_read(std::uint64_t exchange, http_body_callback on_part);
     /// @}
 
   private:
-    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
     struct stream_head
     {
         int status = 0;
         std::vector<http_header> headers;
+        /// Whether the headers are sent as they are, without those of an event stream.
+        bool plain = false;
+        /// Size of the body, if it is known; otherwise it is sent in chunks.
+        std::optional<std::uint64_t> length;
     };
 
     /// The current response, as far as the handler has provided it.
@@ -85,7 +109,7 @@
         std::uint64_t number = 0;
         std::optional<http_response> response;
         std::optional<stream_head> head;
-        std::vector<std::string> chunks;
+        std::deque<std::string> chunks;
         std::size_t backlog = 0;
         /// The handler has provided the last part of the response.
         bool complete = false;
@@ -93,6 +117,7 @@
         /// The whole response has been written to the socket.
         bool written = false;
         std::function<void()> on_closed;
+        std::function<void(std::size_t)> on_written;
     };
 
     /// Properties of the current request that determine the form of the response.
@@ -101,14 +126,46 @@
         bool keep_alive = false;
         bool head_only = false;
         unsigned version = 11;
+        /// The whole body has been read.
+        bool body_read = true;
+        /// The caller waits for an interim response before it sends the body.
+        bool expects_continue = false;
+        /// The response has no end of its own but the end of the connection.
+        bool until_close = false;
+        /// The response is sent in chunks.
+        bool chunked = false;
     };
 
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> serve_request();
     boost::asio::awaitable<bool> wait_for_request();
-    boost::asio::awaitable<boost::system::error_code> read_request(request_parser& parser);
+    /// @name Reading a request
+    /// @{
+    /// Reads the header, and the body unless it is passed on while it is read.
+    boost::asio::awaitable<boost::system::error_code> read_request(request_parser& parser, std::string& body);
+    boost::asio::awaitable<boost::system::error_code> read_head(request_parser& parser);
+    boost::asio::awaitable<boost::system::error_code> read_short_body(request_parser& parser,
+                                                                      std::string& body);
+    /// Reads at least one more byte of the body, unless it ends, and @a size at most.
+    /// @param part receives what was read
+    boost::asio::awaitable<boost::system::error_code> read_part(request_parser& parser, std::size_t size,
+                                                                std::string& part);
+    /// Reads the parts of the body for which the handler asks, until it has been read.
+    boost::asio::awaitable<boost::system::error_code> read_rest(request_parser& parser);
+    boost::asio::awaitable<boost::system::error_code> send_continue();
+    void deliver_part(http_body_part part);
+    [[nodiscard]] bool streams_body(const request_parser& parser) const;
+    /// Reserves the memory for a request that has arrived in part: @a held bytes in all, @a body_size of them
+    /// of its body.
+    [[nodiscard]] bool reserve_incoming(std::size_t held, std::size_t body_size);
+    /// Reserves the memory for a request that has arrived as far as it is read before it is handled.
+    [[nodiscard]] bool reserve_request(std::size_t head_size, std::size_t body_size);
+    /// Only the receiving direction is shut down, so that a response can still be sent.
+    void stop_reading_after(std::chrono::milliseconds timeout);
     boost::asio::awaitable<void> reject_request(boost::system::error_code ec);
-    void dispatch(request_parser& parser);
+    [[nodiscard]] http_response memory_full_response() const;
+    void dispatch(request_parser& parser, std::string body);
+    /// @}
 
     boost::asio::awaitable<bool> send_response();
     boost::asio::awaitable<bool> write_response(http_response response);
@@ -118,8 +175,10 @@
     template <typename Buffers>
     boost::asio::awaitable<bool> write_buffers(const Buffers& buffers);
     boost::asio::awaitable<void> wait_for_update();
-    boost::asio::awaitable<void> watch_connection();
+    boost::asio::awaitable<void> watch_connection(request_parser& parser);
     boost::asio::awaitable<void> linger();
+    /// Reads what has arrived and drops it.
+    boost::system::error_code discard_input();
 
     template <typename Update>
     void post_update(std::uint64_t exchange, Update update);
@@ -128,7 +187,7 @@
     void close();
     void register_session();
     void finish();
-    [[nodiscard]] bool chunked() const;
+    void free_buffer();
 
     boost::asio::ip::tcp::socket m_socket;
     std::shared_ptr<http_server_state> m_server;
@@ -138,7 +197,27 @@
     boost::asio::steady_timer m_wake;
     response_state m_response;
     request_traits m_request;
+    /// @name The body of the current request, as far as it has not been read
+    /// @{
+    /// Set while the handler waits for a part.
+    http_body_callback m_on_part;
+    /// Never expires; cancelling it wakes the coroutine that reads the body.
+    boost::asio::steady_timer m_part_wanted;
+    read_pace m_pace;
+    bool m_sending_continue = false;
+    bool m_response_begun = false;
+    /// @}
+    /// @name Memory that is held for the caller
+    /// @{
+    memory_lease m_connection_memory;
+    /// For a request until it has arrived.
+    memory_lease m_incoming_memory;
+    memory_lease m_request_memory;
+    memory_lease m_response_memory;
+    bool m_memory_full = false;
+    /// @}
     bool m_idle = false;
+    std::atomic<std::chrono::steady_clock::rep> m_idle_since = 0;
     bool m_caller_disconnected = false;
     bool m_finished = false;
 };
--- /dev/null
+++ b/src/net/http_session_request.cpp
@@ -0,0 +1,318 @@
+// What a session reads: the header of a request, and its body as a whole or in parts.
+#include "http_session.hpp"
+
+#include "http_answer.hpp"
+#include "session_exchange.hpp"
+#include "use_tuple.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <string_view>
+#include <utility>
+
+namespace masticcourse::detail
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/// Size of one part of a body, and of the buffer through which a long body is read.
+constexpr std::size_t part_size = std::size_t{32} * 1024;
+/// The same for a body that is read whole. Its caller may stop at any time, so little is held in advance.
+constexpr std::size_t short_part_size = std::size_t{4} * 1024;
+
+/// Guards against request smuggling. Only the transfer encoding `chunked` on its own is supported here; with
+/// any other encoding, a proxy could take as the body what this parser would read as the next request.
+/// @return whether another implementation may determine a different end of the body
+template <typename Message>
+bool has_ambiguous_length(const Message& message)
+{
+    const auto encoding = message[http::field::transfer_encoding];
+    return !encoding.empty() && !boost::beast::iequals(encoding, "chunked");
+}
+
+} // namespace
+
+void http_session::stop_reading_after(std::chrono::milliseconds timeout)
+{
+    m_deadline.set(timeout,
+                   [weak = weak_from_this()]
+                   {
+                       if (const auto self = weak.lock())
+                       {
+                           error_code ignored;
+                           self->m_socket.shutdown(asio::ip::tcp::socket::shutdown_receive, ignored);
+                       }
+                   });
+}
+
+asio::awaitable<error_code> http_session::read_request(request_parser& parser, std::string& body)
+{
+    parser.header_limit(static_cast<std::uint32_t>(m_server->limits.max_header));
+    parser.body_limit(m_server->limits.max_body);
+    m_request = {};
+    auto ec = co_await read_head(parser);
+    if (!ec && has_ambiguous_length(parser.get()))
+    {
+        ec = http::error::bad_transfer_encoding;
+    }
+    if (ec)
+    {
+        co_return ec;
+    }
+    m_request.expects_continue =
+        !parser.is_done() && boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
+    m_pace = read_pace{m_server->limits.body_progress_timeout, m_server->limits.min_body_progress};
+    const auto head_size = m_incoming_memory.size();
+    if (!streams_body(parser))
+    {
+        ec = co_await read_short_body(parser, body);
+    }
+    m_request.body_read = parser.is_done();
+    m_deadline.clear();
+    m_incoming_memory.reset();
+    m_request_memory.reset();
+    if (!ec && !reserve_request(head_size, body.size()))
+    {
+        m_memory_full = true;
+        ec = asio::error::no_memory;
+    }
+    co_return ec;
+}
+
+bool http_session::reserve_request(std::size_t head_size, std::size_t body_size)
+{
+    // The handler makes a copy of the body to send it on.
+    return m_request_memory.reserve(m_server->limits.request_memory + head_size + 2 * body_size);
+}
+
+asio::awaitable<error_code> http_session::read_head(request_parser& parser)
+{
+    const auto& limits = m_server->limits;
+    const bool separate_timeout = limits.header_timeout.count() > 0;
+    stop_reading_after(separate_timeout ? limits.header_timeout : limits.read_timeout);
+    error_code ec;
+    while (!ec && !parser.is_header_done())
+    {
+        ec = std::get<0>(co_await http::async_read_some(m_socket, m_buffer, parser, use_tuple));
+        // What was read with the beginning of the request fits into the memory of the connection.
+        const auto grown = m_buffer.size() - std::min(m_buffer.size(), idle_read_size);
+        if (!ec && grown > m_incoming_memory.size() &&
+            !m_incoming_memory.reserve(grown - m_incoming_memory.size()))
+        {
+            m_memory_full = true;
+            ec = asio::error::no_memory;
+        }
+    }
+    m_deadline.clear();
+    co_return ec;
+}
+
+bool http_session::streams_body(const request_parser& parser) const
+{
+    const auto length = parser.content_length();
+    return !parser.is_done() && length && *length > m_server->limits.stream_body_above;
+}
+
+asio::awaitable<error_code> http_session::read_short_body(request_parser& parser, std::string& body)
+{
+    const auto end = std::chrono::steady_clock::now() + m_server->limits.read_timeout;
+    const auto limit = m_server->limits.stream_body_above;
+    body.reserve(std::min<std::size_t>(parser.content_length_remaining().value_or(0), limit));
+    const auto head_size = m_incoming_memory.size();
+    error_code ec;
+    while (!ec && !parser.is_done() && body.size() < limit)
+    {
+        const auto left =
+            std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+        stop_reading_after(std::min(left, m_pace.left()));
+        std::string part;
+        const auto most = parser.content_length_remaining().value_or(part_size);
+        ec = co_await read_part(parser, std::min<std::size_t>(most, short_part_size), part);
+        body += part;
+        const auto held = head_size + m_buffer.capacity() + part.capacity() + body.size();
+        if (!ec && !parser.is_done() && !reserve_incoming(held, body.size()))
+        {
+            m_memory_full = true;
+            ec = asio::error::no_memory;
+        }
+    }
+    co_return ec;
+}
+
+bool http_session::reserve_incoming(std::size_t held, std::size_t body_size)
+{
+    // The first part of a body has the room of requests that have arrived: a caller that sends a small one
+    // after its header must not stand behind those that stop in the middle of larger ones.
+    auto& lease = body_size <= short_part_size ? m_request_memory : m_incoming_memory;
+    const auto reserved = m_request_memory.size() + m_incoming_memory.size();
+    return lease.reserve(held - std::min(held, reserved));
+}
+
+asio::awaitable<error_code> http_session::read_part(request_parser& parser, std::size_t size,
+                                                    std::string& part)
+{
+    if (auto ec = co_await send_continue())
+    {
+        co_return ec;
+    }
+    m_buffer.reserve(std::min(size, part_size));
+    part.resize(size);
+    auto& body = parser.get().body();
+    body.data = part.data();
+    body.size = size;
+    body.more = true;
+    error_code ec;
+    while (!ec && !parser.is_done() && body.size == size)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        const auto [read_ec, n] = co_await http::async_read_some(m_socket, m_buffer, parser, use_tuple);
+        m_pace.add(std::chrono::steady_clock::now() - begin, n);
+        ec = read_ec == http::error::need_buffer ? error_code{} : read_ec;
+    }
+    part.resize(size - body.size);
+    m_request.body_read = parser.is_done();
+    co_return ec;
+}
+
+asio::awaitable<error_code> http_session::send_continue()
+{
+    if (!std::exchange(m_request.expects_continue, false) || m_response_begun)
+    {
+        co_return error_code{};
+    }
+    static constexpr std::string_view interim_response = "HTTP/1.1 100 Continue\r\n\r\n";
+    m_sending_continue = true;
+    const auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(interim_response), use_tuple);
+    m_sending_continue = false;
+    m_wake.cancel();
+    co_return ec;
+}
+
+asio::awaitable<error_code> http_session::read_rest(request_parser& parser)
+{
+    error_code ec;
+    while (!ec && !parser.is_done())
+    {
+        if (!m_on_part)
+        {
+            co_await m_part_wanted.async_wait(use_tuple);
+            if (!m_on_part)
+            {
+                ec = asio::error::operation_aborted;
+            }
+            continue;
+        }
+        if (m_pace.left() <= std::chrono::milliseconds{0})
+        {
+            break;
+        }
+        stop_reading_after(m_pace.left());
+        std::string part;
+        ec = co_await read_part(parser, part_size, part);
+        m_deadline.clear();
+        if (!ec)
+        {
+            deliver_part({.data = std::move(part),
+                          .progress = parser.is_done() ? body_progress::complete : body_progress::more});
+        }
+    }
+    if (parser.is_done() || ec == asio::error::operation_aborted)
+    {
+        co_return ec;
+    }
+    m_request.keep_alive = false;
+    const bool too_slow = !ec || m_deadline.expired();
+    deliver_part({.data = {}, .progress = too_slow ? body_progress::stalled : body_progress::broken});
+    // The end of the response closes a connection whose caller is too slow.
+    co_return too_slow ? asio::error::operation_aborted : ec;
+}
+
+void http_session::deliver_part(http_body_part part)
+{
+    if (const auto on_part = std::exchange(m_on_part, nullptr))
+    {
+        on_part(std::move(part));
+    }
+}
+
+void http_session::post_read(std::uint64_t exchange, http_body_callback on_part)
+{
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this(), exchange, on_part = std::move(on_part)]() mutable
+               {
+                   const bool over = self->m_response.number != exchange || self->m_response.written ||
+                                     self->m_finished || self->m_request.body_read;
+                   if (over)
+                   {
+                       on_part({.data = {}, .progress = body_progress::broken});
+                       return;
+                   }
+                   self->m_on_part = std::move(on_part);
+                   self->m_part_wanted.cancel();
+               });
+}
+
+asio::awaitable<void> http_session::reject_request(error_code ec)
+{
+    const auto error_response =
+        m_memory_full ? std::optional{memory_full_response()} : error_response_for(ec, m_deadline.expired());
+    m_request = {.body_read = false};
+    if (error_response && co_await write_response(*error_response))
+    {
+        co_await linger();
+    }
+}
+
+http_response http_session::memory_full_response() const
+{
+    if (m_server->limits.make_memory_full_response)
+    {
+        return m_server->limits.make_memory_full_response();
+    }
+    return problem_response({.id = problem_id::overloaded,
+                             .detail = "no memory for a further request",
+                             .retry_after = std::chrono::seconds{1}});
+}
+
+void http_session::dispatch(request_parser& parser, std::string body)
+{
+    auto& message = parser.get();
+    m_request.keep_alive = message.keep_alive();
+    m_request.head_only = message.method() == http::verb::head;
+    m_request.version = message.version();
+    m_response = {.number = m_response.number + 1};
+    m_response_begun = false;
+    m_caller_disconnected = false;
+    auto request = to_request(message, std::move(body));
+    if (!m_request.body_read)
+    {
+        request.rest = make_session_body(weak_from_this(), m_response.number);
+        if (const auto length = parser.content_length())
+        {
+            request.stated_length = *length;
+        }
+    }
+    const auto exchange = make_session_exchange(weak_from_this(), m_response.number);
+    try
+    {
+        m_server->handler(std::move(request), exchange);
+    }
+    catch (const std::exception& error)
+    {
+        // It is unknown whether the handler took effect before it threw.
+        exchange->respond(problem_response(
+            {.id = problem_id::outcome_unknown, .ran = ran_state::unknown, .detail = error.what()}, 500));
+    }
+}
+
+} // namespace masticcourse::detail
--- a/src/net/http_session_response.cpp
+++ b/src/net/http_session_response.cpp
@@ -23,6 +23,9 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+/// How much of a streamed response is written at a time, in bytes.
+constexpr std::size_t max_chunk_size = std::size_t{128} * 1024;
+
 } // namespace
 
 asio::awaitable<bool> http_session::send_response()
@@ -30,7 +33,11 @@
     bool ok = true;
     while (ok)
     {
-        if (auto response = std::exchange(m_response.response, std::nullopt))
+        if (m_sending_continue)
+        {
+            co_await wait_for_update();
+        }
+        else if (auto response = std::exchange(m_response.response, std::nullopt))
         {
             co_return co_await write_response(std::move(*response));
         }
@@ -60,7 +67,8 @@
 
 asio::awaitable<bool> http_session::write_response(http_response response)
 {
-    m_request.keep_alive = m_request.keep_alive && !m_server->closing;
+    m_response_begun = true;
+    m_request.keep_alive = m_request.keep_alive && m_request.body_read && !m_server->closing;
     auto message = to_message(std::move(response), m_request.version, m_request.keep_alive);
     http::response_serializer<http::string_body> serializer(message);
     close_after(m_server->limits.write_timeout);
@@ -77,21 +85,24 @@
     co_return !ec;
 }
 
-bool http_session::chunked() const
-{
-    return m_request.version >= 11;
-}
-
 asio::awaitable<bool> http_session::write_head(stream_head head)
 {
-    // Without chunks, the end of the connection is the end of the stream. Until the stream is complete, every
-    // close resets the connection, so that the caller does not take a broken-off stream for a complete one.
-    if (!chunked() && !set_reset_on_close(m_socket, true))
+    m_response_begun = true;
+    m_request.chunked = !head.length && m_request.version >= 11;
+    m_request.until_close = !head.length && !m_request.chunked;
+    // Without chunks and length, the end of the connection is the end of the response. Until it is complete,
+    // every close resets the connection, so that the caller does not take a broken-off response for a
+    // complete one.
+    if (m_request.until_close && !set_reset_on_close(m_socket, true))
     {
         co_return false;
     }
-    m_request.keep_alive = m_request.keep_alive && chunked() && !m_server->closing;
-    auto message = to_stream_head(head.status, head.headers, m_request.version, m_request.keep_alive);
+    m_request.keep_alive =
+        m_request.keep_alive && m_request.body_read && !m_request.until_close && !m_server->closing;
+    auto message =
+        head.plain
+            ? to_body_head(head.status, head.headers, head.length, m_request.version, m_request.keep_alive)
+            : to_stream_head(head.status, head.headers, m_request.version, m_request.keep_alive);
     http::response_serializer<http::empty_body> serializer(message);
     close_after(m_server->limits.write_timeout);
     const auto [ec, n] = co_await http::async_write_header(m_socket, serializer, use_tuple);
@@ -110,31 +121,46 @@
 
 asio::awaitable<bool> http_session::write_chunks()
 {
-    const auto chunks = std::exchange(m_response.chunks, {});
-    const auto size = std::exchange(m_response.backlog, 0);
-    if (m_request.head_only)
+    // Several queued parts are written as one chunk, without copying the handler's strings. A slow caller has
+    // the write timeout for each such chunk.
+    std::vector<std::string> parts;
+    std::size_t size = 0;
+    while (!m_response.chunks.empty() && size < max_chunk_size)
     {
-        co_return true;
+        size += m_response.chunks.front().size();
+        parts.push_back(std::move(m_response.chunks.front()));
+        m_response.chunks.pop_front();
+    }
+    bool written = true;
+    if (!m_request.head_only)
+    {
+        const auto framing = make_chunk_framing(size, m_request.chunked);
+        std::vector<asio::const_buffer> buffers;
+        buffers.reserve(parts.size() + 2);
+        buffers.push_back(asio::buffer(framing.prefix));
+        std::ranges::transform(parts, std::back_inserter(buffers),
+                               [](const std::string& it) { return asio::buffer(it); });
+        buffers.push_back(asio::buffer(framing.suffix));
+        written = co_await write_buffers(buffers);
     }
-    // All queued parts are written as one chunk, without copying the handler's strings.
-    const auto framing = make_chunk_framing(size, chunked());
-    std::vector<asio::const_buffer> buffers;
-    buffers.reserve(chunks.size() + 2);
-    buffers.push_back(asio::buffer(framing.prefix));
-    std::ranges::transform(chunks, std::back_inserter(buffers),
-                           [](const std::string& it) { return asio::buffer(it); });
-    buffers.push_back(asio::buffer(framing.suffix));
-    co_return co_await write_buffers(buffers);
+    parts.clear();
+    m_response.backlog -= size;
+    m_response_memory.release(size);
+    if (written && m_response.on_written)
+    {
+        m_response.on_written(size);
+    }
+    co_return written;
 }
 
 asio::awaitable<bool> http_session::write_end()
 {
     static constexpr std::string_view last_chunk = "0\r\n\r\n";
-    if (!chunked())
+    if (m_request.until_close)
     {
         co_return set_reset_on_close(m_socket, false);
     }
-    if (m_request.head_only)
+    if (m_request.head_only || !m_request.chunked)
     {
         co_return true;
     }
@@ -164,18 +190,28 @@
 void http_session::post_response(std::uint64_t exchange, http_response response)
 {
     post_update(exchange,
-                [response = std::move(response)](http_session&, response_state& state) mutable
+                [response = std::move(response)](http_session& self, response_state& state) mutable
                 {
+                    self.m_response_memory.charge(response.body.size());
                     state.response = std::move(response);
                     state.complete = true;
                 });
 }
 
 void http_session::post_stream(std::uint64_t exchange, int status, std::vector<http_header> headers)
+{
+    post_update(exchange, [status, headers = std::move(headers)](http_session&, response_state& state) mutable
+                { state.head = stream_head{.status = status, .headers = std::move(headers)}; });
+}
+
+void http_session::post_body(std::uint64_t exchange, int status, std::vector<http_header> headers,
+                             std::optional<std::uint64_t> length)
 {
     post_update(exchange,
-                [status, headers = std::move(headers)](http_session&, response_state& state) mutable {
-                    state.head = stream_head{status, std::move(headers)};
+                [status, headers = std::move(headers), length](http_session&, response_state& state) mutable
+                {
+                    state.head = stream_head{
+                        .status = status, .headers = std::move(headers), .plain = true, .length = length};
                 });
 }
 
@@ -189,6 +225,7 @@
                 [chunk = std::move(chunk)](http_session& self, response_state& state) mutable
                 {
                     state.backlog += chunk.size();
+                    self.m_response_memory.charge(chunk.size());
                     state.chunks.push_back(std::move(chunk));
                     if (state.backlog > self.m_server->limits.max_stream_backlog)
                     {
@@ -207,6 +244,18 @@
     post_update(exchange, [](http_session&, response_state& state) { state.dropped = true; });
 }
 
+void http_session::post_on_written(std::uint64_t exchange, std::function<void(std::size_t)> callback)
+{
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this(), exchange, callback = std::move(callback)]() mutable
+               {
+                   if (self->m_response.number == exchange && !self->m_response.written)
+                   {
+                       self->m_response.on_written = std::move(callback);
+                   }
+               });
+}
+
 void http_session::post_on_closed(std::uint64_t exchange, std::function<void()> callback)
 {
     asio::post(m_socket.get_executor(),
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -6,9 +6,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -31,6 +34,8 @@
 constexpr std::uint32_t max_reply_header = 64 * 1024;
 /// How many responses to other requests are skipped on one connection before the request fails.
 constexpr int max_mismatched_responses = 4;
+/// How much of a body is read at a time, in bytes.
+constexpr std::size_t read_buffer_size = std::size_t{16} * 1024;
 
 template <typename Parser>
 body_framing framing_of(const Parser& parser)
@@ -46,9 +51,10 @@
     return parser.content_length().value_or(0) > 0 ? body_framing::length : body_framing::none;
 }
 
-http::request<http::string_body> to_message(http_client_request& request)
+/// @return the header of @a request
+http::request<http::empty_body> to_head(const http_client_request& request)
 {
-    http::request<http::string_body> message;
+    http::request<http::empty_body> message;
     message.version(http_1_1);
     message.method_string(request.method);
     message.target(request.target);
@@ -66,11 +72,36 @@
         }
     };
     std::ranges::for_each(request.headers, add_header);
-    message.body() = request.body;
+    return message;
+}
+
+/// @return a message that refers to the body of @a request
+http::request<http::span_body<const char>> to_message(const http_client_request& request)
+{
+    http::request<http::span_body<const char>> message{to_head(request).base()};
+    message.body() = {request.body.data(), request.body.size()};
     message.prepare_payload();
     return message;
 }
 
+/// @return a message whose body follows in parts, the first of which is in @a request
+http::request<http::buffer_body> to_streamed_message(http_client_request& request)
+{
+    http::request<http::buffer_body> message{to_head(request).base()};
+    if (request.body_length)
+    {
+        message.content_length(*request.body_length);
+    }
+    else
+    {
+        message.chunked(true);
+    }
+    message.body().data = request.body.empty() ? nullptr : request.body.data();
+    message.body().size = request.body.size();
+    message.body().more = true;
+    return message;
+}
+
 /// @return how long the connection may stay idle: less than the stated timeout, because the next request must
 /// reach the server before it closes the connection
 std::chrono::milliseconds parse_keep_alive_timeout(std::string_view keep_alive_header)
@@ -91,9 +122,10 @@
 } // namespace
 
 http_transfer::http_transfer(asio::io_context& context, std::shared_ptr<connection_pool> pool,
-                             std::shared_ptr<response_memory> memory, http_client_request request,
+                             const http_response_limits& limits, http_client_request request,
                              http_chunk_callback on_chunk, http_reply_callback on_reply)
-    : m_context(context), m_pool(std::move(pool)), m_memory(std::move(memory)), m_request(std::move(request)),
+    : m_context(context), m_pool(std::move(pool)), m_max_body(limits.max_body),
+      m_memory(limits.memory, memory_use::responses), m_request(std::move(request)),
       m_on_chunk(std::move(on_chunk)), m_on_reply(std::move(on_reply)),
       m_deadline(std::chrono::steady_clock::now() + m_request.timeout)
 {
@@ -130,17 +162,60 @@
                        if (self->m_connection.lock() == connection)
                        {
                            connection->close();
+                           self->m_wake->cancel();
+                           self->m_unpaused->cancel();
                        }
                    });
     }
 }
 
+void http_transfer::pause()
+{
+    m_paused = true;
+}
+
+void http_transfer::resume()
+{
+    if (!m_paused.exchange(false))
+    {
+        return;
+    }
+    connection_ptr connection;
+    {
+        const std::scoped_lock lock(m_mutex);
+        connection = m_connection.lock();
+    }
+    if (connection)
+    {
+        asio::post(connection->socket.get_executor(),
+                   [self = shared_from_this()] { self->m_unpaused->cancel(); });
+    }
+}
+
+asio::awaitable<void> http_transfer::wait_while_paused(connection_ptr connection)
+{
+    bool waited = false;
+    while (m_paused && !m_cancelled && connection->socket.is_open())
+    {
+        connection->timer.clear();
+        waited = true;
+        co_await m_unpaused->async_wait(use_tuple);
+    }
+    if (waited)
+    {
+        set_timer(connection);
+    }
+}
+
 asio::awaitable<void> http_transfer::run(connection_ptr connection)
 {
     {
         const std::scoped_lock lock(m_mutex);
         m_connection = connection;
     }
+    m_sent_here = false;
+    m_wake.emplace(connection->socket.get_executor(), asio::steady_timer::time_point::max());
+    m_unpaused.emplace(connection->socket.get_executor(), asio::steady_timer::time_point::max());
     if (m_cancelled)
     {
         fail(http_failure::broken);
@@ -188,6 +263,10 @@
 
 asio::awaitable<bool> http_transfer::exchange(connection_ptr connection)
 {
+    if (m_request.rest)
+    {
+        co_return co_await exchange_streamed(connection);
+    }
     // A server that rejects a request may respond before reading all of it, so the response is read even if
     // the write failed midway.
     const bool sent = co_await write_request(connection);
@@ -195,16 +274,110 @@
     {
         co_return false;
     }
+    const bool complete = co_await read_matching_response(connection);
+    m_keep_alive = m_keep_alive && sent;
+    co_return complete;
+}
+
+asio::awaitable<bool> http_transfer::read_matching_response(connection_ptr connection)
+{
     bool complete = co_await read_response(connection);
     for (int n = 0; complete && m_response_mismatched && n < max_mismatched_responses; ++n)
     {
         m_reply = {};
+        m_memory.reset();
         complete = m_keep_alive && co_await read_response(connection);
     }
-    m_keep_alive = m_keep_alive && sent;
     co_return complete && !m_response_mismatched;
 }
 
+asio::awaitable<bool> http_transfer::exchange_streamed(connection_ptr connection)
+{
+    using namespace asio::experimental::awaitable_operators;
+    // A server may respond before it has read the request. Nothing more is sent then, and the connection,
+    // where the rest of the request is due, serves no other.
+    const auto done = co_await (read_matching_response(connection) || write_streamed(connection));
+    m_keep_alive = m_keep_alive && m_all_sent;
+    co_return done.index() == 0 && std::get<0>(done);
+}
+
+asio::awaitable<void> http_transfer::write_streamed(connection_ptr connection)
+{
+    m_all_sent = co_await write_parts(connection);
+    asio::steady_timer never_expiring(connection->socket.get_executor(),
+                                      asio::steady_timer::time_point::max());
+    co_await never_expiring.async_wait(use_tuple);
+}
+
+asio::awaitable<bool> http_transfer::write_parts(connection_ptr connection)
+{
+    auto message = to_streamed_message(m_request);
+    http::request_serializer<http::buffer_body> serializer(message);
+    http_body_part part;
+    while (!serializer.is_done())
+    {
+        const auto [ec, n] = co_await http::async_write_some(connection->socket, serializer, use_tuple);
+        count_send(*connection, n);
+        if (ec && ec != http::error::need_buffer)
+        {
+            co_return false;
+        }
+        if (ec == http::error::need_buffer)
+        {
+            // The beginning of the body may be needed for another connection until it has been written.
+            m_request.body.clear();
+            m_request.body.shrink_to_fit();
+            part = co_await next_part();
+            if (part.progress != body_progress::more && part.progress != body_progress::complete)
+            {
+                // The server must not take what it got for the whole request.
+                connection->close();
+                co_return false;
+            }
+            message.body().data = part.data.empty() ? nullptr : part.data.data();
+            message.body().size = part.data.size();
+            message.body().more = part.progress == body_progress::more;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<http_body_part> http_transfer::next_part()
+{
+    m_part.reset();
+    const auto executor = m_wake->get_executor();
+    m_request.rest->read(
+        [self = shared_from_this(), executor](http_body_part part)
+        {
+            asio::post(executor,
+                       [self, part = std::move(part)]() mutable
+                       {
+                           self->m_part = std::move(part);
+                           self->m_wake->cancel();
+                       });
+        });
+    while (!m_part && !m_cancelled)
+    {
+        co_await m_wake->async_wait(use_tuple);
+        if ((co_await asio::this_coro::cancellation_state).cancelled() != asio::cancellation_type::none)
+        {
+            break;
+        }
+    }
+    co_return m_part ? *std::exchange(m_part, std::nullopt)
+                     : http_body_part{.data = {}, .progress = body_progress::broken};
+}
+
+void http_transfer::count_send(const http_connection& connection, std::size_t written)
+{
+    if (written > 0 && !m_sent_here)
+    {
+        m_sent_here = true;
+        ++m_send_report.sends;
+        m_send_report.kept_connection = connection.reused;
+    }
+}
+
 asio::awaitable<bool> http_transfer::read_response(connection_ptr connection)
 {
     reply_parser parser;
@@ -231,6 +404,10 @@
     m_reply.body_report.framing = framing_of(parser);
     m_reply.status = static_cast<int>(parser.get().result_int());
     m_reply.headers = to_headers(parser.get());
+    if (const auto length = parser.content_length())
+    {
+        m_reply.stated_length = *length;
+    }
     m_keep_alive = parser.get().keep_alive() && !parser.need_eof();
     if (const auto keep_alive_header = find_header(m_reply.headers, "Keep-Alive"))
     {
@@ -247,20 +424,14 @@
 asio::awaitable<bool> http_transfer::write_request(connection_ptr connection)
 {
     const auto message = to_message(m_request);
-    http::request_serializer<http::string_body> serializer(message);
+    http::request_serializer<http::span_body<const char>> serializer(message);
     error_code ec;
-    std::size_t written_here = 0;
     while (!ec && !serializer.is_done())
     {
         const auto [write_ec, n] = co_await http::async_write_some(connection->socket, serializer, use_tuple);
-        written_here += n;
+        count_send(*connection, n);
         ec = write_ec;
     }
-    if (written_here > 0)
-    {
-        ++m_send_report.sends;
-        m_send_report.kept_connection = connection->reused;
-    }
     co_return !ec;
 }
 
@@ -272,8 +443,10 @@
     {
         set_timer(connection);
     }
+    m_read_buffer.resize(read_buffer_size);
     while (!ec && !parser.is_done())
     {
+        co_await wait_while_paused(connection);
         body.data = m_read_buffer.data();
         body.size = m_read_buffer.size();
         const auto [read_ec, n] =
@@ -288,6 +461,7 @@
             set_timer(connection);
         }
     }
+    m_read_buffer = {};
     if (ec)
     {
         m_reply.body_report.error = ec.message();
@@ -297,7 +471,8 @@
 
 bool http_transfer::is_streaming() const
 {
-    return m_on_chunk && !m_response_mismatched && m_reply.status / 100 == status_class_success;
+    return m_on_chunk && !m_response_mismatched &&
+           (m_request.stream_any_status || m_reply.status / 100 == status_class_success);
 }
 
 bool http_transfer::deliver_chunk(std::string_view chunk)
@@ -306,19 +481,18 @@
     {
         return true;
     }
-    if (!m_memory->reserve(chunk.size(), m_reserved))
-    {
-        return false;
-    }
     m_reply.body_report.bytes += chunk.size();
     if (is_streaming())
     {
         m_on_chunk(chunk);
+        return true;
     }
-    else
+    if (m_reply.body_report.bytes > m_max_body)
     {
-        m_reply.body += chunk;
+        return false;
     }
+    m_memory.charge(chunk.size());
+    m_reply.body += chunk;
     return true;
 }
 
@@ -381,7 +555,8 @@
         connection->close();
     }
     m_reply.send_report = m_send_report;
-    m_memory->release(std::exchange(m_reserved, 0));
+    m_request.body = {};
+    m_request.rest.reset();
     const auto on_reply = std::exchange(m_on_reply, nullptr);
     m_on_chunk = nullptr;
     m_request.on_head = nullptr;
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -4,18 +4,22 @@
 #pragma once
 
 #include "http_connection.hpp"
-#include "response_memory.hpp"
+
+#include "masticcourse/memory/memory_account.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
-#include <array>
 #include <atomic>
 #include <chrono>
 #include <cstddef>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
 
 namespace masticcourse::detail
 {
@@ -26,11 +30,13 @@
   public:
     /// @param on_chunk if empty, the whole body is returned in the reply
     http_transfer(boost::asio::io_context& context, std::shared_ptr<connection_pool> pool,
-                  std::shared_ptr<response_memory> memory, http_client_request request,
+                  const http_response_limits& limits, http_client_request request,
                   http_chunk_callback on_chunk, http_reply_callback on_reply);
 
     void start();
     void cancel() override;
+    void pause() override;
+    void resume() override;
 
   private:
     using reply_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -41,7 +47,18 @@
     boost::asio::awaitable<void> run(connection_ptr connection);
     boost::asio::awaitable<bool> connect(connection_ptr connection);
     boost::asio::awaitable<bool> exchange(connection_ptr connection);
+    boost::asio::awaitable<bool> exchange_streamed(connection_ptr connection);
     boost::asio::awaitable<bool> write_request(connection_ptr connection);
+    /// Writes the header and the body, reading the rest of the body part by part. Does not end before the
+    /// response has been read, even if the server reads no more.
+    boost::asio::awaitable<void> write_streamed(connection_ptr connection);
+    /// @return whether all was written
+    boost::asio::awaitable<bool> write_parts(connection_ptr connection);
+    /// Reads the next part of the rest of the body.
+    boost::asio::awaitable<http_body_part> next_part();
+    void count_send(const http_connection& connection, std::size_t written);
+    /// Reads a response, and before it those to other requests.
+    boost::asio::awaitable<bool> read_matching_response(connection_ptr connection);
     boost::asio::awaitable<bool> read_response(connection_ptr connection);
     boost::asio::awaitable<bool> read_head(connection_ptr connection, reply_parser& parser);
     boost::asio::awaitable<bool> read_body(connection_ptr connection, reply_parser& parser);
@@ -51,6 +68,8 @@
 
     [[nodiscard]] bool may_retry(const http_connection& connection) const;
     [[nodiscard]] bool is_streaming() const;
+    /// Waits while the response is paused.
+    boost::asio::awaitable<void> wait_while_paused(connection_ptr connection);
     void set_timer(const connection_ptr& connection, std::chrono::milliseconds delay) const;
     void set_timer(const connection_ptr& connection) const;
     void fail_to_connect();
@@ -59,26 +78,38 @@
 
     boost::asio::io_context& m_context;
     std::shared_ptr<connection_pool> m_pool;
-    std::shared_ptr<response_memory> m_memory;
-    /// Memory reserved for the body.
-    std::size_t m_reserved = 0;
+    std::size_t m_max_body;
+    /// For the part of the body that is collected.
+    memory_lease m_memory;
     http_client_request m_request;
     http_chunk_callback m_on_chunk;
     http_reply_callback m_on_reply;
     std::chrono::steady_clock::time_point m_deadline;
     http_client_reply m_reply;
-    std::array<char, std::size_t{16} * 1024> m_read_buffer{};
+    /// Holds memory only while a body is read.
+    std::string m_read_buffer;
     http_send_report m_send_report;
     bool m_response_started = false;
     bool m_keep_alive = false;
     /// The response being read belongs to another request.
     bool m_response_mismatched = false;
+    /// A part of the request has been written on the current connection.
+    bool m_sent_here = false;
+    /// All of a streamed request has been written.
+    bool m_all_sent = false;
+    /// The next part of the request's body, once it has been read.
+    std::optional<http_body_part> m_part;
 
     std::mutex m_mutex;
     /// Guarded by @a m_mutex: the connection to close on cancellation. The coroutine owns the connection, so
     /// that a handle that outlives the I/O context does not hold one of its sockets.
     std::weak_ptr<http_connection> m_connection;
     std::atomic<bool> m_cancelled = false;
+    std::atomic<bool> m_paused = false;
+    /// Never expires; cancelling it wakes the coroutine that waits for a part or for the end of a pause.
+    /// Accessed only on the strand of the connection.
+    std::optional<boost::asio::steady_timer> m_wake;
+    std::optional<boost::asio::steady_timer> m_unpaused;
 };
 
 } // namespace masticcourse::detail
--- a/src/net/session_exchange.cpp
+++ b/src/net/session_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,6 +42,17 @@
         forward([&](http_session& it) { it.post_stream(m_number, status, std::move(headers)); });
     }
 
+    void begin_body(int status, std::vector<http_header> headers,
+                    std::optional<std::uint64_t> length) override
+    {
+        forward([&](http_session& it) { it.post_body(m_number, status, std::move(headers), length); });
+    }
+
+    void on_written(std::function<void(std::size_t)> callback) override
+    {
+        forward([&](http_session& it) { it.post_on_written(m_number, std::move(callback)); });
+    }
+
     void write(std::string chunk) override
     {
         forward([&](http_session& it) { it.post_chunk(m_number, std::move(chunk)); });
@@ -80,8 +92,36 @@
     std::atomic<bool> m_complete = false;
 };
 
+class session_body final : public http_body_source
+{
+  public:
+    session_body(std::weak_ptr<http_session> session, std::uint64_t number)
+        : m_session(std::move(session)), m_number(number)
+    {
+    }
+
+    void read(http_body_callback on_part) override
+    {
+        if (const auto session = m_session.lock())
+        {
+            session->post_read(m_number, std::move(on_part));
+            return;
+        }
+        on_part({.data = {}, .progress = body_progress::broken});
+    }
+
+  private:
+    std::weak_ptr<http_session> m_session;
+    std::uint64_t m_number;
+};
+
 } // namespace
 
+std::shared_ptr<http_body_source> make_session_body(std::weak_ptr<http_session> session, std::uint64_t number)
+{
+    return std::make_shared<session_body>(std::move(session), number);
+}
+
 std::shared_ptr<http_exchange> make_session_exchange(std::weak_ptr<http_session> session,
                                                      std::uint64_t number)
 {
--- a/src/net/session_exchange.hpp
+++ b/src/net/session_exchange.hpp
@@ -18,4 +18,8 @@
 [[nodiscard]] std::shared_ptr<http_exchange> make_session_exchange(std::weak_ptr<http_session> session,
                                                                    std::uint64_t number);
 
+/// @return the part of the request's body that the session has not read yet
+[[nodiscard]] std::shared_ptr<http_body_source> make_session_body(std::weak_ptr<http_session> session,
+                                                                  std::uint64_t number);
+
 } // namespace masticcourse::detail
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -39,10 +39,20 @@
     {
         m_view->stream_status = status;
     }
+    void begin_body(int status, std::vector<http_header> /*headers*/,
+                    std::optional<std::uint64_t> length) override
+    {
+        m_view->stream_status = status;
+        m_view->stated_length = length;
+    }
     void write(std::string chunk) override
     {
         m_view->text += chunk;
     }
+    void on_written(std::function<void(std::size_t)> callback) override
+    {
+        m_view->on_written = std::move(callback);
+    }
     void end_stream() override
     {
         m_view->ended = true;
@@ -64,6 +74,14 @@
     {
         m_request->cancelled = true;
     }
+    void pause() override
+    {
+        m_request->paused = true;
+    }
+    void resume() override
+    {
+        m_request->paused = false;
+    }
 
   private:
     upstream_request_ptr m_request;
@@ -119,9 +137,12 @@
     return view.response ? view.response->body : "(no answer)";
 }
 
-void upstream_request::begin(int status, bool marked) const
+void upstream_request::begin(int status, bool marked, std::optional<std::uint64_t> length) const
 {
-    request.on_head(head_of(status, marked));
+    begun = true;
+    auto reply = head_of(status, marked);
+    reply.stated_length = length;
+    request.on_head(reply);
 }
 
 void upstream_request::event(const std::string& data) const
@@ -137,7 +158,7 @@
 void upstream_request::end(int status, bool marked, const std::string& body)
 {
     auto reply = head_of(status, marked);
-    if (!on_chunk || status / 100 != 2)
+    if (!begun)
     {
         request.on_head(reply);
     }
@@ -254,7 +275,9 @@
                      }},
           .delay = time.delays(),
           .clock = time.clock(),
-          .metrics = metrics}
+          .metrics = metrics,
+          .memory = memory,
+          .shares = shares}
 {
     for (const auto* id : {"t0", "t1", "t2"})
     {
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -22,6 +22,8 @@
 {
     std::optional<http_response> response;
     std::optional<int> stream_status;
+    std::optional<std::uint64_t> stated_length;
+    std::function<void(std::size_t)> on_written;
     std::string text;
     bool ended = false;
     /// The exchange was released before the response was complete, which closes the connection.
@@ -39,10 +41,13 @@
     http_chunk_callback on_chunk;
     http_reply_callback on_reply;
     bool cancelled = false;
+    bool paused = false;
+    /// The head of the response has been sent.
+    mutable bool begun = false;
 
     /// @name Response of the target
     /// @{
-    void begin(int status, bool marked = true) const;
+    void begin(int status, bool marked = true, std::optional<std::uint64_t> length = std::nullopt) const;
     void event(const std::string& data) const;
     /// An event with an id.
     void event(int id, const std::string& data) const;
@@ -108,6 +113,8 @@
     gateway::overdraft overdrafts{buckets, nullptr, time.clock()};
     gateway::bucket_ownership quota_buckets = make_ownership(gateway::quota_ownership_terms());
     metrics_registry metrics;
+    memory_account_ptr memory = std::make_shared<memory_account>();
+    memory_shares shares{memory};
     gateway::workspace_quotas quotas{{.max_wait = {}}, quota_buckets, peers,        nullptr,
                                      time.delays(),    time.clock(),  time.clock(), metrics};
     gateway::target_table targets;
--- a/tests/unit/gateway_fixture.hpp
+++ b/tests/unit/gateway_fixture.hpp
@@ -33,8 +33,8 @@
     gateway_process(const std::string& store_address, const std::string& node)
         : callers(free_address(threads.context())), readiness(free_address(threads.context())),
           peer_address(free_address(threads.context())), peers({peer_address, 1, {"here"}}, test_seed()),
-          store(threads.context(), {store_address, peer_address}, peers,
-                gateway::make_io_delay(threads.context()), metrics),
+          store(threads.context(), {.address = store_address, .peer_address = peer_address, .memory = memory},
+                peers, gateway::make_io_delay(threads.context()), metrics),
           gateway(threads.context(),
                   {.node = node,
                    .frontend_address = callers,
@@ -43,8 +43,10 @@
                    .peer_address = peer_address,
                    .own_domain = {"here"},
                    .cache_bytes = 1'000'000,
-                   // What a VM of 88 MB gets, the smallest of a deployment.
-                   .response_bytes = 5'500'000,
+                   // The smallest VM of a deployment.
+                   .memory_bytes = std::size_t{88} << 20U,
+                   .base_memory_bytes = std::size_t{12} << 20U,
+                   .memory = memory,
                    .row_bytes = 10'000,
                    .stop_grace = std::chrono::seconds{8}},
                   protocol, store, peers, platform::make_table_decoders(), metrics)
@@ -76,6 +78,7 @@
     std::string readiness;
     std::string peer_address;
     metrics_registry metrics;
+    memory_account_ptr memory = std::make_shared<memory_account>();
     gateway::peer_directory peers;
     platform::platform_protocol protocol;
     platform::row_store_client store;
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -296,10 +296,32 @@
 {
     http_fixture it({.max_connections = 1});
     raw_socket first(it.server.port());
-    first.write("GET / HTTP/1.1\r\n\r\n");
-    CHECK(first.read_until_text("GET / ").starts_with("HTTP/1.1 200"));
+    // The request that has begun keeps the first connection from being idle.
+    first.write("GET / HTTP/1.1\r\n");
+    REQUIRE(eventually([&] { return it.server.open_exchanges() == 1; }));
     raw_socket second(it.server.port());
     CHECK(second.read_until_text("}").starts_with("HTTP/1.1 503"));
+    first.write("\r\n");
+    CHECK(first.read_until_text("GET / ").starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("http: for a connection over the limit the one that has been idle longest is closed")
+{
+    http_fixture it({.max_connections = 2});
+    const auto serve_once = [](raw_socket& socket)
+    {
+        socket.write("GET / HTTP/1.1\r\n\r\n");
+        return socket.read_until_text("GET / ").starts_with("HTTP/1.1 200");
+    };
+    raw_socket first(it.server.port());
+    CHECK(serve_once(first));
+    raw_socket second(it.server.port());
+    CHECK(serve_once(second));
+    raw_socket third(it.server.port());
+    CHECK(serve_once(third));
+    CHECK(first.read_all().empty());
+    CHECK(first.closed_in_order());
+    CHECK(serve_once(second));
 }
 
 TEST_CASE("http: a handler that throws leaves the outcome unknown")
--- a/tests/unit/test_platform_store.cpp
+++ b/tests/unit/test_platform_store.cpp
@@ -25,6 +25,11 @@
         response = std::move(sent);
     }
     void begin_stream(int /*status*/, std::vector<http_header> /*headers*/) override {}
+    void begin_body(int /*status*/, std::vector<http_header> /*headers*/,
+                    std::optional<std::uint64_t> /*length*/) override
+    {
+    }
+    void on_written(std::function<void(std::size_t)> /*callback*/) override {}
     void write(std::string /*chunk*/) override {}
     void end_stream() override {}
     void on_closed(std::function<void()> /*callback*/) override {}
