Tables: a reply that the process itself was late to look at is no sign that the store is away

Cause: the lack of a reply was measured by the wall clock. A process that runs a tenth of the time finds the timer expired before it has read the reply that waits in its socket, closes the connection, and takes the store for away; and then it acts on what it knows, however old.

Change: attended_time counts a short span for each pass of the event loop. The wait for a late table, and whether a call that timed out says anything about the store or the peers, go by it; until then requests get 503. A deadline of the network layer whose timer is looked at late is extended by that time, four times at most, so that what has arrived is still read. A refusal, a reset or a 503 of the store counts as before.

Test: the virtual fleet has processor time (a process that runs once in 0.1 to 3 s, replies that take four passes).

--- a/include/masticcourse/gateway/feed/table_age.hpp
+++ b/include/masticcourse/gateway/feed/table_age.hpp
@@ -11,7 +11,7 @@
 /// | the roots have heard from the store again | feed_timeout |
 /// | their followers have, at each depth of the tree | a few milliseconds more |
 /// | the store is read, whatever other calls are under way | late_after() |
-/// | the reply is there, or the store counts as away | read_patience more |
+/// | the reply is there, or the store counts as away | read_patience more, in attended time |
 /// | nothing is decided by the table unless the store is away | max_table_age |
 ///
 /// A gateway that is deeper in the tree waits longer, so that one that hears from the store spares those
@@ -36,7 +36,8 @@
 /// for longer, a shorter one costs more calls.
 constexpr milliseconds feed_timeout{1'000};
 
-/// How long a read of the store may take until the store counts as away.
+/// How long a read of the store may take until the store counts as away, in attended time; see
+/// attended_time.hpp. A process that is short of processor time decides nothing by an old table meanwhile.
 constexpr milliseconds read_patience{300};
 
 /// @param depth        number of gateways between this one and the store
--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -63,6 +63,9 @@
     /// Receives, with the name of a table, the age that it had reached when it was confirmed again. May be
     /// empty.
     std::function<void(const std::string& table, duration age)> record_age = {};
+    /// Clock of attended_time, with which the wait for a read of the store is measured. If empty, all time
+    /// counts as attended.
+    clock_function attended_clock = nullptr;
 };
 
 class table_follower
@@ -194,7 +197,7 @@
     milliseconds m_pause{};
     /// Number of the call or pause under way.
     std::uint64_t m_call = 0;
-    /// Since when the store is being read by a call that does not wait for changes; boot time.
+    /// Since when the store is being read by a call that does not wait for changes; attended time.
     std::optional<time_point> m_reading_since;
     /// Number of the last check of the age; earlier ones are void.
     std::uint64_t m_age_check = 0;
--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -54,6 +54,8 @@
     std::function<std::optional<std::size_t>()> resident_memory = nullptr;
     /// The account of what is held for others; shared with the client of the store. Null without a limit.
     memory_account_ptr memory = nullptr;
+    /// Clock of attended_time; if empty, all time counts as attended.
+    clock_function attended_clock = nullptr;
     /// Connections of callers; see http_limits::max_connections.
     std::size_t max_connections = 20'000;
     /// Maximum size of one row of the store.
--- a/include/masticcourse/gateway/store_path.hpp
+++ b/include/masticcourse/gateway/store_path.hpp
@@ -26,6 +26,8 @@
     rate_limited,
     /// No complete answer: a write may have been executed.
     no_response,
+    /// No complete answer in time, but this process was late to look: it says nothing about the store.
+    unattended,
 };
 
 /// Times between probes of the direct path. Where many gateways probe, longer ones bound the load of all.
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -143,6 +143,8 @@
 struct http_client_reply
 {
     http_failure failure = http_failure::none;
+    /// The failure is that something took too long, the connection's establishment included.
+    bool timed_out = false;
     /// 0 if no response header was received.
     int status = 0;
     std::vector<http_header> headers;
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -56,6 +56,10 @@
     : m_context(std::move(context)), m_table(std::move(table)), m_callbacks(std::move(callbacks)),
       m_retry_delay(initial_retry_delay), m_random(derive_seed(m_context.seed, m_table.name).value)
 {
+    if (!m_context.attended_clock)
+    {
+        m_context.attended_clock = m_context.boottime_clock;
+    }
 }
 
 void table_follower::start()
@@ -86,7 +90,7 @@
 
 std::uint64_t table_follower::begin_call(bool waits)
 {
-    m_reading_since = waits ? std::nullopt : std::optional{m_context.boottime_clock()};
+    m_reading_since = waits ? std::nullopt : std::optional{m_context.attended_clock()};
     return ++m_call;
 }
 
@@ -476,7 +480,8 @@
     {
         return table_currency::current;
     }
-    const bool unanswered = m_reading_since && m_context.boottime_clock() - *m_reading_since >= read_patience;
+    // A reply that this process has been too slow to look at is no sign that the store is away.
+    const bool unanswered = m_reading_since && m_context.attended_clock() - *m_reading_since >= read_patience;
     // A read that the store refused because of its rate limit says nothing about whether it is away.
     const bool failed = m_store_failing && m_context.store.time_since_failure() <= age();
     return unanswered || failed ? table_currency::store_away : table_currency::out_of_date;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -143,7 +143,8 @@
                                    "Age that a followed table had reached when it was confirmed again.",
                                    {{"table", table}})
                     .record(std::chrono::floor<std::chrono::microseconds>(age));
-            }},
+            },
+            .attended_clock = options.attended_clock ? options.attended_clock : clock_function{boottime_now}},
       gateways(feeds, options.node, {options.peer_address, options.cores, options.own_domain}),
       config_rows(feeds, {.name = decoders.config_table, .min_interval = table_update_interval},
                   {.on_snapshot = [this](const auto& rows)
--- a/src/gateway/store_path.cpp
+++ b/src/gateway/store_path.cpp
@@ -49,6 +49,9 @@
             mark_down(now);
         }
         return;
+    case hop_result::unattended:
+        m_call_timeout = std::min(m_call_timeout * 2, max_call_timeout);
+        return;
     case hop_result::no_response:
         m_last_failure = now;
         // The store may be slow rather than unreachable: allow the next call more time.
--- a/src/net/deadline.hpp
+++ b/src/net/deadline.hpp
@@ -19,7 +19,9 @@
   public:
     explicit deadline(const boost::asio::any_io_executor& executor);
 
-    /// Replaces any previously set deadline.
+    /// Replaces any previously set deadline. If this process is late to look at the timer, because it was
+    /// short of processor time, the deadline is extended by that time, so that what has arrived meanwhile is
+    /// still read.
     /// @param on_expired must not own the object that holds this deadline; it is called only while the
     /// deadline exists
     void set(std::chrono::milliseconds timeout, std::function<void()> on_expired);
@@ -38,7 +40,10 @@
         bool expired = false;
     };
 
+    void wait(std::chrono::milliseconds timeout, std::function<void()> on_expired);
+
     boost::asio::steady_timer m_timer;
+    int m_extensions = 0;
     std::shared_ptr<shared_state> m_state;
 };
 
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -233,7 +233,8 @@
         }
         if (!complete)
         {
-            fail(connection->timer.expired() ? http_failure::timeout : http_failure::broken);
+            m_reply.timed_out = connection->timer.expired();
+            fail(m_reply.timed_out ? http_failure::timeout : http_failure::broken);
         }
     }
     finish(connection);
@@ -254,6 +255,7 @@
     connection->timer.clear();
     if (ec || !connection->socket.is_open())
     {
+        m_reply.timed_out = connection->timer.expired();
         fail_to_connect();
         co_return false;
     }
--- a/tests/support/feed_fleet.cpp
+++ b/tests/support/feed_fleet.cpp
@@ -1,7 +1,10 @@
 #include "support/feed_fleet.hpp"
 #include "support/test_seed.hpp"
 
+#include "masticcourse/gateway/attended_time.hpp"
+
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -16,6 +19,8 @@
 
 /// Time after which a gateway gives up a call that the store does not answer.
 constexpr milliseconds call_timeout{500};
+/// By how much a process that is short of processor time extends the timeout of a call.
+constexpr milliseconds longest_extension{2'000};
 constexpr milliseconds message_latency{1};
 /// Time after which a gateway gives up a new connection to another one.
 constexpr milliseconds connect_timeout{150};
@@ -41,8 +46,42 @@
                             [this, action = std::move(action)]() mutable { run(std::move(action)); });
             return;
         }
+        if (const auto wait = time_to_next_pass(); wait > milliseconds{0})
+        {
+            m_time.delays()(wait, [this, action = std::move(action)]() mutable { run(std::move(action)); });
+            return;
+        }
         action();
     }
+    /// Runs @a action once a reply has been read, which takes several passes of the event loop.
+    void run_on_reply(std::function<void()> action)
+    {
+        m_time.delays()(reading_time(),
+                        [this, action = std::move(action)]() mutable { run(std::move(action)); });
+    }
+    /// @return the time that reading a reply takes
+    [[nodiscard]] milliseconds reading_time() const
+    {
+        constexpr int passes = 4;
+        return m_time.now() < starved_until ? pass * passes : milliseconds{0};
+    }
+    /// @return whether the process runs at this moment
+    [[nodiscard]] bool runs_now() const
+    {
+        return m_time.now() >= frozen_until && time_to_next_pass() == milliseconds{0};
+    }
+    /// From now on the process gets the processor only once in each @a interval.
+    void starve(milliseconds interval, time_point until)
+    {
+        pass = interval;
+        starved_until = until;
+        m_attended.emplace();
+        tick();
+    }
+    [[nodiscard]] time_point attended() const
+    {
+        return m_attended ? m_attended->at(m_time.now()) : m_time.now();
+    }
     [[nodiscard]] bool cut_off() const
     {
         return m_time.now() < cut_off_until;
@@ -62,12 +101,32 @@
     time_point cut_off_until{};
     time_point without_store_until{};
     time_point slow_until{};
+    time_point starved_until{};
+    /// Time between two passes of the event loop of a process that is short of processor time.
+    milliseconds pass{};
     /// The end of the last disturbance.
     time_point disturbed_until{};
 
   private:
+    [[nodiscard]] milliseconds time_to_next_pass() const
+    {
+        if (m_time.now() >= starved_until)
+        {
+            return milliseconds{0};
+        }
+        const auto since_pass = std::chrono::floor<milliseconds>(m_time.now().time_since_epoch()) % pass;
+        return since_pass == milliseconds{0} ? milliseconds{0} : pass - since_pass;
+    }
+    void tick()
+    {
+        m_attended->tick(m_time.now());
+        m_time.delays()(gateway::attended_time::tick_interval, [this] { run([this] { tick(); }); });
+    }
+
     static constexpr milliseconds slow_delay{700};
     virtual_time& m_time;
+    /// Set once the process has been short of processor time.
+    std::optional<gateway::attended_time> m_attended;
 };
 
 } // namespace
@@ -155,12 +214,15 @@
     {
         const bool refusing = m_fleet.m_store_mode == store_mode::refusing;
         m_fleet.time.delays()(refusing ? rated_store::latency : timeout,
-                              [this, reply = std::move(reply)]
+                              [this, start = call_times(), reply = std::move(reply)]
                               {
                                   m_process.run(
-                                      [this, reply]
+                                      [this, start, reply]
                                       {
-                                          m_last_failure = m_fleet.time.now();
+                                          if (was_attended(start, call_times()))
+                                          {
+                                              m_last_failure = m_fleet.time.now();
+                                          }
                                           reply();
                                       });
                               });
@@ -178,9 +240,18 @@
                 fail(timeout, [on_reply] { on_reply({}); });
                 return;
             }
-            m_process.run([on_reply, reply = std::move(reply)] { on_reply(reply); });
+            if (m_process.reading_time() > timeout + longest_extension)
+            {
+                fail(timeout + longest_extension, [on_reply] { on_reply({}); });
+                return;
+            }
+            m_process.run_on_reply([on_reply, reply = std::move(reply)] { on_reply(reply); });
         };
     }
+    [[nodiscard]] gateway::call_start call_times() const
+    {
+        return {.wall = m_fleet.time.now(), .attended = m_process.attended()};
+    }
 
     feed_fleet& m_fleet;
     process_state& m_process;
@@ -202,7 +273,8 @@
                 .delay = [this](milliseconds after, const std::function<void()>& action)
                 { fleet.time.delays()(after, [this, action] { process.run(action); }); },
                 .clock = owner.time.clock(),
-                .boottime_clock = owner.time.clock()},
+                .boottime_clock = owner.time.clock(),
+                .attended_clock = [this] { return process.attended(); }},
           list(feeds, own_node, {own_address, 1, {failure_domain}}),
           config(feeds, {.name = config_table, .min_interval = milliseconds{50}},
                  callbacks_for(config_table)),
@@ -525,6 +597,11 @@
                   });
 }
 
+void feed_fleet::starve(const std::string& address, milliseconds interval, milliseconds span)
+{
+    m_members.at(address)->process.starve(interval, time.now() + span);
+}
+
 std::vector<std::string> feed_fleet::undisturbed(const std::string& failure_domain) const
 {
     std::vector<std::string> found;
@@ -572,7 +649,7 @@
     knowledge found;
     for (const auto& [address, it] : m_members)
     {
-        if (it->process.stopped || time.now() < it->process.frozen_until)
+        if (it->process.stopped || !it->process.runs_now())
         {
             continue;
         }
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -65,6 +65,9 @@
     void restart(double share, gateway::milliseconds downtime);
     /// Disturbs a gateway for @a span.
     void disturb(const std::string& address, gateway_fault fault, gateway::milliseconds span);
+    /// The process of a gateway gets the processor only once in each @a interval, for @a span. It stays in
+    /// touch all the while.
+    void starve(const std::string& address, gateway::milliseconds interval, gateway::milliseconds span);
     /// @return the addresses of the gateways of a failure domain that are not disturbed
     [[nodiscard]] std::vector<std::string> undisturbed(const std::string& failure_domain) const;
     /// @return those of @a addresses that follow the store
--- a/tests/unit/test_gateway_feed_age.cpp
+++ b/tests/unit/test_gateway_feed_age.cpp
@@ -184,3 +184,58 @@
                 " without the roots of a domain");
     }
 }
+
+// Guards against a gateway that acts on old tables because it takes the store for away, when it was only late
+// itself to look at the store's replies.
+TEST_CASE("a gateway that is short of processor time acts on nothing that is older than the bound")
+{
+    struct starved_case
+    {
+        fleet_size size;
+        /// Time between two moments at which the processes run.
+        milliseconds pass;
+        std::size_t starved;
+    };
+    for (const auto& it : {starved_case{{.gateways = 13, .domains = 3}, 100ms, 13},
+                           starved_case{{.gateways = 13, .domains = 3}, 400ms, 4},
+                           starved_case{{.gateways = 13, .domains = 3}, 1s, 4},
+                           starved_case{{.gateways = 13, .domains = 3}, 3s, 2},
+                           starved_case{{.gateways = 127, .domains = 5}, 1s, 20}})
+    {
+        CAPTURE(it.size.gateways);
+        CAPTURE(it.pass.count());
+        feed_fleet fleet{it.size.gateways, it.size.domains};
+        std::ranges::for_each(tables, [&fleet](const auto* table) { fleet.publish(table); });
+        fleet.time.run(20s);
+        auto chosen = fleet.undisturbed("domain 0");
+        for (std::size_t domain = 1; domain < it.size.domains; ++domain)
+        {
+            std::ranges::copy(fleet.undisturbed("domain " + std::to_string(domain)),
+                              std::back_inserter(chosen));
+        }
+        chosen.resize(it.starved);
+        constexpr seconds span{60};
+        for (const auto& address : chosen)
+        {
+            fleet.starve(address, it.pass, span);
+        }
+        duration oldest{};
+        constexpr milliseconds step{20};
+        for (int n = 0; n < span / step; ++n)
+        {
+            if (n % 40 == 0)
+            {
+                fleet.publish(tables.at(static_cast<std::size_t>(n / 40) % tables.size()));
+            }
+            fleet.time.run(step);
+            for (const auto* const table : tables)
+            {
+                oldest = std::max(oldest, fleet.knowledge_of(table).oldest);
+            }
+        }
+        CHECK(oldest <= max_table_age);
+        // Once they run as usual, they decide again.
+        fleet.time.run(5s);
+        CHECK(fleet.knowledge_of(feed_fleet::config_table).undecided == 0);
+    }
+}
