--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -77,7 +77,7 @@
     void begin();
     /// Reads the rest of a body that is needed whole.
     void read_whole_body();
-    void on_body_part(http_body_part part);
+    void on_body_part(const http_body_part& part);
     void on_body_stalled();
     /// Prepares passing a long body on while it is read.
     void set_up_upload();
@@ -150,7 +150,7 @@
     /// @name Response of the target
     /// @{
     void on_head(const http_client_reply& reply);
-    void on_reply(http_client_reply reply);
+    void on_reply(const http_client_reply& reply);
     /// @return how the current attempt's response ended
     [[nodiscard]] response_end classify_end(http_failure failure) const;
     void count_response(response_end end) const;
@@ -170,7 +170,7 @@
     [[nodiscard]] bool may_go_on();
     /// Whether a target may have executed any part of the request.
     [[nodiscard]] bool may_have_run() const;
-    void on_complete_response(http_client_reply reply);
+    void on_complete_response(const http_client_reply& reply);
     void end_attempt(health_signal signal);
     [[nodiscard]] bool can_retry() const;
     /// Whether the body can be sent from its beginning.
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -42,7 +42,7 @@
     return std::ranges::find(statuses, status) != statuses.end();
 }
 
-void forwarded_request::on_complete_response(http_client_reply reply)
+void forwarded_request::on_complete_response(const http_client_reply& reply)
 {
     record_target_response();
     const bool retry =
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -278,10 +278,10 @@
     { if_current_attempt([&](forwarded_request& it) { it.on_head(reply); }); };
     const auto on_chunk = [if_current_attempt](std::string_view chunk)
     { if_current_attempt([&](forwarded_request& it) { it.on_chunk(chunk); }); };
-    m_upstream = m_services.open_stream(
-        std::move(request), on_chunk,
-        [if_current_attempt](http_client_reply reply)
-        { if_current_attempt([&](forwarded_request& it) { it.on_reply(std::move(reply)); }); });
+    m_upstream =
+        m_services.open_stream(std::move(request), on_chunk,
+                               [if_current_attempt](const http_client_reply& reply)
+                               { if_current_attempt([&](forwarded_request& it) { it.on_reply(reply); }); });
 }
 
 const target* forwarded_request::take_repeat_target()
--- a/src/gateway/forwarded_request_response.cpp
+++ b/src/gateway/forwarded_request_response.cpp
@@ -25,7 +25,7 @@
     }
 }
 
-void forwarded_request::on_reply(http_client_reply reply)
+void forwarded_request::on_reply(const http_client_reply& reply)
 {
     m_upstream.reset();
     m_body_report = reply.body_report;
@@ -67,7 +67,7 @@
     }
     else
     {
-        on_complete_response(std::move(reply));
+        on_complete_response(reply);
     }
 }
 
--- a/src/gateway/forwarded_request_upload.cpp
+++ b/src/gateway/forwarded_request_upload.cpp
@@ -62,11 +62,11 @@
         return;
     }
     m_request.body.reserve(stated);
-    m_request.rest->read([self = shared_from_this()](http_body_part part)
-                         { self->on_body_part(std::move(part)); });
+    m_request.rest->read([self = shared_from_this()](const http_body_part& part)
+                         { self->on_body_part(part); });
 }
 
-void forwarded_request::on_body_part(http_body_part part)
+void forwarded_request::on_body_part(const http_body_part& part)
 {
     if (m_finished || part.progress == body_progress::broken)
     {
@@ -90,8 +90,8 @@
         prepare();
         return;
     }
-    m_request.rest->read([self = shared_from_this()](http_body_part next)
-                         { self->on_body_part(std::move(next)); });
+    m_request.rest->read([self = shared_from_this()](const http_body_part& next)
+                         { self->on_body_part(next); });
 }
 
 void forwarded_request::on_body_stalled()
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -22,7 +22,7 @@
           m_acceptor(std::make_shared<detail::tcp_acceptor>(
               context, address, [state = m_state](auto socket) { accept_session(state, std::move(socket)); }))
     {
-        m_state->limits = limits;
+        m_state->limits = std::move(limits);
         m_state->handler = std::move(handler);
     }
 
@@ -134,7 +134,7 @@
 
 http_server::http_server(boost::asio::io_context& context, const std::string& address, http_limits limits,
                          http_handler handler)
-    : m_listener(std::make_shared<listener>(context, address, limits, std::move(handler)))
+    : m_listener(std::make_shared<listener>(context, address, std::move(limits), std::move(handler)))
 {
     m_listener->start();
 }
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -23,7 +23,6 @@
 {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using boost::system::error_code;
 
 constexpr std::size_t read_size = std::size_t{16} * 1024;
--- a/tests/memory/memory_test.py
+++ b/tests/memory/memory_test.py
@@ -70,6 +70,8 @@
     Case("many short bodies stop in the middle, 88 MB", memory_mb=88, large=4000, size=30_000, sent_part=0.9, limit_s=12),
     Case("a route that repeats", path="/lookup/1", served=30),
     Case("turns that are stored", path="/turn/1", program=True, size=500_000, large=60, served=5, response_size=len(TURN_EVENT)),
+    Case("many short requests at once, 88 MB", memory_mb=88, large=4000, size=600, large_work_s=3, served=500,
+         small_served=0.2),
     Case("idle connections", large=0, idle=6000, after_s=2),
     Case("idle connections, 88 MB", memory_mb=88, large=0, idle=6000, after_s=2),
     Case("headers stop in the middle, 88 MB", memory_mb=88, large=0, half_heads=1500, after_s=5),
--- a/tests/unit/test_gateway_long_bodies.cpp
+++ b/tests/unit/test_gateway_long_bodies.cpp
@@ -221,7 +221,7 @@
     const auto send_all = [&](const std::string& id)
     {
         world.caller = std::make_shared<sending_caller>();
-        const auto view = world.upload("lookup", id);
+        auto view = world.upload("lookup", id);
         if (!view->response)
         {
             const auto target = world.last();
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -31,7 +31,8 @@
 struct http_fixture
 {
     explicit http_fixture(http_limits limits = {}, http_handler handler = echo)
-        : server(threads.context(), "127.0.0.1:0", limits, std::move(handler)), client(threads.context())
+        : server(threads.context(), "127.0.0.1:0", std::move(limits), std::move(handler)),
+          client(threads.context())
     {
     }
     http_fixture(const http_fixture&) = delete;
