Memory: the claim of a turn that is held whole has its size, and the lease of a response starts anew with each attempt

Read in the diff: a stored turn of 500 kB holds six times its input, but counted with 160 kB against its workspace's third, so that one workspace could have taken all room for turns; and what an attempt had collected of a response stayed reserved through the next one, until the request ended. Now the claim is the size that is reserved, and the lease is what waits.

Checked: build, format, linter on both files, test_gateway_long_bodies, _forwarding, _attempts, _loopback, _response_ends, test_memory (all pass).

--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -239,6 +239,7 @@
         m_stream_head.reset();
         m_pending_output.clear();
     }
+    m_response_memory.set(m_pending_output.size());
     m_services.targets.begin(target.instance());
     m_services.scheduler.on_sent(to_scheduled_request(), target.instance(), m_tried_targets.size() == 1);
 }
--- a/src/gateway/forwarded_request_upload.cpp
+++ b/src/gateway/forwarded_request_upload.cpp
@@ -1,6 +1,7 @@
 // The body of a request that its caller is still sending: passed on part by part, or read whole first.
 #include "forwarded_request.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace masticcourse::gateway::detail
@@ -21,7 +22,9 @@
 {
     const bool passed_on = m_request.rest && !is_retained();
     const auto use = m_request.rest ? memory_use::uploads : memory_use::requests;
-    const auto size = m_request.rest ? upload_memory : 2 * m_request.body.size();
+    const auto whole_size = stored_input_copies * static_cast<std::size_t>(m_request.body_length.value_or(0));
+    const auto long_size = passed_on ? upload_memory : std::max(whole_size, upload_memory);
+    const auto size = m_request.rest ? long_size : 2 * m_request.body.size();
     auto share = m_services.shares.claim({.workspace = m_request.workspace.value,
                                           .priority = m_route->priority,
                                           .use = use,
