--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -215,9 +215,8 @@
     void send(http_client_request request, http_reply_callback on_reply);
 
     /// Sends a request whose response is delivered incrementally.
-    /// @param on_chunk receives each part of a 2xx response's body, or of any response's if
-    /// `stream_any_status`
-    ///                 is set; any other body is in the reply as a whole
+    /// @param on_chunk receives each part of the body of a 2xx response, or of any if `stream_any_status` is
+    ///                 set; other bodies are in the reply as a whole
     /// @param on_end   called exactly once, after the last part
     /// @return a handle for cancelling; destroying it does not cancel the request
     std::shared_ptr<http_stream> open_stream(http_client_request request, http_chunk_callback on_chunk,
