Budgets: the log tells what was handed out on what ground, what was charged, and what stays outstanding

Neither the tokens that callers got nor the ground for them, nor a charge with its excess, nor what the holder of a bucket keeps stood in any line, so that the three hypotheses could not be told apart.

- E2301 and E2302: tokens= and basis= (reservation, overdraft).
- E2309 turn_charged: tokens, excess, and the row after it.
E2310 overdraft_settled: what stays outstanding of a turn and of its program at the holder.
- masticcourse_budget_tokens_total by basis; masticcourse_overdraft_outstanding_tokens.

No decision changes.

--- a/include/masticcourse/gateway/overdraft.hpp
+++ b/include/masticcourse/gateway/overdraft.hpp
@@ -74,6 +74,12 @@
         return m_ledger.empty(bucket);
     }
 
+    /// @return the tokens outstanding here for all programs
+    [[nodiscard]] token_count outstanding() const
+    {
+        return m_ledger.outstanding();
+    }
+
     /// Evicts programs without a draw for `max_program_idle_time`.
     void evict_idle()
     {
@@ -83,6 +89,7 @@
   private:
     void send(const overdraft_message& message, draw_callback on_grant);
     token_count apply(const overdraft_message& message);
+    void log_settlement(const overdraft_message& message) const;
 
     bucket_ownership& m_buckets;
     peer_call m_call;
--- a/include/masticcourse/gateway/overdraft_ledger.hpp
+++ b/include/masticcourse/gateway/overdraft_ledger.hpp
@@ -27,6 +27,15 @@
 /// A program without a turn for this long has ended. Ten times the retention of turns.
 inline constexpr seconds max_program_idle_time{600};
 
+/// What a program holds of its overdraft.
+struct overdraft_state
+{
+    /// Tokens that the program's turns may deliver, or have delivered, without a row that records them.
+    token_count outstanding = 0;
+    /// The most that may be outstanding; 0 if nothing is.
+    token_count limit = 0;
+};
+
 class overdraft_ledger
 {
   public:
@@ -44,6 +53,11 @@
     /// Removes the turn: its tokens are recorded in the program's spending row.
     void clear(const program_id& program, const request_id& request);
 
+    [[nodiscard]] overdraft_state find(const program_id& program) const;
+
+    /// @return the tokens outstanding for all programs
+    [[nodiscard]] token_count outstanding() const;
+
     /// @return whether no tokens are outstanding for any program of the bucket
     [[nodiscard]] bool empty(std::size_t bucket) const;
 
@@ -59,6 +73,7 @@
         std::unordered_map<request_id, token_count> outstanding;
 
         [[nodiscard]] token_count outstanding_excluding(const request_id& request) const;
+        [[nodiscard]] token_count total_outstanding() const;
     };
 
     std::unordered_map<program_id, program_account> m_programs;
--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -171,6 +171,7 @@
                           time_point asked_at);
     static void log_refusal(const program_entry& entry, const spending_row& row,
                             const reservation_request& request);
+    static void log_charge(const program_entry& entry, const pending_reservation& charged);
     void schedule_flush(const program_id& id, program_entry& entry);
 
     row_store& m_store;
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -47,6 +47,8 @@
     target_ended = 2306,
     turn_over_budget = 2307,
     turn_recovered = 2308,
+    turn_charged = 2309,
+    overdraft_settled = 2310,
     shard_claimed = 3001,
     shard_released = 3002,
     shard_lost = 3003,
@@ -213,6 +215,16 @@
         "A turn that another gateway served has ended, but its reservation was still in the program's row; "
         "this gateway settles it from the stored turn.",
         "Single ones follow the end or a pause of a gateway; otherwise look for one that can't write."},
+    event_definition{
+        event_id::turn_charged, "turn_charged", event_severity::info,
+        "The `tokens` that a turn handed out on an overdraft stand in its program's row, which then holds "
+        "`spent` and `reserved` of the `budget`; the `excess` lies beyond the budget.",
+        "None; the excess stays outstanding at the holder of the program's bucket (E2310)."},
+    event_definition{
+        event_id::overdraft_settled, "overdraft_settled", event_severity::info,
+        "The holder of a program's bucket was told what stays `outstanding` of a turn's overdraft; `program_"
+        "outstanding` and `limit` are those of its program.",
+        "None; with E2305 and E2309 of the same request they tell who handed out what of a program."},
     event_definition{event_id::shard_claimed, "shard_claimed", event_severity::info,
                      "This process took a shard; its epoch rose.", "None."},
     event_definition{event_id::shard_released, "shard_released", event_severity::info,
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -33,6 +33,19 @@
     granted,
 };
 
+/// What permitted sending a turn's tokens to the caller.
+enum class token_basis : std::uint8_t
+{
+    /// Nothing has been sent, or the request has no budget.
+    none,
+    /// A durable reservation.
+    reservation,
+    /// An overdraft, for all tokens sent so far.
+    overdraft,
+};
+
+[[nodiscard]] std::string_view to_string(token_basis basis);
+
 /// Whether callers take the status as a guarantee that the request was not executed. Such a status is valid
 /// only from a target that explicitly states so.
 [[nodiscard]] bool implies_not_executed(int status);
@@ -106,6 +119,9 @@
     /// Whether all output so far may be sent to the caller before the reservation is durable.
     [[nodiscard]] bool within_overdraft() const;
     [[nodiscard]] token_count tokens_per_event() const;
+    /// Records that all output so far is sent to the caller.
+    void record_delivery();
+    void count_delivered_tokens() const;
     /// @}
 
     /// @name Workspace quota
@@ -283,6 +299,9 @@
     bool m_overdraft_requested = false;
     /// Tokens granted by the overdraft.
     token_count m_overdraft_granted = 0;
+    /// Tokens sent to the caller, and what permitted it.
+    token_count m_delivered_tokens = 0;
+    token_basis m_delivery_basis = token_basis::none;
     turn_chain m_chain;
     bool m_turn_durable = false;
     /// @}
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -202,6 +202,7 @@
     if (!m_pending_output.empty())
     {
         send_stream_head();
+        record_delivery();
         write_to_caller(std::exchange(m_pending_output, {}));
         m_response_memory.reset();
     }
@@ -279,6 +280,7 @@
         m_services.scheduler.cancel(*m_held);
     }
     settle_budget(timing_of(outcome));
+    count_delivered_tokens();
     m_exchange.reset();
     m_chain = {};
     m_pending_output = {};
@@ -315,6 +317,8 @@
         {"attempts", std::to_string(m_tried_targets.size())},
         {"sends", std::to_string(m_sends)},
         {"events", std::to_string(m_progress ? m_progress->event_count() : 0)},
+        {"tokens", std::to_string(m_delivered_tokens)},
+        {"basis", std::string{to_string(m_delivery_basis)}},
         {"budget", program && program->budget ? std::to_string(*program->budget) : "-"},
         {"most", program ? std::to_string(program->max_tokens) : "-"},
         {"previous", program && program->previous_turn ? program->previous_turn->value : "-"},
--- a/src/gateway/forwarded_request_budget.cpp
+++ b/src/gateway/forwarded_request_budget.cpp
@@ -20,6 +20,20 @@
 
 } // namespace
 
+std::string_view to_string(token_basis basis)
+{
+    switch (basis)
+    {
+    case token_basis::reservation:
+        return "reservation";
+    case token_basis::overdraft:
+        return "overdraft";
+    case token_basis::none:
+        break;
+    }
+    return "-";
+}
+
 void forwarded_request::schedule_overdraft()
 {
     // The end of a stored turn waits for the store in any case.
@@ -136,6 +150,31 @@
     return m_progress->event_count() * tokens_per_event();
 }
 
+void forwarded_request::record_delivery()
+{
+    if (!has_budget())
+    {
+        return;
+    }
+    m_delivered_tokens = generated_tokens();
+    m_delivery_basis =
+        m_reservation == reservation_state::pending ? token_basis::overdraft : token_basis::reservation;
+}
+
+void forwarded_request::count_delivered_tokens() const
+{
+    if (m_delivery_basis == token_basis::none)
+    {
+        return;
+    }
+    const std::vector<metric_label> labels{{"basis", std::string{to_string(m_delivery_basis)}}};
+    m_services.metrics
+        .get_counter(
+            "masticcourse_budget_tokens_total",
+            "Tokens sent to callers of programs with a budget, by what permitted the last of a turn.", labels)
+        .add(static_cast<std::uint64_t>(m_delivered_tokens));
+}
+
 token_count forwarded_request::tokens_per_event() const
 {
     const auto* const found = m_config->find_service(service());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -311,6 +311,10 @@
     poison.sweep(now);
     spending.evict_idle(now);
     overdrafts.evict_idle();
+    registry
+        .get_gauge("masticcourse_overdraft_outstanding_tokens",
+                   "Tokens outstanding of the overdrafts of programs whose buckets this gateway holds.")
+        .set(overdrafts.outstanding());
     if (ready() != was_ready)
     {
         was_ready = ready();
--- a/src/gateway/overdraft.cpp
+++ b/src/gateway/overdraft.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/gateway/overdraft.hpp"
 
+#include "masticcourse/telemetry/log.hpp"
+
 #include <utility>
 
 namespace masticcourse::gateway
@@ -77,6 +79,7 @@
     if (message.operation == overdraft_operation::settle)
     {
         m_ledger.settle(message.program, message.request, message.tokens);
+        log_settlement(message);
         return 0;
     }
     return m_buckets.may_use(overdraft_bucket_of(message.program.value))
@@ -84,6 +87,16 @@
                : 0;
 }
 
+void overdraft::log_settlement(const overdraft_message& message) const
+{
+    const auto state = m_ledger.find(message.program);
+    log_event(event_id::overdraft_settled, {{"request", message.request.value},
+                                            {"program", message.program.value},
+                                            {"outstanding", std::to_string(message.tokens)},
+                                            {"program_outstanding", std::to_string(state.outstanding)},
+                                            {"limit", std::to_string(state.limit)}});
+}
+
 std::optional<std::string> overdraft::serve(const std::string& bytes)
 {
     const auto message = decode_overdraft(bytes);
--- a/src/gateway/overdraft_ledger.cpp
+++ b/src/gateway/overdraft_ledger.cpp
@@ -30,6 +30,27 @@
                            { return it.first == request ? sum : sum + it.second; });
 }
 
+token_count overdraft_ledger::program_account::total_outstanding() const
+{
+    return std::accumulate(outstanding.begin(), outstanding.end(), token_count{0},
+                           [](token_count sum, const auto& it) { return sum + it.second; });
+}
+
+overdraft_state overdraft_ledger::find(const program_id& program) const
+{
+    const auto it = m_programs.find(program);
+    return it != m_programs.end()
+               ? overdraft_state{.outstanding = it->second.total_outstanding(), .limit = it->second.limit}
+               : overdraft_state{};
+}
+
+token_count overdraft_ledger::outstanding() const
+{
+    return std::accumulate(m_programs.begin(), m_programs.end(), token_count{0},
+                           [](token_count sum, const auto& it)
+                           { return sum + it.second.total_outstanding(); });
+}
+
 token_count overdraft_ledger::draw(const program_id& program, const request_id& request,
                                    token_count max_tokens, time_point now)
 {
--- a/src/gateway/program_spending_writes.cpp
+++ b/src/gateway/program_spending_writes.cpp
@@ -129,8 +129,14 @@
         entry.version = result.version;
         entry.source = row_source::store;
         entry.evidence.confirm_row(write.submitted);
-        std::ranges::for_each(write.admitted, [](const pending_reservation& it)
-                              { complete(it, reservation_outcome::granted); });
+        for (const auto& it : write.admitted)
+        {
+            if (std::holds_alternative<charge_callback>(it.on_result))
+            {
+                log_charge(entry, it);
+            }
+            complete(it, reservation_outcome::granted);
+        }
         process_pending(id);
         return;
     }
@@ -209,6 +215,20 @@
     }
 }
 
+void program_spending::log_charge(const program_entry& entry, const pending_reservation& charged)
+{
+    const auto& request = charged.request;
+    log_event(event_id::turn_charged,
+              {{"request", request.request.value},
+               {"program", request.program.value},
+               {"tokens", std::to_string(request.tokens)},
+               {"excess", std::to_string(charged.excess_tokens)},
+               {"budget", std::to_string(request.budget)},
+               {"spent", std::to_string(entry.row->spent)},
+               {"reserved", std::to_string(entry.row->committed() - entry.row->spent)},
+               {"version", std::to_string(entry.version)}});
+}
+
 void program_spending::log_refusal(const program_entry& entry, const spending_row& row,
                                    const reservation_request& request)
 {
