Budgets: a turn has one record, and is not granted any more once it has ended

Cause: program_spending held a turn that ended while its reservation was being written twice, as that reservation and as the charge that replaced it. After two conflicts both were in one write, the charge first. It made the row account for the turn, so the reservation counted as granted; its callback cleared the overdraft of which the charge's callback had just left the excess outstanding, and the next turn got it again.

Ruled out as a second path as far as the test goes: a holder that forgets its account or is replaced, and messages that pass each other.

Change: a turn has one unwritten_turn, which passes from reserving to settled or charged and never back. A write in progress names the turns that it contains; what has ended meanwhile stays to be written, and the callback of its reservation is not called. Ends are applied before reservations are admitted. What was reserved leaves no excess. A turn that is given up after a write with its reservation that may still take effect leaves a settlement behind, so that a late write holds no budget.

--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -8,6 +8,7 @@
 #include "masticcourse/gateway/commit_queue.hpp"
 #include "masticcourse/gateway/finished_turns.hpp"
 #include "masticcourse/gateway/spending_row.hpp"
+#include "masticcourse/gateway/unwritten_turn.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,17 +22,6 @@
 namespace masticcourse::gateway
 {
 
-enum class reservation_outcome : std::uint8_t
-{
-    /// The reservation is durable.
-    granted,
-    /// The remaining budget does not cover the turn.
-    over_budget,
-    /// The store did not answer in time; the reservation may or may not have been written, and the turn may
-    /// or may not fit the budget.
-    unavailable,
-};
-
 /// When a settlement is written.
 enum class settlement_timing : std::uint8_t
 {
@@ -43,10 +33,6 @@
     immediate,
 };
 
-using reservation_callback = std::function<void(reservation_outcome)>;
-/// Receives the number of tokens of the charge that exceed the budget.
-using charge_callback = std::function<void(token_count)>;
-
 /// A request to reserve part of a program's budget for one turn.
 struct reservation_request
 {
@@ -85,13 +71,13 @@
     /// and on the turns in that row that have not ended.
     void reserve(reservation_request request, reservation_callback on_result);
 
-    /// Replaces the reservation of a finished turn, granted or not, by the @a tokens that it delivered. A
-    /// reservation that has not been written yet is cancelled without calling its callback.
+    /// Replaces the reservation of a finished turn, granted or not, by the @a tokens that it delivered. The
+    /// callback of a reservation that is still outstanding is not called any more.
     void settle(const program_id& id, const request_id& request, token_count tokens,
                 settlement_timing timing = settlement_timing::joined);
 
     /// Charges the tokens that a finished turn delivered without a durable reservation, even if they exceed
-    /// the budget.
+    /// the budget. The callback of its reservation is not called any more, also if that is being written.
     /// @param turn       the request of the turn, with the number of tokens delivered
     /// @param on_durable called when the charge is durable; never called if the charge fails
     void charge(reservation_request turn, charge_callback on_durable);
@@ -103,65 +89,70 @@
     void evict_idle(time_point now);
 
   private:
-    struct pending_reservation
+    /// A turn of a write in progress, in the state that is written.
+    struct written_turn
     {
-        reservation_request request;
-        /// Holds a `charge_callback` if the entry charges tokens already delivered; charges are never
-        /// refused.
-        std::variant<reservation_callback, charge_callback> on_result;
-        time_point requested;
+        request_id request;
         /// For a charge: the tokens that exceed the budget.
         token_count excess_tokens = 0;
     };
-    struct settlement
-    {
-        request_id request;
-        token_count tokens = 0;
-        /// Another gateway served the turn, and may settle it too.
-        bool recovered = false;
-        time_point expires;
-    };
     /// A write in progress.
     struct pending_write
     {
         spending_row next;
-        std::vector<pending_reservation> admitted;
-        std::vector<settlement> settled;
+        std::vector<request_id> reserved;
+        std::vector<written_turn> ended;
         time_point submitted;
     };
+    struct refused_turn
+    {
+        request_id request;
+        reservation_outcome outcome = reservation_outcome::over_budget;
+    };
     struct program_entry
     {
+        program_id id;
         /// The row as last read or written; empty if unknown.
         std::optional<spending_row> row;
         row_version version = 0;
         /// Where the row was read.
         row_source source = row_source::cache;
         budget_evidence evidence;
-        std::vector<pending_reservation> pending;
-        std::vector<settlement> settlements;
+        /// At most one record of each turn.
+        std::vector<unwritten_turn> turns;
         /// A read, a write or lookups of turns are in progress.
         bool busy = false;
         bool flush_scheduled = false;
         time_point last_used;
     };
 
-    static void complete(const pending_reservation& it, reservation_outcome outcome);
-    void queue_settlement(const program_id& id, settlement ended);
+    program_entry& entry_of(const program_id& id);
+    [[nodiscard]] static unwritten_turn* find(program_entry& entry, const request_id& request);
+    /// Records how a turn has ended, in place of what was still to be written of it.
+    void end_turn(program_entry& entry, unwritten_turn ended);
+    /// Removes a reservation that is not needed any more. It becomes a settlement without tokens if a write
+    /// with it may still take effect.
+    void withdraw(program_entry& entry, unwritten_turn& turn);
+    /// Withdraws a reservation, and calls back.
+    void fail_reservation(program_entry& entry, const request_id& request, reservation_outcome outcome);
     void process_pending(const program_id& id);
     /// @param allow_cached whether a copy cached by another gateway is acceptable: a write based on a stale
     /// version fails, but a refusal must be based on the row in the store
     void read(const program_id& id, bool allow_cached);
     void retry_read(const program_id& id);
     void write(const program_id& id, program_entry& entry);
-    /// Applies the settlements to a copy of the row, and admits the pending reservations that fit.
-    [[nodiscard]] pending_write prepare_write(program_entry& entry) const;
-    void expire_pending(program_entry& entry);
-    /// Adds the pending reservations that fit the budget to a write. Refuses the others if there is evidence
-    /// for it, and keeps them pending otherwise.
-    void admit_pending(program_entry& entry, pending_write& write) const;
-    /// @return whether the reservation was refused
-    bool try_refuse(const program_entry& entry, const spending_row& row, const pending_reservation& it) const;
-    void on_written(const program_id& id, pending_write write, const change_result& result);
+    /// Applies the ends of turns to a copy of the row, and adds the reservations that fit.
+    [[nodiscard]] pending_write prepare_write(program_entry& entry);
+    static void apply_ends(program_entry& entry, pending_write& write);
+    /// Adds the reservations that fit the budget to a write. Refuses the others if there is evidence for it.
+    void admit_reservations(program_entry& entry, pending_write& write);
+    /// @return how a reservation that does not fit is refused; nothing if the evidence does not suffice
+    [[nodiscard]] std::optional<reservation_outcome>
+    refusal_of(const program_entry& entry, const spending_row& row, const unwritten_turn& turn) const;
+    void expire_turns(program_entry& entry);
+    void on_written(const program_id& id, const pending_write& write, const change_result& result);
+    /// Ends the records of the turns that a write has made durable.
+    static void complete_write(program_entry& entry, const pending_write& write);
     /// Obtains what the refusal of the pending reservations lacks.
     void gather_evidence(const program_id& id, program_entry& entry);
     void look_up_turns(const program_id& id, const std::vector<request_id>& turns);
@@ -169,9 +160,8 @@
     /// @param asked_at start of the call that returned the row
     static void apply_row(program_entry& entry, const std::optional<stored_row>& row, row_source source,
                           time_point asked_at);
-    static void log_refusal(const program_entry& entry, const spending_row& row,
-                            const reservation_request& request);
-    static void log_charge(const program_entry& entry, const pending_reservation& charged);
+    static void log_refusal(const program_entry& entry, const spending_row& row, const unwritten_turn& turn);
+    static void log_charge(const program_entry& entry, const unwritten_turn& turn, token_count excess_tokens);
     void schedule_flush(const program_id& id, program_entry& entry);
 
     row_store& m_store;
--- a/include/masticcourse/gateway/spending_row.hpp
+++ b/include/masticcourse/gateway/spending_row.hpp
@@ -37,6 +37,8 @@
     [[nodiscard]] bool accounts_for(const request_id& request) const;
     /// Replaces a reservation by the tokens that the turn delivered. Does nothing if there is no reservation.
     void settle(const request_id& request, token_count used_tokens);
+    /// Adds the tokens of a turn that has ended, whether or not they were reserved.
+    void charge(const request_id& request, token_count used_tokens);
     /// Like settle(), for a turn that another gateway served.
     void recover(const request_id& request, token_count used_tokens);
 };
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -336,10 +336,6 @@
 
 void forwarded_request::on_reservation_result(reservation_outcome outcome)
 {
-    if (m_overdraft_requested && outcome == reservation_outcome::granted)
-    {
-        m_services.overdrafts.clear(m_request.program->program, turn_id());
-    }
     if (m_finished)
     {
         return;
@@ -349,6 +345,10 @@
     {
     case reservation_outcome::granted:
         m_reservation = reservation_state::granted;
+        if (m_overdraft_requested)
+        {
+            m_services.overdrafts.clear(m_request.program->program, turn_id());
+        }
         if (m_await_reservation && m_chain_loaded)
         {
             dispatch();
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -74,8 +74,8 @@
     }
     const auto& entry = it->second;
     const auto pending_tokens =
-        std::accumulate(entry.pending.begin(), entry.pending.end(), token_count{0},
-                        [](token_count sum, const auto& other) { return sum + other.request.tokens; });
+        std::accumulate(entry.turns.begin(), entry.turns.end(), token_count{0},
+                        [](token_count sum, const auto& other) { return sum + other.pending_tokens(); });
     return entry.row->committed() + pending_tokens + needed <= request.budget;
 }
 
@@ -87,11 +87,11 @@
 
 void program_spending::look_up(const program_id& id, std::function<void()> on_end)
 {
-    m_programs[id].last_used = m_clock();
+    entry_of(id).last_used = m_clock();
     m_store.query(query_of(id, true),
                   [this, id, asked_at = m_clock(), on_end = std::move(on_end)](const query_reply& reply)
                   {
-                      auto& entry = m_programs[id];
+                      auto& entry = entry_of(id);
                       if (reply.answered && !entry.row && !entry.busy)
                       {
                           apply_row(entry, first_row(reply), source_of(reply), asked_at);
@@ -103,15 +103,19 @@
 void program_spending::reserve(reservation_request request, reservation_callback on_result)
 {
     const auto id = request.program;
-    auto& entry = m_programs[id];
+    auto& entry = entry_of(id);
     entry.last_used = m_clock();
     if (!entry.row && entry.version == 0 && request.first_turn && !entry.busy)
     {
         // Probably a new program: a write conditional on the absence of the row saves the read.
         entry.row.emplace();
     }
-    entry.pending.push_back(
-        {.request = std::move(request), .on_result = std::move(on_result), .requested = m_clock()});
+    entry.turns.push_back({.request = std::move(request.request),
+                           .state = reserving_turn{.on_result = std::move(on_result)},
+                           .max_tokens = request.tokens,
+                           .budget = request.budget,
+                           .requested = m_clock(),
+                           .expires = request.expires});
     process_pending(id);
 }
 
@@ -124,12 +128,14 @@
         return;
     }
     auto& entry = it->second;
-    // A reservation that has not been written yet is no longer needed.
-    const auto withdrawn = std::erase_if(entry.pending, [&](const pending_reservation& one)
-                                         { return one.request.request == request; });
-    if (withdrawn == 0)
+    auto* const turn = find(entry, request);
+    if (turn != nullptr && turn->is_reserving())
     {
-        queue_settlement(id, {.request = request, .tokens = tokens});
+        withdraw(entry, *turn);
+    }
+    else if (turn == nullptr)
+    {
+        end_turn(entry, {.request = request, .state = settled_turn{.tokens = tokens}});
     }
     if (timing == settlement_timing::immediate)
     {
@@ -142,72 +148,82 @@
 void program_spending::charge(reservation_request turn, charge_callback on_durable)
 {
     const auto id = turn.program;
-    auto& entry = m_programs[id];
-    std::erase_if(entry.pending,
-                  [&](const pending_reservation& one) { return one.request.request == turn.request; });
-    // If the turn's own reservation is being written, this settles it.
-    queue_settlement(id, {.request = turn.request, .tokens = turn.tokens});
-    turn.expires = m_clock() + settlement_timeout;
-    entry.pending.push_back(
-        {.request = std::move(turn), .on_result = std::move(on_durable), .requested = m_clock()});
+    auto& entry = entry_of(id);
+    end_turn(entry, {.request = std::move(turn.request),
+                     .state = charged_turn{.tokens = turn.tokens, .on_durable = std::move(on_durable)},
+                     .budget = turn.budget});
     schedule_flush(id, entry);
 }
 
-void program_spending::queue_settlement(const program_id& id, settlement ended)
+program_spending::program_entry& program_spending::entry_of(const program_id& id)
 {
-    auto& entry = m_programs[id];
-    entry.last_used = m_clock();
-    entry.evidence.end_here(ended.request);
-    ended.expires = m_clock() + max_settlement_age;
-    entry.settlements.push_back(std::move(ended));
+    return m_programs.try_emplace(id, program_entry{.id = id}).first->second;
 }
 
-std::size_t program_spending::unwritten() const
+unwritten_turn* program_spending::find(program_entry& entry, const request_id& request)
 {
-    const auto count = [](std::size_t sum, const auto& it)
-    {
-        const auto& entry = it.second;
-        const auto is_charge = [](const pending_reservation& one)
-        { return std::holds_alternative<charge_callback>(one.on_result); };
-        return sum + entry.settlements.size() +
-               static_cast<std::size_t>(std::ranges::count_if(entry.pending, is_charge));
-    };
-    return std::accumulate(m_programs.begin(), m_programs.end(), std::size_t{0}, count);
+    const auto it = std::ranges::find(entry.turns, request, &unwritten_turn::request);
+    return it != entry.turns.end() ? &*it : nullptr;
 }
 
-void program_spending::complete(const pending_reservation& it, reservation_outcome outcome)
+void program_spending::end_turn(program_entry& entry, unwritten_turn ended)
 {
-    if (const auto* const on_reserved = std::get_if<reservation_callback>(&it.on_result))
+    const auto now = m_clock();
+    entry.last_used = now;
+    entry.evidence.end_here(ended.request);
+    ended.requested = now;
+    ended.expires = now + max_settlement_age;
+    if (auto* const turn = find(entry, ended.request))
     {
-        (*on_reserved)(outcome);
+        *turn = std::move(ended);
     }
-    else if (outcome == reservation_outcome::granted)
+    else
     {
-        std::get<charge_callback>(it.on_result)(it.excess_tokens);
+        entry.turns.push_back(std::move(ended));
     }
 }
 
+void program_spending::withdraw(program_entry& entry, unwritten_turn& turn)
+{
+    const auto request = turn.request;
+    if (turn.being_written || std::get<reserving_turn>(turn.state).may_be_written)
+    {
+        end_turn(entry, {.request = request, .state = settled_turn{}});
+        return;
+    }
+    entry.evidence.end_here(request);
+    std::erase_if(entry.turns, [&request](const unwritten_turn& it) { return it.request == request; });
+}
+
+std::size_t program_spending::unwritten() const
+{
+    const auto is_unwritten_end = [](const unwritten_turn& it)
+    { return !it.is_reserving() && !it.being_written; };
+    const auto count = [&is_unwritten_end](std::size_t sum, const auto& it)
+    { return sum + static_cast<std::size_t>(std::ranges::count_if(it.second.turns, is_unwritten_end)); };
+    return std::accumulate(m_programs.begin(), m_programs.end(), std::size_t{0}, count);
+}
+
 void program_spending::evict_idle(time_point now)
 {
     std::erase_if(m_programs,
                   [now](const auto& it)
                   {
                       const auto& entry = it.second;
-                      return !entry.busy && entry.pending.empty() && entry.settlements.empty() &&
-                             entry.last_used + idle_timeout < now;
+                      return !entry.busy && entry.turns.empty() && entry.last_used + idle_timeout < now;
                   });
 }
 
 void program_spending::process_pending(const program_id& id)
 {
-    auto& entry = m_programs[id];
+    auto& entry = entry_of(id);
     if (entry.busy)
     {
         return;
     }
-    expire_pending(entry);
+    expire_turns(entry);
     // The callbacks of expired reservations may have started a write.
-    if (entry.busy || (entry.pending.empty() && entry.settlements.empty()))
+    if (entry.busy || entry.turns.empty())
     {
         return;
     }
@@ -219,27 +235,45 @@
     write(id, entry);
 }
 
-void program_spending::expire_pending(program_entry& entry)
+void program_spending::expire_turns(program_entry& entry)
 {
     const auto now = m_clock();
-    std::erase_if(entry.settlements, [now](const settlement& it) { return it.expires <= now; });
-    const auto expired = std::ranges::stable_partition(entry.pending, [now](const pending_reservation& it)
-                                                       { return it.request.expires > now; });
-    std::vector<pending_reservation> refused{std::make_move_iterator(expired.begin()),
-                                             std::make_move_iterator(expired.end())};
-    entry.pending.erase(expired.begin(), expired.end());
-    std::ranges::for_each(refused, [](const pending_reservation& it)
-                          { complete(it, reservation_outcome::unavailable); });
+    const auto is_expired = [now](const unwritten_turn& it) { return it.expires <= now; };
+    std::erase_if(entry.turns,
+                  [&](const unwritten_turn& it) { return !it.is_reserving() && is_expired(it); });
+    std::vector<request_id> expired;
+    for (const auto& it : entry.turns)
+    {
+        if (is_expired(it))
+        {
+            expired.push_back(it.request);
+        }
+    }
+    std::ranges::for_each(expired, [&](const request_id& it)
+                          { fail_reservation(entry, it, reservation_outcome::unavailable); });
+}
+
+void program_spending::fail_reservation(program_entry& entry, const request_id& request,
+                                        reservation_outcome outcome)
+{
+    auto* const turn = find(entry, request);
+    if (turn == nullptr || !turn->is_reserving())
+    {
+        return;
+    }
+    const auto on_result = std::move(std::get<reserving_turn>(turn->state).on_result);
+    withdraw(entry, *turn);
+    on_result(outcome);
 }
 
 void program_spending::read(const program_id& id, bool allow_cached)
 {
-    auto& entry = m_programs[id];
+    auto& entry = entry_of(id);
     entry.busy = true;
     m_store.query(query_of(id, allow_cached),
                   [this, id, asked_at = m_clock()](const query_reply& reply)
                   {
-                      auto& read_entry = m_programs[id];
+                      auto& read_entry = entry_of(id);
                       read_entry.busy = false;
                       if (reply.answered)
                       {
@@ -253,11 +287,11 @@
 
 void program_spending::retry_read(const program_id& id)
 {
-    m_programs[id].busy = true;
+    entry_of(id).busy = true;
     m_delay(read_retry_delay,
             [this, id]
             {
-                m_programs[id].busy = false;
+                entry_of(id).busy = false;
                 process_pending(id);
             });
 }
--- a/src/gateway/program_spending_writes.cpp
+++ b/src/gateway/program_spending_writes.cpp
@@ -15,137 +15,168 @@
 namespace masticcourse::gateway
 {
 
-void program_spending::admit_pending(program_entry& entry, pending_write& write) const
+program_spending::pending_write program_spending::prepare_write(program_entry& entry)
+{
+    pending_write write{.next = *entry.row, .submitted = m_clock()};
+    // What has ended comes first: it is a fact, and makes room for reservations or takes it.
+    apply_ends(entry, write);
+    admit_reservations(entry, write);
+    return write;
+}
+
+void program_spending::apply_ends(program_entry& entry, pending_write& write)
+{
+    auto& next = write.next;
+    const auto settle = [&next](const unwritten_turn& it, const settled_turn& end)
+    {
+        end.recovered ? next.recover(it.request, end.tokens) : next.settle(it.request, end.tokens);
+        return token_count{0};
+    };
+    const auto charge = [&next](const unwritten_turn& it, const charged_turn& end)
+    {
+        const bool was_reserved = next.has_reservation(it.request);
+        next.charge(it.request, end.tokens);
+        // What was reserved fitted the budget.
+        return was_reserved ? token_count{0}
+                            : std::clamp(next.committed() - it.budget, token_count{0}, end.tokens);
+    };
+    const auto apply = [&](unwritten_turn& it, const auto& apply_end)
+    {
+        it.being_written = true;
+        write.ended.push_back({.request = it.request, .excess_tokens = apply_end()});
+    };
+    for (auto& it : entry.turns)
+    {
+        if (const auto* const end = std::get_if<settled_turn>(&it.state))
+        {
+            apply(it, [&] { return settle(it, *end); });
+        }
+    }
+    // All that is settled makes room for what is charged.
+    for (auto& it : entry.turns)
+    {
+        if (const auto* const end = std::get_if<charged_turn>(&it.state))
+        {
+            apply(it, [&] { return charge(it, *end); });
+        }
+    }
+}
+
+void program_spending::admit_reservations(program_entry& entry, pending_write& write)
 {
     auto& next = write.next;
-    std::vector<pending_reservation> undecided;
-    for (auto& it : std::exchange(entry.pending, {}))
+    std::vector<refused_turn> refused;
+    for (auto& it : entry.turns)
     {
-        const bool accounted_for = next.accounts_for(it.request.request);
-        const bool fits = next.committed() + it.request.tokens <= it.request.budget;
-        const bool is_charge = std::holds_alternative<charge_callback>(it.on_result);
-        if (accounted_for || fits || is_charge)
+        if (!it.is_reserving())
+        {
+            continue;
+        }
+        const bool accounted_for = next.accounts_for(it.request);
+        if (accounted_for || next.committed() + it.max_tokens <= it.budget)
         {
             if (!accounted_for)
             {
-                next.reserved.push_back({it.request.request, it.request.tokens});
+                next.reserved.push_back({it.request, it.max_tokens});
             }
-            entry.evidence.begin_here(it.request.request);
-            it.excess_tokens =
-                std::clamp(next.committed() - it.request.budget, token_count{0}, it.request.tokens);
-            write.admitted.push_back(std::move(it));
+            entry.evidence.begin_here(it.request);
+            it.being_written = true;
+            write.reserved.push_back(it.request);
         }
-        else if (!try_refuse(entry, next, it))
+        else if (const auto outcome = refusal_of(entry, next, it))
         {
-            undecided.push_back(std::move(it));
+            refused.push_back({it.request, *outcome});
         }
     }
-    entry.pending.insert(entry.pending.begin(), std::make_move_iterator(undecided.begin()),
-                         std::make_move_iterator(undecided.end()));
+    // The callbacks change the records.
+    std::ranges::for_each(refused,
+                          [&](const refused_turn& it) { fail_reservation(entry, it.request, it.outcome); });
 }
 
-bool program_spending::try_refuse(const program_entry& entry, const spending_row& row,
-                                  const pending_reservation& it) const
+std::optional<reservation_outcome> program_spending::refusal_of(const program_entry& entry,
+                                                                const spending_row& row,
+                                                                const unwritten_turn& turn) const
 {
-    switch (entry.evidence.basis(row, it.requested, m_clock()))
+    switch (entry.evidence.basis(row, turn.requested, m_clock()))
     {
     case refusal_basis::sufficient:
-        log_refusal(entry, row, it.request);
-        complete(it, reservation_outcome::over_budget);
-        return true;
+        log_refusal(entry, row, turn);
+        return reservation_outcome::over_budget;
     case refusal_basis::unavailable:
-        complete(it, reservation_outcome::unavailable);
-        return true;
+        return reservation_outcome::unavailable;
     case refusal_basis::lacks_row:
     case refusal_basis::lacks_turns:
         break;
     }
-    return false;
-}
-
-program_spending::pending_write program_spending::prepare_write(program_entry& entry) const
-{
-    pending_write write{
-        .next = *entry.row, .settled = std::exchange(entry.settlements, {}), .submitted = m_clock()};
-    const auto has_pending = [&entry](const settlement& it)
-    {
-        return std::ranges::any_of(entry.pending, [&it](const pending_reservation& one)
-                                   { return one.request.request == it.request; });
-    };
-    const auto settle = [&next = write.next](const settlement& it)
-    { it.recovered ? next.recover(it.request, it.tokens) : next.settle(it.request, it.tokens); };
-    std::ranges::for_each(write.settled | std::views::filter(std::not_fn(has_pending)), settle);
-    admit_pending(entry, write);
-    // A turn may have ended while the write of its reservation failed. The reservation is then admitted again
-    // above and settled here.
-    std::ranges::for_each(write.settled, settle);
-    return write;
+    return std::nullopt;
 }
 
 void program_spending::write(const program_id& id, program_entry& entry)
 {
     entry.busy = true;
-    auto write = std::make_shared<pending_write>(prepare_write(entry));
-    if (write->admitted.empty() && write->settled.empty())
+    const auto write = std::make_shared<const pending_write>(prepare_write(entry));
+    if (write->reserved.empty() && write->ended.empty())
     {
         entry.busy = false;
-        if (!entry.pending.empty())
+        if (std::ranges::any_of(entry.turns, &unwritten_turn::is_reserving))
         {
             gather_evidence(id, entry);
         }
-        else if (!entry.settlements.empty())
+        else if (!entry.turns.empty())
         {
-            // Those of turns that were refused above.
+            // The ends of turns that were refused above.
             schedule_flush(id, entry);
         }
         return;
     }
-    if (write->settled.empty() && write->next.reserved.size() == entry.row->reserved.size())
+    if (write->ended.empty() && write->next.reserved.size() == entry.row->reserved.size())
     {
         // The row already accounts for all admitted turns: the replies to earlier writes were lost.
         entry.busy = false;
-        std::ranges::for_each(write->admitted, [](const pending_reservation& it)
-                              { complete(it, reservation_outcome::granted); });
+        complete_write(entry, *write);
         process_pending(id);
         return;
     }
-    auto expires = write->settled.empty() ? time_point{} : m_clock() + settlement_timeout;
-    std::ranges::for_each(write->admitted, [&expires](const pending_reservation& it)
-                          { expires = std::max(expires, it.request.expires); });
+    auto expires = write->ended.empty() ? time_point{} : m_clock() + settlement_timeout;
+    for (const auto& it : write->reserved)
+    {
+        expires = std::max(expires, find(entry, it)->expires);
+    }
     row_change change{.condition = row_condition{{spending_table, id.value}, entry.version},
                       .puts = {{{spending_table, id.value}, encode(write->next)}},
                       .expires = expires};
     m_commits.submit(partition_of(id.value), std::move(change),
-                     [this, id, write](const auto& result) { on_written(id, std::move(*write), result); });
+                     [this, id, write](const auto& result) { on_written(id, *write, result); });
 }
 
-void program_spending::on_written(const program_id& id, pending_write write, const change_result& result)
+void program_spending::on_written(const program_id& id, const pending_write& write,
+                                  const change_result& result)
 {
-    auto& entry = m_programs[id];
+    auto& entry = entry_of(id);
     entry.busy = false;
     if (result.outcome == store_outcome::done)
     {
-        entry.row = std::move(write.next);
+        entry.row = write.next;
         entry.version = result.version;
         entry.source = row_source::store;
         entry.evidence.confirm_row(write.submitted);
-        for (const auto& it : write.admitted)
-        {
-            if (std::holds_alternative<charge_callback>(it.on_result))
-            {
-                log_charge(entry, it);
-            }
-            complete(it, reservation_outcome::granted);
-        }
+        complete_write(entry, write);
         process_pending(id);
         return;
     }
     // The write failed or its outcome is unknown: try again.
-    entry.pending.insert(entry.pending.begin(), std::make_move_iterator(write.admitted.begin()),
-                         std::make_move_iterator(write.admitted.end()));
-    entry.settlements.insert(entry.settlements.begin(), std::make_move_iterator(write.settled.begin()),
-                             std::make_move_iterator(write.settled.end()));
-    if (result.outcome == store_outcome::conflict)
+    const bool conflict = result.outcome == store_outcome::conflict;
+    for (auto& it : entry.turns)
+    {
+        auto* const reserving = std::get_if<reserving_turn>(&it.state);
+        if (reserving != nullptr && (it.being_written || conflict))
+        {
+            // After a conflict, no earlier write can take effect any more: its condition fails as well.
+            reserving->may_be_written = !conflict;
+        }
+        it.being_written = false;
+    }
+    if (conflict)
     {
         apply_row(entry, result.current, result.current_source, write.submitted);
     }
@@ -157,11 +188,52 @@
     process_pending(id);
 }
 
+void program_spending::complete_write(program_entry& entry, const pending_write& write)
+{
+    std::vector<std::function<void()>> callbacks;
+    // A turn that has ended since it was written is no longer in the state that was written, and stays.
+    const auto take_written = [&entry](const request_id& request) -> std::optional<unwritten_turn>
+    {
+        auto* const turn = find(entry, request);
+        if (turn == nullptr || !turn->being_written)
+        {
+            return std::nullopt;
+        }
+        auto taken = std::move(*turn);
+        entry.turns.erase(entry.turns.begin() + std::distance(entry.turns.data(), turn));
+        return taken;
+    };
+    for (const auto& it : write.reserved)
+    {
+        if (auto turn = take_written(it))
+        {
+            callbacks.emplace_back([on_result = std::move(std::get<reserving_turn>(turn->state).on_result)]
+                                   { on_result(reservation_outcome::granted); });
+        }
+    }
+    for (const auto& it : write.ended)
+    {
+        auto turn = take_written(it.request);
+        auto* const charged = turn ? std::get_if<charged_turn>(&turn->state) : nullptr;
+        if (charged != nullptr)
+        {
+            log_charge(entry, *turn, it.excess_tokens);
+            callbacks.emplace_back([on_durable = std::move(charged->on_durable), excess = it.excess_tokens]
+                                   { on_durable(excess); });
+        }
+    }
+    std::ranges::for_each(callbacks, [](const auto& callback) { callback(); });
+}
+
 void program_spending::gather_evidence(const program_id& id, program_entry& entry)
 {
     const auto now = m_clock();
     // Evidence that suffices for the latest turn suffices for all.
-    const auto requested = std::ranges::max(entry.pending, {}, &pending_reservation::requested).requested;
+    time_point requested;
+    for (const auto& it : entry.turns)
+    {
+        requested = it.is_reserving() ? std::max(requested, it.requested) : requested;
+    }
     if (entry.evidence.basis(*entry.row, requested, now) == refusal_basis::lacks_row)
     {
         read(id, false);
@@ -172,14 +244,14 @@
 
 void program_spending::look_up_turns(const program_id& id, const std::vector<request_id>& turns)
 {
-    m_programs[id].busy = true;
+    entry_of(id).busy = true;
     // One more than the number of lookups, so that cached turns do not complete them before all have begun.
     const auto outstanding = std::make_shared<std::size_t>(turns.size() + 1);
     const auto on_one_end = [this, id, outstanding]
     {
         if (--*outstanding == 0)
         {
-            m_programs[id].busy = false;
+            entry_of(id).busy = false;
             process_pending(id);
         }
     };
@@ -198,13 +270,17 @@
 void program_spending::on_turn_end(const program_id& id, const request_id& turn, time_point asked_at,
                                    const turn_end& end)
 {
-    auto& entry = m_programs[id];
+    auto& entry = entry_of(id);
     switch (end.progress)
     {
     case turn_progress::finished:
         log_event(event_id::turn_recovered,
                   {{"program", id.value}, {"turn", turn.value}, {"tokens", std::to_string(end.tokens)}});
-        queue_settlement(id, {.request = turn, .tokens = end.tokens, .recovered = true});
+        if (find(entry, turn) == nullptr)
+        {
+            end_turn(entry,
+                     {.request = turn, .state = settled_turn{.tokens = end.tokens, .recovered = true}});
+        }
         return;
     case turn_progress::unfinished:
         entry.evidence.found_unfinished(turn, asked_at);
@@ -215,32 +291,32 @@
     }
 }
 
-void program_spending::log_charge(const program_entry& entry, const pending_reservation& charged)
+void program_spending::log_charge(const program_entry& entry, const unwritten_turn& turn,
+                                  token_count excess_tokens)
 {
-    const auto& request = charged.request;
-    log_event(event_id::turn_charged,
-              {{"request", request.request.value},
-               {"program", request.program.value},
-               {"tokens", std::to_string(request.tokens)},
-               {"excess", std::to_string(charged.excess_tokens)},
-               {"budget", std::to_string(request.budget)},
-               {"spent", std::to_string(entry.row->spent)},
-               {"reserved", std::to_string(entry.row->committed() - entry.row->spent)},
-               {"version", std::to_string(entry.version)}});
+    const auto& row = *entry.row;
+    log_event(event_id::turn_charged, {{"request", turn.request.value},
+                                       {"program", entry.id.value},
+                                       {"tokens", std::to_string(turn.pending_tokens())},
+                                       {"excess", std::to_string(excess_tokens)},
+                                       {"budget", std::to_string(turn.budget)},
+                                       {"spent", std::to_string(row.spent)},
+                                       {"reserved", std::to_string(row.committed() - row.spent)},
+                                       {"version", std::to_string(entry.version)}});
 }
 
 void program_spending::log_refusal(const program_entry& entry, const spending_row& row,
-                                   const reservation_request& request)
+                                   const unwritten_turn& turn)
 {
     std::string reserved;
     for (const auto& it : row.reserved)
     {
         reserved += (reserved.empty() ? "" : ",") + it.request.value + ':' + std::to_string(it.tokens);
     }
-    log_event(event_id::turn_over_budget, {{"request", request.request.value},
-                                           {"program", request.program.value},
-                                           {"most", std::to_string(request.tokens)},
-                                           {"budget", std::to_string(request.budget)},
+    log_event(event_id::turn_over_budget, {{"request", turn.request.value},
+                                           {"program", entry.id.value},
+                                           {"most", std::to_string(turn.max_tokens)},
+                                           {"budget", std::to_string(turn.budget)},
                                            {"spent", std::to_string(row.spent)},
                                            {"reserved", reserved},
                                            {"version", std::to_string(entry.version)},
--- a/src/gateway/spending_row.cpp
+++ b/src/gateway/spending_row.cpp
@@ -54,6 +54,18 @@
     spent += erased > 0 ? used_tokens : 0;
 }
 
+void spending_row::charge(const request_id& request, token_count used_tokens)
+{
+    if (has_reservation(request))
+    {
+        settle(request, used_tokens);
+    }
+    else
+    {
+        spent += used_tokens;
+    }
+}
+
 std::string encode(const spending_row& row)
 {
     nlohmann::json reserved = nlohmann::json::object();
--- a/tests/support/budget_site.cpp
+++ b/tests/support/budget_site.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <numeric>
+#include <optional>
 #include <utility>
 
 namespace masticcourse::testing
@@ -27,7 +29,7 @@
 } // namespace
 
 budget_site::budget_site(std::size_t count, unsigned seed, budget_terms given_terms)
-    : terms(given_terms), m_random(seed)
+    : terms(given_terms), m_count(count), m_collects(seed % 2 == 1), m_random(seed)
 {
     for (std::size_t at = 0; at < count; ++at)
     {
@@ -44,28 +46,60 @@
     { return at < gateways.size() && gateways[at]->self.incarnation == incarnation; };
     const auto call_overdraft = [this, is_alive](const auto& to, const auto& message, const auto& on_reply)
     {
-        auto* const receiver = is_alive() ? find(to) : nullptr;
-        if (receiver == nullptr)
-        {
-            time.delays()(peer_timeout, [on_reply] { on_reply(std::nullopt); });
-            return;
-        }
-        time.delays()(peer_latency,
-                      [this, receiver, message, on_reply]
-                      {
-                          const auto reply = receiver->overdrafts.serve(message);
-                          time.delays()(peer_latency, [reply, on_reply] { on_reply(reply); });
-                      });
+        const auto serve = [message](forwarding_gateway& receiver, const gateway::peer_callback& on_served)
+        { on_served(receiver.overdrafts.serve(message)); };
+        call_peer(is_alive() ? find(to) : nullptr, serve, on_reply);
+    };
+    const auto call_collector = [this, is_alive](const auto& to, const auto& changes, const auto& on_reply)
+    {
+        const auto collect =
+            [changes](forwarding_gateway& receiver, const gateway::collector_callback& on_collected)
+        { receiver.commits.collect(changes, on_collected); };
+        call_peer(is_alive() ? find(to) : nullptr, collect, on_reply);
     };
     auto made = std::make_unique<forwarding_gateway>(time, rows,
                                                      site_member{.address = "g" + std::to_string(at),
                                                                  .incarnation = incarnation,
                                                                  .call_overdraft = call_overdraft,
-                                                                 .call_collector = nullptr});
+                                                                 .call_collector = call_collector});
+    std::vector<gateway::peer> peers;
+    for (std::size_t other = 0; m_collects && other < m_count; ++other)
+    {
+        peers.push_back({.address = "g" + std::to_string(other)});
+    }
+    made->peers.set(std::move(peers));
     made->buckets.start();
     return made;
 }
 
+template <typename Serve, typename Reply>
+void budget_site::call_peer(forwarding_gateway* receiver, Serve serve,
+                            const std::function<void(Reply)>& on_reply)
+{
+    // A message or its reply may take longer than the sender waits; some messages arrive twice.
+    const auto latency = [this]
+    { return peer_latency + (random_below(16) == 0 ? gateway::milliseconds{random_below(200)} : 0ms); };
+    const auto answered = std::make_shared<bool>(false);
+    const auto reply_once = [answered, on_reply](const Reply& reply)
+    {
+        if (!std::exchange(*answered, true))
+        {
+            on_reply(reply);
+        }
+    };
+    time.delays()(peer_timeout, [reply_once] { reply_once({}); });
+    const auto copies = receiver == nullptr ? 0U : 1U + (random_below(16) == 0 ? 1U : 0U);
+    for (unsigned n = 0; n < copies; ++n)
+    {
+        time.delays()(latency(),
+                      [this, receiver, serve, latency, reply_once]
+                      {
+                          serve(*receiver, [this, latency, reply_once](const auto& reply)
+                                { time.delays()(latency(), [reply, reply_once] { reply_once(reply); }); });
+                      });
+    }
+}
+
 forwarding_gateway* budget_site::find(const std::string& address) const
 {
     for (std::size_t at = 0; at < gateways.size(); ++at)
--- a/tests/support/budget_site.hpp
+++ b/tests/support/budget_site.hpp
@@ -6,6 +6,7 @@
 #include "support/forwarding_world.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -68,9 +69,16 @@
     };
 
     [[nodiscard]] std::unique_ptr<forwarding_gateway> make_gateway(std::size_t at);
+    /// Sends a message from one gateway to another, which may be null if it can't be reached.
+    /// @param serve passes the message to the receiver, and its reply on
+    template <typename Serve, typename Reply>
+    void call_peer(forwarding_gateway* receiver, Serve serve, const std::function<void(Reply)>& on_reply);
     [[nodiscard]] forwarding_gateway* find(const std::string& address) const;
     void run_target(upstream_request& it, unsigned max_events);
 
+    std::size_t m_count;
+    /// Whether commits go through collectors.
+    bool m_collects;
     std::mt19937 m_random;
     std::vector<turn> m_turns;
     /// Events that each target has made of a turn.
