Budgets: a charge counts once, also if the reply to its write was lost

The row names the last 16 turns whose tokens it holds without their gateway knowing: until now those that another gateway had settled, now also those that were charged. The list keeps its name on the wire, so that gateways of both versions read it.

--- a/include/masticcourse/gateway/spending_row.hpp
+++ b/include/masticcourse/gateway/spending_row.hpp
@@ -26,21 +26,25 @@
     /// Tokens of settled turns.
     token_count spent = 0;
     std::vector<token_reservation> reserved;
-    /// Turns that were settled by another gateway than the one that served them, oldest first. The one that
-    /// served them may not know yet that its reservation was written, and must not reserve again.
-    std::vector<request_id> recovered;
+    /// Turns whose tokens are in `spent`, but whose gateway may not know it yet: it must neither reserve nor
+    /// charge them again. Oldest first.
+    std::vector<request_id> counted;
 
     /// @return the tokens spent and reserved
     [[nodiscard]] token_count committed() const;
     [[nodiscard]] bool has_reservation(const request_id& request) const;
-    /// @return whether the row holds the turn's reservation, or its tokens after recover()
+    /// @return whether the row holds the turn's reservation, or its tokens after recover() or charge()
     [[nodiscard]] bool accounts_for(const request_id& request) const;
     /// Replaces a reservation by the tokens that the turn delivered. Does nothing if there is no reservation.
     void settle(const request_id& request, token_count used_tokens);
-    /// Adds the tokens of a turn that has ended, whether or not they were reserved.
+    /// Adds the tokens of a turn that has ended, whether or not they were reserved. Does nothing if they have
+    /// been added already.
     void charge(const request_id& request, token_count used_tokens);
     /// Like settle(), for a turn that another gateway served.
     void recover(const request_id& request, token_count used_tokens);
+
+  private:
+    void add_counted(const request_id& request);
 };
 
 [[nodiscard]] std::string encode(const spending_row& row);
--- a/src/gateway/spending_row.cpp
+++ b/src/gateway/spending_row.cpp
@@ -11,9 +11,11 @@
 namespace
 {
 
-/// Recovered turns remembered per row. A gateway learns within the turn's lifetime that its reservation was
-/// written, and only a few of a program's turns are recovered in that time.
-constexpr std::size_t max_recovered = 16;
+/// Counted turns remembered per row. A gateway learns within the turn's lifetime that its reservation or its
+/// charge was written, and only a few of a program's turns are recovered or charged in that time.
+constexpr std::size_t max_counted = 16;
+/// Name of their list in stored rows.
+constexpr const char* counted_field = "recovered";
 
 } // namespace
 
@@ -30,52 +32,54 @@
 
 bool spending_row::accounts_for(const request_id& request) const
 {
-    return has_reservation(request) || std::ranges::find(recovered, request) != recovered.end();
+    return has_reservation(request) || std::ranges::find(counted, request) != counted.end();
 }
 
-void spending_row::recover(const request_id& request, token_count used_tokens)
+void spending_row::add_counted(const request_id& request)
 {
-    if (!has_reservation(request))
-    {
-        return;
-    }
-    settle(request, used_tokens);
-    recovered.push_back(request);
-    if (recovered.size() > max_recovered)
+    counted.push_back(request);
+    if (counted.size() > max_counted)
     {
-        recovered.erase(recovered.begin());
+        counted.erase(counted.begin());
     }
 }
 
-void spending_row::settle(const request_id& request, token_count used_tokens)
-{
-    const auto erased =
-        std::erase_if(reserved, [&](const token_reservation& it) { return it.request == request; });
-    spent += erased > 0 ? used_tokens : 0;
-}
-
 void spending_row::charge(const request_id& request, token_count used_tokens)
 {
     if (has_reservation(request))
     {
         settle(request, used_tokens);
+        add_counted(request);
     }
-    else
+    else if (!accounts_for(request))
     {
         spent += used_tokens;
+        add_counted(request);
     }
 }
 
+void spending_row::recover(const request_id& request, token_count used_tokens)
+{
+    if (has_reservation(request))
+    {
+        settle(request, used_tokens);
+        add_counted(request);
+    }
+}
+
+void spending_row::settle(const request_id& request, token_count used_tokens)
+{
+    const auto erased =
+        std::erase_if(reserved, [&](const token_reservation& it) { return it.request == request; });
+    spent += erased > 0 ? used_tokens : 0;
+}
+
 std::string encode(const spending_row& row)
 {
     nlohmann::json reserved = nlohmann::json::object();
     std::ranges::for_each(row.reserved, [&](const auto& it) { reserved[it.request.value] = it.tokens; });
     nlohmann::json document{{"spent", row.spent}, {"reserved", reserved}};
-    if (!row.recovered.empty())
-    {
-        std::ranges::for_each(row.recovered,
-                              [&](const auto& it) { document["recovered"].push_back(it.value); });
-    }
+    std::ranges::for_each(row.counted, [&](const auto& it) { document[counted_field].push_back(it.value); });
     return document.dump();
 }
 
@@ -87,10 +91,10 @@
     {
         return std::nullopt;
     }
-    // Gateways of earlier versions write no recovered turns.
-    const auto recovered = document.value("recovered", nlohmann::json::array());
+    // Gateways of earlier versions write no counted turns.
+    const auto counted = document.value(counted_field, nlohmann::json::array());
     const auto is_text = [](const auto& it) { return it.is_string(); };
-    if (!recovered.is_array() || !std::ranges::all_of(recovered, is_text))
+    if (!counted.is_array() || !std::ranges::all_of(counted, is_text))
     {
         return std::nullopt;
     }
@@ -103,8 +107,8 @@
         }
         row.reserved.push_back({{request}, tokens.get<token_count>()});
     }
-    std::ranges::for_each(recovered,
-                          [&](const auto& it) { row.recovered.push_back({it.template get<std::string>()}); });
+    std::ranges::for_each(counted,
+                          [&](const auto& it) { row.counted.push_back({it.template get<std::string>()}); });
     return row;
 }
 
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -17,7 +17,7 @@
 
 TEST_CASE("spending rows round-trip, and malformed ones are rejected")
 {
-    const spending_row row{.spent = 12, .reserved = {{{"a"}, 3}, {{"b"}, 4}}, .recovered = {{"c"}}};
+    const spending_row row{.spent = 12, .reserved = {{{"a"}, 3}, {{"b"}, 4}}, .counted = {{"c"}}};
     const auto read = decode_spending(encode(row));
     REQUIRE(read);
     CHECK(read->accounts_for({"c"}));
