--- a/src/gateway/forwarded_request_budget.cpp
+++ b/src/gateway/forwarded_request_budget.cpp
@@ -103,7 +103,8 @@
         return;
     }
     const auto& context = *m_request.program;
-    const auto tokens = m_stream_head_sent ? generated_tokens() : 0;
+    // What was held back cost the caller nothing.
+    const auto tokens = m_delivered_tokens;
     const bool forwarded_early = m_overdraft_requested && state == reservation_state::pending;
     if (forwarded_early)
     {
--- a/tests/unit/test_gateway_overdraft.cpp
+++ b/tests/unit/test_gateway_overdraft.cpp
@@ -437,6 +437,35 @@
     }
 }
 
+// Guards against programs that are refused early: events that were held back count against their budget.
+TEST_CASE("a turn is charged what its caller got, not what was held back")
+{
+    forwarding_fixture world;
+    world.buckets.start();
+    world.time.run(5s);
+    world.store.reported_reachable = false;
+    world.store.mode = store_mode::refusing;
+    std::ignore = world.overdrafts.serve(encode({overdraft_operation::draw, {"p"}, {"other"}, 100}));
+    std::ignore = world.overdrafts.serve(encode({overdraft_operation::settle, {"p"}, {"other"}, 50}));
+    const auto view = world.send(world.make_budgeted_request("plan", "a", 250));
+    REQUIRE(world.sent.size() == 1);
+    world.last()->begin(200);
+    for (int n = 1; n <= 9; ++n)
+    {
+        world.last()->event(n, "x");
+    }
+    CHECK(std::ranges::count(view->text, 'x') == 5);
+    view->on_closed();
+    world.store.reported_reachable = true;
+    world.store.mode = store_mode::available;
+    world.time.run(2s);
+    const auto row = decode_spending(
+        world.rows.read({.table = "spending", .partition = partition_of("p")}).rows.front().value);
+    REQUIRE(row);
+    CHECK(row->spent == 50);
+    CHECK(row->reserved.empty());
+}
+
 TEST_CASE("a stream does not wait for a store that is slow to answer")
 {
     forwarding_fixture world;
