--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -67,7 +67,8 @@
     /// store is unreachable.
     void look_up(const program_id& id, std::function<void()> on_end);
 
-    /// Reserves tokens; calls back once. A refusal is based on a read of the row that began after this call,
+    /// Reserves tokens; calls back once, with `unavailable` at once if a turn with the same id is still to be
+    /// written. A refusal is based on a read of the row that began after this call,
     /// and on the turns in that row that have not ended.
     void reserve(reservation_request request, reservation_callback on_result);
 
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -110,6 +110,12 @@
         // Probably a new program: a write conditional on the absence of the row saves the read.
         entry.row.emplace();
     }
+    if (find(entry, request.request) != nullptr)
+    {
+        // Another attempt has the same id, and its record would account for both.
+        on_result(reservation_outcome::unavailable);
+        return;
+    }
     entry.turns.push_back({.request = std::move(request.request),
                            .state = reserving_turn{.on_result = std::move(on_result)},
                            .max_tokens = request.tokens,
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -207,6 +207,20 @@
     }
 }
 
+// Guards against two attempts with one id of which only one is accounted for.
+TEST_CASE("a turn whose id is still to be written for another attempt is not granted")
+{
+    spending_world world{1};
+    world.reserve(0, "first", 10, 100, true);
+    world.time.run(100ms);
+    world.charge(0, "a", 50, 100);
+    world.reserve(0, "a", 80, 100);
+    world.time.run(1s);
+    CHECK(world.has("a", reservation_outcome::unavailable));
+    REQUIRE(world.row());
+    CHECK(world.row()->committed() == 60);
+}
+
 // Guards against programs that are refused though budget is left: the reply to a charge is lost, and the turn
 // is charged again.
 TEST_CASE("a charge whose reply was lost counts once")
