--- a/tests/unit/test_gateway_budget_bound.cpp
+++ b/tests/unit/test_gateway_budget_bound.cpp
@@ -29,6 +29,13 @@
             REQUIRE(site.tokens_read() <= site.terms.budget + site.terms.max_tokens);
         }
         most_read = std::max(most_read, site.tokens_read());
+        site.settle();
+        if (!site.restarted)
+        {
+            // What a turn cost is known, so the row holds what callers got, once, and no reservation.
+            CHECK(site.row().reserved.empty());
+            CHECK(site.row().spent == site.tokens_read());
+        }
     }
     // The cases reach the bound, so that a leak would show.
     CHECK(most_read == budget_terms{}.budget + budget_terms{}.max_tokens);
