--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -35,8 +35,12 @@
         self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
+        # Keeps the port while nothing listens there: connections are refused, and no other process gets it.
+        self.reservation = socket.socket()
+        self.reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.reservation.bind(("127.0.0.1", 0))
+        self.port = self.reservation.getsockname()[1]
+        await self.start_again()
 
     def stop(self):
         """New connections are refused, open ones are reset, as if the process behind the address had ended."""
