Gateway: log how reads of late tables end, what decides on requests, and a late event loop

A gateway wrote nothing of its feed for eight seconds while it acted on an old configuration.

Change: E4011 for the end of each read of a late table (outcome, time, attended time), E4012 when the followed tables begin to decide requests otherwise, with the evidence, E1012 and a histogram for a late event loop. No change of logic.

--- a/include/masticcourse/gateway/feed/followed_tables.hpp
+++ b/include/masticcourse/gateway/feed/followed_tables.hpp
@@ -23,6 +23,9 @@
     /// is out of date
     [[nodiscard]] table_currency currency() const;
 
+    /// @return why the store counts as away for one of the tables
+    [[nodiscard]] outage_evidence evidence() const;
+
     /// Reads the tables that are out of date from the store.
     /// @param on_done called once, after read_patience at the latest; currency() then tells the result
     void refresh(const std::function<void()>& on_done);
--- a/include/masticcourse/gateway/feed/table_age.hpp
+++ b/include/masticcourse/gateway/feed/table_age.hpp
@@ -23,6 +23,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace masticcourse::gateway
 {
@@ -66,4 +67,43 @@
     out_of_date,
 };
 
+[[nodiscard]] constexpr std::string_view to_string(table_currency it)
+{
+    switch (it)
+    {
+    case table_currency::current:
+        return "current";
+    case table_currency::store_away:
+        return "store_away";
+    case table_currency::out_of_date:
+        break;
+    }
+    return "out_of_date";
+}
+
+/// Why the store counts as away for a table.
+enum class outage_evidence : std::uint8_t
+{
+    /// It doesn't.
+    none,
+    /// A read of the store has not been answered.
+    unanswered,
+    /// A read of the store has failed.
+    failed,
+};
+
+[[nodiscard]] constexpr std::string_view to_string(outage_evidence it)
+{
+    switch (it)
+    {
+    case outage_evidence::unanswered:
+        return "unanswered";
+    case outage_evidence::failed:
+        return "failed";
+    case outage_evidence::none:
+        break;
+    }
+    return "none";
+}
+
 } // namespace masticcourse::gateway
--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -90,6 +90,8 @@
     [[nodiscard]] duration age() const;
     /// @return whether requests may be decided by the table
     [[nodiscard]] table_currency currency() const;
+    /// @return why the store counts as away, whatever the age of the table
+    [[nodiscard]] outage_evidence evidence() const;
 
     /// Reads the store if the table is out of date.
     /// @param on_done called once the table is current or the store counts as away, after read_patience at
@@ -101,6 +103,14 @@
     void serve(const relay_request& request, reply_callback on_reply);
 
   private:
+    /// A read of the store that does not wait for changes.
+    struct store_read
+    {
+        /// When it began, in attended time and in boot time.
+        time_point attended;
+        time_point sent;
+    };
+
     struct waiting_peer
     {
         row_version after = 0;
@@ -143,6 +153,8 @@
     /// Reads the whole table.
     void read();
     void read_partitions(time_point sent, std::vector<std::string> partitions, query_reply so_far);
+    /// Logs the end of a read of the store that did not wait for changes.
+    void note_read_end(std::string_view outcome) const;
     void on_store_failed();
     void load(const std::vector<stored_row>& rows, row_version version);
     /// @return whether any row was applied
@@ -162,7 +174,7 @@
     void take_turn();
     [[nodiscard]] bool reads_store() const
     {
-        return m_reading_since.has_value();
+        return m_reading.has_value();
     }
     /// Calls those who wait for a refresh.
     void end_refresh();
@@ -197,8 +209,7 @@
     milliseconds m_pause{};
     /// Number of the call or pause under way.
     std::uint64_t m_call = 0;
-    /// Since when the store is being read by a call that does not wait for changes; attended time.
-    std::optional<time_point> m_reading_since;
+    std::optional<store_read> m_reading;
     /// Number of the last check of the age; earlier ones are void.
     std::uint64_t m_age_check = 0;
     std::vector<std::function<void()>> m_on_refreshed;
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -24,6 +24,7 @@
     settings_reloaded = 1009,
     settings_invalid = 1010,
     log_lines_dropped = 1011,
+    event_loop_delayed = 1012,
     program_created = 2001,
     program_ended = 2002,
     call_accepted = 2101,
@@ -73,6 +74,8 @@
     load_collector_failed = 4008,
     feed_source_changed = 4009,
     table_late = 4010,
+    table_read = 4011,
+    table_currency_changed = 4012,
     target_available = 5001,
     target_lost = 5003,
     target_fence_raised = 5004,
@@ -147,6 +150,11 @@
         event_id::log_lines_dropped, "log_lines_dropped", event_severity::warning,
         "Lines were left out: too many of one kind in a second, or the reader of the log was too slow.",
         "See the counters for what the lines would have said."},
+    event_definition{
+        event_id::event_loop_delayed, "event_loop_delayed", event_severity::warning,
+        "The event loop got to a timer late (`late_ms`): the process has more to do than its share "
+        "of the processor allows, or did not run. At most one line a second.",
+        "Give the VM a larger share, or spread its callers, if it recurs."},
     event_definition{event_id::program_created, "program_created", event_severity::info,
                      "A program was created.", "None."},
     event_definition{event_id::program_ended, "program_ended", event_severity::info,
@@ -304,6 +312,15 @@
         "Nothing confirmed a followed table in time through its `source`, or a request waits for "
         "it (`why`): the store is read meanwhile.",
         "Look at the gateway that is the source, and at the network to the store, if it recurs."},
+    event_definition{event_id::table_read, "table_read", event_severity::info,
+                     "A read of a late table in the store ended (`outcome`), after `took_ms` in all and "
+                     "`attended_ms` in which this process could have noticed a reply.",
+                     "Failed reads while other gateways succeed: look at this VM's processor and network."},
+    event_definition{
+        event_id::table_currency_changed, "table_currency_changed", event_severity::info,
+        "Whether requests are decided by the followed tables has changed (`from`, `to`), `evidence` says why "
+        "the store counts as away.",
+        "`store_away` at one gateway alone while others reach the store: look at that gateway."},
     event_definition{event_id::target_available, "target_available", event_severity::info,
                      "A target takes work.", "None."},
     event_definition{event_id::target_lost, "target_lost", event_severity::warning,
--- a/src/gateway/feed/followed_tables.cpp
+++ b/src/gateway/feed/followed_tables.cpp
@@ -17,6 +17,11 @@
     return std::max(m_config.currency(), m_targets.currency());
 }
 
+outage_evidence followed_tables::evidence() const
+{
+    return std::max(m_config.evidence(), m_targets.evidence());
+}
+
 void followed_tables::refresh(const std::function<void()>& on_done)
 {
     const auto on_table = [on_done, pending = std::make_shared<int>(2)]
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -90,7 +90,11 @@
 
 std::uint64_t table_follower::begin_call(bool waits)
 {
-    m_reading_since = waits ? std::nullopt : std::optional{m_context.attended_clock()};
+    m_reading.reset();
+    if (!waits)
+    {
+        m_reading = store_read{.attended = m_context.attended_clock(), .sent = m_context.boottime_clock()};
+    }
     return ++m_call;
 }
 
@@ -232,6 +236,10 @@
 
 void table_follower::on_feed(std::uint64_t call, time_point sent, milliseconds wait, const feed_reply& reply)
 {
+    if (is_current(call))
+    {
+        note_read_end(reply.outcome == feed_outcome::changed ? "confirmed" : "failed");
+    }
     if (reply.outcome == feed_outcome::changed)
     {
         const bool changed = apply(reply.rows, reply.version);
@@ -312,6 +320,21 @@
                           });
 }
 
+void table_follower::note_read_end(std::string_view outcome) const
+{
+    if (!m_reading)
+    {
+        return;
+    }
+    const auto took = m_context.boottime_clock() - m_reading->sent;
+    const auto attended = m_context.attended_clock() - m_reading->attended;
+    log_event(event_id::table_read, {{"table", m_table.name},
+                                     {"outcome", std::string{outcome}},
+                                     {"took_ms", to_log_text(took)},
+                                     {"attended_ms", to_log_text(attended)},
+                                     {"age_ms", to_log_text(age())}});
+}
+
 void table_follower::on_store_failed()
 {
     m_store_until = {};
@@ -480,11 +503,22 @@
     {
         return table_currency::current;
     }
+    return evidence() == outage_evidence::none ? table_currency::out_of_date : table_currency::store_away;
+}
+
+outage_evidence table_follower::evidence() const
+{
     // A reply that this process has been too slow to look at is no sign that the store is away.
-    const bool unanswered = m_reading_since && m_context.attended_clock() - *m_reading_since >= read_patience;
+    if (m_reading && m_context.attended_clock() - m_reading->attended >= read_patience)
+    {
+        return outage_evidence::unanswered;
+    }
     // A read that the store refused because of its rate limit says nothing about whether it is away.
-    const bool failed = m_store_failing && m_context.store.time_since_failure() <= age();
-    return unanswered || failed ? table_currency::store_away : table_currency::out_of_date;
+    if (m_store_failing && m_context.store.time_since_failure() <= age())
+    {
+        return outage_evidence::failed;
+    }
+    return outage_evidence::none;
 }
 
 void table_follower::serve(const relay_request& request, reply_callback on_reply)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,9 @@
 /// takes a few milliseconds unless the network fails.
 constexpr server_check_options target_check{
     .connect_timeout = milliseconds{100}, .settle_time = milliseconds{10}, .max_tries = 3};
+/// Delay of the event loop from which on it is logged, and how often.
+constexpr milliseconds logged_delay{100};
+constexpr milliseconds delay_log_interval{1'000};
 /// Interval between sweeps of the tables for expired entries.
 constexpr milliseconds sweep_period{100};
 /// Shortest time between two updates of the configuration and of the targets: far below the time in which a
@@ -225,7 +228,46 @@
 void gateway::state::schedule_sweep()
 {
     sweep();
-    delay(sweep_period, [this] { schedule_sweep(); });
+    note_currency();
+    delay(sweep_period,
+          [this, due = monotonic_now() + sweep_period]
+          {
+              record_delay(due);
+              schedule_sweep();
+          });
+}
+
+void gateway::state::record_delay(time_point due)
+{
+    const auto now = monotonic_now();
+    const auto late = now - due;
+    registry
+        .get_histogram("masticcourse_event_loop_delay_seconds",
+                       "By how much the event loop got to a timer late.")
+        .record(std::chrono::floor<std::chrono::microseconds>(late));
+    const bool may_log = !last_delay_logged || now - *last_delay_logged >= delay_log_interval;
+    if (late >= logged_delay && may_log)
+    {
+        last_delay_logged = now;
+        log_event(event_id::event_loop_delayed,
+                  {{"late_ms", std::to_string(std::chrono::floor<milliseconds>(late).count())}});
+    }
+}
+
+void gateway::state::note_currency()
+{
+    const auto currency = tables.currency();
+    if (currency == last_currency)
+    {
+        return;
+    }
+    const auto age =
+        std::chrono::floor<milliseconds>(std::min<duration>(tables.age(), std::chrono::hours{24}));
+    log_event(event_id::table_currency_changed, {{"from", std::string{to_string(last_currency)}},
+                                                 {"to", std::string{to_string(currency)}},
+                                                 {"evidence", std::string{to_string(tables.evidence())}},
+                                                 {"age_ms", std::to_string(age.count())}});
+    last_currency = currency;
 }
 
 bool gateway::state::ready() const
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -46,6 +46,11 @@
     [[nodiscard]] bool ready() const;
     void sweep();
     void schedule_sweep();
+    /// Records by how much the event loop is late.
+    /// @param due when the timer that calls this was to expire
+    void record_delay(time_point due);
+    /// Logs it if requests are decided by the tables otherwise than before.
+    void note_currency();
     void check_stopped();
 
     boost::asio::io_context& context;
@@ -88,6 +93,8 @@
     std::optional<time_point> stopping_since;
     row_fault_log row_faults;
     std::optional<time_point> last_sweep;
+    std::optional<time_point> last_delay_logged;
+    table_currency last_currency = table_currency::current;
     bool was_ready = false;
     bool accepting_stopped = false;
     /// Refusals for lack of memory; spreads the times at which the callers return.
