--- a/tests/support/feed_fleet.cpp
+++ b/tests/support/feed_fleet.cpp
@@ -17,8 +17,6 @@
 namespace
 {
 
-/// Time after which a gateway gives up a call that the store does not answer.
-constexpr milliseconds call_timeout{500};
 /// By how much a process that is short of processor time extends the timeout of a call.
 constexpr milliseconds longest_extension{2'000};
 constexpr milliseconds message_latency{1};
@@ -142,30 +140,32 @@
     {
         if (unreachable())
         {
-            fail(call_timeout, [on_reply] { on_reply({.outcome = gateway::store_outcome::refused}); });
+            fail(m_fleet.m_call_timeout,
+                 [on_reply] { on_reply({.outcome = gateway::store_outcome::refused}); });
             return;
         }
-        m_fleet.store.transact(transaction,
-                               delivered<gateway::transaction_reply>(std::move(on_reply), call_timeout));
+        m_fleet.store.transact(
+            transaction, delivered<gateway::transaction_reply>(std::move(on_reply), m_fleet.m_call_timeout));
     }
     void query(const gateway::row_query& query, gateway::query_callback on_reply) override
     {
         if (unreachable())
         {
-            fail(call_timeout, [on_reply] { on_reply({.answered = false}); });
+            fail(m_fleet.m_call_timeout, [on_reply] { on_reply({.answered = false}); });
             return;
         }
-        m_fleet.store.query(query, delivered<gateway::query_reply>(std::move(on_reply), call_timeout));
+        m_fleet.store.query(query,
+                            delivered<gateway::query_reply>(std::move(on_reply), m_fleet.m_call_timeout));
     }
     void list_partitions(const std::string& table, gateway::partitions_callback on_reply) override
     {
         if (unreachable())
         {
-            fail(call_timeout, [on_reply] { on_reply({}); });
+            fail(m_fleet.m_call_timeout, [on_reply] { on_reply({}); });
             return;
         }
         m_fleet.store.list_partitions(
-            table, delivered<gateway::partitions_reply>(std::move(on_reply), call_timeout));
+            table, delivered<gateway::partitions_reply>(std::move(on_reply), m_fleet.m_call_timeout));
     }
     void check_path() override
     {
@@ -176,11 +176,11 @@
     {
         if (unreachable())
         {
-            fail(call_timeout + wait, [on_reply] { on_reply({}); });
+            fail(m_fleet.m_call_timeout + wait, [on_reply] { on_reply({}); });
             return;
         }
         m_fleet.store.follow(table, version, wait,
-                             delivered<gateway::feed_reply>(std::move(on_reply), call_timeout));
+                             delivered<gateway::feed_reply>(std::move(on_reply), m_fleet.m_call_timeout));
     }
     [[nodiscard]] bool reachable() const override
     {
@@ -644,6 +644,11 @@
     return known < times.size() ? time.now() - times[known] : gateway::duration{};
 }
 
+gateway::duration feed_fleet::lag_of(const std::string& address, const std::string& table) const
+{
+    return age_of_knowledge(*m_members.at(address), table);
+}
+
 feed_fleet::knowledge feed_fleet::knowledge_of(const std::string& table) const
 {
     knowledge found;
--- a/tests/support/feed_fleet.hpp
+++ b/tests/support/feed_fleet.hpp
@@ -88,8 +88,18 @@
     };
     [[nodiscard]] knowledge knowledge_of(const std::string& table) const;
 
+    /// @return for how long the row written by publish() has been newer than what this gateway, disturbed or
+    /// not, knows
+    [[nodiscard]] gateway::duration lag_of(const std::string& address, const std::string& table) const;
+
     /// Behaviour of the store toward all gateways: available, refusing or unresponsive.
     void set_store_mode(store_mode mode);
+    /// How long a call that the store does not answer takes to fail: half a second directly, and as much for
+    /// each of two peers that do not answer either.
+    void set_call_timeout(gateway::milliseconds timeout)
+    {
+        m_call_timeout = timeout;
+    }
     /// The gateways selected by @a share reach the store through peers only, from now on.
     void turn_away(double share);
 
@@ -132,6 +142,7 @@
     /// Stopped members stay allocated because timers still refer to them.
     std::vector<std::unique_ptr<member>> m_stopped;
     store_mode m_store_mode = store_mode::available;
+    gateway::milliseconds m_call_timeout{500};
     bool m_went_back = false;
     /// When the values of published rows were written, by table.
     std::map<std::string, std::vector<gateway::time_point>> m_published;
--- a/tests/unit/gateway_fixture.hpp
+++ b/tests/unit/gateway_fixture.hpp
@@ -30,7 +30,9 @@
 /// The components of one gateway process, running on their own thread.
 struct gateway_process
 {
-    gateway_process(const std::string& store_address, const std::string& node)
+    /// @param request_protocol replaces the platform's protocol; must outlive the process
+    gateway_process(const std::string& store_address, const std::string& node,
+                    const gateway::gateway_protocol* request_protocol = nullptr)
         : callers(free_address(threads.context())), readiness(free_address(threads.context())),
           peer_address(free_address(threads.context())), peers({peer_address, 1, {"here"}}, test_seed()),
           store(threads.context(), {.address = store_address, .peer_address = peer_address, .memory = memory},
@@ -47,9 +49,11 @@
                    .memory_bytes = std::size_t{88} << 20U,
                    .base_memory_bytes = std::size_t{12} << 20U,
                    .memory = memory,
+                   .attended_clock = store.attended_clock(),
                    .row_bytes = 10'000,
                    .stop_grace = std::chrono::seconds{8}},
-                  protocol, store, peers, platform::make_table_decoders(), metrics)
+                  request_protocol == nullptr ? protocol : *request_protocol, store, peers,
+                  platform::make_table_decoders(), metrics)
     {
         boost::asio::post(threads.context(),
                           [this]
--- a/tests/unit/test_gateway_feed_age.cpp
+++ b/tests/unit/test_gateway_feed_age.cpp
@@ -239,3 +239,37 @@
         CHECK(fleet.knowledge_of(feed_fleet::config_table).undecided == 0);
     }
 }
+
+// Guards against a gateway that keeps an old table although the gateways that it follows know the new one:
+// its own reads of the store fail, one after the other, and it never asks its source again.
+TEST_CASE("a gateway whose reads of the store fail learns from its source as soon as that replies again")
+{
+    for (const auto fault : {gateway_fault::frozen, gateway_fault::cut_off, gateway_fault::slow})
+    {
+        CAPTURE(static_cast<int>(fault));
+        feed_fleet fleet{13, 3};
+        fleet.set_call_timeout(1'500ms);
+        std::ranges::for_each(tables, [&fleet](const auto* table) { fleet.publish(table); });
+        fleet.time.run(20s);
+        const auto domain = fleet.undisturbed("domain 0");
+        const auto roots = fleet.roots_among(domain);
+        const auto follower = *std::ranges::find_if(domain, [&roots](const auto& it)
+                                                    { return std::ranges::find(roots, it) == roots.end(); });
+        fleet.disturb(follower, gateway_fault::without_store, 40s);
+        constexpr seconds silence{3};
+        std::ranges::for_each(roots, [&](const auto& it) { fleet.disturb(it, fault, silence); });
+        // A source that failed is left out for 6 s at most.
+        fleet.time.run(silence + 7s);
+        duration oldest{};
+        for (int n = 0; n < 100; ++n)
+        {
+            if (n % 10 == 0)
+            {
+                fleet.publish(feed_fleet::config_table);
+            }
+            fleet.time.run(200ms);
+            oldest = std::max(oldest, fleet.lag_of(follower, feed_fleet::config_table));
+        }
+        CHECK(oldest <= max_table_age);
+    }
+}
