Gateway: a read of the store that fails no longer keeps the sources from being asked

Cause: a read of a late table replaced the call to the source as the call under way. When it failed, two timers of equal length started: the check of the age, which read the store again at once, and the next call to the source, which that read made void. A table stayed late until one of its own reads succeeded. Ruled out: that the process only did not get to its messages; the targets' table was fresh from the same source meanwhile.

Change: the read runs beside the call. Neither holds the other up, sources go on being asked in turn, and a gateway that follows the store itself makes its next call when the read has ended.

--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -7,7 +7,8 @@
 /// - Each reply states how old the sender's knowledge is; the time on the way is added. If the knowledge is
 ///   too old, or there is no reply, the next source is asked, and then the store.
 /// - If the table has not been confirmed by a certain age (late_after()), the store is read while the call
-///   under way goes on. If it does not answer, the gateways share the rate of further reads.
+///   under way goes on, and the sources are asked in turn while the store does not answer. The gateways share
+///   the rate of further reads.
 /// - Rows carry versions and older ones are ignored, so that a change of the source never sets a row back.
 #pragma once
 
@@ -106,9 +107,12 @@
     /// A read of the store that does not wait for changes.
     struct store_read
     {
+        std::uint64_t number = 0;
         /// When it began, in attended time and in boot time.
         time_point attended;
         time_point sent;
+        /// Age of the table at the beginning.
+        duration age{};
     };
 
     struct waiting_peer
@@ -128,8 +132,7 @@
     /// @name The call or pause under way
     /// Each has a number. What an earlier call brings is used, but does not start the next one.
     /// @{
-    /// @param waits whether a call may be overtaken by a read of the store
-    [[nodiscard]] std::uint64_t begin_call(bool waits);
+    [[nodiscard]] std::uint64_t begin_call();
     [[nodiscard]] bool is_current(std::uint64_t call) const
     {
         return call == m_call;
@@ -146,16 +149,24 @@
     void use_reply(const relay_reply& reply, time_point evidence);
     void on_stale_source(const std::string& address);
     void follow_store();
-    /// Asks the store for changes.
-    /// @param wait how long the store may wait for some
-    void read_changes(milliseconds wait);
     void on_feed(std::uint64_t call, time_point sent, milliseconds wait, const feed_reply& reply);
     /// Reads the whole table.
-    void read();
-    void read_partitions(time_point sent, std::vector<std::string> partitions, query_reply so_far);
-    /// Logs the end of a read of the store that did not wait for changes.
-    void note_read_end(std::string_view outcome) const;
+    void read_whole();
+    void read_partitions(const store_read& read, std::vector<std::string> partitions, query_reply so_far);
+    /// @name The read of the store under way, beside the call or pause
+    /// Neither holds the other up: a source that is silent does not delay the read, and a read that fails
+    /// does not keep the sources from being asked.
+    /// @{
+    store_read begin_read();
+    void end_read(const store_read& read, std::string_view outcome);
+    /// Asks the store for the changes that it has, unless it is being read.
+    void read_changes();
+    void on_read(const store_read& read, const feed_reply& reply);
+    void on_whole_read_failed(const store_read& read);
+    /// @}
     void on_store_failed();
+    /// @return the delay after which the store may be asked again
+    [[nodiscard]] milliseconds note_store_failure();
     void load(const std::vector<stored_row>& rows, row_version version);
     /// @return whether any row was applied
     bool apply(const std::vector<stored_row>& rows, row_version version);
@@ -172,10 +183,6 @@
     bool read_store_now(std::string_view why);
     /// Takes this gateway's turn to read the store although there are gateways to follow.
     void take_turn();
-    [[nodiscard]] bool reads_store() const
-    {
-        return m_reading.has_value();
-    }
     /// Calls those who wait for a refresh.
     void end_refresh();
     /// @}
@@ -209,7 +216,10 @@
     milliseconds m_pause{};
     /// Number of the call or pause under way.
     std::uint64_t m_call = 0;
+    /// Whether the next call is made once the read under way has ended.
+    bool m_awaits_read = false;
     std::optional<store_read> m_reading;
+    std::uint64_t m_last_read = 0;
     /// Number of the last check of the age; earlier ones are void.
     std::uint64_t m_age_check = 0;
     std::vector<std::function<void()>> m_on_refreshed;
--- a/include/masticcourse/gateway/row_store.hpp
+++ b/include/masticcourse/gateway/row_store.hpp
@@ -126,6 +126,8 @@
     std::vector<stored_row> rows;
     /// The version to continue from.
     row_version version = 0;
+    /// The call was made again after an attempt that brought no reply, and then the store did not wait.
+    bool repeated = false;
 };
 
 using transaction_callback = std::function<void(transaction_reply)>;
--- a/src/gateway/feed/table_follower.cpp
+++ b/src/gateway/feed/table_follower.cpp
@@ -40,6 +40,9 @@
 /// Age that is stated while nothing has been read yet.
 constexpr milliseconds unknown_age = std::chrono::hours{24};
 
+/// What is logged of a read that succeeded.
+constexpr std::string_view confirmed_outcome = "confirmed";
+
 milliseconds to_milliseconds(duration it)
 {
     return std::chrono::floor<milliseconds>(std::clamp<duration>(it, duration{}, unknown_age));
@@ -84,25 +87,51 @@
     }
     else
     {
-        read();
+        read_whole();
     }
 }
 
-std::uint64_t table_follower::begin_call(bool waits)
+std::uint64_t table_follower::begin_call()
+{
+    m_awaits_read = false;
+    return ++m_call;
+}
+
+table_follower::store_read table_follower::begin_read()
+{
+    m_reading = store_read{.number = ++m_last_read,
+                           .attended = m_context.attended_clock(),
+                           .sent = m_context.boottime_clock(),
+                           .age = age()};
+    return *m_reading;
+}
+
+void table_follower::end_read(const store_read& read, std::string_view outcome)
 {
-    m_reading.reset();
-    if (!waits)
+    if (m_reading && m_reading->number == read.number)
     {
-        m_reading = store_read{.attended = m_context.attended_clock(), .sent = m_context.boottime_clock()};
+        m_reading.reset();
     }
-    return ++m_call;
+    const auto took = m_context.boottime_clock() - read.sent;
+    const auto attended = m_context.attended_clock() - read.attended;
+    // Reads that are in time are the usual way to follow the store.
+    const bool in_time = outcome == confirmed_outcome && read.age <= max_table_age;
+    if (in_time)
+    {
+        return;
+    }
+    log_event(event_id::table_read, {{"table", m_table.name},
+                                     {"outcome", std::string{outcome}},
+                                     {"took_ms", to_log_text(took)},
+                                     {"attended_ms", to_log_text(attended)},
+                                     {"age_ms", to_log_text(age())}});
 }
 
 void table_follower::follow_later(milliseconds pause)
 {
     m_pause = pause;
     m_context.delay(pause,
-                    [this, call = begin_call(true)]
+                    [this, call = begin_call()]
                     {
                         if (is_current(call))
                         {
@@ -132,7 +161,7 @@
     const auto wait = waits ? std::max(milliseconds{0}, relay_timeout - m_pause) : milliseconds{0};
     const relay_request request{.table = m_table.name, .after = m_version, .wait = wait};
     m_context.relay(address, encode(request),
-                    [this, call = begin_call(true), address,
+                    [this, call = begin_call(), address,
                      sent = m_context.boottime_clock()](const std::optional<relayed_reply>& reply)
                     { on_relayed(call, address, sent, reply); });
 }
@@ -223,28 +252,61 @@
     // call. The next call only waits until a whole wait after that.
     const auto next = m_confirmed_at.value_or(time_point{}) + feed_timeout;
     const auto left = std::chrono::ceil<milliseconds>(next - m_context.boottime_clock());
-    read_changes(std::clamp(left, milliseconds{0}, feed_timeout));
+    const auto call = begin_call();
+    if (left <= milliseconds{0})
+    {
+        m_awaits_read = true;
+        read_changes();
+        return;
+    }
+    const auto wait = std::min(left, feed_timeout);
+    m_context.store.follow(m_table.name, m_version, wait,
+                           [this, call, sent = m_context.boottime_clock(), wait](const feed_reply& reply)
+                           { on_feed(call, sent, wait, reply); });
 }
 
-void table_follower::read_changes(milliseconds wait)
+void table_follower::read_changes()
 {
-    m_context.store.follow(m_table.name, m_version, wait,
-                           [this, call = begin_call(wait > milliseconds{0}),
-                            sent = m_context.boottime_clock(), wait](const feed_reply& reply)
-                           { on_feed(call, sent, wait, reply); });
+    if (m_reading)
+    {
+        return;
+    }
+    m_context.store.follow(m_table.name, m_version, milliseconds{0},
+                           [this, read = begin_read()](const feed_reply& reply) { on_read(read, reply); });
 }
 
-void table_follower::on_feed(std::uint64_t call, time_point sent, milliseconds wait, const feed_reply& reply)
+void table_follower::on_read(const store_read& read, const feed_reply& reply)
 {
-    if (is_current(call))
+    if (reply.outcome == feed_outcome::changed)
     {
-        note_read_end(reply.outcome == feed_outcome::changed ? "confirmed" : "failed");
+        end_read(read, confirmed_outcome);
+        const bool changed = apply(reply.rows, reply.version);
+        confirm(read.sent);
+        // The call that was under way has been silent for too long.
+        follow_later(changed ? m_table.min_interval : milliseconds{0});
+        return;
     }
+    if (reply.outcome == feed_outcome::history_truncated)
+    {
+        end_read(read, "history truncated");
+        read_whole();
+        return;
+    }
+    end_read(read, "failed");
+    const auto delay = note_store_failure();
+    if (m_awaits_read)
+    {
+        follow_later(delay);
+    }
+}
+
+void table_follower::on_feed(std::uint64_t call, time_point sent, milliseconds wait, const feed_reply& reply)
+{
     if (reply.outcome == feed_outcome::changed)
     {
         const bool changed = apply(reply.rows, reply.version);
-        // Without changes the store has waited for the whole time.
-        const auto evidence = reply.rows.empty() ? sent + wait : sent;
+        // Without changes the store has waited for the whole time, unless it was asked again.
+        const auto evidence = reply.rows.empty() && !reply.repeated ? sent + wait : sent;
         confirm(std::min(evidence, m_context.boottime_clock()));
         if (is_current(call))
         {
@@ -258,27 +320,27 @@
     }
     if (reply.outcome == feed_outcome::history_truncated)
     {
-        read();
+        read_whole();
         return;
     }
     on_store_failed();
 }
 
-void table_follower::read()
+void table_follower::read_whole()
 {
-    std::ignore = begin_call(false);
-    const auto sent = m_context.boottime_clock();
+    std::ignore = begin_call();
+    const auto read = begin_read();
     if (!m_table.partitioned)
     {
-        read_partitions(sent, {""}, {});
+        read_partitions(read, {""}, {});
         return;
     }
     m_context.store.list_partitions(m_table.name,
-                                    [this, sent](partitions_reply reply)
+                                    [this, read](partitions_reply reply)
                                     {
                                         if (!reply.answered)
                                         {
-                                            on_store_failed();
+                                            on_whole_read_failed(read);
                                             return;
                                         }
                                         auto& partitions = reply.partitions;
@@ -287,55 +349,53 @@
                                         {
                                             partitions.emplace_back();
                                         }
-                                        read_partitions(sent, std::move(partitions),
+                                        read_partitions(read, std::move(partitions),
                                                         {.version = reply.version});
                                     });
 }
 
-void table_follower::read_partitions(time_point sent, std::vector<std::string> partitions, query_reply so_far)
+void table_follower::read_partitions(const store_read& read, std::vector<std::string> partitions,
+                                     query_reply so_far)
 {
     if (partitions.empty())
     {
         load(so_far.rows, so_far.version);
-        confirm(sent);
+        end_read(read, "read whole");
+        confirm(read.sent);
         follow_later(milliseconds{0});
         return;
     }
     const row_query query{.table = m_table.name, .partition = partitions.back()};
     partitions.pop_back();
     m_context.store.query(query,
-                          [this, sent, partitions = std::move(partitions),
+                          [this, read, partitions = std::move(partitions),
                            so_far = std::move(so_far)](const query_reply& reply) mutable
                           {
                               if (!reply.answered)
                               {
-                                  on_store_failed();
+                                  on_whole_read_failed(read);
                                   return;
                               }
                               // The feed must continue from the first version to include changes made between
                               // two reads.
                               so_far.version = so_far.version > 0 ? so_far.version : reply.version;
                               std::ranges::copy(reply.rows, std::back_inserter(so_far.rows));
-                              read_partitions(sent, std::move(partitions), std::move(so_far));
+                              read_partitions(read, std::move(partitions), std::move(so_far));
                           });
 }
 
-void table_follower::note_read_end(std::string_view outcome) const
+void table_follower::on_whole_read_failed(const store_read& read)
 {
-    if (!m_reading)
-    {
-        return;
-    }
-    const auto took = m_context.boottime_clock() - m_reading->sent;
-    const auto attended = m_context.attended_clock() - m_reading->attended;
-    log_event(event_id::table_read, {{"table", m_table.name},
-                                     {"outcome", std::string{outcome}},
-                                     {"took_ms", to_log_text(took)},
-                                     {"attended_ms", to_log_text(attended)},
-                                     {"age_ms", to_log_text(age())}});
+    end_read(read, "failed");
+    on_store_failed();
 }
 
 void table_follower::on_store_failed()
+{
+    follow_later(note_store_failure());
+}
+
+milliseconds table_follower::note_store_failure()
 {
     m_store_until = {};
     m_feed_failed_at = m_context.boottime_clock();
@@ -348,7 +408,7 @@
     const auto delay = m_retry_delay / 2 + random_part_of(m_retry_delay / 2);
     m_retry_delay = std::min(m_retry_delay * 2, max_retry_delay);
     check_age_after(delay);
-    follow_later(delay);
+    return delay;
 }
 
 void table_follower::load(const std::vector<stored_row>& rows, row_version version)
@@ -432,16 +492,16 @@
 bool table_follower::read_store_now(std::string_view why)
 {
     const bool must_wait = m_store_failing && m_context.clock() < m_next_store_call;
-    if (!m_loaded || reads_store() || must_wait)
+    if (!m_loaded || m_reading || must_wait)
     {
-        return reads_store();
+        return m_reading.has_value();
     }
     log_event(event_id::table_late, {{"table", m_table.name},
                                      {"source", m_source},
                                      {"age_ms", to_log_text(age())},
                                      {"why", std::string{why}}});
     take_turn();
-    read_changes(milliseconds{0});
+    read_changes();
     return true;
 }
 
