Gateway: control messages come before callers' traffic in the event loop

Cause: one queue for all handlers. A reply of the store takes several passes, each as long as all handlers that are ready: with hundreds of requests under way and a tenth of a core, seconds. Class: control traffic that waits behind data traffic in an overloaded process.

Change: event_loop, with two priorities on one thread. Attended time counts between the moments at which none was ready, not between passes of a timer.

--- a/include/masticcourse/gateway/attended_time.hpp
+++ b/include/masticcourse/gateway/attended_time.hpp
@@ -3,8 +3,8 @@
 ///
 /// Load pattern: a VM gives its process a tenth of the processor, or none for seconds. A reply then waits in
 /// a socket while the timer of its call expires, and the process would take whom it called for away. So what
-/// follows from the lack of a reply is measured in attended time: each pass of the event loop counts for a
-/// short span at most, however long it took.
+/// follows from the lack of a reply is measured in attended time: what passes between two moments at which
+/// all that had arrived has been handled counts for a short span at most, however long it was.
 #pragma once
 
 #include "masticcourse/gateway/time.hpp"
@@ -18,13 +18,14 @@
 class attended_time
 {
   public:
-    /// How often tick() is to be called.
+    /// The longest time between two calls of tick() while the process has nothing to do.
     static constexpr milliseconds tick_interval{50};
 
-    /// Records that the event loop has come round.
+    /// Records that all that had arrived at @a now has been handled.
     void tick(time_point now)
     {
-        m_attended = at(now);
+        m_attended =
+            m_last_tick ? m_attended + std::clamp<duration>(now - *m_last_tick, duration{}, max_step) : now;
         m_last_tick = now;
     }
 
--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// The gateway: serves callers on one address, reports readiness on another, and follows the operator's
-/// configuration and the target registry. Not thread-safe: everything runs on the single thread that runs its
-/// io_context.
+/// configuration and the target registry. Not thread-safe: everything runs on the thread of its event loop.
+/// Callers and targets are traffic there; the store, other gateways, probes and timers are control.
 #pragma once
 
 #include "masticcourse/gateway/feed/table_follower.hpp"
@@ -10,6 +10,7 @@
 #include "masticcourse/gateway/quota/quota_terms.hpp"
 #include "masticcourse/gateway/request_forwarding.hpp"
 #include "masticcourse/memory/memory_account.hpp"
+#include "masticcourse/net/event_loop.hpp"
 #include "masticcourse/net/http_server.hpp"
 #include "masticcourse/telemetry/metrics.hpp"
 
@@ -19,11 +20,6 @@
 #include <string>
 #include <variant>
 
-namespace boost::asio
-{
-class io_context;
-} // namespace boost::asio
-
 namespace masticcourse::gateway
 {
 
@@ -98,8 +94,8 @@
 class gateway
 {
   public:
-    gateway(boost::asio::io_context& context, gateway_options options, const gateway_protocol& protocol,
-            row_store& store, peer_directory& peers, table_decoders decoders, metrics_registry& metrics);
+    gateway(event_loop& loop, gateway_options options, const gateway_protocol& protocol, row_store& store,
+            peer_directory& peers, table_decoders decoders, metrics_registry& metrics);
     ~gateway();
     gateway(const gateway&) = delete;
     gateway(gateway&&) = delete;
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -21,6 +21,7 @@
 
 namespace boost::asio
 {
+class any_io_executor;
 class io_context;
 } // namespace boost::asio
 
@@ -198,11 +199,12 @@
     memory_account_ptr memory = nullptr;
 };
 
-/// Thread-safe; callbacks run on the context's threads. The client must be destroyed before its context,
+/// Thread-safe; callbacks run on the executor. The client must be destroyed before the executor's context,
 /// because it holds open sockets.
 class http_client
 {
   public:
+    explicit http_client(const boost::asio::any_io_executor& executor, http_response_limits limits = {});
     explicit http_client(boost::asio::io_context& context, http_response_limits limits = {});
     http_client(const http_client&) = delete;
     http_client(http_client&&) = delete;
--- a/include/masticcourse/net/http_server.hpp
+++ b/include/masticcourse/net/http_server.hpp
@@ -18,6 +18,7 @@
 
 namespace boost::asio
 {
+class any_io_executor;
 class io_context;
 } // namespace boost::asio
 
@@ -107,8 +108,11 @@
 class http_server
 {
   public:
+    /// @param executor runs everything, the handler included
     /// @param address "ip:port"; port 0 selects any free port
     /// @throws std::runtime_error if the address is malformed or cannot be bound
+    http_server(const boost::asio::any_io_executor& executor, const std::string& address, http_limits limits,
+                http_handler handler);
     http_server(boost::asio::io_context& context, const std::string& address, http_limits limits,
                 http_handler handler);
     http_server(const http_server&) = delete;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,9 @@
 #include "masticcourse/gateway/io_delay.hpp"
 #include "masticcourse/telemetry/log.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -50,13 +53,13 @@
 
 } // namespace
 
-gateway::state::state(boost::asio::io_context& io, gateway_options given_options,
+gateway::state::state(event_loop& event_loop_of_process, gateway_options given_options,
                       const gateway_protocol& request_protocol, row_store& table_store,
                       peer_directory& directory, table_decoders row_decoders, metrics_registry& metrics)
-    : context(io), options(std::move(given_options)), protocol(request_protocol), store(table_store),
-      peers(directory), seed(make_random_seed()), decoders(std::move(row_decoders)), registry(metrics),
-      delay(make_io_delay(context)), shares(options.memory), client(context),
-      peer_client(context, options.memory),
+    : loop(event_loop_of_process), options(std::move(given_options)), protocol(request_protocol),
+      store(table_store), peers(directory), seed(make_random_seed()), decoders(std::move(row_decoders)),
+      registry(metrics), delay(make_io_delay(loop.context())), shares(options.memory),
+      client(loop.traffic_executor()), peer_client(loop.context(), options.memory),
       local_commits(store, delay, monotonic_now, derive_seed(seed, "commits"),
                     options.cache_bytes / row_cache_divisor),
       commits(
@@ -163,11 +166,11 @@
 void gateway::state::start()
 {
     frontend =
-        std::make_unique<http_server>(context, options.frontend_address, frontend_limits(),
+        std::make_unique<http_server>(loop.traffic_executor(), options.frontend_address, frontend_limits(),
                                       [this](http_request request, std::shared_ptr<http_exchange> exchange)
                                       { serve(std::move(request), std::move(exchange)); });
     readiness = std::make_unique<http_server>(
-        context, options.readiness_address, http_limits{},
+        loop.context(), options.readiness_address, http_limits{},
         [this](const http_request& request, const auto& exchange)
         {
             constexpr int ok = 200;
@@ -178,7 +181,7 @@
     if (!options.metrics_address.empty())
     {
         metrics_server = std::make_unique<http_server>(
-            context, options.metrics_address, http_limits{},
+            loop.context(), options.metrics_address, http_limits{},
             [this](const http_request&, const auto& exchange)
             { exchange->respond({.content_type = "text/plain; version=0.0.4", .body = registry.render()}); });
     }
@@ -413,10 +416,10 @@
     delay(sweep_period, [this] { check_stopped(); });
 }
 
-gateway::gateway(boost::asio::io_context& context, gateway_options options, const gateway_protocol& protocol,
+gateway::gateway(event_loop& loop, gateway_options options, const gateway_protocol& protocol,
                  row_store& store, peer_directory& peers, table_decoders decoders, metrics_registry& metrics)
-    : m_state(std::make_unique<state>(context, std::move(options), protocol, store, peers,
-                                      std::move(decoders), metrics))
+    : m_state(std::make_unique<state>(loop, std::move(options), protocol, store, peers, std::move(decoders),
+                                      metrics))
 {
 }
 
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -22,7 +22,7 @@
 
 struct gateway::state
 {
-    state(boost::asio::io_context& io, gateway_options given_options,
+    state(event_loop& event_loop_of_process, gateway_options given_options,
           const gateway_protocol& request_protocol, row_store& table_store, peer_directory& directory,
           table_decoders row_decoders, metrics_registry& metrics);
 
@@ -53,7 +53,7 @@
     void note_currency();
     void check_stopped();
 
-    boost::asio::io_context& context;
+    event_loop& loop;
     gateway_options options;
     const gateway_protocol& protocol;
     row_store& store;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,9 @@
 #include "http_server_check.hpp"
 #include "http_transfer.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+
 #include <utility>
 
 namespace masticcourse
@@ -51,12 +54,12 @@
     return find_header(headers, name);
 }
 
-/// Idle connections and the context on which new ones are created.
+/// Idle connections and the executor on which new ones are created.
 class http_client::pool
 {
   public:
-    pool(boost::asio::io_context& context, http_response_limits limits)
-        : m_context(context), m_connections(std::make_shared<detail::connection_pool>()),
+    pool(boost::asio::any_io_executor executor, http_response_limits limits)
+        : m_executor(std::move(executor)), m_connections(std::make_shared<detail::connection_pool>()),
           m_limits(std::move(limits))
     {
     }
@@ -65,26 +68,32 @@
                                                                        http_chunk_callback on_chunk,
                                                                        http_reply_callback on_reply) const
     {
-        return std::make_shared<detail::http_transfer>(m_context, m_connections, m_limits, std::move(request),
-                                                       std::move(on_chunk), std::move(on_reply));
+        return std::make_shared<detail::http_transfer>(m_executor, m_connections, m_limits,
+                                                       std::move(request), std::move(on_chunk),
+                                                       std::move(on_reply));
     }
 
     [[nodiscard]] std::shared_ptr<detail::server_check> make_check(const std::string& address,
                                                                    const server_check_options& options,
                                                                    server_check_callback on_result) const
     {
-        return std::make_shared<detail::server_check>(m_context, m_connections, address, options,
+        return std::make_shared<detail::server_check>(m_executor, m_connections, address, options,
                                                       std::move(on_result));
     }
 
   private:
-    boost::asio::io_context& m_context;
+    boost::asio::any_io_executor m_executor;
     std::shared_ptr<detail::connection_pool> m_connections;
     http_response_limits m_limits;
 };
 
+http_client::http_client(const boost::asio::any_io_executor& executor, http_response_limits limits)
+    : m_pool(std::make_shared<pool>(executor, std::move(limits)))
+{
+}
+
 http_client::http_client(boost::asio::io_context& context, http_response_limits limits)
-    : m_pool(std::make_shared<pool>(context, std::move(limits)))
+    : http_client(context.get_executor(), std::move(limits))
 {
 }
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -28,8 +28,8 @@
 
 } // namespace
 
-http_connection::http_connection(asio::io_context& context)
-    : socket(asio::make_strand(context)), timer(socket.get_executor())
+http_connection::http_connection(const asio::any_io_executor& executor)
+    : socket(asio::make_strand(executor)), timer(socket.get_executor())
 {
 }
 
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -6,7 +6,7 @@
 
 #include "masticcourse/net/http_client.hpp"
 
-#include <boost/asio/io_context.hpp>
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -24,7 +24,7 @@
 /// A connection with its own strand.
 struct http_connection
 {
-    explicit http_connection(boost::asio::io_context& context);
+    explicit http_connection(const boost::asio::any_io_executor& executor);
 
     /// @return false if the peer has closed the connection or sent unsolicited data
     [[nodiscard]] bool is_reusable();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,6 +4,9 @@
 #include "http_session_limits.hpp"
 #include "tcp_acceptor.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+
 #include <utility>
 
 namespace masticcourse
@@ -13,11 +16,12 @@
 class http_server::listener : public std::enable_shared_from_this<listener>
 {
   public:
-    listener(boost::asio::io_context& context, const std::string& address, http_limits limits,
+    listener(const boost::asio::any_io_executor& executor, const std::string& address, http_limits limits,
              http_handler handler)
         : m_state(std::make_shared<detail::http_server_state>()),
-          m_acceptor(std::make_shared<detail::tcp_acceptor>(
-              context, address, [state = m_state](auto socket) { accept_session(state, std::move(socket)); }))
+          m_acceptor(std::make_shared<detail::tcp_acceptor>(executor, address,
+                                                            [state = m_state](auto socket)
+                                                            { accept_session(state, std::move(socket)); }))
     {
         m_state->limits = std::move(limits);
         m_state->handler = std::move(handler);
@@ -93,11 +97,17 @@
     std::shared_ptr<detail::tcp_acceptor> m_acceptor;
 };
 
+http_server::http_server(const boost::asio::any_io_executor& executor, const std::string& address,
+                         http_limits limits, http_handler handler)
+    : m_listener(std::make_shared<listener>(executor, address, std::move(limits), std::move(handler)))
+{
+    m_listener->start();
+}
+
 http_server::http_server(boost::asio::io_context& context, const std::string& address, http_limits limits,
                          http_handler handler)
-    : m_listener(std::make_shared<listener>(context, address, std::move(limits), std::move(handler)))
+    : http_server(context.get_executor(), address, std::move(limits), std::move(handler))
 {
-    m_listener->start();
 }
 
 http_server::~http_server()
--- a/src/net/http_server_check.cpp
+++ b/src/net/http_server_check.cpp
@@ -19,16 +19,16 @@
 
 } // namespace
 
-server_check::server_check(asio::io_context& context, std::shared_ptr<connection_pool> pool,
+server_check::server_check(asio::any_io_executor executor, std::shared_ptr<connection_pool> pool,
                            std::string address, server_check_options options, server_check_callback on_result)
-    : m_context(context), m_pool(std::move(pool)), m_address(std::move(address)), m_options(options),
-      m_on_result(std::move(on_result))
+    : m_executor(std::move(executor)), m_pool(std::move(pool)), m_address(std::move(address)),
+      m_options(options), m_on_result(std::move(on_result))
 {
 }
 
 void server_check::start()
 {
-    const auto connection = std::make_shared<http_connection>(m_context);
+    const auto connection = std::make_shared<http_connection>(m_executor);
     asio::co_spawn(
         connection->socket.get_executor(),
         [self = shared_from_this(), connection] { return self->run(connection); }, asio::detached);
--- a/src/net/http_server_check.hpp
+++ b/src/net/http_server_check.hpp
@@ -17,8 +17,8 @@
 class server_check final : public std::enable_shared_from_this<server_check>
 {
   public:
-    server_check(boost::asio::io_context& context, std::shared_ptr<connection_pool> pool, std::string address,
-                 server_check_options options, server_check_callback on_result);
+    server_check(boost::asio::any_io_executor executor, std::shared_ptr<connection_pool> pool,
+                 std::string address, server_check_options options, server_check_callback on_result);
 
     void start();
 
@@ -31,7 +31,7 @@
     /// @return whether the connection was still open after the settle time
     boost::asio::awaitable<bool> stays_open(connection_ptr connection);
 
-    boost::asio::io_context& m_context;
+    boost::asio::any_io_executor m_executor;
     std::shared_ptr<connection_pool> m_pool;
     std::string m_address;
     server_check_options m_options;
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -121,10 +121,10 @@
 
 } // namespace
 
-http_transfer::http_transfer(asio::io_context& context, std::shared_ptr<connection_pool> pool,
+http_transfer::http_transfer(asio::any_io_executor executor, std::shared_ptr<connection_pool> pool,
                              const http_response_limits& limits, http_client_request request,
                              http_chunk_callback on_chunk, http_reply_callback on_reply)
-    : m_context(context), m_pool(std::move(pool)), m_max_body(limits.max_body),
+    : m_executor(std::move(executor)), m_pool(std::move(pool)), m_max_body(limits.max_body),
       m_memory(limits.memory, memory_use::responses), m_request(std::move(request)),
       m_on_chunk(std::move(on_chunk)), m_on_reply(std::move(on_reply)),
       m_deadline(std::chrono::steady_clock::now() + m_request.timeout)
@@ -134,7 +134,7 @@
 void http_transfer::start()
 {
     auto connection = m_pool->acquire(m_request.address, m_request.max_idle);
-    start_on(connection ? connection : std::make_shared<http_connection>(m_context));
+    start_on(connection ? connection : std::make_shared<http_connection>(m_executor));
 }
 
 void http_transfer::start_on(const connection_ptr& connection)
@@ -228,7 +228,7 @@
         if (!complete && may_retry(*connection))
         {
             connection->close();
-            start_on(std::make_shared<http_connection>(m_context));
+            start_on(std::make_shared<http_connection>(m_executor));
             co_return;
         }
         if (!complete)
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -29,7 +29,7 @@
 {
   public:
     /// @param on_chunk if empty, the whole body is returned in the reply
-    http_transfer(boost::asio::io_context& context, std::shared_ptr<connection_pool> pool,
+    http_transfer(boost::asio::any_io_executor executor, std::shared_ptr<connection_pool> pool,
                   const http_response_limits& limits, http_client_request request,
                   http_chunk_callback on_chunk, http_reply_callback on_reply);
 
@@ -76,7 +76,7 @@
     void fail(http_failure failure);
     void finish(const connection_ptr& connection);
 
-    boost::asio::io_context& m_context;
+    boost::asio::any_io_executor m_executor;
     std::shared_ptr<connection_pool> m_pool;
     std::size_t m_max_body;
     /// For the part of the body that is collected.
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -362,7 +362,7 @@
   public:
     acceptor(asio::io_context& context, const std::string& address, link_callback on_link,
              peer_link_limits limits)
-        : tcp_acceptor(context, address,
+        : tcp_acceptor(context.get_executor(), address,
                        [on_link = std::move(on_link), limits](asio::ip::tcp::socket socket)
                        {
                            auto remote = remote_address_of(socket);
--- a/src/net/tcp_acceptor.cpp
+++ b/src/net/tcp_acceptor.cpp
@@ -26,8 +26,9 @@
 
 } // namespace
 
-tcp_acceptor::tcp_acceptor(asio::io_context& context, const std::string& address, socket_callback on_socket)
-    : m_context(context), m_strand(asio::make_strand(context)), m_acceptor(listen_on(m_strand, address)),
+tcp_acceptor::tcp_acceptor(const asio::any_io_executor& executor, const std::string& address,
+                           socket_callback on_socket)
+    : m_executor(executor), m_strand(asio::make_strand(executor)), m_acceptor(listen_on(m_strand, address)),
       m_port(m_acceptor.local_endpoint().port()), m_on_socket(std::move(on_socket))
 {
 }
@@ -63,7 +64,7 @@
 {
     while (m_acceptor.is_open())
     {
-        auto [ec, socket] = co_await m_acceptor.async_accept(asio::make_strand(m_context), use_tuple);
+        auto [ec, socket] = co_await m_acceptor.async_accept(asio::make_strand(m_executor), use_tuple);
         if (!ec)
         {
             handle_socket(std::move(socket));
@@ -89,7 +90,7 @@
     m_acceptor.non_blocking(true, ec);
     while (!ec && m_acceptor.is_open())
     {
-        asio::ip::tcp::socket socket(asio::make_strand(m_context));
+        asio::ip::tcp::socket socket(asio::make_strand(m_executor));
         m_acceptor.accept(socket, ec);
         if (!ec)
         {
--- a/src/net/tcp_acceptor.hpp
+++ b/src/net/tcp_acceptor.hpp
@@ -2,8 +2,8 @@
 /// Accepts TCP connections, each with its own strand.
 #pragma once
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
@@ -21,7 +21,8 @@
     using socket_callback = std::function<void(boost::asio::ip::tcp::socket)>;
 
     /// @throws std::runtime_error if @a address is malformed or cannot be bound
-    tcp_acceptor(boost::asio::io_context& context, const std::string& address, socket_callback on_socket);
+    tcp_acceptor(const boost::asio::any_io_executor& executor, const std::string& address,
+                 socket_callback on_socket);
 
     void start();
 
@@ -41,7 +42,7 @@
     void accept_pending();
     void close_now();
 
-    boost::asio::io_context& m_context;
+    boost::asio::any_io_executor m_executor;
     boost::asio::any_io_executor m_strand;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
--- a/tests/unit/gateway_fixture.hpp
+++ b/tests/unit/gateway_fixture.hpp
@@ -8,8 +8,10 @@
 #include "row_codec.hpp"
 #include "row_store_client.hpp"
 
+#include "masticcourse/gateway/attended_time.hpp"
 #include "masticcourse/gateway/gateway.hpp"
 #include "masticcourse/gateway/io_delay.hpp"
+#include "masticcourse/net/event_loop.hpp"
 
 #include "net_fixture.hpp"
 #include "platform_target.hpp"
@@ -22,6 +24,7 @@
 #include <atomic>
 #include <chrono>
 #include <string>
+#include <thread>
 #include <utility>
 
 namespace masticcourse::testing
@@ -33,11 +36,15 @@
     /// @param request_protocol replaces the platform's protocol; must outlive the process
     gateway_process(const std::string& store_address, const std::string& node,
                     const gateway::gateway_protocol* request_protocol = nullptr)
-        : callers(free_address(threads.context())), readiness(free_address(threads.context())),
-          peer_address(free_address(threads.context())), peers({peer_address, 1, {"here"}}, test_seed()),
-          store(threads.context(), {.address = store_address, .peer_address = peer_address, .memory = memory},
-                peers, gateway::make_io_delay(threads.context()), metrics),
-          gateway(threads.context(),
+        : callers(free_address(loop.context())), readiness(free_address(loop.context())),
+          peer_address(free_address(loop.context())), peers({peer_address, 1, {"here"}}, test_seed()),
+          store(loop.context(),
+                {.address = store_address,
+                 .peer_address = peer_address,
+                 .memory = memory,
+                 .attended_clock = attended_clock()},
+                peers, gateway::make_io_delay(loop.context()), metrics),
+          gateway(loop,
                   {.node = node,
                    .frontend_address = callers,
                    .readiness_address = readiness,
@@ -49,13 +56,14 @@
                    .memory_bytes = std::size_t{88} << 20U,
                    .base_memory_bytes = std::size_t{12} << 20U,
                    .memory = memory,
-                   .attended_clock = store.attended_clock(),
+                   .attended_clock = attended_clock(),
                    .row_bytes = 10'000,
                    .stop_grace = std::chrono::seconds{8}},
                   request_protocol == nullptr ? protocol : *request_protocol, store, peers,
                   platform::make_table_decoders(), metrics)
     {
-        boost::asio::post(threads.context(),
+        loop.on_control_drained([this] { attended.tick(gateway::monotonic_now()); });
+        boost::asio::post(loop.context(),
                           [this]
                           {
                               for (auto& it : gateway.peer_handlers())
@@ -66,6 +74,7 @@
                               gateway.start();
                               started = true;
                           });
+        thread = std::jthread{[this] { loop.run(); }};
     }
     gateway_process(const gateway_process&) = delete;
     gateway_process(gateway_process&&) = delete;
@@ -73,10 +82,23 @@
     gateway_process& operator=(gateway_process&&) = delete;
     ~gateway_process()
     {
-        threads.stop();
+        stop();
     }
 
-    io_threads threads{1};
+    /// Stops the process at once.
+    void stop()
+    {
+        loop.stop();
+        thread = {};
+    }
+
+    [[nodiscard]] gateway::clock_function attended_clock() const
+    {
+        return [this] { return attended.at(gateway::monotonic_now()); };
+    }
+
+    event_loop loop;
+    gateway::attended_time attended;
     std::atomic<bool> started = false;
     std::string callers;
     std::string readiness;
@@ -87,6 +109,7 @@
     platform::platform_protocol protocol;
     platform::row_store_client store;
     gateway::gateway gateway;
+    std::jthread thread;
 };
 
 constexpr const char* gateway_config = R"({"version":7,"routes":[
--- a/tests/unit/test_gateway_loopback.cpp
+++ b/tests/unit/test_gateway_loopback.cpp
@@ -29,7 +29,7 @@
 std::optional<gateway::spending_row> read_spending(gateway_process& through, const std::string& program)
 {
     std::promise<gateway::query_reply> promise;
-    boost::asio::post(through.threads.context(),
+    boost::asio::post(through.loop.context(),
                       [&]
                       {
                           through.store.query({.table = "spending",
@@ -130,7 +130,7 @@
     world.wait_ready(cut_off);
     // After the next refresh of the peer list, both gateways know each other's address.
     std::this_thread::sleep_for(3'200ms);
-    boost::asio::post(cut_off.threads.context(), [&] { cut_off.store.set_address("127.0.0.1:1"); });
+    boost::asio::post(cut_off.loop.context(), [&] { cut_off.store.set_address("127.0.0.1:1"); });
     CHECK(eventually(
         [&]
         { return world.send(cut_off, "/turn/1", "a" + std::to_string(world.store.calls())).status == 200; }));
@@ -149,7 +149,7 @@
     gateway_process gateway{loopback(world.store.port()), "only"};
     world.wait_ready(gateway);
     std::atomic<bool> stopped = false;
-    boost::asio::post(gateway.threads.context(), [&] { gateway.gateway.stop([&] { stopped = true; }); });
+    boost::asio::post(gateway.loop.context(), [&] { gateway.gateway.stop([&] { stopped = true; }); });
     REQUIRE(eventually([&] { return !world.ready(gateway); }));
     const auto late = world.send(gateway, "/turn/1", "a1");
     CHECK(late.status == 200);
@@ -167,12 +167,12 @@
     world.wait_ready(stopping);
     world.wait_ready(other);
     std::atomic<bool> stopped = false;
-    boost::asio::post(stopping.threads.context(), [&] { stopping.gateway.stop([&] { stopped = true; }); });
+    boost::asio::post(stopping.loop.context(), [&] { stopping.gateway.stop([&] { stopped = true; }); });
     // The turn ends when the shutdown has nothing else left to wait for.
     world.engine.set_response_time(3'500ms);
     REQUIRE(world.send(stopping, "/turn/1", "a1").status == 200);
     REQUIRE(eventually([&] { return stopped.load(); }));
-    stopping.threads.stop();
+    stopping.stop();
     const auto row = read_spending(other, "p");
     REQUIRE(row);
     CHECK(row->reserved.empty());
--- a/tests/unit/test_gateway_poison_requests.cpp
+++ b/tests/unit/test_gateway_poison_requests.cpp
@@ -132,7 +132,7 @@
     static std::size_t known_peers(gateway_process& gateway)
     {
         std::promise<std::size_t> known;
-        boost::asio::post(gateway.threads.context(), [&] { known.set_value(gateway.peers.size()); });
+        boost::asio::post(gateway.loop.context(), [&] { known.set_value(gateway.peers.size()); });
         return known.get_future().get();
     }
 
