Gateway: refuse requests at once while there is no processor time for them

Cause: memory has an account, processor time had none; nothing limited what is taken in to what the process can do.

Change: processor_admission, after CoDel: a standing delay of the traffic handlers (50 ms for 0.1 s) refuses programs that have not begun, 150 ms all further requests, with 503 and a time to come back of 50 to 250 ms, spread, as the next attempt reaches another gateway. The event loop looks for control handlers every 10 ms under load and every 25 ms otherwise, each look being a system call.

--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -131,6 +131,8 @@
     memory_full,
     /// The caller stopped sending the body.
     body_stalled,
+    /// There is no processor time for the request.
+    processor_busy,
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason);
--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -103,6 +103,9 @@
 /// @return Retry-After of a request for which there is no memory, spread by its id
 [[nodiscard]] milliseconds memory_retry_after(const request_id& id);
 
+/// @return the Retry-After of a refusal for lack of processor time, spread over the callers
+[[nodiscard]] milliseconds processor_retry_after(const request_id& id);
+
 /// Starts forwarding a request. Its state exists until it is answered or its caller disconnects.
 /// @param config      configuration in force on arrival; used until the request ends
 /// @param on_finished called exactly once
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -150,11 +150,11 @@
         event_id::log_lines_dropped, "log_lines_dropped", event_severity::warning,
         "Lines were left out: too many of one kind in a second, or the reader of the log was too slow.",
         "See the counters for what the lines would have said."},
-    event_definition{
-        event_id::event_loop_delayed, "event_loop_delayed", event_severity::warning,
-        "The event loop got to a timer late (`late_ms`): the process has more to do than its share "
-        "of the processor allows, or did not run. At most one line a second.",
-        "Give the VM a larger share, or spread its callers, if it recurs."},
+    event_definition{event_id::event_loop_delayed, "event_loop_delayed", event_severity::warning,
+                     "The event loop got to a timer late (`late_ms`), or callers wait for it (`traffic_ms`): "
+                     "the process has more to do than its share "
+                     "of the processor allows, or did not run. At most one line a second.",
+                     "Give the VM a larger share, or spread its callers, if it recurs."},
     event_definition{event_id::program_created, "program_created", event_severity::info,
                      "A program was created.", "None."},
     event_definition{event_id::program_ended, "program_ended", event_severity::info,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -109,6 +109,9 @@
                   .self = options.peer_address,
                   .metrics = registry}),
       memory(options, turns, local_commits, registry),
+      traffic_delays(registry.get_histogram("masticcourse_traffic_delay_seconds",
+                                            "How long requests waited for the processor before they were "
+                                            "taken in.")),
       services{.open_stream = [this](auto request, auto on_chunk, auto on_reply)
                { return client.open_stream(std::move(request), std::move(on_chunk), std::move(on_reply)); },
                .check_target = [this](const auto& address, auto on_result)
@@ -249,11 +252,13 @@
                        "By how much the event loop got to a timer late.")
         .record(std::chrono::floor<std::chrono::microseconds>(late));
     const bool may_log = !last_delay_logged || now - *last_delay_logged >= delay_log_interval;
-    if (late >= logged_delay && may_log)
+    const auto traffic = std::chrono::floor<duration>(loop.traffic_delay());
+    if (std::max<duration>(late, traffic) >= logged_delay && may_log)
     {
         last_delay_logged = now;
         log_event(event_id::event_loop_delayed,
-                  {{"late_ms", std::to_string(std::chrono::floor<milliseconds>(late).count())}});
+                  {{"late_ms", std::to_string(std::chrono::floor<milliseconds>(late).count())},
+                   {"traffic_ms", std::to_string(std::chrono::floor<milliseconds>(traffic).count())}});
     }
 }
 
@@ -298,6 +303,10 @@
                                                   .retry_after = no_configuration_retry_after}));
         return;
     }
+    if (refuse_busy(decoded_request, exchange))
+    {
+        return;
+    }
     if (tables.currency() != table_currency::out_of_date)
     {
         forward(std::move(decoded_request), std::move(exchange));
@@ -315,6 +324,39 @@
         });
 }
 
+bool gateway::state::refuse_busy(const gateway_request& request,
+                                 const std::shared_ptr<http_exchange>& exchange)
+{
+    const auto waited = std::chrono::floor<duration>(loop.traffic_delay());
+    traffic_delays.record(waited);
+    const auto load = processor.observe(waited, monotonic_now());
+    const bool refused =
+        load == processor_load::overloaded || (load == processor_load::busy && starts_program(request));
+    if (!refused)
+    {
+        return false;
+    }
+    log_event(event_id::request_refused,
+              {{"request", request.id.value},
+               {"reason", std::string{to_string(refusal_reason::processor_busy)}},
+               {"delay_ms", std::to_string(std::chrono::floor<milliseconds>(waited).count())}});
+    exchange->respond(protocol.encode(refusal{.reason = refusal_reason::processor_busy,
+                                              .detail = "no processor time for a further request",
+                                              .retry_after = processor_retry_after(request.id)}));
+    return true;
+}
+
+bool gateway::state::starts_program(const gateway_request& request) const
+{
+    if (!request.program || request.program->previous_turn)
+    {
+        return false;
+    }
+    const std::string_view target{request.target};
+    const auto* const route = config.current()->find_route(request.host, target.substr(0, target.find('?')));
+    return route != nullptr && route->retains_turns();
+}
+
 void gateway::state::forward(gateway_request request, std::shared_ptr<http_exchange> exchange)
 {
     if (tables.currency() == table_currency::out_of_date)
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include "masticcourse/gateway/gateway.hpp"
 #include "masticcourse/gateway/peer_list.hpp"
 #include "masticcourse/gateway/row_fault_log.hpp"
+#include "masticcourse/gateway/scheduling/processor_admission.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +30,12 @@
     void start();
     void stop(std::function<void()> callback);
     void serve(http_request request, std::shared_ptr<http_exchange> exchange);
+    /// Refuses a request if there is no processor time for it.
+    /// @return whether it was refused
+    [[nodiscard]] bool refuse_busy(const gateway_request& request,
+                                   const std::shared_ptr<http_exchange>& exchange);
+    /// @return whether the request is the first turn of a program
+    [[nodiscard]] bool starts_program(const gateway_request& request) const;
     /// Forwards a request whose tables have been made current as far as that is possible.
     void forward(gateway_request request, std::shared_ptr<http_exchange> exchange);
     void apply_config_row(const stored_row& row);
@@ -80,6 +87,8 @@
     poison_detection poison;
     poison_exchange suspicions;
     memory_monitor memory;
+    processor_admission processor;
+    latency_histogram& traffic_delays;
     forwarding_services services;
     feed_context feeds;
     peer_list gateways;
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -64,27 +64,43 @@
         return "memory_full";
     case refusal_reason::body_stalled:
         return "body_stalled";
+    case refusal_reason::processor_busy:
+        return "processor_busy";
     case refusal_reason::deadline_passed:
         break;
     }
     return "deadline_passed";
 }
 
+namespace
+{
+
+/// @return a time between @a least and @a least + @a spread that differs from request to request
+milliseconds spread_retry_after(const request_id& id, milliseconds least, milliseconds spread)
+{
+    const auto part = std::hash<request_id>{}(id) % static_cast<std::size_t>(spread.count());
+    return least + milliseconds{static_cast<milliseconds::rep>(part)};
+}
+
+} // namespace
+
 milliseconds tables_retry_after(const request_id& id)
 {
     // The store is read again within about this time.
-    constexpr milliseconds least{200};
-    constexpr std::size_t spread_ms = 400;
-    return least + milliseconds{static_cast<milliseconds::rep>(std::hash<request_id>{}(id) % spread_ms)};
+    return spread_retry_after(id, milliseconds{200}, milliseconds{400});
+}
+
+milliseconds processor_retry_after(const request_id& id)
+{
+    // Short, since callers reach another gateway with their next attempt.
+    return spread_retry_after(id, milliseconds{50}, milliseconds{200});
 }
 
 milliseconds memory_retry_after(const request_id& id)
 {
     // Room comes back as bodies reach their targets, within tenths of a second; the spread keeps the callers
     // from returning together.
-    constexpr milliseconds least{300};
-    constexpr std::size_t spread_ms = 700;
-    return least + milliseconds{static_cast<milliseconds::rep>(std::hash<request_id>{}(id) % spread_ms)};
+    return spread_retry_after(id, milliseconds{300}, milliseconds{700});
 }
 
 void forward_request(forwarding_services& services, config_ptr config, gateway_request request,
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -16,9 +16,14 @@
 namespace
 {
 
+using loop_clock = detail::traffic_queue::clock;
+
 /// How long traffic handlers run until control handlers are looked for again. A single handler may take
 /// longer.
-constexpr std::chrono::milliseconds traffic_slice{5};
+constexpr std::chrono::milliseconds traffic_slice{10};
+/// The same while no traffic handler waits: control handlers then wait for nothing, and each look costs a
+/// system call.
+constexpr std::chrono::milliseconds quiet_interval{25};
 
 } // namespace
 
@@ -42,18 +47,11 @@
     }
 }
 
-bool traffic_queue::empty() const
-{
-    const std::scoped_lock lock(m_mutex);
-    return m_ready.empty();
-}
-
 traffic_queue::ready_handler traffic_queue::pop()
 {
     const std::scoped_lock lock(m_mutex);
     if (m_ready.empty())
     {
-        m_delay = {};
         return {};
     }
     auto it = std::move(m_ready.front());
@@ -61,16 +59,15 @@
     return it;
 }
 
-void traffic_queue::run_slice(clock::duration slice)
+bool traffic_queue::run_one(clock::time_point now)
 {
-    auto now = clock::now();
-    const auto end = now + slice;
-    for (auto it = pop(); it.action; it = now < end ? pop() : ready_handler{})
+    const auto it = pop();
+    m_delay = it.action ? now - it.since : clock::duration{};
+    if (it.action)
     {
-        m_delay = now - it.since;
         it.action->run();
-        now = clock::now();
     }
+    return it.action != nullptr;
 }
 
 traffic_queue::clock::duration traffic_queue::delay() const
@@ -137,15 +134,23 @@
 {
     auto& [context, work, traffic, on_control_drained] = *m_state;
     traffic->set_thread(std::this_thread::get_id());
+    auto now = loop_clock::now();
+    auto drained = now;
+    bool has_traffic = false;
     while (!context.stopped())
     {
-        if (traffic->empty())
+        if (now - drained >= (has_traffic ? traffic_slice : quiet_interval))
+        {
+            context.poll();
+            on_control_drained();
+            drained = loop_clock::now();
+        }
+        has_traffic = traffic->run_one(now);
+        if (!has_traffic)
         {
             context.run_one();
         }
-        context.poll();
-        on_control_drained();
-        traffic->run_slice(traffic_slice);
+        now = loop_clock::now();
     }
 }
 
--- a/src/net/traffic_queue.hpp
+++ b/src/net/traffic_queue.hpp
@@ -16,7 +16,7 @@
 namespace masticcourse::detail
 {
 
-/// Handlers in the order in which they became ready. Thread-safe but for run_slice().
+/// Handlers in the order in which they became ready. Thread-safe but for run_one().
 class traffic_queue
 {
   public:
@@ -35,9 +35,9 @@
         add(std::make_unique<handler_of<Function>>(std::move(function)));
     }
 
-    [[nodiscard]] bool empty() const;
-    /// Runs handlers for about @a slice; at least one if there are any.
-    void run_slice(clock::duration slice);
+    /// Runs the first handler.
+    /// @return whether there was one
+    bool run_one(clock::time_point now);
     /// @return how long the last handler had been ready before it ran; 0 if there is none
     [[nodiscard]] clock::duration delay() const;
     /// Drops all handlers, and those that are still added.
