--- a/tests/unit/test_event_loop.cpp
+++ b/tests/unit/test_event_loop.cpp
@@ -46,7 +46,7 @@
     };
     std::function<void(int)> step = [&](int left)
     {
-        order.push_back("control");
+        order.emplace_back("control");
         if (left > 0)
         {
             boost::asio::post(loop.context(), [&, left] { step(left - 1); });
@@ -55,7 +55,7 @@
     boost::asio::post(traffic,
                       [&]
                       {
-                          order.push_back("first");
+                          order.emplace_back("first");
                           add_traffic("second");
                           add_traffic("third");
                           boost::asio::post(loop.context(), [&] { step(3); });
