--- a/include/masticcourse/gateway/attended_time.hpp
+++ b/include/masticcourse/gateway/attended_time.hpp
@@ -24,8 +24,7 @@
     /// Records that all that had arrived at @a now has been handled.
     void tick(time_point now)
     {
-        m_attended =
-            m_last_tick ? m_attended + std::clamp<duration>(now - *m_last_tick, duration{}, max_step) : now;
+        m_attended = at(now);
         m_last_tick = now;
     }
 
--- a/include/masticcourse/gateway/feed/table_follower.hpp
+++ b/include/masticcourse/gateway/feed/table_follower.hpp
@@ -107,6 +107,7 @@
     /// A read of the store that does not wait for changes.
     struct store_read
     {
+        /// Distinguishes it from later reads.
         std::uint64_t number = 0;
         /// When it began, in attended time and in boot time.
         time_point attended;
--- a/include/masticcourse/net/event_loop.hpp
+++ b/include/masticcourse/net/event_loop.hpp
@@ -3,10 +3,10 @@
 ///
 /// Load pattern: callers send more than the process can handle. In one queue, the few messages by which it
 /// knows what is in force, and by which others rely on it, would wait behind hundreds of requests, for
-/// seconds on a VM with a tenth of a core. So handlers have two priorities: those of the
-/// traffic executor run in the order in which they became ready, for a short time slice. Between two slices
-/// all handlers of the context (control) run that are ready, including those that become ready meanwhile, so
-/// a reply of several parts is read as a whole.
+/// seconds on a VM with a tenth of a core. So handlers have two priorities: those of the traffic executor run
+/// in the order in which they became ready, for a short time slice. Between two slices all handlers of the
+/// context (control) run that are ready, including those that become ready meanwhile, so a reply of several
+/// parts is read as a whole.
 #pragma once
 
 #include <chrono>
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,13 +53,13 @@
 
 } // namespace
 
-gateway::state::state(event_loop& event_loop_of_process, gateway_options given_options,
+gateway::state::state(event_loop& given_loop, gateway_options given_options,
                       const gateway_protocol& request_protocol, row_store& table_store,
                       peer_directory& directory, table_decoders row_decoders, metrics_registry& metrics)
-    : loop(event_loop_of_process), options(std::move(given_options)), protocol(request_protocol),
-      store(table_store), peers(directory), seed(make_random_seed()), decoders(std::move(row_decoders)),
-      registry(metrics), delay(make_io_delay(loop.context())), shares(options.memory),
-      client(loop.traffic_executor()), peer_client(loop.context(), options.memory),
+    : loop(given_loop), options(std::move(given_options)), protocol(request_protocol), store(table_store),
+      peers(directory), seed(make_random_seed()), decoders(std::move(row_decoders)), registry(metrics),
+      delay(make_io_delay(loop.context())), shares(options.memory), client(loop.traffic_executor()),
+      peer_client(loop.context(), options.memory),
       local_commits(store, delay, monotonic_now, derive_seed(seed, "commits"),
                     options.cache_bytes / row_cache_divisor),
       commits(
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -23,9 +23,9 @@
 
 struct gateway::state
 {
-    state(event_loop& event_loop_of_process, gateway_options given_options,
-          const gateway_protocol& request_protocol, row_store& table_store, peer_directory& directory,
-          table_decoders row_decoders, metrics_registry& metrics);
+    state(event_loop& given_loop, gateway_options given_options, const gateway_protocol& request_protocol,
+          row_store& table_store, peer_directory& directory, table_decoders row_decoders,
+          metrics_registry& metrics);
 
     void start();
     void stop(std::function<void()> callback);
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,12 +1,10 @@
 #include "masticcourse/net/event_loop.hpp"
 
-#include "serial_executor.hpp"
 #include "traffic_queue.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/strand.hpp>
 
 #include <thread>
 #include <utility>
@@ -92,18 +90,6 @@
     return m_state->context;
 }
 
-namespace detail
-{
-
-boost::asio::any_io_executor make_serial_executor(const boost::asio::any_io_executor& executor)
-{
-    // Its loop runs one handler at a time.
-    const bool serial = executor.target<traffic_executor>() != nullptr;
-    return serial ? executor : boost::asio::make_strand(executor);
-}
-
-} // namespace detail
-
 boost::asio::any_io_executor event_loop::traffic_executor()
 {
     return detail::traffic_executor{m_state->traffic};
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -5,7 +5,6 @@
 #include "tcp_options.hpp"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/strand.hpp>
 
 #include <algorithm>
 #include <array>
--- a/src/net/tcp_acceptor.cpp
+++ b/src/net/tcp_acceptor.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 
 #include <chrono>
 #include <utility>
