--- a/tests/memory/memory_test.py
+++ b/tests/memory/memory_test.py
@@ -3,20 +3,18 @@
 nothing is lost, callers of small requests are served all the while, what is refused has not run, and the account of
 memory is empty again at rest."""
 
-import argparse
 import asyncio
-import signal
 import sys
 import tempfile
 from dataclasses import dataclass
-from pathlib import Path
 
-from parties import TURN_EVENT, Connection, Target
+from parties import LARGE, TURN_EVENT, Connection, Target, config
 
 import fleet
 import wire
+from case_runner import run_cases
+from process_watch import ProcessWatch
 
-LARGE = 4 * 1024 * 1024
 SMALL_CALLERS = 24
 SMALL_BODY = 600
 
@@ -41,6 +39,7 @@
     caller_reads: int = 0
     target_reads: int = 0
     large_work_s: float = 0.2
+    small_work_s: float = 0.1
     response_size: int = 10
     response_chunked: bool = False
     rejects_at_once: bool = False
@@ -98,58 +97,28 @@
 class Play:
     def __init__(self, case, build, folder):
         self.case = case
-        self.fleet = fleet.Fleet(build, folder, 1)
+        self.fleet = fleet.Fleet(build, folder, 1, fleet.Limits(memory_mb=case.memory_mb))
         self.gateway = self.fleet.gateways[0]
         self.targets = [Target(f"i-{n}", case) for n in range(4)]
         self.small, self.large, self.faults = [], [], []
-        self.peak_kb = 0
-        self.killed = False
         self.finished = False
 
     async def start(self):
         await self.fleet.platform.start()
         await self.fleet.wait_for(self.fleet.store_port)
-        await wire.put_row(self.fleet.store_port, "op", "config", self.config())
+        await wire.put_row(self.fleet.store_port, "op", "config", config())
         for it in self.targets:
             await it.start()
             await wire.put_row(self.fleet.store_port, "servers", it.name, it.entry())
         await self.gateway.prepare()
         await self.fleet.wait_for(self.gateway.callers)
-        self.gateway.process_id = self.gateway.process.pid
+        self.watch = ProcessWatch(self.gateway, self.case.memory_mb)
         for _ in range(100):
             if (await Connection(self.gateway.callers).ask("warm-up", "/order/1", 10)).status == 200:
                 return
             await asyncio.sleep(0.1)
         raise RuntimeError("the gateway does not serve")
 
-    @staticmethod
-    def config():
-        def route(name, kind, **more):
-            return {"name": name, "host": wire.HOST, "prefix": f"/{name}/", "type": kind, "service": "works",
-                    "timeoutMs": 30000, "targetLatencyMs": 800, "maxAttempts": 1, "priority": 2} | more
-
-        return {"version": 3,
-                "routes": [route("order", "non_idempotent"), route("lookup", "idempotent", maxAttempts=3),
-                           route("turn", "streaming", retentionEnabled=True, retentionS=60.0)],
-                "services": [{"name": "works", "healthPath": "/healthz", "maxConnections": 500}],
-                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": LARGE, "headerTimeoutMs": 3000,
-                           "idleTimeoutMs": 15000}}
-
-    def memory_kb(self):
-        try:
-            lines = Path(f"/proc/{self.gateway.process_id}/status").read_text(encoding="utf-8").splitlines()
-            return next((int(it.split()[1]) for it in lines if it.startswith("VmRSS:")), 0)
-        except OSError:
-            return 0
-
-    async def watch_memory(self):
-        while True:
-            self.peak_kb = max(self.peak_kb, self.memory_kb())
-            if self.peak_kb > self.case.memory_mb * 1024 and not self.killed:
-                self.killed = True
-                self.gateway.send(signal.SIGKILL)
-            await asyncio.sleep(0.005)
-
     async def call_small(self, number):
         connection = Connection(self.gateway.callers)
         count = 0
@@ -189,7 +158,7 @@
 
     async def run(self):
         await self.start()
-        watch = asyncio.create_task(self.watch_memory())
+        watching = asyncio.create_task(self.watch.run())
         small = [asyncio.create_task(self.call_small(n)) for n in range(SMALL_CALLERS)]
         await asyncio.sleep(0.5)
         kept = await self.open_connections()
@@ -204,13 +173,13 @@
         for it in kept:
             it.close()
         self.check()
-        if not self.killed:
+        if not self.watch.killed:
             await self.check_rest()
-        watch.cancel()
+        watching.cancel()
 
     def check(self):
         runs = {k: v for it in self.targets for k, v in it.runs.items()}
-        self.expect(not self.killed, f"killed at {self.peak_kb // 1024} MB of {self.case.memory_mb}")
+        self.expect(not self.watch.killed, f"killed at {self.watch.peak_kb // 1024} MB of {self.case.memory_mb}")
         lost = [it for it, answer in self.small if answer.status == 0]
         self.expect(not lost, f"{len(lost)} small requests without a response")
         served = sum(answer.status == 200 for _, answer in self.small)
@@ -228,7 +197,7 @@
         self.expect(all(count == 1 for count, _ in runs.values()) or "lookup" in self.case.path, "a request ran twice")
         ends = sorted({answer.status for _, answer in self.large})
         times = sorted(answer.took_s for _, answer in self.small if answer.status == 200) or [0]
-        print(f"{self.case.name}: peak {self.peak_kb // 1024} of {self.case.memory_mb} MB; {whole} of {len(self.large)} "
+        print(f"{self.case.name}: peak {self.watch.peak_kb // 1024} of {self.case.memory_mb} MB; {whole} of {len(self.large)} "
               f"large served, ends {({it: sum(a.status == it for _, a in self.large) for it in ends})}; "
               f"{served} of {len(self.small)} small served, median {times[len(times) // 2] * 1000:.0f} ms, "
               f"p99 {times[len(times) * 99 // 100] * 1000:.0f} ms")
@@ -265,29 +234,8 @@
             it.faults.append(repr(error))
         finally:
             await it.fleet.stop()
-    for fault in it.faults:
-        print(f"{case.name}: FAILED: {fault}")
-    return not it.faults
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--build", default="build")
-    parser.add_argument("--case", action="append", help="a part of a case's name; all cases by default")
-    parser.add_argument("--list", action="store_true")
-    options = parser.parse_args()
-    wanted = [it for it in CASES if not options.case or any(part in it.name for part in options.case)]
-    if options.list:
-        print("\n".join(it.name for it in wanted))
-        return 0
-    fleet.SETTINGS = fleet.SETTINGS.replace("memory_mb = 64", "memory_mb = MEMORY")
-    template = fleet.SETTINGS
-    good = True
-    for case in wanted:
-        fleet.SETTINGS = template.replace("MEMORY", str(case.memory_mb))
-        good = asyncio.run(play(case, options.build)) and good
-    return 0 if good else 1
+    return it.faults
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_cases(__doc__, CASES, play, lambda case, wanted: wanted in case.name))
--- a/tests/memory/parties.py
+++ b/tests/memory/parties.py
@@ -10,9 +10,25 @@
 import wire  # noqa: E402
 
 PART = 65536
+LARGE = 4 * 1024 * 1024
 TURN_EVENT = b"id: 1\ndata: an event of the turn\n\n"
 
 
+def config():
+    """The "slow" service takes any number of requests at once."""
+    def route(name, kind, **more):
+        return {"name": name, "host": wire.HOST, "prefix": f"/{name}/", "type": kind, "service": "works",
+                "timeoutMs": 30000, "targetLatencyMs": 800, "maxAttempts": 1, "priority": 2} | more
+
+    return {"version": 3,
+            "routes": [route("order", "non_idempotent"), route("slow", "non_idempotent", service="slow"), route("lookup", "idempotent", maxAttempts=3),
+                       route("turn", "streaming", retentionEnabled=True, retentionS=60.0)],
+            "services": [{"name": "works", "healthPath": "/healthz", "maxConnections": 500},
+                         {"name": "slow", "healthPath": "/healthz", "maxConnections": 10000}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": LARGE, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000}}
+
+
 async def pace(size, bytes_per_s):
     if bytes_per_s:
         await asyncio.sleep(size / bytes_per_s)
@@ -21,16 +37,18 @@
 class Target:
     """Runs requests one after another on each connection; what is large goes by the case's rates."""
 
-    def __init__(self, name, case):
-        self.name, self.case = name, case
+    def __init__(self, name, case, service="works", slots=64):
+        self.name, self.case, self.service, self.slots = name, case, service, slots
         self.runs = {}
+        # The fields of each request's header, by its id.
+        self.fields = {}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 18)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def entry(self):
-        return {"service": "works", "address": f"127.0.0.1:{self.port}", "zone": "here", "version": "v1", "slots": 64,
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "here", "version": "v1", "slots": self.slots,
                 "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": 1}
 
     async def serve(self, reader, writer):
@@ -55,7 +73,8 @@
         if large and self.case.rejects_at_once:
             return True
         self.runs[request_id] = (self.runs.get(request_id, (0, 0))[0] + 1, size)
-        await asyncio.sleep(self.case.large_work_s if large else 0.1)
+        self.fields[request_id] = headers
+        await asyncio.sleep(self.case.large_work_s if large else self.case.small_work_s)
         if "/turn/" in head[0]:
             writer.write(wire.answer(200, fields, TURN_EVENT))
             await writer.drain()
@@ -142,22 +161,22 @@
             self.writer.close()
         self.writer = None
 
-    async def ask(self, request_id, path, size, case=None, limit=20.0):
+    async def ask(self, request_id, path, size, case=None, limit=20.0, method="POST"):
         """One request; a large one is sent and its response is read as the case says."""
         began = asyncio.get_running_loop().time()
         try:
             if self.writer is None:
                 await self.open()
-            answer = await asyncio.wait_for(self.exchange(request_id, path, size, case), limit)
+            answer = await asyncio.wait_for(self.exchange(request_id, path, size, case, method), limit)
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             answer = Answer()
         answer.took_s = asyncio.get_running_loop().time() - began
         return answer
 
-    async def exchange(self, request_id, path, size, case):
+    async def exchange(self, request_id, path, size, case, method):
         chunked = case and case.body_chunked
         deadline = case.deadline_ms if case else 6000
-        lines = [f"POST {path} HTTP/1.1", f"Host: {wire.HOST}", f"{wire.REQUEST_ID}: {request_id}",
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {wire.HOST}", f"{wire.REQUEST_ID}: {request_id}",
                  f"Masticcourse-Deadline-Ms: {deadline}",
                  "Transfer-Encoding: chunked" if chunked else f"Content-Length: {size}"]
         if case and case.program:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import socket
+from dataclasses import dataclass
 
 from proxy import Proxy
 
@@ -19,12 +20,21 @@
 address = "127.0.0.1:{store}"
 row_bytes = 65536
 [limits]
-memory_mb = 64
+memory_mb = {memory_mb}
+max_descriptors = {max_descriptors}
 cores = 1
 stop_grace_s = 8
 """
 
 
+@dataclass(frozen=True)
+class Limits:
+    """What a gateway may use, as its settings state it."""
+
+    memory_mb: int = 64
+    max_descriptors: int = 40000
+
+
 # Below the ports that the system gives to outgoing connections, which would take one between a gateway's restarts.
 LISTEN_PORTS = range(15000, 32000)
 
@@ -83,7 +93,8 @@
 
 
 class Gateway(Process):
-    def __init__(self, build, folder, number, store_port):
+    def __init__(self, build, folder, number, store_port, limits):
+        self.limits = limits
         self.callers, self.readiness, self.peers, self.metrics = free_ports(4)
         self.store = Proxy(store_port)
         self.settings = f"{folder}/gateway-{number}.toml"
@@ -94,15 +105,16 @@
         await self.store.start()
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(node=self.name, store=self.store.port, callers=self.callers,
-                                       readiness=self.readiness, peers=self.peers, metrics=self.metrics))
+                                       readiness=self.readiness, peers=self.peers, metrics=self.metrics,
+                                       memory_mb=self.limits.memory_mb, max_descriptors=self.limits.max_descriptors))
         await self.start()
 
 
 class Fleet:
-    def __init__(self, build, folder, gateways):
+    def __init__(self, build, folder, gateways, limits=Limits()):
         self.store_port = free_ports(1)[0]
         self.platform = Process([f"{build}/users-platform", f"127.0.0.1:{self.store_port}"], f"{folder}/platform.log")
-        self.gateways = [Gateway(build, folder, n, self.store_port) for n in range(gateways)]
+        self.gateways = [Gateway(build, folder, n, self.store_port, limits) for n in range(gateways)]
 
     async def start(self):
         await self.platform.start()
