HTTP server: what a chunked body needs beside its data is bounded, and reserved as it comes

Cause: Beast's parser takes a chunk's line, or all trailers, only once they stand in the buffer as a whole, and its read goes on until then. The account reserved after a part of the body had come, the limit of a header held for the head alone, and nothing looked at the buffer. Evidence: stack samples of the users; sizes without end fail like trailers, so it is not the trailers.

Ruled out: a cap on the buffer alone. It leaves sections that do end and many lines that are each short enough.

Change: the server has a parser of its own type on Beast's basic parser. What waits in the buffer is limited like a header; what the lines of all chunks and the trailers take together is limited by twice that, beyond the 20 bytes that a line may need; the buffer is reserved before it is read into; beyond a limit 431, not run. Fields go straight into the project's type: no second copy, and no count of all fields at each part of a header. Chunks that are at hand are read in one step, where each took a step and a buffer of 4 or 32 kB before.

--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -53,14 +53,6 @@
     return headers;
 }
 
-http_request to_request(const http::request_header<>& header, std::string body)
-{
-    return {.method = std::string(header.method_string()),
-            .target = std::string(header.target()),
-            .body = std::move(body),
-            .headers = to_headers(header)};
-}
-
 http::response<http::string_body> to_message(http_response response, unsigned version, bool keep_alive)
 {
     auto message = make_head<http::string_body>(response.status, response.headers, version, keep_alive);
--- a/src/net/http_answer.hpp
+++ b/src/net/http_answer.hpp
@@ -21,8 +21,6 @@
 
 [[nodiscard]] std::vector<http_header> to_headers(const beast_http::fields& fields);
 
-[[nodiscard]] http_request to_request(const beast_http::request_header<>& header, std::string body);
-
 [[nodiscard]] beast_http::response<beast_http::string_body> to_message(http_response response,
                                                                        unsigned version, bool keep_alive);
 
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <array>
 #include <chrono>
@@ -175,7 +174,8 @@
         co_return false;
     }
     std::optional<open_exchange_guard> open_exchange(m_server);
-    std::optional<request_parser> parser{std::in_place};
+    std::optional<request_parser> parser{request_parser_limits{.max_header = m_server->limits.max_header,
+                                                               .max_body = m_server->limits.max_body}};
     std::string body;
     m_memory_full = false;
     if (const auto ec = co_await read_request(*parser, body))
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -4,6 +4,7 @@
 
 #include "deadline.hpp"
 #include "read_pace.hpp"
+#include "request_parser.hpp"
 
 #include "masticcourse/memory/memory_account.hpp"
 #include "masticcourse/net/http_body.hpp"
@@ -13,8 +14,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -96,8 +95,6 @@
     /// @}
 
   private:
-    using request_parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
-
     struct stream_head
     {
         int status = 0;
@@ -151,10 +148,15 @@
     boost::asio::awaitable<boost::system::error_code> read_head(request_parser& parser);
     boost::asio::awaitable<boost::system::error_code> read_short_body(request_parser& parser,
                                                                       std::string& body);
-    /// Reads at least one more byte of the body, unless it ends, and @a size at most.
+    /// Reads at least one more byte of the body, unless it ends, and as much as is at hand up to the size of
+    /// a part.
     /// @param part receives what was read
-    boost::asio::awaitable<boost::system::error_code> read_part(request_parser& parser, std::size_t size,
-                                                                std::string& part);
+    boost::asio::awaitable<boost::system::error_code> read_part(request_parser& parser, std::string& part);
+    /// Waits for further bytes of the body or its framing, @a size at most.
+    boost::asio::awaitable<boost::system::error_code> read_body_input(std::size_t size);
+    /// Parses what has been read.
+    /// @param part receives the bytes of the body, until it holds @a max_size
+    boost::system::error_code parse_body(request_parser& parser, std::string& part, std::size_t max_size);
     /// Reads the parts of the body for which the handler asks, until it has been read.
     boost::asio::awaitable<boost::system::error_code> read_rest(request_parser& parser);
     boost::asio::awaitable<boost::system::error_code> send_continue();
@@ -162,12 +164,10 @@
     /// Waits for a further part of the header.
     boost::asio::awaitable<boost::system::error_code> read_header_part(const request_parser& parser);
     /// Parses what has been read of the header, and reserves the memory for it.
-    /// @param consumed bytes of it that have been parsed
-    boost::system::error_code parse_header_part(request_parser& parser, std::size_t& consumed);
+    boost::system::error_code parse_header_part(request_parser& parser);
     /// Reserves the memory for a header as far as it has arrived. Without room, those that have been
     /// unfinished longest give way.
-    /// @param consumed bytes of it that have been parsed
-    [[nodiscard]] bool reserve_header(const request_parser& parser, std::size_t consumed);
+    [[nodiscard]] bool reserve_header(const request_parser& parser);
     [[nodiscard]] bool streams_body(const request_parser& parser) const;
     /// Reserves the memory for a request that has arrived in part: @a held bytes in all, @a body_size of them
     /// of its body.
--- a/src/net/http_session_request.cpp
+++ b/src/net/http_session_request.cpp
@@ -9,11 +9,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <exception>
-#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -35,11 +34,10 @@
 /// Guards against request smuggling. Only the transfer encoding `chunked` on its own is supported here; with
 /// any other encoding, a proxy could take as the body what this parser would read as the next request.
 /// @return whether another implementation may determine a different end of the body
-template <typename Message>
-bool has_ambiguous_length(const Message& message)
+bool has_ambiguous_length(const http_request& head)
 {
-    const auto encoding = message[http::field::transfer_encoding];
-    return !encoding.empty() && !boost::beast::iequals(encoding, "chunked");
+    const auto encoding = head.header("Transfer-Encoding");
+    return encoding && !boost::beast::iequals(*encoding, "chunked");
 }
 
 } // namespace
@@ -59,11 +57,9 @@
 
 asio::awaitable<error_code> http_session::read_request(request_parser& parser, std::string& body)
 {
-    parser.header_limit(static_cast<std::uint32_t>(m_server->limits.max_header));
-    parser.body_limit(m_server->limits.max_body);
     m_request = {};
     auto ec = co_await read_head(parser);
-    if (!ec && has_ambiguous_length(parser.get()))
+    if (!ec && has_ambiguous_length(parser.head()))
     {
         ec = http::error::bad_transfer_encoding;
     }
@@ -72,7 +68,8 @@
         co_return ec;
     }
     m_request.expects_continue =
-        !parser.is_done() && boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
+        !parser.is_done() &&
+        boost::beast::iequals(parser.head().header("Expect").value_or(""), "100-continue");
     m_pace = read_pace{m_server->limits.body_progress_timeout, m_server->limits.min_body_progress};
     const auto head_size = m_incoming_memory.size() + m_request_memory.size();
     if (!streams_body(parser))
@@ -103,15 +100,14 @@
     const bool separate_timeout = limits.header_timeout.count() > 0;
     stop_reading_after(separate_timeout ? limits.header_timeout : limits.read_timeout);
     m_header_since = std::chrono::steady_clock::now().time_since_epoch().count();
-    std::size_t consumed = 0;
     // The beginning was read with what came before it, or ended the wait for this request.
-    auto ec = parse_header_part(parser, consumed);
+    auto ec = parse_header_part(parser);
     while (!ec && !parser.is_header_done())
     {
         // Beast's own read returns only once the header is complete; its bytes are to be counted as they
         // come.
         ec = co_await read_header_part(parser);
-        ec = ec ? ec : parse_header_part(parser, consumed);
+        ec = ec ? ec : parse_header_part(parser);
     }
     m_header_since = 0;
     m_deadline.clear();
@@ -133,27 +129,25 @@
     co_return ec;
 }
 
-error_code http_session::parse_header_part(request_parser& parser, std::size_t& consumed)
+error_code http_session::parse_header_part(request_parser& parser)
 {
     error_code ec;
-    const auto n = parser.put(m_buffer.data(), ec);
-    m_buffer.consume(n);
-    consumed += n;
-    if (ec && ec != http::error::need_more)
+    m_buffer.consume(parser.parse_header(m_buffer.data(), ec));
+    if (ec)
     {
         return ec;
     }
-    m_memory_full = m_memory_full || !reserve_header(parser, consumed);
+    m_memory_full = m_memory_full || !reserve_header(parser);
     return m_memory_full ? error_code{asio::error::no_memory} : error_code{};
 }
 
-bool http_session::reserve_header(const request_parser& parser, std::size_t consumed)
+bool http_session::reserve_header(const request_parser& parser)
 {
-    // The connection's own memory covers a first read; each field that has been parsed is an allocation.
-    constexpr std::size_t field_overhead = 96;
-    const auto& fields = parser.get();
-    const auto field_count = static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
-    const auto held = consumed + field_count * field_overhead + m_buffer.capacity();
+    // The connection's own memory covers a first read; each field that has been parsed is an element of a
+    // vector that grows.
+    constexpr std::size_t field_overhead = 2 * sizeof(http_header);
+    const auto held =
+        parser.header_size() + parser.head().headers.size() * field_overhead + m_buffer.capacity();
     const auto beyond_connection = held - std::min(held, idle_read_size);
     const auto reserved = m_incoming_memory.size() + m_request_memory.size();
     const auto missing = beyond_connection - std::min(beyond_connection, reserved);
@@ -180,24 +174,22 @@
 {
     const auto end = std::chrono::steady_clock::now() + m_server->limits.read_timeout;
     const auto limit = m_server->limits.stream_body_above;
-    body.reserve(std::min<std::size_t>(parser.content_length_remaining().value_or(0), limit));
     const auto head_size = m_incoming_memory.size() + m_request_memory.size();
-    error_code ec;
+    auto ec = parse_body(parser, body, limit);
     while (!ec && !parser.is_done() && body.size() < limit)
     {
-        const auto left =
-            std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
-        stop_reading_after(std::min(left, m_pace.left()));
-        std::string part;
-        const auto most = parser.content_length_remaining().value_or(part_size);
-        ec = co_await read_part(parser, std::min<std::size_t>(most, short_part_size), part);
-        body += part;
-        const auto held = head_size + m_buffer.capacity() + part.capacity() + body.size();
-        if (!ec && !parser.is_done() && !reserve_incoming(held, body.size()))
+        const auto held =
+            head_size + m_buffer.size() + short_part_size + body.size();
+        if (!reserve_incoming(held, body.size()))
         {
             m_memory_full = true;
-            ec = asio::error::no_memory;
+            co_return asio::error::no_memory;
         }
+        const auto left =
+            std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+        stop_reading_after(std::min(left, m_pace.left()));
+        ec = co_await read_body_input(short_part_size);
+        ec = ec ? ec : parse_body(parser, body, limit);
     }
     co_return ec;
 }
@@ -206,35 +198,44 @@
 {
     // The first part of a body has the room of requests that have arrived: a caller that sends a small one
     // after its header must not stand behind those that stop in the middle of larger ones.
-    auto& lease = body_size <= short_part_size ? m_request_memory : m_incoming_memory;
+    auto& lease = body_size < short_part_size ? m_request_memory : m_incoming_memory;
     const auto reserved = m_request_memory.size() + m_incoming_memory.size();
     return lease.reserve(held - std::min(held, reserved));
 }
 
-asio::awaitable<error_code> http_session::read_part(request_parser& parser, std::size_t size,
-                                                    std::string& part)
+asio::awaitable<error_code> http_session::read_part(request_parser& parser, std::string& part)
+{
+    auto ec = parse_body(parser, part, part_size);
+    while (!ec && !parser.is_done() && part.empty())
+    {
+        ec = co_await read_body_input(part_size);
+        ec = ec ? ec : parse_body(parser, part, part_size);
+    }
+    m_request.body_read = parser.is_done();
+    co_return ec;
+}
+
+asio::awaitable<error_code> http_session::read_body_input(std::size_t size)
 {
-    if (auto ec = co_await send_continue())
+    if (const auto ec = co_await send_continue())
     {
         co_return ec;
     }
-    m_buffer.reserve(std::min(size, part_size));
-    part.resize(size);
-    auto& body = parser.get().body();
-    body.data = part.data();
-    body.size = size;
-    body.more = true;
+    const auto begin = std::chrono::steady_clock::now();
+    const auto [ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(size), use_tuple);
+    m_buffer.commit(n);
+    m_pace.add(std::chrono::steady_clock::now() - begin, n);
+    co_return ec == asio::error::eof ? http::error::partial_message : ec;
+}
+
+error_code http_session::parse_body(request_parser& parser, std::string& part, std::size_t max_size)
+{
     error_code ec;
-    while (!ec && !parser.is_done() && body.size == size)
+    if (!parser.is_done())
     {
-        const auto begin = std::chrono::steady_clock::now();
-        const auto [read_ec, n] = co_await http::async_read_some(m_socket, m_buffer, parser, use_tuple);
-        m_pace.add(std::chrono::steady_clock::now() - begin, n);
-        ec = read_ec == http::error::need_buffer ? error_code{} : read_ec;
+        m_buffer.consume(parser.parse_body(m_buffer.data(), part, max_size, ec));
     }
-    part.resize(size - body.size);
-    m_request.body_read = parser.is_done();
-    co_return ec;
+    return ec;
 }
 
 asio::awaitable<error_code> http_session::send_continue()
@@ -271,7 +272,7 @@
         }
         stop_reading_after(m_pace.left());
         std::string part;
-        ec = co_await read_part(parser, part_size, part);
+        ec = co_await read_part(parser, part);
         m_deadline.clear();
         if (!ec)
         {
@@ -339,14 +340,14 @@
 
 void http_session::dispatch(request_parser& parser, std::string body)
 {
-    auto& message = parser.get();
-    m_request.keep_alive = message.keep_alive();
-    m_request.head_only = message.method() == http::verb::head;
-    m_request.version = message.version();
+    m_request.keep_alive = parser.wants_keep_alive();
+    m_request.head_only = parser.head().method == "HEAD";
+    m_request.version = parser.version();
     m_response = {.number = m_response.number + 1};
     m_response_begun = false;
     m_caller_disconnected = false;
-    auto request = to_request(message, std::move(body));
+    auto request = std::move(parser.head());
+    request.body = std::move(body);
     if (!m_request.body_read)
     {
         request.rest = make_session_body(weak_from_this(), m_response.number);
