HTTP server: trailers are not taken for headers

What callers saw: Host, a request id, a deadline, a budget in a trailer replaced or joined what the header said, and reached the target as headers; a request without an id was served by the id of its trailer; Connection in a trailer closed the connection.

Cause: the parser adds trailers to the fields of the message, and the request was made of them after the body had been read. Only bodies of up to 32 kB: longer ones are handed on before their trailers come.

Change: fields after the header are checked and dropped, as a proxy may do (RFC 9110, 6.5.1); whether the connection stays open is decided by the header. A length or an encoding in a trailer is refused, as before (400).

--- a/src/net/request_parser.cpp
+++ b/src/net/request_parser.cpp
@@ -88,11 +88,16 @@
 void request_parser::on_field_impl(field /*name*/, string_view name_text, string_view value,
                                    error_code& /*ec*/)
 {
-    m_head.headers.push_back({std::string(name_text), std::string(value)});
+    if (!m_header_complete)
+    {
+        m_head.headers.push_back({std::string(name_text), std::string(value)});
+    }
 }
 
 void request_parser::on_header_impl(error_code& /*ec*/)
 {
+    m_header_complete = true;
+    m_keep_alive = keep_alive();
 }
 
 void request_parser::on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/, error_code& /*ec*/)
--- a/src/net/request_parser.hpp
+++ b/src/net/request_parser.hpp
@@ -23,9 +23,10 @@
     std::uint64_t max_body = 0;
 };
 
-/// Parses one request into the project's types. Extensions of chunks are dropped. What Beast's parser takes
-/// only as a whole, a chunk's line or all trailers, stays in the buffer until then and is limited like a
-/// header.
+/// Parses one request into the project's types. Trailers are checked and dropped, as a proxy may (RFC 9110,
+/// 6.5.1): nothing that follows the header can change what the request means. Extensions of chunks are
+/// dropped too. What Beast's parser takes only as a whole, a chunk's line or all trailers, stays in the
+/// buffer until then and is limited like a header.
 class request_parser final : public boost::beast::http::basic_parser<true>
 {
   public:
@@ -64,10 +65,10 @@
         return m_version;
     }
 
-    /// @return whether the caller wants to send a further request on the connection
+    /// @return whether the caller wants to send a further request on the connection; known with the header
     [[nodiscard]] bool wants_keep_alive() const
     {
-        return keep_alive();
+        return m_keep_alive;
     }
 
   private:
@@ -93,6 +94,9 @@
     http_request m_head;
     std::size_t m_header_size = 0;
     unsigned m_version = 11;
+    bool m_keep_alive = false;
+    /// Further fields are trailers.
+    bool m_header_complete = false;
     std::size_t m_chunks = 0;
     /// Bytes of a chunked body that are not its data: the lines of its chunks, and its trailers.
     std::size_t m_framing_size = 0;
