HTTP server: what is read ahead of the next request is reserved, and read only when it comes

What callers saw: 4,000 clients that each send a request, and 64 kB more behind it, ended a gateway of 40 MB (killed at 40 MB).

Cause: while a request is in progress, up to 32 kB of what follows it are read to notice a disconnect, and no account knew them.

Change: the session waits until there is something to read. A request in progress no longer holds a buffer of 16 kB to wait with.

--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -24,9 +24,11 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr std::size_t read_size = std::size_t{16} * 1024;
-/// Maximum number of bytes of pipelined requests that are buffered while a response is in progress.
+constexpr std::size_t discard_size = std::size_t{16} * 1024;
+/// Maximum number of bytes of pipelined requests that are buffered while a response is in progress, and how
+/// many are read at a time.
 constexpr std::size_t max_read_ahead = std::size_t{16} * 1024;
+constexpr std::size_t read_ahead_size = std::size_t{4} * 1024;
 /// How long to wait for the caller to send more or to close the connection after the last response.
 constexpr std::chrono::milliseconds linger_timeout{1'000};
 /// What an open connection takes while it is idle, in bytes: its session, its buffer and its coroutine.
@@ -70,7 +72,8 @@
       m_connection_memory(m_server->limits.memory, memory_use::connections),
       m_incoming_memory(m_server->limits.memory, memory_use::incoming),
       m_request_memory(m_server->limits.memory, memory_use::requests),
-      m_response_memory(m_server->limits.memory, memory_use::responses)
+      m_response_memory(m_server->limits.memory, memory_use::responses),
+      m_read_ahead_memory(m_server->limits.memory, memory_use::read_ahead)
 {
 }
 
@@ -196,6 +199,7 @@
     deliver_part({.data = {}, .progress = body_progress::broken});
     m_request_memory.reset();
     m_response_memory.reset();
+    m_read_ahead_memory.reset();
     open_exchange.reset();
     if (!m_response.written)
     {
@@ -239,12 +243,7 @@
 asio::awaitable<void> http_session::watch_connection(request_parser& parser)
 {
     auto ec = co_await read_rest(parser);
-    while (!ec && m_buffer.size() < max_read_ahead)
-    {
-        const auto [read_ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(read_size), use_tuple);
-        m_buffer.commit(n);
-        ec = read_ec;
-    }
+    ec = ec ? ec : co_await read_ahead();
     if (ec && ec != asio::error::operation_aborted)
     {
         // The caller may have closed only its sending direction and still expect the response, so sending
@@ -257,6 +256,27 @@
     co_await never_expiring.async_wait(use_tuple);
 }
 
+asio::awaitable<error_code> http_session::read_ahead()
+{
+    error_code ec;
+    m_socket.non_blocking(true, ec);
+    while (!ec && m_buffer.size() < max_read_ahead)
+    {
+        ec = std::get<0>(co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, use_tuple));
+        // A first read has the memory of the connection; the buffer grows to twice its size at a time.
+        // Without room the rest waits in the socket.
+        const bool first = m_buffer.size() == 0;
+        if (ec || (!first && !m_read_ahead_memory.reserve(2 * read_ahead_size)))
+        {
+            break;
+        }
+        const auto input = m_buffer.prepare(first ? idle_read_size : read_ahead_size);
+        m_buffer.commit(m_socket.read_some(input, ec));
+        ec = ec == asio::error::would_block ? error_code{} : ec;
+    }
+    co_return ec;
+}
+
 asio::awaitable<void> http_session::linger()
 {
     // Closing a socket with unread input resets the connection, which may discard the response in transit.
@@ -280,7 +300,7 @@
 error_code http_session::discard_input()
 {
     // Nothing is held for a caller that is only waited for.
-    std::array<char, read_size> buffer;
+    std::array<char, discard_size> buffer;
     error_code ec;
     m_socket.read_some(asio::buffer(buffer), ec);
     return ec == asio::error::would_block ? error_code{} : ec;
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -190,6 +190,8 @@
     boost::asio::awaitable<bool> write_buffers(const Buffers& buffers);
     boost::asio::awaitable<void> wait_for_update();
     boost::asio::awaitable<void> watch_connection(request_parser& parser);
+    /// Buffers what the caller sends after the current request, and notices when it disconnects.
+    boost::asio::awaitable<boost::system::error_code> read_ahead();
     boost::asio::awaitable<void> linger();
     /// Reads what has arrived and drops it.
     boost::system::error_code discard_input();
@@ -228,6 +230,8 @@
     memory_lease m_incoming_memory;
     memory_lease m_request_memory;
     memory_lease m_response_memory;
+    /// For what follows the current request.
+    memory_lease m_read_ahead_memory;
     bool m_memory_full = false;
     /// @}
     bool m_idle = false;
