--- a/include/masticcourse/gateway/gateway.hpp
+++ b/include/masticcourse/gateway/gateway.hpp
@@ -54,6 +54,8 @@
     clock_function attended_clock = nullptr;
     /// Connections of callers; see http_limits::max_connections.
     std::size_t max_connections = 20'000;
+    /// Requests in progress; each may need a connection to a target.
+    std::size_t max_requests = 10'000;
     /// Maximum size of one row of the store.
     std::size_t row_bytes = 0;
     /// Time between the stop signal and the moment the process is killed.
--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -133,6 +133,8 @@
     body_stalled,
     /// There is no processor time for the request.
     processor_busy,
+    /// No descriptors are left for further connections to targets.
+    connections_full,
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason);
--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -106,6 +106,9 @@
 /// @return the Retry-After of a refusal for lack of processor time, spread over the callers
 [[nodiscard]] milliseconds processor_retry_after(const request_id& id);
 
+/// @return when a caller may return whose request was refused because there were too many in progress
+[[nodiscard]] milliseconds connections_retry_after(const request_id& id);
+
 /// Starts forwarding a request. Its state exists until it is answered or its caller disconnects.
 /// @param config      configuration in force on arrival; used until the request ends
 /// @param on_finished called exactly once
--- a/include/masticcourse/net/http_server.hpp
+++ b/include/masticcourse/net/http_server.hpp
@@ -86,8 +86,9 @@
     /// How long idle connections stay open after `stop_accepting`, so that requests already in transit are
     /// still served.
     std::chrono::milliseconds stop_grace{500};
-    /// For a further connection the one that has been idle longest is closed. If none is idle, the further
-    /// one receives a 503 response and is closed.
+    /// For a further connection those give way that have been idle longest, else the requests that have been
+    /// unfinished longest. If there are none, the further one receives a 503 response and is closed; beyond a
+    /// thirty-second more than this, it is closed without one.
     std::size_t max_connections = 20'000;
     /// Bytes of a streamed response that may be queued for a slow caller.
     std::size_t max_stream_backlog = std::size_t{8} * 1024 * 1024;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -336,16 +336,22 @@
     {
         return false;
     }
-    log_event(event_id::request_refused,
-              {{"request", request.id.value},
-               {"reason", std::string{to_string(refusal_reason::processor_busy)}},
-               {"delay_ms", std::to_string(std::chrono::floor<milliseconds>(waited).count())}});
-    exchange->respond(protocol.encode(refusal{.reason = refusal_reason::processor_busy,
-                                              .detail = "no processor time for a further request",
-                                              .retry_after = processor_retry_after(request.id)}));
+    refuse(request.id, *exchange,
+           {.reason = refusal_reason::processor_busy,
+            .detail = "no processor time for a further request",
+            .retry_after = processor_retry_after(request.id)},
+           {"delay_ms", std::to_string(std::chrono::floor<milliseconds>(waited).count())});
     return true;
 }
 
+void gateway::state::refuse(const request_id& id, http_exchange& exchange, const refusal& given,
+                            event_field evidence)
+{
+    log_event(event_id::request_refused,
+              {{"request", id.value}, {"reason", std::string{to_string(given.reason)}}, std::move(evidence)});
+    exchange.respond(protocol.encode(given));
+}
+
 bool gateway::state::starts_program(const gateway_request& request) const
 {
     if (!request.program || request.program->previous_turn)
@@ -361,21 +367,29 @@
 {
     if (tables.currency() == table_currency::out_of_date)
     {
-        log_event(event_id::request_refused,
-                  {{"request", request.id.value},
-                   {"reason", "tables_out_of_date"},
-                   {"tables_ms", std::to_string(std::chrono::floor<milliseconds>(tables.age()).count())}});
-        exchange->respond(protocol.encode(
-            refusal{.reason = refusal_reason::tables_out_of_date,
-                    .detail = "the configuration may have changed, and the store does not tell",
-                    .retry_after = tables_retry_after(request.id)}));
+        refuse(request.id, *exchange,
+               {.reason = refusal_reason::tables_out_of_date,
+                .detail = "the configuration may have changed, and the store does not tell",
+                .retry_after = tables_retry_after(request.id)},
+               {"tables_ms", std::to_string(std::chrono::floor<milliseconds>(tables.age()).count())});
+        return;
+    }
+    if (requests_in_progress >= options.max_requests)
+    {
+        refuse(request.id, *exchange,
+               {.reason = refusal_reason::connections_full,
+                .detail = "no connections are left for a further request",
+                .retry_after = connections_retry_after(request.id)},
+               {"in_progress", std::to_string(requests_in_progress)});
         return;
     }
+    ++requests_in_progress;
     const auto started = monotonic_now();
     forward_request(
         services, config.current(), std::move(request), std::move(exchange),
         [this, started](request_outcome outcome)
         {
+            --requests_in_progress;
             const std::vector<metric_label> labels{{"end", std::string{to_string(outcome)}}};
             registry.get_counter("masticcourse_requests_total", "Requests by their end.", labels).add();
             registry.get_histogram("masticcourse_request_seconds", "From a request to its end.", labels)
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -30,6 +30,8 @@
     void start();
     void stop(std::function<void()> callback);
     void serve(http_request request, std::shared_ptr<http_exchange> exchange);
+    /// Responds to a request that is not forwarded, and logs it with @a evidence.
+    void refuse(const request_id& id, http_exchange& exchange, const refusal& given, event_field evidence);
     /// Refuses a request if there is no processor time for it.
     /// @return whether it was refused
     [[nodiscard]] bool refuse_busy(const gateway_request& request,
@@ -108,6 +110,7 @@
     bool accepting_stopped = false;
     /// Refusals for lack of memory; spreads the times at which the callers return.
     std::uint64_t memory_refusals = 0;
+    std::size_t requests_in_progress = 0;
 };
 
 } // namespace masticcourse::gateway
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -66,6 +66,8 @@
         return "body_stalled";
     case refusal_reason::processor_busy:
         return "processor_busy";
+    case refusal_reason::connections_full:
+        return "connections_full";
     case refusal_reason::deadline_passed:
         break;
     }
@@ -96,6 +98,12 @@
     return spread_retry_after(id, milliseconds{50}, milliseconds{200});
 }
 
+milliseconds connections_retry_after(const request_id& id)
+{
+    // Connections come back as targets respond.
+    return spread_retry_after(id, milliseconds{300}, milliseconds{700});
+}
+
 milliseconds memory_retry_after(const request_id& id)
 {
     // Room comes back as bodies reach their targets, within tenths of a second; the spread keeps the callers
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -74,25 +74,20 @@
     static void accept_session(const state_ptr& state, boost::asio::ip::tcp::socket socket)
     {
         const auto session = std::make_shared<detail::http_session>(std::move(socket), state);
-        const bool at_limit = at_connection_limit(*state);
-        const bool has_memory = session->reserve_connection();
-        const bool idle_closed = (at_limit || !has_memory) && detail::close_idle_sessions(*state);
-        if (at_limit && !idle_closed)
-        {
-            session->reject_connection();
-        }
-        else
+        switch (detail::admit_connection(*state, session->reserve_connection()))
         {
+        case detail::connection_verdict::serve:
             session->serve();
+            break;
+        case detail::connection_verdict::refuse:
+            session->reject_connection();
+            break;
+        case detail::connection_verdict::close:
+            // By the end of the session.
+            break;
         }
     }
 
-    [[nodiscard]] static bool at_connection_limit(detail::http_server_state& state)
-    {
-        const std::scoped_lock lock(state.mutex);
-        return state.sessions.size() >= state.limits.max_connections;
-    }
-
     state_ptr m_state;
     std::shared_ptr<detail::tcp_acceptor> m_acceptor;
 };
--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -44,25 +44,27 @@
     return since.count() == 0 ? std::nullopt : std::optional{std::chrono::steady_clock::time_point{since}};
 }
 
-/// Counts a request in `http_server_state::open_exchanges` for the lifetime of this object.
-class open_exchange_guard
+/// Counts something of a server for the lifetime of this object.
+class count_guard
 {
   public:
-    explicit open_exchange_guard(std::shared_ptr<http_server_state> server) : m_server(std::move(server))
+    count_guard(std::shared_ptr<http_server_state> server, std::atomic<std::size_t> http_server_state::*count)
+        : m_server(std::move(server)), m_count(count)
     {
-        ++m_server->open_exchanges;
+        ++((*m_server).*m_count);
     }
-    open_exchange_guard(const open_exchange_guard&) = delete;
-    open_exchange_guard(open_exchange_guard&&) = delete;
-    open_exchange_guard& operator=(const open_exchange_guard&) = delete;
-    open_exchange_guard& operator=(open_exchange_guard&&) = delete;
-    ~open_exchange_guard()
+    count_guard(const count_guard&) = delete;
+    count_guard(count_guard&&) = delete;
+    count_guard& operator=(const count_guard&) = delete;
+    count_guard& operator=(count_guard&&) = delete;
+    ~count_guard()
     {
-        --m_server->open_exchanges;
+        --((*m_server).*m_count);
     }
 
   private:
     std::shared_ptr<http_server_state> m_server;
+    std::atomic<std::size_t> http_server_state::*m_count;
 };
 
 } // namespace
@@ -86,6 +88,10 @@
 
 void http_session::serve()
 {
+    if (m_connection_memory.size() == 0)
+    {
+        m_connection_memory.charge(connection_memory);
+    }
     register_session();
     asio::co_spawn(
         m_socket.get_executor(), [self = shared_from_this()] { return self->run(); }, asio::detached);
@@ -95,6 +101,7 @@
 {
     auto task = [](std::shared_ptr<http_session> self) -> asio::awaitable<void>
     {
+        const count_guard refused(self->m_server, &http_server_state::refused_connections);
         const problem failure{.id = problem_id::overloaded,
                               .detail = "too many connections",
                               .retry_after = std::chrono::seconds{1}};
@@ -137,17 +144,17 @@
     return to_time(m_idle_since);
 }
 
-std::optional<std::chrono::steady_clock::time_point> http_session::header_since() const
+std::optional<std::chrono::steady_clock::time_point> http_session::unfinished_since() const
 {
-    return to_time(m_header_since);
+    return to_time(m_unfinished_since);
 }
 
-void http_session::refuse_unfinished_header()
+void http_session::refuse_unfinished()
 {
     asio::post(m_socket.get_executor(),
                [self = shared_from_this()]
                {
-                   if (self->header_since())
+                   if (self->unfinished_since())
                    {
                        self->m_memory_full = true;
                        error_code ignored;
@@ -178,7 +185,7 @@
     {
         co_return false;
     }
-    std::optional<open_exchange_guard> open_exchange(m_server);
+    std::optional<count_guard> open_exchange(std::in_place, m_server, &http_server_state::open_exchanges);
     std::optional<request_parser> parser{request_parser_limits{.max_header = m_server->limits.max_header,
                                                                .max_body = m_server->limits.max_body}};
     std::string body;
@@ -223,17 +230,27 @@
     {
         co_return true;
     }
-    m_idle = true;
-    m_idle_since = std::chrono::steady_clock::now().time_since_epoch().count();
+    begin_idle();
     close_after(m_server->stopping ? m_server->limits.stop_grace : m_server->limits.idle_timeout);
     const auto [ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(idle_read_size), use_tuple);
     m_deadline.clear();
-    m_idle = false;
-    m_idle_since = 0;
+    end_idle();
     m_buffer.commit(n);
     co_return !ec;
 }
 
+void http_session::begin_idle()
+{
+    m_idle = true;
+    m_idle_since = std::chrono::steady_clock::now().time_since_epoch().count();
+}
+
+void http_session::end_idle()
+{
+    m_idle = false;
+    m_idle_since = 0;
+}
+
 void http_session::free_buffer()
 {
     if (m_buffer.size() == 0 && m_buffer.capacity() > idle_read_size)
@@ -289,6 +306,7 @@
     const auto end = std::chrono::steady_clock::now() + m_server->limits.read_timeout;
     m_buffer.clear();
     m_buffer.shrink_to_fit();
+    begin_idle();
     error_code ec;
     while (!ec && std::chrono::steady_clock::now() < end)
     {
@@ -297,6 +315,7 @@
         ec = ec ? ec : discard_input();
     }
     m_deadline.clear();
+    end_idle();
 }
 
 error_code http_session::discard_input()
--- a/src/net/http_session.hpp
+++ b/src/net/http_session.hpp
@@ -42,11 +42,16 @@
     http_limits limits;
     http_handler handler;
     std::atomic<std::size_t> open_exchanges = 0;
+    /// Connections that are told that there is no room.
+    std::atomic<std::size_t> refused_connections = 0;
     /// Every connection is closed after its current response.
     std::atomic<bool> closing = false;
     /// No new connections are accepted, and idle ones are closed after `http_limits::stop_grace`.
     std::atomic<bool> stopping = false;
 
+    /// When a connection last found none that could give way to it.
+    std::chrono::steady_clock::time_point no_room_since;
+
     std::mutex mutex;
     std::unordered_map<http_session*, std::weak_ptr<http_session>> sessions;
 };
@@ -66,13 +71,14 @@
     void stop();
     /// Closes the connection if it is idle. Thread-safe.
     void close_if_idle();
-    /// @return since when the connection has been idle; nothing while a request is in progress. Thread-safe.
+    /// @return since when the connection has been idle, or has waited for the caller to close it; nothing
+    /// while a request is in progress. Thread-safe.
     [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> idle_since() const;
-    /// @return since when the header of a request has been arriving; nothing unless a part of one has been
-    /// read. Thread-safe.
-    [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> header_since() const;
-    /// Refuses the current request for lack of memory unless its header is complete. Thread-safe.
-    void refuse_unfinished_header();
+    /// @return since when a request has been arriving that is handled once it is whole; nothing unless a part
+    /// of one has been read. Thread-safe.
+    [[nodiscard]] std::optional<std::chrono::steady_clock::time_point> unfinished_since() const;
+    /// Refuses the current request for lack of room unless it has arrived. Thread-safe.
+    void refuse_unfinished();
     /// Reserves the memory that an open connection takes.
     /// @return false if there is no room
     [[nodiscard]] bool reserve_connection();
@@ -201,6 +207,9 @@
     void handle_disconnect();
     void close_after(std::chrono::milliseconds timeout);
     void close();
+    /// Marks the connection as one that may be closed to make room.
+    void begin_idle();
+    void end_idle();
     void register_session();
     void finish();
     void free_buffer();
@@ -236,7 +245,7 @@
     /// @}
     bool m_idle = false;
     std::atomic<std::chrono::steady_clock::rep> m_idle_since = 0;
-    std::atomic<std::chrono::steady_clock::rep> m_header_since = 0;
+    std::atomic<std::chrono::steady_clock::rep> m_unfinished_since = 0;
     bool m_caller_disconnected = false;
     bool m_finished = false;
 };
--- a/src/net/http_session_limits.hpp
+++ b/src/net/http_session_limits.hpp
@@ -6,6 +6,8 @@
 #include "http_session.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cstdint>
 #include <iterator>
 #include <memory>
 #include <mutex>
@@ -33,8 +35,22 @@
 /// @return whether there was one
 bool close_idle_sessions(http_server_state& state);
 
-/// Refuses the requests whose headers have been unfinished longest, a part of all at a time.
+/// Refuses the requests that have been unfinished longest, a part of all at a time.
+/// @param min_age others are left alone
 /// @return whether there was one
-bool refuse_unfinished_headers(http_server_state& state);
+bool refuse_unfinished_requests(http_server_state& state, std::chrono::milliseconds min_age);
+
+/// What becomes of a connection that has just been accepted.
+enum class connection_verdict : std::uint8_t
+{
+    serve,
+    /// It is told that there is no room.
+    refuse,
+    close,
+};
+
+/// Makes room for a connection that has been accepted: by idle connections, else by unfinished requests.
+/// @param has_memory whether memory could be reserved for it
+[[nodiscard]] connection_verdict admit_connection(http_server_state& state, bool has_memory);
 
 } // namespace masticcourse::detail
--- a/src/net/http_session_request.cpp
+++ b/src/net/http_session_request.cpp
@@ -65,6 +65,7 @@
 asio::awaitable<error_code> http_session::read_request(request_parser& parser, std::string& body)
 {
     m_request = {};
+    m_unfinished_since = std::chrono::steady_clock::now().time_since_epoch().count();
     auto ec = co_await read_head(parser);
     if (!ec && has_ambiguous_length(parser.head()))
     {
@@ -83,6 +84,7 @@
     {
         ec = co_await read_short_body(parser, body);
     }
+    m_unfinished_since = 0;
     m_request.body_read = parser.is_done();
     m_deadline.clear();
     m_incoming_memory.reset();
@@ -110,7 +112,6 @@
     const auto& limits = m_server->limits;
     const bool separate_timeout = limits.header_timeout.count() > 0;
     stop_reading_after(separate_timeout ? limits.header_timeout : limits.read_timeout);
-    m_header_since = std::chrono::steady_clock::now().time_since_epoch().count();
     // The beginning was read with what came before it, or ended the wait for this request.
     auto ec = parse_header_part(parser);
     while (!ec && !parser.is_header_done())
@@ -120,7 +121,6 @@
         ec = co_await read_header_part(parser);
         ec = ec ? ec : parse_header_part(parser);
     }
-    m_header_since = 0;
     m_deadline.clear();
     co_return ec;
 }
@@ -167,7 +167,7 @@
     {
         return true;
     }
-    if (!refuse_unfinished_headers(*m_server))
+    if (!refuse_unfinished_requests(*m_server, std::chrono::milliseconds{0}))
     {
         return false;
     }
@@ -236,6 +236,10 @@
     const auto [ec, n] = co_await m_socket.async_read_some(m_buffer.prepare(size), use_tuple);
     m_buffer.commit(n);
     m_pace.add(std::chrono::steady_clock::now() - begin, n);
+    if (m_memory_full)
+    {
+        co_return asio::error::no_memory;
+    }
     co_return ec == asio::error::eof ? http::error::partial_message : ec;
 }
 
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -325,6 +325,39 @@
     CHECK(serve_once(second));
 }
 
+TEST_CASE("http: the number of connections is bounded, however many come and however long they stay")
+{
+    constexpr std::size_t max_connections = 4;
+    http_fixture it({.max_connections = max_connections});
+    std::vector<std::unique_ptr<raw_socket>> unfinished;
+    for (std::size_t n = 0; n < 10 * max_connections; ++n)
+    {
+        unfinished.push_back(std::make_unique<raw_socket>(it.server.port()));
+        unfinished.back()->write("GET / HTTP/1.1\r\n");
+    }
+    // Others are told that there is no room, or closed.
+    const auto answer = unfinished.back()->read_all();
+    CHECK((answer.empty() || answer.starts_with("HTTP/1.1 503")));
+    CHECK(it.server.open_exchanges() == max_connections);
+}
+
+TEST_CASE("http: a request that does not become whole gives way to a further connection")
+{
+    http_fixture it({.max_connections = 1});
+    raw_socket unfinished(it.server.port());
+    unfinished.write("GET / HTTP/1.1\r\n");
+    bool served = false;
+    const auto is_served = [&]
+    {
+        raw_socket further(it.server.port());
+        further.write("GET / HTTP/1.1\r\n\r\n");
+        served = served || further.read_until_text("GET / ").starts_with("HTTP/1.1 200");
+        return served;
+    };
+    CHECK(eventually(is_served));
+    CHECK(unfinished.read_all().starts_with("HTTP/1.1 503"));
+}
+
 TEST_CASE("http: a handler that throws leaves the outcome unknown")
 {
     http_fixture it({}, [](const http_request&, const std::shared_ptr<http_exchange>&)
