Readiness and metrics: small limits of their own

What callers saw: bodies and headers sent to the addresses for readiness and metrics ended a gateway (killed at 40 to 45 MB), and connections there took its descriptors (917 of 400).

Cause: both served with the defaults of a server without an account: 20,000 connections, bodies of 8 MB, read whole.

Change: 32 connections each, headers of 8 kB, bodies of 1 kB, 5 s to send a request and to read a response. No account: a probe is answered also when there is no memory for callers.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,6 +41,14 @@
 /// What forwarding a request takes beside its header and body, in bytes: its state, the exchange with its
 /// target, and the buffers of both connections.
 constexpr std::size_t request_memory = std::size_t{24} * 1024;
+/// @name Limits of the addresses for readiness and metrics. What they hold has no account, so that both
+/// answer when there is no memory for callers.
+/// @{
+constexpr std::size_t max_observer_body = std::size_t{1} * 1024;
+constexpr std::size_t max_observer_header = std::size_t{8} * 1024;
+constexpr milliseconds observer_timeout{5'000};
+constexpr std::size_t max_observers = 32;
+/// @}
 /// Retry-After of a process that has read no configuration yet.
 constexpr milliseconds no_configuration_retry_after{300};
 
@@ -173,7 +181,7 @@
                                       [this](http_request request, std::shared_ptr<http_exchange> exchange)
                                       { serve(std::move(request), std::move(exchange)); });
     readiness = std::make_unique<http_server>(
-        loop.context(), options.readiness_address, http_limits{},
+        loop.context(), options.readiness_address, observer_limits(),
         [this](const http_request& request, const auto& exchange)
         {
             constexpr int ok = 200;
@@ -184,7 +192,7 @@
     if (!options.metrics_address.empty())
     {
         metrics_server = std::make_unique<http_server>(
-            loop.context(), options.metrics_address, http_limits{},
+            loop.context(), options.metrics_address, observer_limits(),
             [this](const http_request&, const auto& exchange)
             { exchange->respond({.content_type = "text/plain; version=0.0.4", .body = registry.render()}); });
     }
@@ -199,6 +207,15 @@
     schedule_sweep();
 }
 
+http_limits gateway::state::observer_limits()
+{
+    return {.max_body = max_observer_body,
+            .max_header = max_observer_header,
+            .read_timeout = observer_timeout,
+            .write_timeout = observer_timeout,
+            .max_connections = max_observers};
+}
+
 http_limits gateway::state::frontend_limits()
 {
     http_limits limits{.max_connections = options.max_connections,
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -49,6 +49,8 @@
     void serve_feed(const std::string& bytes, const std::shared_ptr<http_exchange>& exchange);
     /// @return the limits for callers' connections, with those of the configuration if there is one
     [[nodiscard]] http_limits frontend_limits();
+    /// @return the limits of the addresses for readiness and metrics
+    [[nodiscard]] static http_limits observer_limits();
     /// The response to a request for which there was no memory when it came.
     [[nodiscard]] http_response refuse_without_memory();
     [[nodiscard]] milliseconds removal_grace() const;
