Event loop: control handlers have a bounded time while traffic waits

What callers might see: whoever sends to an address of control (readiness, metrics, peers) faster than it is answered keeps callers' requests from running at all.

Cause: between two slices of traffic all control handlers run that are ready, those that become ready meanwhile included.

Change: after 100 ms of them a slice of traffic comes. Time counts as attended only once all control handlers have run, as before.

Measured: the new case of test_event_loop does not end with the loop before; here it passes.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -21,6 +21,23 @@
 /// handler may take longer. Each look costs a system call or two, and the reply to a call of the store comes
 /// in two or three steps, which are to take a small part of read_patience.
 constexpr std::chrono::milliseconds control_interval{25};
+/// How long control handlers run while traffic waits. Whoever sends to an address of control without an end
+/// must not keep traffic from running.
+constexpr std::chrono::milliseconds max_control_time{100};
+
+/// Runs the handlers of the context that are ready, and those that become ready meanwhile.
+/// @return false if there are more of them than the time allows
+bool drain(boost::asio::io_context& context, loop_clock::time_point begin)
+{
+    while (context.poll_one() > 0)
+    {
+        if (loop_clock::now() - begin >= max_control_time)
+        {
+            return false;
+        }
+    }
+    return true;
+}
 
 } // namespace
 
@@ -115,8 +132,10 @@
     {
         if (now - drained >= control_interval)
         {
-            context.poll();
-            on_control_drained();
+            if (drain(context, now))
+            {
+                on_control_drained();
+            }
             drained = loop_clock::now();
         }
         if (!traffic->run_one(now))
--- a/tests/unit/test_event_loop.cpp
+++ b/tests/unit/test_event_loop.cpp
@@ -148,3 +148,25 @@
     }
     CHECK(held.use_count() == 1);
 }
+
+// Guards against a peer, or whoever reaches an address of control, that sends without an end.
+TEST_CASE("control handlers that follow one another without an end do not keep traffic from running")
+{
+    event_loop loop;
+    bool traffic_ran = false;
+    std::function<void()> control = [&] { boost::asio::post(loop.context(), [&] { control(); }); };
+    boost::asio::post(loop.traffic_executor(),
+                      [&]
+                      {
+                          control();
+                          std::this_thread::sleep_for(handler_time);
+                          boost::asio::post(loop.traffic_executor(),
+                                            [&]
+                                            {
+                                                traffic_ran = true;
+                                                loop.stop();
+                                            });
+                      });
+    loop.run();
+    CHECK(traffic_ran);
+}
