Logs: a value is logged up to 1 kB

Names that callers choose (hosts, paths, ids) may be as long as a header, and each refusal logged them whole, four times that with escaped bytes: at 500 lines a second 30 MB of log a second, all from one client.

--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -53,8 +53,15 @@
     return {'\\', 'x', digits[byte >> nibble_bits], digits[byte & nibble_mask]};
 }
 
+/// The longest part of a value that is logged, in bytes. Callers choose names and ids of their requests.
+constexpr std::size_t max_value_size = 1'024;
+
 std::string quote(const std::string& value)
 {
+    if (value.size() > max_value_size)
+    {
+        return quote(value.substr(0, max_value_size)) + "...";
+    }
     if (!needs_quotes(value))
     {
         return value;
