Messages of peers: input that nests as deep as it is long no longer ends the process

Cause: the library's parser of CBOR calls itself for each level. The messages of gateways were parsed without a check; those of the other processes were checked level by level by a SAX handler, which hears nothing of strings whose end is marked.

Stored turns too.

New test_cbor_nesting: kinds of levels, and random documents with random bytes changed.

--- a/src/codec/cbor.cpp
+++ b/src/codec/cbor.cpp
@@ -1,5 +1,7 @@
 #include "cbor.hpp"
 
+#include "cbor_nesting.hpp"
+
 #include <iterator>
 
 namespace masticcourse::codec
@@ -100,6 +102,10 @@
 
 std::optional<json> from_cbor(std::string_view bytes)
 {
+    if (!has_bounded_nesting(bytes))
+    {
+        return std::nullopt;
+    }
     try
     {
         cbor_validator validator;
--- a/src/gateway/cbor_messages.hpp
+++ b/src/gateway/cbor_messages.hpp
@@ -3,6 +3,8 @@
 /// discarded as a whole, because the sender may run another version.
 #pragma once
 
+#include "../codec/cbor_nesting.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <exception>
@@ -70,6 +72,10 @@
 [[nodiscard]] auto decode_cbor(const std::string& bytes, Read read)
     -> std::optional<decltype(read(nlohmann::json{}))>
 {
+    if (!codec::has_bounded_nesting(bytes))
+    {
+        return std::nullopt;
+    }
     try
     {
         return read(nlohmann::json::from_cbor(bytes));
--- a/src/gateway/turn_store.cpp
+++ b/src/gateway/turn_store.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/gateway/turn_store.hpp"
 
+#include "../codec/cbor_nesting.hpp"
+
 #include "masticcourse/gateway/partition.hpp"
 
 #include <algorithm>
@@ -71,6 +73,10 @@
 std::optional<turn_record> decode_turn(const std::vector<std::string>& chunks)
 {
     const auto bytes = std::accumulate(chunks.begin(), chunks.end(), std::string{});
+    if (!codec::has_bounded_nesting(bytes))
+    {
+        return std::nullopt;
+    }
     const auto document = nlohmann::json::from_cbor(bytes, true, false);
     const auto is_binary = [&](const char* name)
     { return document.contains(name) && document[name].is_binary(); };
--- a/tests/clients/payloads.py
+++ b/tests/clients/payloads.py
@@ -116,6 +116,19 @@
     yield from repeated(head(request_id, "Content-Length: 0", path="/readyz", method="GET"))
 
 
+# Levels of CBOR: arrays with one element, arrays and strings whose end is marked, maps.
+NESTED = [b"\x81", b"\x9f", b"\x5f", b"\x7f", b"\xa1\x60"]
+PEER_CALLS = ["/commits", "/rows", "/overdraft", "/quota", "/load", "/feed", "/suspicions"]
+
+
+def nested_messages(request_id):
+    """Whole calls of a peer whose message nests as deep as it is long."""
+    for path in PEER_CALLS:
+        for level in NESTED:
+            body = level * (1_000_000 // len(level))
+            yield head(request_id, f"Content-Length: {len(body)}", path=path) + body
+
+
 def part_of_header(request_id):
     yield head(request_id, "X-Filler: " + "x" * HEADER_PART)[:-4]
 
--- /dev/null
+++ b/tests/unit/test_cbor_nesting.cpp
@@ -0,0 +1,107 @@
+// Input that nests as deep as it is long must not reach the parser of CBOR, which calls itself for each
+// level.
+#include "../../src/codec/cbor_nesting.hpp"
+
+#include "support/test_seed.hpp"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <random>
+#include <string>
+#include <string_view>
+
+using namespace masticcourse;
+using codec::has_bounded_nesting;
+
+namespace
+{
+
+constexpr std::size_t deep = 1'000'000;
+
+std::string repeat(std::string_view text, std::size_t count)
+{
+    std::string result;
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        result += text;
+    }
+    return result;
+}
+
+std::string encode(const nlohmann::json& document)
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(document, bytes);
+    return bytes;
+}
+
+/// Arrays of random lengths, nested at most @a levels deep.
+template <typename Random>
+nlohmann::json make_document(int levels, Random& random)
+{
+    const auto length = std::uniform_int_distribution{0, 40}(random);
+    auto result = nlohmann::json::array();
+    for (int n = 0; n < length; ++n)
+    {
+        const bool nests = levels > 0 && std::bernoulli_distribution{0.1}(random);
+        result.push_back(
+            nests ? make_document(levels - 1, random)
+                  : nlohmann::json{{"key", std::string(static_cast<std::size_t>(n), 'x')}, {"n", n}});
+    }
+    return result;
+}
+
+struct nesting_case
+{
+    const char* name;
+    std::string bytes;
+    bool bounded;
+};
+
+const nesting_case nesting_cases[]{
+    {"arrays", repeat("\x81", deep), false},
+    {"arrays of two", repeat("\x82", deep), false},
+    {"arrays whose end is marked", repeat("\x9f", deep), false},
+    {"maps", repeat("\xa1\x60", deep), false},
+    {"byte strings whose end is marked", repeat("\x5f", deep), false},
+    {"text strings whose end is marked", repeat("\x7f", deep), false},
+    {"arrays behind a long text", "\x82" + encode(std::string(5'000, 'x')) + repeat("\x81", deep), false},
+    {"a long array of short ones", "\x9f" + repeat("\x82\x01\x80", deep) + "\xff", true},
+    {"a text", encode(std::string(deep, '\x81')), true},
+    {"arrays after an end", repeat("\x9f\xff", deep), true},
+    {"a cut length", repeat("\x01", 1'000) + "\x9b\x01", true},
+    {"an array longer than all input", "\x9b\xff\xff\xff\xff\xff\xff\xff\xff" + repeat("\x01", 1'000), true},
+    {"a map longer than all input", "\xbb\xff\xff\xff\xff\xff\xff\xff\xff" + repeat("\x01", 1'000), true},
+    {"a text longer than all input", "\x7b\xff\xff\xff\xff\xff\xff\xff\xff" + repeat("\x81", 1'000), true},
+};
+
+} // namespace
+
+TEST_CASE("nesting beyond that of any message is found, whatever it consists of")
+{
+    for (const auto& it : nesting_cases)
+    {
+        CAPTURE(it.name);
+        CHECK(has_bounded_nesting(it.bytes) == it.bounded);
+    }
+}
+
+TEST_CASE("messages of bounded nesting are let through, and no input stops the check")
+{
+    std::mt19937_64 random{testing::test_seed().value};
+    for (int n = 0; n < 200; ++n)
+    {
+        auto bytes = encode(make_document(8, random));
+        CHECK(has_bounded_nesting(bytes));
+        const auto at = std::uniform_int_distribution<std::size_t>{0, bytes.size() - 1}(random);
+        bytes[at] = static_cast<char>(std::uniform_int_distribution{0, 255}(random));
+        // What is let through is safe to parse.
+        if (has_bounded_nesting(bytes))
+        {
+            const auto parsed = nlohmann::json::from_cbor(bytes, true, false);
+            CHECK((parsed.is_discarded() || parsed.size() <= bytes.size()));
+        }
+    }
+}
