Requests that say twice what they are, or on whose behalf, are refused

What callers saw: of two hosts, ids, deadlines, programs, budgets or keys in a header this gateway went by the first and the target by another: a second Host arrived as the request's host, though the route had been found by the first. Same class as trailers that are taken for headers: who has checked one of them in front is passed by the other.

Change: 400, not run (RFC 9112, 3.2, asks it for Host).

--- a/tests/clients/exchanges.py
+++ b/tests/clients/exchanges.py
@@ -50,6 +50,9 @@
              WITHOUT_ID + payloads.chunks(BODY, 1000) + payloads.last_chunk(f"{wire.REQUEST_ID}: {SINGLE}"), status=400),
     Exchange("a length in a trailer is refused",
              chunked(payloads.chunks(BODY, 1000), payloads.last_chunk("Content-Length: 5")), status=400),
+    Exchange("a second host is refused", payloads.head(SINGLE, "Host: other.example", "Content-Length: 0"), status=400),
+    Exchange("a second id is refused",
+             payloads.head(SINGLE, f"{wire.REQUEST_ID}: another", "Content-Length: 0"), status=400),
     Exchange("extensions and trailers within the limits are served",
              chunked(payloads.chunks(BODY, 1000, ";e=" + "x" * 500), payloads.last_chunk(
                  "T: " + "t" * 15_000, extension=";last")), size=len(BODY)),
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -116,6 +116,19 @@
     CHECK(find_header(sent.headers, "Host") == "a.example");
 }
 
+TEST_CASE("a request that says twice what it is, or on whose behalf, is refused")
+{
+    for (const auto* const name :
+         {"host", "Masticcourse-Request-Id", "Masticcourse-Deadline-Ms", "Masticcourse-Program-Id",
+          "Masticcourse-Token-Budget", "Masticcourse-Previous-Turn", "X-Api-Key"})
+    {
+        CAPTURE(name);
+        const auto decoded = platform_protocol{}.decode(make_request({{name, "1"}, {name, "1"}}));
+        REQUIRE(std::holds_alternative<gateway::refusal>(decoded));
+        CHECK(std::get<gateway::refusal>(decoded).reason == gateway::refusal_reason::malformed);
+    }
+}
+
 // Guards against work that grows with the square of the header: it would not end here.
 TEST_CASE("hop-by-hop headers are found among any number of headers and connection options")
 {
