--- a/src/net/request_parser.cpp
+++ b/src/net/request_parser.cpp
@@ -11,7 +11,6 @@
 {
 
 namespace http = boost::beast::http;
-using boost::system::error_code;
 
 /// Spaces, version and line end of a request line, in bytes.
 constexpr std::size_t request_line_rest = 12;
--- a/tests/unit/test_cbor_nesting.cpp
+++ b/tests/unit/test_cbor_nesting.cpp
@@ -11,6 +11,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 using namespace masticcourse;
 using codec::has_bounded_nesting;
@@ -73,12 +74,12 @@
     bool bounded;
 };
 
-const nesting_case nesting_cases[]{
+const std::vector<nesting_case> nesting_cases{
     {"arrays", repeat("\x81", deep), false},
     {"arrays of two", repeat("\x82", deep), false},
     {"arrays whose end is marked", repeat("\x9f", deep), false},
     {"maps", repeat("\xa1\x60", deep), false},
-    {"byte strings whose end is marked", repeat("\x5f", deep), false},
+    {"byte strings whose end is marked", std::string(deep, '\x5f'), false},
     {"text strings whose end is marked", repeat("\x7f", deep), false},
     {"arrays behind a long text", "\x82" + encode(std::string(5'000, 'x')) + repeat("\x81", deep), false},
     {"a long array of short ones", "\x9f" + repeat("\x82\x01\x80", deep) + "\xff", true},
