HTTP server: a request read in the moment in which its connection is closed is not passed on

Cause: after a stop, idle connections are closed by a timer. While handlers wait for each other, the timer's handler may run first and close the socket although the read of the next request has ended already: the session went on with what it had read, passed it on, and found the connection closed. The same for any idle timeout and for connections that give way.

Change: what was read counts only while the connection is open.

--- a/src/net/http_session.cpp
+++ b/src/net/http_session.cpp
@@ -236,7 +236,8 @@
     m_deadline.clear();
     end_idle();
     m_buffer.commit(n);
-    co_return !ec;
+    // A request may have been read in the moment in which the connection was closed for being idle.
+    co_return !ec && m_socket.is_open();
 }
 
 void http_session::begin_idle()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -73,7 +73,10 @@
 
     def send(self, number):
         if self.alive():
-            os.kill(self.process.pid, number)
+            try:
+                os.kill(self.process.pid, number)
+            except ProcessLookupError:
+                pass  # It has just ended.
 
     def alive(self):
         return self.process is not None and self.process.returncode is None
--- a/tests/unit/test_http.cpp
+++ b/tests/unit/test_http.cpp
@@ -1,17 +1,25 @@
 // HTTP server and client against each other, and the server against raw input.
+#include "masticcourse/net/event_loop.hpp"
 #include "masticcourse/net/http_client.hpp"
 #include "masticcourse/net/http_server.hpp"
 
 #include "net_fixture.hpp"
 #include "support/ending_target.hpp"
 
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace masticcourse;
 using namespace masticcourse::testing;
@@ -309,10 +317,12 @@
 TEST_CASE("http: for a connection over the limit the one that has been idle longest is closed")
 {
     http_fixture it({.max_connections = 2});
-    const auto serve_once = [](raw_socket& socket)
+    const auto serve_once = [&it](raw_socket& socket)
     {
         socket.write("GET / HTTP/1.1\r\n\r\n");
-        return socket.read_until_text("GET / ").starts_with("HTTP/1.1 200");
+        const bool served = socket.read_until_text("GET / ").starts_with("HTTP/1.1 200");
+        // Only then is the connection idle.
+        return served && eventually([&it] { return it.server.open_exchanges() == 0; });
     };
     raw_socket first(it.server.port());
     CHECK(serve_once(first));
@@ -359,6 +369,56 @@
     CHECK(unfinished.read_all().starts_with("HTTP/1.1 503"));
 }
 
+// Guards against a request that is passed on although its connection has just been closed for being idle.
+TEST_CASE("http: each request that reaches the handler is answered, however long its connection was idle")
+{
+    constexpr std::chrono::milliseconds idle_timeout{300};
+    constexpr int rounds = 4;
+    constexpr std::size_t connections = 40;
+    constexpr int busy_handlers = 15;
+    event_loop loop;
+    std::atomic<std::size_t> handled = 0;
+    http_server server(loop.traffic_executor(), "127.0.0.1:0", {.idle_timeout = idle_timeout},
+                       [&handled](const http_request&, const std::shared_ptr<http_exchange>& exchange)
+                       {
+                           ++handled;
+                           exchange->respond({.body = "done"});
+                       });
+    // Handlers wait for each other, so that a timer and a request may become ready before either has run.
+    std::function<void()> keep_busy = [&]
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{2});
+        boost::asio::post(loop.traffic_executor(), [&] { keep_busy(); });
+    };
+    for (int n = 0; n < busy_handlers; ++n)
+    {
+        boost::asio::post(loop.traffic_executor(), [&] { keep_busy(); });
+    }
+    std::jthread thread([&loop] { loop.run(); });
+    std::size_t answered = 0;
+    for (int round = 0; round < rounds; ++round)
+    {
+        std::vector<std::unique_ptr<raw_socket>> sockets;
+        for (std::size_t n = 0; n < connections; ++n)
+        {
+            sockets.push_back(std::make_unique<raw_socket>(server.port()));
+            sockets.back()->write("GET / HTTP/1.1\r\n\r\n");
+        }
+        const auto is_answered = [](const auto& it) { return it->read_until_text("done").ends_with("done"); };
+        answered += static_cast<std::size_t>(std::ranges::count_if(sockets, is_answered));
+        // They became idle one after another, so that some of these requests come as their connection closes.
+        std::this_thread::sleep_for(idle_timeout / 2);
+        for (const auto& it : sockets)
+        {
+            it->write("GET / HTTP/1.1\r\n\r\n");
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        answered += static_cast<std::size_t>(std::ranges::count_if(sockets, is_answered));
+    }
+    CHECK(answered == handled);
+    loop.stop();
+}
+
 TEST_CASE("http: a handler that throws leaves the outcome unknown")
 {
     http_fixture it({}, [](const http_request&, const std::shared_ptr<http_exchange>&)
