--- a/tests/clients/payloads.py
+++ b/tests/clients/payloads.py
@@ -1,5 +1,7 @@
 """What clients that don't behave send: each payload is a generator of the bytes of one connection."""
 
+import zlib
+
 import wire
 
 BLOCK = 64 * 1024
@@ -98,7 +100,7 @@
 def many_sessions(request_id):
     """Whole requests, each with other ids and prompts as long as a header allows."""
     for n in range(200):
-        prompt = ",".join(f"{hash((request_id, n, k)) & 0xffffffff:x}:10" for k in range(60))
+        prompt = ",".join(f"{zlib.crc32(f'{request_id}-{n}-{k}'.encode()):x}:10" for k in range(60))
         yield head(f"{request_id}-{n}", f"Masticcourse-Session-Id: {request_id}-{n}", f"Masticcourse-Affinity-Key: {n}" * 50,
                    f"X-Api-Key: {request_id}-{n}" + "k" * 8000, f"Masticcourse-Prompt-Prefix: {prompt}",
                    "Masticcourse-Token-Usage: 600,100", "Content-Length: 0")
