Requests: a request that has ended leaves no timer behind

What callers saw: 12,000 proper requests, answered at once, with deadlines of 20 s, ended a gateway of 24 MB (killed) and of 16 MB; at 40 MB the room for requests fell from 29 to 0 to 6 MB, and 1,500 of 11,000 got 503 for lack of memory. Each request held 2.8 kB until its deadline, 30 s at most.

Cause: the timer of a request's deadline could not be cancelled. It refers to the request weakly, but the storage of an object made by make_shared stays until the last weak reference has gone (heaptrack: 8,001 of 8,001 requests), and the timer itself with it. Found by asking what each of a caller's bytes makes a gateway hold, with more programs than the tests had, then with none at all.

--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -20,6 +20,7 @@
 
 #include "masticcourse/gateway/feed/table_age.hpp"
 #include "masticcourse/gateway/gateway_request.hpp"
+#include "masticcourse/gateway/io_delay.hpp"
 #include "masticcourse/gateway/overdraft.hpp"
 #include "masticcourse/gateway/poison_detection.hpp"
 #include "masticcourse/gateway/poison_exchange.hpp"
@@ -72,7 +73,7 @@
     const row_store& store;
     /// Age and currency of what this gateway knows of the configuration and of the targets.
     table_view tables;
-    delay_function delay;
+    timer_function start_timer;
     clock_function clock;
     metrics_registry& metrics;
     /// Where the memory for requests and responses is reserved; null without a limit.
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -232,16 +232,23 @@
     schedule(std::max(time_left(), milliseconds{0}), &forwarded_request::on_deadline);
 }
 
-void forwarded_request::schedule(milliseconds delay, void (forwarded_request::*handler)())
+void forwarded_request::schedule(milliseconds delay, timer_handler handler)
 {
-    m_services.delay(delay,
-                     [weak = weak_from_this(), handler]
-                     {
-                         if (const auto self = weak.lock())
-                         {
-                             (self.get()->*handler)();
-                         }
-                     });
+    auto timer = m_services.start_timer(delay,
+                                        [weak = weak_from_this(), handler]
+                                        {
+                                            if (const auto self = weak.lock())
+                                            {
+                                                (self.get()->*handler)();
+                                            }
+                                        });
+    const auto it = std::ranges::find(m_timers, handler, &handler_timer::handler);
+    if (it != m_timers.end())
+    {
+        it->handle = std::move(timer);
+        return;
+    }
+    m_timers.push_back({handler, std::move(timer)});
 }
 
 void forwarded_request::start_budgeted_turn()
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -72,6 +72,15 @@
     void start();
 
   private:
+    using timer_handler = void (forwarded_request::*)();
+
+    /// A timer that has been started last for a handler.
+    struct handler_timer
+    {
+        timer_handler handler = nullptr;
+        timer_handle handle;
+    };
+
     /// @name Admission and preparation
     /// @{
     void set_deadline();
@@ -260,8 +269,8 @@
     /// @}
 
     [[nodiscard]] milliseconds time_left() const;
-    /// Calls @a handler after @a delay if the request still exists.
-    void schedule(milliseconds delay, void (forwarded_request::*handler)());
+    /// Calls @a handler after @a delay unless the request has ended. Replaces a timer for the same handler.
+    void schedule(milliseconds delay, timer_handler handler);
     /// Whether the request's tokens count against a program's budget.
     [[nodiscard]] bool has_budget() const;
     /// @return the failure domain whose targets are preferred; empty if there is none
@@ -288,6 +297,8 @@
     /// The tables were out of date, and a refresh was requested.
     bool m_tables_refreshed = false;
     bool m_finished = false;
+    /// None once the request has ended: whatever deadline its caller has stated, nothing is held until then.
+    std::vector<handler_timer> m_timers;
 
     /// @name Turn
     /// @{
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -282,6 +282,7 @@
     }
     settle_budget(timing_of(outcome));
     count_delivered_tokens();
+    m_timers.clear();
     m_exchange.reset();
     m_chain = {};
     free_storage(m_pending_output);
--- a/tests/clients/clients_test.py
+++ b/tests/clients/clients_test.py
@@ -40,6 +40,8 @@
     clients: int = 40
     # How often each of them connects again after it has been closed.
     reconnects: int = 2
+    # How many responses each of them reads.
+    responses: int = 0
 
 
 @dataclass
@@ -88,6 +90,7 @@
     *[descriptor_case(it) for it in PORTS],
     *[descriptor_case(it, payloads.part_of_header, "connections with a part of a header") for it in PORTS],
     *[descriptor_case(it, payloads.endless_long_trailers, "connections that go on sending") for it in PORTS],
+    crowd_case(payloads.answered_requests, memory_mb=24, reconnects=0, responses=payloads.ANSWERED_REQUESTS),
     crowd_case(payloads.many_programs, reconnects=0),
     crowd_case(payloads.many_sessions, reconnects=0),
     crowd_case(payloads.long_names, reconnects=0),
@@ -131,6 +134,19 @@
             await self.writer.drain()
             if self.reader.at_eof():
                 return False
+        return await self.read_responses()
+
+    async def read_responses(self):
+        """@return whether as many came as the crowd's clients read"""
+        start, text, count = b"HTTP/1.1 ", b"", 0
+        while count < self.crowd.responses:
+            data = await self.reader.read(1 << 16)
+            if not data:
+                return False
+            text += data
+            count += text.count(start)
+            # The start of a further response may have come in part.
+            text = text[text.rfind(start) + len(start):][-len(start):] if start in text else text[-len(start):]
         return True
 
     def close(self):
--- a/tests/clients/payloads.py
+++ b/tests/clients/payloads.py
@@ -131,6 +131,15 @@
             yield head(request_id, f"Content-Length: {len(body)}", path=path) + body
 
 
+ANSWERED_REQUESTS = 300
+
+
+def answered_requests(request_id):
+    """Whole requests that the target answers at once, with a deadline far beyond that."""
+    for n in range(ANSWERED_REQUESTS):
+        yield head(f"{request_id}-{n}", "Content-Length: 0")
+
+
 def part_of_header(request_id):
     yield head(request_id, "X-Filler: " + "x" * HEADER_PART)[:-4]
 
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -274,7 +274,7 @@
                          ++refreshes;
                          time.delays()(refresh_time, on_done);
                      }},
-          .delay = time.delays(),
+          .start_timer = time.timers(),
           .clock = time.clock(),
           .metrics = metrics,
           .memory = memory,
--- a/tests/support/virtual_time.hpp
+++ b/tests/support/virtual_time.hpp
@@ -3,11 +3,16 @@
 #pragma once
 
 #include "masticcourse/gateway/commit_queue.hpp"
+#include "masticcourse/gateway/io_delay.hpp"
 #include "masticcourse/gateway/time.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <map>
+#include <memory>
 #include <utility>
+#include <vector>
 
 namespace masticcourse::testing
 {
@@ -31,6 +36,31 @@
         { m_actions.emplace(m_now + after, std::move(action)); };
     }
 
+    [[nodiscard]] gateway::timer_function timers()
+    {
+        return [this](gateway::milliseconds after, std::function<void()> action) -> gateway::timer_handle
+        {
+            auto alive = std::make_shared<char>();
+            m_actions.emplace(m_now + after,
+                              [weak = std::weak_ptr{alive}, action = std::move(action)]
+                              {
+                                  if (weak.lock())
+                                  {
+                                      action();
+                                  }
+                              });
+            m_timers.emplace_back(alive);
+            return alive;
+        };
+    }
+
+    /// @return how many timers have not been cancelled, whether or not they have expired
+    [[nodiscard]] std::size_t open_timers() const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(m_timers, [](const auto& it) { return !it.expired(); }));
+    }
+
     /// Lets @a span pass, and all that is due in it happen in order.
     void run(gateway::milliseconds span)
     {
@@ -47,6 +77,7 @@
   private:
     gateway::time_point m_now{gateway::seconds{1'000}};
     std::multimap<gateway::time_point, std::function<void()>> m_actions;
+    std::vector<std::weak_ptr<char>> m_timers;
 };
 
 } // namespace masticcourse::testing
--- a/tests/unit/test_gateway_forwarding.cpp
+++ b/tests/unit/test_gateway_forwarding.cpp
@@ -78,6 +78,27 @@
     CHECK(world.last()->cancelled);
 }
 
+// Guards against requests that are held until the deadline that their callers have stated.
+TEST_CASE("a request that has ended leaves no timer behind, however it has ended")
+{
+    forwarding_fixture world;
+    const auto answered = world.send(world.make_request("order", "a"));
+    world.last()->end(200, true, "done");
+    REQUIRE(answered->response);
+    const auto streamed = world.send(world.make_request("stream", "b"));
+    world.last()->begin(200);
+    world.last()->event("one");
+    world.last()->end(200);
+    CHECK(streamed->ended);
+    std::ignore = world.send(world.make_request("order", "c"));
+    CHECK(world.time.open_timers() > 0);
+    world.last()->fail(http_failure::broken);
+    const auto left = world.send(world.make_request("stream", "d"));
+    left->on_closed();
+    std::ignore = world.send(world.make_request("no such route", "e"));
+    CHECK(world.time.open_timers() == 0);
+}
+
 TEST_CASE("a caller's disconnect cancels the request at the target")
 {
     forwarding_fixture world;
