--- a/standins/table_service.cpp
+++ b/standins/table_service.cpp
@@ -5,6 +5,7 @@
 #include "masticcourse/net/percent.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
@@ -22,11 +23,46 @@
 /// Interval at which pending feeds are checked for expiry.
 constexpr std::chrono::milliseconds feed_poll_interval{10};
 
+/// @name What the store takes and returns at once, in bytes, rows and entries
+/// @{
+constexpr std::size_t max_call_bytes = 1'000'000;
+constexpr std::size_t max_transaction_entries = 100;
+constexpr std::size_t max_row_bytes = std::size_t{64} * 1024;
+constexpr std::size_t max_name_bytes = 200;
+constexpr std::size_t max_page_rows = 500;
+/// @}
+
 std::string query_parameter(const http_request& request, std::string_view name)
 {
     return query_value(split_target(request.target).query, name).value_or("");
 }
 
+/// @return the size of the bytes that @a text encodes as base64
+std::size_t decoded_size(const std::string& text)
+{
+    const auto padding = static_cast<std::size_t>(std::ranges::count(text, '='));
+    return text.size() / 4 * 3 - padding;
+}
+
+/// @return whether the store takes the transaction
+bool is_within_limits(const http_request& request, const json& document)
+{
+    const auto is_valid_name = [](const json& it)
+    {
+        return std::ranges::all_of(
+            std::array{"table", "part", "key"}, [&it](const char* name)
+            { return it.at(name).get_ref<const std::string&>().size() <= max_name_bytes; });
+    };
+    const auto& conditions = document.at("precondition");
+    const auto& puts = document.at("puts");
+    const auto entries = conditions.size() + puts.size() + document.at("remove").size();
+    return request.body.size() <= max_call_bytes && entries <= max_transaction_entries &&
+           std::ranges::all_of(conditions, is_valid_name) && std::ranges::all_of(puts, is_valid_name) &&
+           std::ranges::all_of(
+               puts, [](const json& it)
+               { return decoded_size(it.at("value").get_ref<const std::string&>()) <= max_row_bytes; });
+}
+
 std::uint64_t uint_parameter(const http_request& request, std::string_view name)
 {
     const auto text = query_parameter(request, name);
@@ -143,7 +179,13 @@
 
 void table_service::transact(const http_request& request, http_exchange& exchange)
 {
+    constexpr int bad_request = 400;
     const auto document = json::parse(request.body);
+    if (!is_within_limits(request, document))
+    {
+        exchange.respond({.status = bad_request, .body = "{}"});
+        return;
+    }
     const auto to_row_id = [](const json& it) { return row_id{it.at("table"), it.at("part"), it.at("key")}; };
     json current_rows = json::array();
     bool preconditions_met = true;
@@ -203,21 +245,29 @@
     const auto partition = query_parameter(request, "part");
     const auto from = query_parameter(request, "from");
     const auto to = query_parameter(request, "to");
+    const auto limit = uint_parameter(request, "limit");
+    const auto max_rows = limit > 0 ? std::min<std::size_t>(limit, max_page_rows) : max_page_rows;
     json rows = json::array();
-    for (const auto& [id, content] : m_rows)
+    std::size_t bytes = 0;
+    auto it = m_rows.lower_bound({table, partition, from});
+    const auto in_range = [&]
     {
-        const bool in_range =
-            id.table == table && id.partition == partition && id.key >= from && (to.empty() || id.key < to);
-        if (in_range)
-        {
-            rows.push_back({{"table", table},
-                            {"part", partition},
-                            {"key", id.key},
-                            {"value", content.value},
-                            {"ver", content.version}});
-        }
+        return it != m_rows.end() && it->first.table == table && it->first.partition == partition &&
+               (to.empty() || it->first.key < to);
+    };
+    const auto fits = [&]
+    { return rows.empty() || (rows.size() < max_rows && bytes + it->second.value.size() <= max_call_bytes); };
+    for (; in_range() && fits(); ++it)
+    {
+        const auto& [id, content] = *it;
+        bytes += content.value.size();
+        rows.push_back({{"table", table},
+                        {"part", partition},
+                        {"key", id.key},
+                        {"value", content.value},
+                        {"ver", content.version}});
     }
-    const json response{{"rows", std::move(rows)}, {"hasMore", false}, {"ver", m_version}, {"nowMs", 0}};
+    const json response{{"rows", std::move(rows)}, {"hasMore", in_range()}, {"ver", m_version}, {"nowMs", 0}};
     exchange.respond({.body = response.dump()});
 }
 
--- a/tests/clients/clients_test.py
+++ b/tests/clients/clients_test.py
@@ -5,6 +5,7 @@
 No times: the limit below only ends a test that hangs."""
 
 import asyncio
+import socket
 import sys
 import tempfile
 from dataclasses import dataclass, field
@@ -42,12 +43,18 @@
     reconnects: int = 2
     # How many responses each of them reads.
     responses: int = 0
+    # Size of the buffer of what it has yet to read; the system's choice if 0.
+    receive_buffer: int = 0
 
 
 @dataclass
 class Case:
     name: str
     crowds: list = field(default_factory=list)
+    # What one proper client has sent, and been answered, before the crowd comes.
+    before: list = field(default_factory=list)
+    # Memory of a second gateway that serves the proper client; 0 if the one under test does.
+    builder_mb: int = 0
     memory_mb: int = 40
     max_descriptors: int = 1000
 
@@ -64,6 +71,14 @@
     return Case(f"{name} at {port}", [Crowd(payload, port=port, clients=900, reconnects=0)], max_descriptors=400)
 
 
+def history_case(payload, before, responses, memory_mb=40, builder_mb=0, **crowd):
+    """A crowd whose requests go on from turns that @a before has had stored."""
+    case = crowd_case(payload, memory_mb=memory_mb, responses=1, **crowd)
+    case.before = [Crowd(before, responses=responses)]
+    case.builder_mb = builder_mb
+    return case
+
+
 PORTS = ["callers", "readiness", "metrics", "peers"]
 FRAMING = [payloads.endless_long_trailers, payloads.endless_short_trailers, payloads.endless_trailer_line,
            payloads.endless_chunk_extension, payloads.endless_last_chunk_extension, payloads.endless_chunk_size]
@@ -91,6 +106,13 @@
     *[descriptor_case(it, payloads.part_of_header, "connections with a part of a header") for it in PORTS],
     *[descriptor_case(it, payloads.endless_long_trailers, "connections that go on sending") for it in PORTS],
     crowd_case(payloads.answered_requests, memory_mb=24, reconnects=0, responses=payloads.ANSWERED_REQUESTS),
+    *[history_case(payloads.turns_after_a_part_of_an_id, payloads.stored_turns, payloads.STORED_TURNS, memory_mb=m,
+                   clients=n) for m, n in ((40, 40), (88, 40), (512, 120))],
+    *[history_case(payloads.turns_after_a_long_history, payloads.long_history, payloads.LONG_HISTORY, memory_mb=m,
+                   builder_mb=512) for m in (40, 88)],
+    history_case(payloads.turns_after_a_deep_history, payloads.deep_history, payloads.DEEP_HISTORY, builder_mb=512),
+    crowd_case(payloads.unread_refusals, clients=900, reconnects=0, receive_buffer=4096),
+    crowd_case(payloads.large_turns),
     crowd_case(payloads.many_programs, reconnects=0),
     crowd_case(payloads.many_sessions, reconnects=0),
     crowd_case(payloads.long_names, reconnects=0),
@@ -110,9 +132,9 @@
 class Client:
     """One member of a crowd."""
 
-    def __init__(self, play, crowd, name):
+    def __init__(self, play, gateway, crowd, name):
         self.crowd, self.name = crowd, name
-        self.port = getattr(play.gateway, crowd.port)
+        self.port = getattr(gateway, crowd.port)
         self.gate = play.gate
         self.writer = None
 
@@ -128,7 +150,7 @@
         """@return whether all was sent"""
         self.close()
         async with self.gate:
-            self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+            self.reader, self.writer = await asyncio.open_connection(sock=await self.connect())
         for block in self.crowd.payload(request_id):
             self.writer.write(block)
             await self.writer.drain()
@@ -136,6 +158,14 @@
                 return False
         return await self.read_responses()
 
+    async def connect(self):
+        it = socket.socket()
+        it.setblocking(False)
+        if self.crowd.receive_buffer:
+            it.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.crowd.receive_buffer)
+        await asyncio.get_running_loop().sock_connect(it, ("127.0.0.1", self.port))
+        return it
+
     async def read_responses(self):
         """@return whether as many came as the crowd's clients read"""
         start, text, count = b"HTTP/1.1 ", b"", 0
@@ -162,21 +192,35 @@
         limits = fleet.Limits(memory_mb=self.memory_mb, max_descriptors=self.max_descriptors)
         self.fleet = fleet.Fleet(build, folder, 1, limits)
         self.gateway = self.fleet.gateways[0]
+        self.builder = self.make_builder(build, folder) if getattr(case, "builder_mb", 0) else self.gateway
         self.targets = [Target("i-0", target_behaviour(0.01)),
                         Target("i-1", target_behaviour(SLOW_WORK_S), service="slow", slots=10_000)]
         self.gate = asyncio.Semaphore(OPEN_AT_ONCE)
         self.asked = 0
         self.faults = []
 
+    def make_builder(self, build, folder):
+        limits = fleet.Limits(memory_mb=self.case.builder_mb, max_descriptors=self.max_descriptors)
+        it = fleet.Gateway(build, folder, 1, self.fleet.store_port, limits)
+        self.fleet.gateways.append(it)
+        return it
+
     async def start(self):
         await start_site(self.fleet, self.targets)
+        if self.builder is not self.gateway:
+            await self.builder.prepare()
+            await self.fleet.wait_for(self.builder.callers)
         self.watch = ProcessWatch(self.gateway, self.memory_mb)
         await self.check_answers("before the crowd")
 
     async def run(self):
         await self.start()
         watching = asyncio.create_task(self.watch.run())
-        clients = [Client(self, crowd, f"crowd{k}-{n}") for k, crowd in enumerate(self.case.crowds)
+        for crowd in self.case.before:
+            client = Client(self, self.builder, crowd, "before")
+            self.expect(await client.send("before"), "not all was answered before the crowd")
+            client.close()
+        clients = [Client(self, self.gateway, crowd, f"crowd{k}-{n}") for k, crowd in enumerate(self.case.crowds)
                    for n in range(crowd.clients)]
         sending = [asyncio.create_task(it.run()) for it in clients]
         if sending:
@@ -234,6 +278,7 @@
         answer = await asyncio.wait_for(self.send(exchange.data), PATIENCE_S)
         self.expect(answer.status == exchange.status, f"answered {answer.status}, not {exchange.status}")
         self.expect(exchange.status != 200 or answer.headers.get("connection", "") != "close", "the connection is closed")
+        self.expect(exchange.status != 200 or answer.whole, "the response is not whole")
         target = self.targets[0]
         self.expect((SINGLE in target.runs) == (exchange.status == 200), "has run" if SINGLE in target.runs else "has not run")
         if SINGLE in target.runs:
--- a/tests/clients/exchanges.py
+++ b/tests/clients/exchanges.py
@@ -33,6 +33,15 @@
     return payloads.chunked_head(SINGLE) + b"".join(parts)
 
 
+# What 64 bits hold at most.
+LARGEST = 2**63 - 1
+
+
+def turn_of(tokens, budget=1000):
+    return payloads.head(SINGLE, "Masticcourse-Program-Id: program", f"Masticcourse-Token-Budget: {budget}",
+                         f"Masticcourse-Token-Usage: 10,{tokens}", "Content-Length: 0", path="/turn/1")
+
+
 def is_forwarded(body):
     """What the target gets of a request whose trailers say something else."""
     return {"size": len(body), "fields": {wire.REQUEST_ID: SINGLE, "host": wire.HOST},
@@ -69,4 +78,12 @@
              chunked(payloads.chunks(BODY, 10, ";e=" + "x" * 500)), status=431),
     Exchange("a chunk's size without end is refused",
              chunked(payloads.chunks(BODY, 1000), b"0" * 40_000), status=431),
+    Exchange("a turn of 1 MB is served", payloads.turn(SINGLE, 1_000_000), size=1_000_000),
+    Exchange("the longest deadline that a number holds is served",
+             payloads.head(SINGLE, "Content-Length: 0", deadline_ms=LARGEST)),
+    Exchange("a turn of less than no tokens is refused", turn_of(-LARGEST), status=400),
+    Exchange("a turn of more tokens than its budget and any number holds is refused", turn_of(LARGEST // 4 + 1), status=400),
+    Exchange("a budget that is the largest number is served", turn_of(100, budget=LARGEST)),
+    Exchange("an option does not remove the host",
+             payloads.head(SINGLE, "Connection: host", "Content-Length: 0"), fields={"host": wire.HOST}),
 ]
--- a/tests/clients/payloads.py
+++ b/tests/clients/payloads.py
@@ -10,9 +10,9 @@
 HEADER_PART = 14_000
 
 
-def head(request_id, *fields, path="/order/1", method="POST"):
+def head(request_id, *fields, path="/order/1", method="POST", deadline_ms=20000):
     lines = [f"{method} {path} HTTP/1.1", f"Host: {wire.HOST}", f"{wire.REQUEST_ID}: {request_id}",
-             "Masticcourse-Deadline-Ms: 20000", *fields]
+             f"Masticcourse-Deadline-Ms: {deadline_ms}", *fields]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
@@ -131,6 +131,69 @@
             yield head(request_id, f"Content-Length: {len(body)}", path=path) + body
 
 
+def turn(request_id, size, *fields):
+    """One whole turn whose history is kept."""
+    return head(request_id, "Masticcourse-Program-Id: program", "Masticcourse-Token-Usage: 10,100",
+                f"Content-Length: {size}", *fields, path="/turn/1") + b"x" * size
+
+
+def after(turn_id):
+    return f"Masticcourse-Previous-Turn: {turn_id}"
+
+
+def chain(name, turns, size):
+    """Turns that each go on from the one before; sent at once, served one after another."""
+    yield turn(f"{name}-0", size)
+    for n in range(1, turns):
+        yield turn(f"{name}-{n}", size, after(f"{name}-{n - 1}"))
+
+
+LONG_HISTORY = 100
+DEEP_HISTORY = 1100
+STORED_TURNS = 500
+
+
+def long_history(_):
+    """20 MB in one chain of turns."""
+    return chain("long", LONG_HISTORY, 200_000)
+
+
+def deep_history(_):
+    """More turns in one chain than any program has, each small."""
+    return chain("deep", DEEP_HISTORY, 10)
+
+
+def stored_turns(_):
+    """30 MB in turns of their own, whose ids begin with the same letter."""
+    for n in range(STORED_TURNS):
+        yield turn(f"stored-{n}", 60_000)
+
+
+def turns_after_a_long_history(request_id):
+    yield turn(request_id, 10, after(f"long-{LONG_HISTORY - 1}"))
+
+
+def turns_after_a_deep_history(request_id):
+    yield turn(request_id, 10, after(f"deep-{DEEP_HISTORY - 1}")) + turn(f"{request_id}-1", 10, after("deep-1000"))
+
+
+def turns_after_a_part_of_an_id(request_id):
+    """There is no such turn, but there are many whose ids begin so."""
+    yield turn(request_id, 10, after("s"))
+
+
+def unread_refusals(request_id):
+    """Whole requests whose refusals repeat what they said, as long as a header allows, with bytes that JSON escapes."""
+    one = (f"GET /none HTTP/1.1\r\nHost: {chr(0xe9) * HEADER_PART}\r\n{wire.REQUEST_ID}: {request_id}\r\n\r\n")
+    for _ in range(40):
+        yield one.encode("latin-1")
+
+
+def large_turns(request_id):
+    """Whole turns as large as the configuration allows."""
+    yield turn(request_id, 4 * 1024 * 1024)
+
+
 ANSWERED_REQUESTS = 300
 
 
