Turns: a turn is read by its own rows, not by all whose ids begin with its id

Cause: a turn's rows were read as the range from its id to its id with two separators, which holds every turn whose id begins with it; all pages of it were read, decoded and then passed over.

Ruled out: a limit of the rows that are read (a proper turn of several rows would be cut); another separator below all characters of ids (one query as before, but gateways of two versions could not read each other's turns).

Change: query_of_row() asks for one row by its whole key, as budgets did already. A turn of several rows is read row by row, until one is shorter than the first; most have one. The test of queries counts 8 where it counted 3: one for each of the rows, six of which belong to one turn; what it guards, that nothing is read again once it is cached, is as strict.

--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -301,7 +301,7 @@
     const auto previous = previous_turn();
     if (!previous)
     {
-        on_chain_loaded({.outcome = chain_outcome::found});
+        on_chain_loaded({.outcome = turn_outcome::found});
         return;
     }
     m_services.turns.load_chain(*previous, [self = shared_from_this()](turn_chain chain)
@@ -316,15 +316,15 @@
     }
     switch (chain.outcome)
     {
-    case chain_outcome::missing:
+    case turn_outcome::missing:
         refuse(refusal_reason::no_such_turn, ran_state::no,
                "no turn " + m_request.program->previous_turn->value);
         return;
-    case chain_outcome::unavailable:
+    case turn_outcome::unavailable:
         refuse(refusal_reason::store_away, ran_state::no, "the turn before can't be read",
                store_unavailable_retry_after);
         return;
-    case chain_outcome::found:
+    case turn_outcome::found:
         break;
     }
     // The prompt is copied to be sent.
--- a/src/gateway/partition.cpp
+++ b/src/gateway/partition.cpp
@@ -19,4 +19,10 @@
     return "p" + std::to_string(XXH3_64bits(key.data(), key.size()) % partition_count);
 }
 
+row_query query_of_row(const row_name& name, std::string_view owner)
+{
+    // The bound is exclusive, and the least key behind this one.
+    return {.table = name.table, .partition = partition_of(owner), .from = name.key, .to = name.key + ' '};
+}
+
 } // namespace masticcourse::gateway
--- a/src/gateway/program_spending.cpp
+++ b/src/gateway/program_spending.cpp
@@ -30,20 +30,11 @@
 /// Delay before a failed read of a row is repeated.
 constexpr milliseconds read_retry_delay{50};
 
-/// @return the exclusive upper bound of the range that contains only @a key; ids contain no character below
-/// the one appended
-std::string next_key(const std::string& key)
-{
-    return key + ' ';
-}
-
 row_query query_of(const program_id& id, bool allow_cached)
 {
-    return {.table = spending_table,
-            .partition = partition_of(id.value),
-            .from = id.value,
-            .to = next_key(id.value),
-            .allow_cached = allow_cached};
+    auto query = query_of_row({spending_table, id.value}, id.value);
+    query.allow_cached = allow_cached;
+    return query;
 }
 
 std::optional<stored_row> first_row(const query_reply& reply)
--- a/tests/support/memory_rows.cpp
+++ b/tests/support/memory_rows.cpp
@@ -64,6 +64,7 @@
             reply.rows.push_back(row);
         }
     }
+    m_rows_read += reply.rows.size();
     return reply;
 }
 
--- a/tests/support/memory_rows.hpp
+++ b/tests/support/memory_rows.hpp
@@ -45,6 +45,11 @@
     {
         return m_transactions;
     }
+    /// @return the rows of all replies to queries
+    [[nodiscard]] std::size_t rows_read() const
+    {
+        return m_rows_read;
+    }
 
   private:
     struct row_location
@@ -58,6 +63,7 @@
     std::vector<gateway::stored_row> m_log;
     gateway::row_version m_version = 0;
     std::size_t m_transactions = 0;
+    mutable std::size_t m_rows_read = 0;
 };
 
 /// The store client of one gateway, in virtual time.
--- a/tests/unit/test_gateway_collected_rows.cpp
+++ b/tests/unit/test_gateway_collected_rows.cpp
@@ -196,11 +196,11 @@
             CHECK(
                 spending.has_headroom({.program = {"p"}, .request = {"c"}, .tokens = 100, .budget = 1'000}));
             const auto chain = world.load(at, "b");
-            CHECK(chain.outcome == chain_outcome::found);
+            CHECK(chain.outcome == turn_outcome::found);
             CHECK(chain.prompt == "in a;out\nin b;out\n");
         }
         const auto unknown = world.load(1, "never");
-        CHECK(unknown.outcome == chain_outcome::unavailable);
+        CHECK(unknown.outcome == turn_outcome::unavailable);
     }
 }
 
@@ -209,12 +209,12 @@
     peer_read_world world;
     REQUIRE(world.save(0, "a", {}, "in a;"));
     const auto before = world.queries();
-    CHECK(world.load(1, "a").outcome == chain_outcome::found);
+    CHECK(world.load(1, "a").outcome == turn_outcome::found);
     CHECK(world.queries() == before);
-    CHECK(world.load(1, "never").outcome == chain_outcome::missing);
+    CHECK(world.load(1, "never").outcome == turn_outcome::missing);
     CHECK(world.queries() == before + 1);
     world.unresponsive = true;
-    CHECK(world.load(2, "a").outcome == chain_outcome::found);
+    CHECK(world.load(2, "a").outcome == turn_outcome::found);
     CHECK(world.queries() >= before + 1);
 }
 
@@ -234,7 +234,7 @@
     std::ignore =
         world.rows.apply({.partition = partition_of("a"), .puts = {{{"turns", "a"}, pieces.front()}}});
     const auto chain = world.load(1, "a");
-    CHECK(chain.outcome == chain_outcome::found);
+    CHECK(chain.outcome == turn_outcome::found);
     CHECK(chain.prompt == "in a;out a\n");
 }
 
@@ -250,7 +250,7 @@
         { return it->peers.collector_of(partition_of("never"), world.time.now()); };
         const auto before = collector();
         it->turns.load_chain({"never"},
-                             [](const turn_chain& chain) { CHECK(chain.outcome == chain_outcome::missing); });
+                             [](const turn_chain& chain) { CHECK(chain.outcome == turn_outcome::missing); });
         world.time.run(100ms);
         CHECK(collector() == before);
     }
@@ -261,7 +261,7 @@
     peer_read_world world;
     REQUIRE(world.save(0, "large", {}, std::string(3 * row_bytes, 'x')));
     const auto chain = world.load(1, "large");
-    CHECK(chain.outcome == chain_outcome::found);
+    CHECK(chain.outcome == turn_outcome::found);
     CHECK(chain.prompt.size() == 3 * row_bytes + 4);
 }
 
--- a/tests/unit/test_gateway_turns.cpp
+++ b/tests/unit/test_gateway_turns.cpp
@@ -65,14 +65,15 @@
     for (auto* const from : {&world.writer, &world.reader})
     {
         const auto chain = world.load(*from, "c");
-        CHECK(chain.outcome == chain_outcome::found);
+        CHECK(chain.outcome == turn_outcome::found);
         CHECK(chain.prompt == expected);
         CHECK(chain.turns == std::vector<request_id>{{"a"}, {"b"}, {"c"}});
     }
-    // The reader needs three queries in two rounds, and none when it loads the chain again.
-    CHECK(world.store.queries == 3);
+    // The reader needs a query for each row, six of which are those of "b", and none when it loads the chain
+    // again.
+    CHECK(world.store.queries == 8);
     std::ignore = world.load(world.reader, "c");
-    CHECK(world.store.queries == 3);
+    CHECK(world.store.queries == 8);
 }
 
 TEST_CASE("a turn that does not exist is missing; one that cannot be queried is unavailable")
@@ -80,12 +81,43 @@
     turn_world world;
     REQUIRE(world.save("ab", {}, "in", "out\n"));
     // A prefix or an extension of an id denotes another turn.
-    CHECK(world.load(world.reader, "a").outcome == chain_outcome::missing);
-    CHECK(world.load(world.reader, "abc").outcome == chain_outcome::missing);
+    CHECK(world.load(world.reader, "a").outcome == turn_outcome::missing);
+    CHECK(world.load(world.reader, "abc").outcome == turn_outcome::missing);
     world.store.mode = store_mode::refusing;
-    CHECK(world.load(world.reader, "ab").outcome == chain_outcome::unavailable);
+    CHECK(world.load(world.reader, "ab").outcome == turn_outcome::unavailable);
     world.store.mode = store_mode::available;
-    CHECK(world.load(world.reader, "ab").outcome == chain_outcome::found);
+    CHECK(world.load(world.reader, "ab").outcome == turn_outcome::found);
+}
+
+TEST_CASE("a turn is read by its own rows, however many ids begin with its id")
+{
+    turn_world world;
+    constexpr int others = 50;
+    for (int n = 0; n < others; ++n)
+    {
+        REQUIRE(world.save("a" + std::to_string(n), {}, "in", "out\n"));
+    }
+    REQUIRE(world.save("a", {}, std::string(3 * row_bytes, 'x'), "out\n"));
+    const auto rows_before = world.rows.rows_read();
+    CHECK(world.load(world.reader, "a").prompt.size() == 3 * row_bytes + 4);
+    CHECK(world.rows.rows_read() - rows_before == 4);
+    CHECK(world.load(world.reader, "b").outcome == turn_outcome::missing);
+    CHECK(world.rows.rows_read() - rows_before == 4);
+}
+
+TEST_CASE("a turn whose last row is full is read whole")
+{
+    turn_world world;
+    for (const std::size_t size : {row_bytes, 2 * row_bytes, 3 * row_bytes})
+    {
+        CAPTURE(size);
+        const auto id = "t" + std::to_string(size);
+        const auto overhead = encode_turn({{}, std::string(size, 'x'), ""}, 10'000).front().size() - size;
+        const std::string input(size - overhead, 'x');
+        REQUIRE(encode_turn({{}, input, ""}, 10'000).front().size() == size);
+        REQUIRE(world.save(id, {}, input, ""));
+        CHECK(world.load(world.reader, id).prompt == input);
+    }
 }
 
 TEST_CASE("a turn is reported as durable only after the store has confirmed it")
@@ -94,7 +126,7 @@
     world.store.mode = store_mode::unresponsive;
     CHECK_FALSE(world.save("a", {}, "in", "out\n"));
     world.store.mode = store_mode::available;
-    CHECK(world.load(world.writer, "a").outcome == chain_outcome::missing);
+    CHECK(world.load(world.writer, "a").outcome == turn_outcome::missing);
 }
 
 TEST_CASE("turn records round-trip, and malformed ones are rejected")
