Turns: a history is reserved before it is read, and turns are read a few at a time, each once

What callers saw: 40 small requests that go on from a history of 20 MB, which another gateway had served, ended gateways of 40 and of 88 MB; so did 40 that go on from a chain of 1,100 turns of 10 bytes, at 40 MB. What those gateways were passing on was lost with them.

Cause: all turns of a chain were asked for at once, for each request anew, and room was reserved only for the whole prompt after it had been put together. Each record names all of its ancestors, and all records of a chain were held: 1,100 turns of 10 bytes took 19 MB.

Change: a record says how large its history is, so a load reserves all of it at once, or is refused at once (503, not run). Gateways of the version before leave the size out and ignore it; then each turn is reserved as it comes. A load asks for 16 turns at a time, a gateway reads 64, and one reading serves all that wait for the turn; those that asked after it began read again if the turn was missing, since it may have been stored meanwhile. Of each turn only its part of the prompt is kept.

--- a/include/masticcourse/gateway/turn_record.hpp
+++ b/include/masticcourse/gateway/turn_record.hpp
@@ -30,10 +30,16 @@
     failure_domain_name domain;
     /// Tokens that the turn generated; empty in records of gateways of earlier versions.
     std::optional<token_count> tokens;
+    /// Size of the inputs and outputs of all ancestors, in bytes; empty in records of gateways of earlier
+    /// versions.
+    std::optional<std::size_t> history_size;
 
     friend bool operator==(const turn_record&, const turn_record&) = default;
 };
 
+/// @return the bytes that the turn adds to the prompt of those that follow it
+[[nodiscard]] std::size_t prompt_size(const turn_record& turn);
+
 using turn_ptr = std::shared_ptr<const turn_record>;
 
 /// @return the row of the chunk with that number
--- a/include/masticcourse/gateway/turn_store.hpp
+++ b/include/masticcourse/gateway/turn_store.hpp
@@ -24,6 +24,8 @@
     std::vector<request_id> turns;
     /// Inputs and outputs of the turns, in the order in which the target reads them.
     std::string prompt;
+    /// Holds the room for the prompt, and for the copy of it that is sent.
+    memory_lease memory;
     /// Failure domain of the target that ran the last turn; empty if unknown.
     failure_domain_name domain;
 };
@@ -36,7 +38,9 @@
 {
   public:
     /// @param row_bytes maximum size of a store row
-    turn_store(row_store& store, commit_sink& commits, std::size_t cache_bytes, std::size_t row_bytes);
+    /// @param memory    where histories are reserved before they are read; null without a limit
+    turn_store(row_store& store, commit_sink& commits, std::size_t cache_bytes, std::size_t row_bytes,
+               memory_account_ptr memory = nullptr);
 
     /// Loads the chain of turns that ends with @a last. Calls @a on_chain once, synchronously if all of its
     /// turns are cached.
@@ -55,10 +59,13 @@
 
   private:
     struct chain_load;
+    using chain_load_ptr = std::shared_ptr<chain_load>;
 
-    void load_ancestors(const std::shared_ptr<chain_load>& load, const turn_ptr& last);
-    static void finish(const std::shared_ptr<chain_load>& load);
+    /// Asks for turns of the chain, a few at a time, until all have come or one can't.
+    void load_turns(const chain_load_ptr& load);
+    static void finish(chain_load& load);
 
+    memory_account_ptr m_memory;
     turn_reader m_reader;
     commit_sink& m_commits;
     std::size_t m_row_bytes;
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -301,7 +301,9 @@
     const auto previous = previous_turn();
     if (!previous)
     {
-        on_chain_loaded({.outcome = turn_outcome::found});
+        turn_chain none{.outcome = turn_outcome::found};
+        none.memory = {m_services.memory, memory_use::turns};
+        on_chain_loaded(std::move(none));
         return;
     }
     m_services.turns.load_chain(*previous, [self = shared_from_this()](turn_chain chain)
@@ -324,15 +326,13 @@
         refuse(refusal_reason::store_away, ran_state::no, "the turn before can't be read",
                store_unavailable_retry_after);
         return;
-    case turn_outcome::found:
-        break;
-    }
-    // The prompt is copied to be sent.
-    if (!m_turn_memory.reserve(2 * chain.prompt.size()))
-    {
+    case turn_outcome::no_memory:
         refuse_without_memory();
         return;
+    case turn_outcome::found:
+        break;
     }
+    m_turn_memory = std::move(chain.memory);
     m_chain = std::move(chain);
     m_chain_loaded = true;
     if (!m_await_reservation || m_reservation == reservation_state::granted)
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -79,7 +79,8 @@
                      .input = m_request.body,
                      .output = m_progress->event_data(),
                      .domain = m_last_domain,
-                     .tokens = generated_tokens()};
+                     .tokens = generated_tokens(),
+                     .history_size = m_chain.prompt.size()};
     m_services.turns.save(turn_id(), std::move(turn), m_deadline,
                           [self = shared_from_this()](bool stored)
                           {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,7 +65,7 @@
           [this](const auto& address, auto bytes, auto on_rows)
           { peer_client.query_rows(address, std::move(bytes), std::move(on_rows)); },
           monotonic_now),
-      turns(shared_rows, commits, options.cache_bytes, options.row_bytes),
+      turns(shared_rows, commits, options.cache_bytes, options.row_bytes, options.memory),
       spending(shared_rows, commits, turns, delay, monotonic_now),
       overdraft_buckets(overdraft_ownership_terms(), store, peers,
                         {options.peer_address, random_incarnation()}, delay, monotonic_now, boottime_now,
--- a/src/gateway/turn_record.cpp
+++ b/src/gateway/turn_record.cpp
@@ -19,6 +19,11 @@
 
 } // namespace
 
+std::size_t prompt_size(const turn_record& turn)
+{
+    return turn.input.size() + turn.output.size();
+}
+
 row_name chunk_row(const request_id& turn, std::size_t chunk)
 {
     return {turn_table, chunk == 0 ? turn.value : turn.value + chunk_separator + std::to_string(chunk)};
@@ -39,6 +44,10 @@
     {
         document["tokens"] = *turn.tokens;
     }
+    if (turn.history_size)
+    {
+        document["history"] = *turn.history_size;
+    }
     std::string bytes;
     nlohmann::json::to_cbor(document, bytes);
     std::vector<std::string> chunks;
@@ -90,6 +99,10 @@
     {
         turn.tokens = document["tokens"].get<token_count>();
     }
+    if (document.contains("history") && document["history"].is_number_unsigned())
+    {
+        turn.history_size = document["history"].get<std::size_t>();
+    }
     return turn;
 }
 
--- a/src/gateway/turn_store.cpp
+++ b/src/gateway/turn_store.cpp
@@ -1,6 +1,7 @@
 #include "masticcourse/gateway/turn_store.hpp"
 
 #include "masticcourse/gateway/partition.hpp"
+#include "masticcourse/memory/free_storage.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -8,18 +9,66 @@
 namespace masticcourse::gateway
 {
 
+namespace
+{
+
+/// Turns of one chain that are asked for at a time; most programs have fewer.
+constexpr std::size_t max_asked_for = 16;
+/// How often a prompt is held at a time: in parts and as a whole, then as a whole and in the copy that is
+/// sent.
+constexpr std::size_t prompt_copies = 2;
+
+} // namespace
+
 /// State of a load_chain() call in progress.
 struct turn_store::chain_load
 {
+    chain_callback on_chain;
+    memory_lease memory;
     std::vector<request_id> ids;
-    std::vector<turn_ptr> turns;
+    /// What each turn adds to the prompt. The records are not kept, since each names all of its ancestors.
+    std::vector<std::string> parts;
+    failure_domain_name domain;
+    /// Index of the next turn to ask for.
+    std::size_t next = 0;
     std::size_t outstanding = 0;
+    /// Whether load_turns() is running, which goes on when a turn comes at once.
+    bool asking = false;
+    /// Of the turns that have come, in bytes.
+    std::size_t prompt_size = 0;
     turn_outcome outcome = turn_outcome::found;
-    chain_callback on_chain;
+
+    /// Reserves the room for a prompt of that size.
+    void reserve(std::size_t size)
+    {
+        const auto missing = prompt_copies * size - std::min(prompt_copies * size, memory.size());
+        if (!memory.reserve(missing))
+        {
+            outcome = turn_outcome::no_memory;
+        }
+    }
+
+    void add(std::size_t index, const turn_ptr& turn)
+    {
+        prompt_size += gateway::prompt_size(*turn);
+        reserve(prompt_size);
+        if (outcome == turn_outcome::found)
+        {
+            parts[index] = turn->input + turn->output;
+        }
+    }
+
+    [[nodiscard]] bool wants_more() const
+    {
+        // The last one came first.
+        return outcome == turn_outcome::found && next + 1 < ids.size();
+    }
 };
 
-turn_store::turn_store(row_store& store, commit_sink& commits, std::size_t cache_bytes, std::size_t row_bytes)
-    : m_reader(store, cache_bytes), m_commits(commits), m_row_bytes(row_bytes)
+turn_store::turn_store(row_store& store, commit_sink& commits, std::size_t cache_bytes, std::size_t row_bytes,
+                       memory_account_ptr memory)
+    : m_memory(std::move(memory)), m_reader(store, cache_bytes, m_memory), m_commits(commits),
+      m_row_bytes(row_bytes)
 {
 }
 
@@ -27,55 +76,69 @@
 {
     auto load = std::make_shared<chain_load>();
     load->on_chain = std::move(on_chain);
+    load->memory = {m_memory, memory_use::turns};
     m_reader.read(last,
                   [this, load, last](turn_outcome outcome, const turn_ptr& turn)
                   {
-                      if (outcome != turn_outcome::found)
+                      load->outcome = outcome;
+                      if (outcome == turn_outcome::found)
                       {
-                          load->on_chain({.outcome = outcome});
-                          return;
+                          load->reserve(turn->history_size.value_or(0) + prompt_size(*turn));
+                          load->ids = turn->ancestors;
+                          load->ids.push_back(last);
+                          load->parts.resize(load->ids.size());
+                          load->domain = turn->domain;
+                          load->add(load->ids.size() - 1, turn);
                       }
-                      load->ids = turn->ancestors;
-                      load->ids.push_back(last);
-                      load_ancestors(load, turn);
+                      load_turns(load);
                   });
 }
 
-void turn_store::load_ancestors(const std::shared_ptr<chain_load>& load, const turn_ptr& last)
+void turn_store::load_turns(const chain_load_ptr& load)
 {
-    load->turns.resize(load->ids.size());
-    load->turns.back() = last;
-    // One more than the number of fetches, so that replies from the cache do not complete the load before all
-    // turns are requested.
-    load->outstanding = load->ids.size();
-    for (std::size_t i = 0; i + 1 < load->ids.size(); ++i)
+    load->asking = true;
+    while (load->wants_more() && load->outstanding < max_asked_for)
     {
-        m_reader.read(load->ids[i],
-                      [load, i](turn_outcome outcome, const turn_ptr& turn)
+        const auto index = load->next++;
+        ++load->outstanding;
+        m_reader.read(load->ids[index],
+                      [this, load, index](turn_outcome outcome, const turn_ptr& turn)
                       {
-                          load->turns[i] = turn;
-                          load->outcome = outcome == turn_outcome::found ? load->outcome : outcome;
-                          finish(load);
+                          --load->outstanding;
+                          if (outcome != turn_outcome::found)
+                          {
+                              load->outcome = outcome;
+                          }
+                          else if (load->outcome == turn_outcome::found)
+                          {
+                              load->add(index, turn);
+                          }
+                          if (!load->asking)
+                          {
+                              load_turns(load);
+                          }
                       });
     }
-    finish(load);
+    load->asking = false;
+    if (load->outstanding == 0)
+    {
+        finish(*load);
+    }
 }
 
-void turn_store::finish(const std::shared_ptr<chain_load>& load)
+void turn_store::finish(chain_load& load)
 {
-    if (--load->outstanding > 0)
-    {
-        return;
-    }
-    turn_chain chain{.outcome = load->outcome};
+    turn_chain chain{.outcome = load.outcome};
     if (chain.outcome == turn_outcome::found)
     {
-        chain.turns = std::move(load->ids);
-        std::ranges::for_each(load->turns,
-                              [&](const turn_ptr& it) { chain.prompt += it->input + it->output; });
-        chain.domain = load->turns.back()->domain;
+        chain.prompt.reserve(load.prompt_size);
+        std::ranges::for_each(load.parts, [&chain](const std::string& it) { chain.prompt += it; });
+        chain.domain = std::move(load.domain);
+        chain.turns = std::move(load.ids);
+        chain.memory = std::move(load.memory);
     }
-    load->on_chain(std::move(chain));
+    free_storage(load.parts);
+    std::exchange(load.on_chain, nullptr)(std::move(chain));
 }
 
 void turn_store::find_end(const request_id& turn, turn_end_callback on_end)
@@ -83,7 +146,7 @@
     m_reader.read(turn,
                   [on_end = std::move(on_end)](turn_outcome outcome, const turn_ptr& record)
                   {
-                      if (outcome == turn_outcome::unavailable)
+                      if (outcome == turn_outcome::unavailable || outcome == turn_outcome::no_memory)
                       {
                           on_end({.progress = turn_progress::unknown});
                           return;
--- a/tests/clients/clients_test.py
+++ b/tests/clients/clients_test.py
@@ -5,6 +5,7 @@
 No times: the limit below only ends a test that hangs."""
 
 import asyncio
+import signal
 import socket
 import sys
 import tempfile
@@ -220,6 +221,8 @@
             client = Client(self, self.builder, crowd, "before")
             self.expect(await client.send("before"), "not all was answered before the crowd")
             client.close()
+        if self.builder is not self.gateway:
+            await self.builder.end(signal.SIGKILL)
         clients = [Client(self, self.gateway, crowd, f"crowd{k}-{n}") for k, crowd in enumerate(self.case.crowds)
                    for n in range(crowd.clients)]
         sending = [asyncio.create_task(it.run()) for it in clients]
--- a/tests/support/memory_rows.cpp
+++ b/tests/support/memory_rows.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -137,8 +138,15 @@
 {
     ++queries;
     const bool answered = answers_queries(mode);
-    m_delay(latency, [this, answered, query, on_reply]
-            { on_reply(answered ? m_rows.read(query) : gateway::query_reply{.answered = false}); });
+    const auto early = read_at_once ? std::optional{m_rows.read(query)} : std::nullopt;
+    most_outstanding = std::max(most_outstanding, ++m_outstanding);
+    m_delay(latency,
+            [this, answered, early, query, on_reply]
+            {
+                --m_outstanding;
+                const gateway::query_reply none{.answered = false};
+                on_reply(!answered ? none : early ? *early : m_rows.read(query));
+            });
 }
 
 void memory_store::list_partitions(const std::string& table, gateway::partitions_callback on_reply)
--- a/tests/support/memory_rows.hpp
+++ b/tests/support/memory_rows.hpp
@@ -94,12 +94,17 @@
     /// Set while calls go through peers.
     std::optional<gateway::duration> direct_path_down;
     gateway::duration since_failure = gateway::seconds{100};
+    /// Queries are answered from the rows of the moment in which they are made, not of their answer.
+    bool read_at_once = false;
     std::size_t queries = 0;
+    /// Queries that waited for their answers at a time, at most.
+    std::size_t most_outstanding = 0;
     std::size_t writes = 0;
 
   private:
     row_table& m_rows;
     gateway::delay_function m_delay;
+    std::size_t m_outstanding = 0;
 };
 
 } // namespace masticcourse::testing
--- a/tests/unit/test_gateway_collected_rows.cpp
+++ b/tests/unit/test_gateway_collected_rows.cpp
@@ -125,7 +125,7 @@
         members[at]->turns.load_chain({id}, [&loaded](turn_chain it) { loaded = std::move(it); });
         time.run(1s);
         REQUIRE(loaded);
-        return *loaded;
+        return *std::move(loaded);
     }
 
     [[nodiscard]] std::size_t queries() const
--- a/tests/unit/test_gateway_turns.cpp
+++ b/tests/unit/test_gateway_turns.cpp
@@ -8,8 +8,12 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace masticcourse;
 using namespace masticcourse::gateway;
@@ -47,7 +51,7 @@
         from.load_chain({id}, [&loaded](turn_chain it) { loaded = std::move(it); });
         time.run(1s);
         REQUIRE(loaded);
-        return *loaded;
+        return *std::move(loaded);
     }
 };
 
@@ -120,6 +124,108 @@
     }
 }
 
+namespace
+{
+
+/// A chain of turns "0", "1", ... in a store that a reader with an account of memory reads.
+struct history_world : turn_world
+{
+    static constexpr int turns = 200;
+    static constexpr std::size_t input_size = 100;
+
+    memory_account_ptr account = std::make_shared<memory_account>(memory_account::unlimited);
+    static constexpr std::size_t large_row = 10'000;
+    turn_store limited{store, commits, 0, large_row, account};
+
+    history_world()
+    {
+        std::vector<request_id> ancestors;
+        for (int n = 0; n < turns; ++n)
+        {
+            const auto id = std::to_string(n);
+            bool saved = false;
+            limited.save({id},
+                         {.ancestors = ancestors,
+                          .input = std::string(input_size, 'x'),
+                          .history_size = ancestors.size() * input_size},
+                         time.now() + 1s, [&saved](bool it) { saved = it; });
+            time.run(2s);
+            REQUIRE(saved);
+            ancestors.push_back({id});
+        }
+    }
+
+    /// @return how many of @a count loads at once of the whole chain ended with each outcome
+    std::map<turn_outcome, int> load_at_once(int count)
+    {
+        std::map<turn_outcome, int> outcomes;
+        std::vector<turn_chain> chains;
+        for (int n = 0; n < count; ++n)
+        {
+            limited.load_chain(
+                {std::to_string(turns - 1)},
+                [&](turn_chain it)
+                {
+                    ++outcomes[it.outcome];
+                    CHECK((it.outcome != turn_outcome::found || it.prompt.size() == turns * input_size));
+                    chains.push_back(std::move(it));
+                });
+        }
+        time.run(30s);
+        return outcomes;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a turn is read once for all that wait for it, and few turns at a time")
+{
+    history_world world;
+    const auto queries_before = world.store.queries;
+    CHECK(world.load_at_once(50) == std::map<turn_outcome, int>{{turn_outcome::found, 50}});
+    CHECK(world.store.queries - queries_before < 2 * 2 * history_world::turns);
+    CHECK(world.store.most_outstanding <= 64);
+}
+
+TEST_CASE("histories without room are given up before they are held, and leave nothing reserved")
+{
+    history_world world;
+    constexpr auto history = history_world::turns * history_world::input_size;
+    // Half of the account may be held for turns, in two copies.
+    world.account->set_capacity(2 * 2 * 3 * history + history);
+    const auto outcomes = world.load_at_once(50);
+    CHECK(outcomes.at(turn_outcome::found) == 3);
+    CHECK(outcomes.at(turn_outcome::no_memory) == 47);
+    CHECK(world.account->held() == 0);
+    world.account->set_capacity(2 * history);
+    const auto queries_before = world.store.queries;
+    CHECK(world.load_at_once(1).at(turn_outcome::no_memory) == 1);
+    // The size of the history stands in its last turn.
+    CHECK(world.store.queries - queries_before <= 2);
+}
+
+TEST_CASE("a turn that was missing when it was asked for is read again for those that ask later")
+{
+    turn_world world;
+    // The store answers from what it held when it was asked.
+    world.store.read_at_once = true;
+    world.store.latency = 100ms;
+    std::optional<turn_outcome> missing;
+    world.reader.load_chain({"b"}, [&missing](const turn_chain& it) { missing = it.outcome; });
+    world.store.latency = 2ms;
+    std::optional<turn_outcome> found;
+    world.writer.save({"b"}, {{}, "in", "out\n"}, world.time.now() + 1s,
+                      [&](bool durable)
+                      {
+                          CHECK(durable);
+                          world.reader.load_chain({"b"},
+                                                  [&found](const turn_chain& it) { found = it.outcome; });
+                      });
+    world.time.run(2s);
+    CHECK(missing == turn_outcome::missing);
+    CHECK(found == turn_outcome::found);
+}
+
 TEST_CASE("a turn is reported as durable only after the store has confirmed it")
 {
     turn_world world;
