Turns: a history has at most 1,024 turns, and the ids of its turns are reserved

Each record names all turns before it, without a bound: the record of the n-th turn of a chain, and what a request holds that goes on from it, grow with n, so a caller's tiny turns cost more with each one.

The ids are reserved with the history, four times, as the request, its record, the document and its rows hold them; the cache counts their text.

Measured: test_gateway_turns: without room for the ids of 1,024 turns the load is refused; the 1,025th is refused.

--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -115,6 +115,8 @@
     /// No gateway that holds a slice of the workspace's quota is reachable.
     quota_undecided,
     no_such_turn,
+    /// The turn goes on from as many turns as a history may have.
+    history_too_long,
     /// A stored turn can't resume an interrupted response, whose start may have been sent by another process.
     not_resumable,
     over_budget,
--- a/include/masticcourse/gateway/turn_reader.hpp
+++ b/include/masticcourse/gateway/turn_reader.hpp
@@ -32,6 +32,8 @@
     unavailable,
     /// There was no room for it.
     no_memory,
+    /// Too many turns come before it.
+    too_long,
 };
 
 /// Receives the turn; null unless it was found.
--- a/include/masticcourse/gateway/turn_record.hpp
+++ b/include/masticcourse/gateway/turn_record.hpp
@@ -40,6 +40,9 @@
 /// @return the bytes that the turn adds to the prompt of those that follow it
 [[nodiscard]] std::size_t prompt_size(const turn_record& turn);
 
+/// @return the bytes that a list of ids takes
+[[nodiscard]] std::size_t memory_size(const std::vector<request_id>& ids);
+
 using turn_ptr = std::shared_ptr<const turn_record>;
 
 /// @return the row of the chunk with that number
--- a/include/masticcourse/gateway/turn_store.hpp
+++ b/include/masticcourse/gateway/turn_store.hpp
@@ -16,6 +16,10 @@
 namespace masticcourse::gateway
 {
 
+/// Turns in a chain that a further one may continue. Each record names all that come before it, so that what
+/// a turn costs grows with their number.
+inline constexpr std::size_t max_history_turns = 1'024;
+
 /// The preceding turns that a new turn continues.
 struct turn_chain
 {
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -329,6 +329,10 @@
     case turn_outcome::no_memory:
         refuse_without_memory();
         return;
+    case turn_outcome::too_long:
+        refuse(refusal_reason::history_too_long, ran_state::no,
+               "the history has " + std::to_string(max_history_turns) + " turns, the most that it may have");
+        return;
     case turn_outcome::found:
         break;
     }
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -46,6 +46,8 @@
         return "quota_undecided";
     case refusal_reason::no_such_turn:
         return "no_such_turn";
+    case refusal_reason::history_too_long:
+        return "history_too_long";
     case refusal_reason::not_resumable:
         return "not_resumable";
     case refusal_reason::over_budget:
--- a/src/gateway/turn_cache.cpp
+++ b/src/gateway/turn_cache.cpp
@@ -9,8 +9,7 @@
 {
     /// Approximate size of the list node, index node and control block.
     constexpr std::size_t overhead = 256;
-    const auto ids = it.turn->ancestors.size() * sizeof(request_id);
-    return overhead + ids + it.turn->input.size() + it.turn->output.size();
+    return overhead + memory_size(it.turn->ancestors) + prompt_size(*it.turn);
 }
 
 void turn_cache::put(const request_id& id, turn_ptr turn)
--- a/src/gateway/turn_record.cpp
+++ b/src/gateway/turn_record.cpp
@@ -24,6 +24,12 @@
     return turn.input.size() + turn.output.size();
 }
 
+std::size_t memory_size(const std::vector<request_id>& ids)
+{
+    const auto add = [](std::size_t sum, const request_id& it) { return sum + sizeof(it) + it.value.size(); };
+    return std::accumulate(ids.begin(), ids.end(), std::size_t{0}, add);
+}
+
 row_name chunk_row(const request_id& turn, std::size_t chunk)
 {
     return {turn_table, chunk == 0 ? turn.value : turn.value + chunk_separator + std::to_string(chunk)};
--- a/src/gateway/turn_store.cpp
+++ b/src/gateway/turn_store.cpp
@@ -17,6 +17,8 @@
 /// How often a prompt is held at a time: in parts and as a whole, then as a whole and in the copy that is
 /// sent.
 constexpr std::size_t prompt_copies = 2;
+/// The same for the ids of the turns: by the request, in its record, in the document and in its rows.
+constexpr std::size_t id_copies = 4;
 
 } // namespace
 
@@ -41,20 +43,35 @@
     /// Reserves the room for a prompt of that size.
     void reserve(std::size_t size)
     {
-        const auto missing = prompt_copies * size - std::min(prompt_copies * size, memory.size());
-        if (!memory.reserve(missing))
+        const auto needed = prompt_copies * size + id_copies * memory_size(ids);
+        if (!memory.reserve(needed - std::min(needed, memory.size())))
         {
             outcome = turn_outcome::no_memory;
         }
     }
 
-    void add(std::size_t index, const turn_ptr& turn)
+    void begin(const request_id& last, const turn_record& turn)
     {
-        prompt_size += gateway::prompt_size(*turn);
+        if (turn.ancestors.size() >= max_history_turns)
+        {
+            outcome = turn_outcome::too_long;
+            return;
+        }
+        ids = turn.ancestors;
+        ids.push_back(last);
+        parts.resize(ids.size());
+        domain = turn.domain;
+        reserve(turn.history_size.value_or(0) + gateway::prompt_size(turn));
+        add(ids.size() - 1, turn);
+    }
+
+    void add(std::size_t index, const turn_record& turn)
+    {
+        prompt_size += gateway::prompt_size(turn);
         reserve(prompt_size);
         if (outcome == turn_outcome::found)
         {
-            parts[index] = turn->input + turn->output;
+            parts[index] = turn.input + turn.output;
         }
     }
 
@@ -83,12 +100,7 @@
                       load->outcome = outcome;
                       if (outcome == turn_outcome::found)
                       {
-                          load->reserve(turn->history_size.value_or(0) + prompt_size(*turn));
-                          load->ids = turn->ancestors;
-                          load->ids.push_back(last);
-                          load->parts.resize(load->ids.size());
-                          load->domain = turn->domain;
-                          load->add(load->ids.size() - 1, turn);
+                          load->begin(last, *turn);
                       }
                       load_turns(load);
                   });
@@ -111,7 +123,7 @@
                           }
                           else if (load->outcome == turn_outcome::found)
                           {
-                              load->add(index, turn);
+                              load->add(index, *turn);
                           }
                           if (!load->asking)
                           {
@@ -146,7 +158,7 @@
     m_reader.read(turn,
                   [on_end = std::move(on_end)](turn_outcome outcome, const turn_ptr& record)
                   {
-                      if (outcome == turn_outcome::unavailable || outcome == turn_outcome::no_memory)
+                      if (outcome != turn_outcome::found && outcome != turn_outcome::missing)
                       {
                           on_end({.progress = turn_progress::unknown});
                           return;
--- a/tests/unit/test_gateway_turns.cpp
+++ b/tests/unit/test_gateway_turns.cpp
@@ -137,21 +137,22 @@
     static constexpr std::size_t large_row = 10'000;
     turn_store limited{store, commits, 0, large_row, account};
 
+    std::vector<request_id> ids;
+
     history_world()
     {
-        std::vector<request_id> ancestors;
         for (int n = 0; n < turns; ++n)
         {
             const auto id = std::to_string(n);
             bool saved = false;
             limited.save({id},
-                         {.ancestors = ancestors,
+                         {.ancestors = ids,
                           .input = std::string(input_size, 'x'),
-                          .history_size = ancestors.size() * input_size},
+                          .history_size = ids.size() * input_size},
                          time.now() + 1s, [&saved](bool it) { saved = it; });
             time.run(2s);
             REQUIRE(saved);
-            ancestors.push_back({id});
+            ids.push_back({id});
         }
     }
 
@@ -191,8 +192,9 @@
 {
     history_world world;
     constexpr auto history = history_world::turns * history_world::input_size;
-    // Half of the account may be held for turns, in two copies.
-    world.account->set_capacity(2 * 2 * 3 * history + history);
+    // Half of the account may be held for turns: two copies of the prompts, four of the ids.
+    const auto held = 2 * history + 4 * memory_size(world.ids);
+    world.account->set_capacity(2 * 3 * held + held);
     const auto outcomes = world.load_at_once(50);
     CHECK(outcomes.at(turn_outcome::found) == 3);
     CHECK(outcomes.at(turn_outcome::no_memory) == 47);
@@ -204,6 +206,30 @@
     CHECK(world.store.queries - queries_before <= 2);
 }
 
+TEST_CASE("a history has a bounded number of turns, and their ids are reserved with it")
+{
+    turn_world world;
+    const std::string long_id(90, 'x');
+    std::vector<request_id> ancestors(max_history_turns - 1, request_id{long_id});
+    constexpr std::size_t large_row = 200'000;
+    const auto account = std::make_shared<memory_account>();
+    turn_store turns{world.store, world.commits, 0, large_row, account};
+    const auto save = [&](const std::string& id, const std::vector<request_id>& before)
+    {
+        turns.save({id}, {.ancestors = before}, world.time.now() + 1s, [](bool durable) { CHECK(durable); });
+        world.time.run(1s);
+    };
+    save(long_id, {});
+    save("last", ancestors);
+    CHECK(world.load(turns, "last").turns.size() == max_history_turns);
+    account->set_capacity(max_history_turns * long_id.size());
+    CHECK(world.load(turns, "last").outcome == turn_outcome::no_memory);
+    account->set_capacity(memory_account::unlimited);
+    ancestors.push_back({long_id});
+    save("further", ancestors);
+    CHECK(world.load(turns, "further").outcome == turn_outcome::too_long);
+}
+
 TEST_CASE("a turn that was missing when it was asked for is read again for those that ask later")
 {
     turn_world world;
