Commits: a change that the store never takes fails at once, and holds up no others

Cause: any status but 200 and 412 counted as a passing refusal.

Of several changes each is then tried alone, and one that is alone fails (E4013 change_rejected). 403, 429 and 5xx stay passing.

--- a/include/masticcourse/gateway/commit_queue.hpp
+++ b/include/masticcourse/gateway/commit_queue.hpp
@@ -49,7 +49,7 @@
 
 struct change_result
 {
-    /// `done`, `conflict`, or `unknown` if the change expired.
+    /// `done`, `conflict`, `refused` if the store never takes the change, or `unknown` if it expired.
     store_outcome outcome = store_outcome::unknown;
     row_version version = 0;
     /// After a conflict: the current row that the condition names, if it exists.
@@ -117,6 +117,8 @@
     {
         row_change change;
         change_callback on_result;
+        /// Shares no transaction with others, because one that it was part of has been rejected.
+        bool alone = false;
     };
     using item_list = std::deque<item>;
     struct partition_queue
@@ -137,6 +139,8 @@
     /// Reports a conflict, without a transaction, for changes whose condition is known to fail.
     void reject_stale(partition_queue& queue);
     void cache_rows(const item_list& written, row_version version);
+    /// Fails a change that the store never takes; of several, one at a time, as any of them may be at fault.
+    void on_rejected(partition_queue& queue, item_list batch);
     void on_reply(const std::string& partition, item_list batch, const transaction_reply& reply);
     void resolve_conflicts(item_list& batch, const transaction_reply& reply);
     void requeue(partition_queue& queue, item_list batch);
--- a/include/masticcourse/gateway/row_store.hpp
+++ b/include/masticcourse/gateway/row_store.hpp
@@ -65,6 +65,8 @@
     refused,
     /// No answer: the transaction may have been applied, or may still be if its conditions hold.
     unknown,
+    /// Nothing was written, and the store never takes this transaction: it is too large, or malformed.
+    rejected,
 };
 
 struct transaction_reply
--- a/include/masticcourse/telemetry/event.hpp
+++ b/include/masticcourse/telemetry/event.hpp
@@ -76,6 +76,7 @@
     table_late = 4010,
     table_read = 4011,
     table_currency_changed = 4012,
+    change_rejected = 4013,
     target_available = 5001,
     target_lost = 5003,
     target_fence_raised = 5004,
@@ -321,6 +322,12 @@
         "Whether requests are decided by the followed tables has changed (`from`, `to`), `evidence` says why "
         "the store counts as away.",
         "`store_away` at one gateway alone while others reach the store: look at that gateway."},
+    event_definition{
+        event_id::change_rejected, "change_rejected", event_severity::warning,
+        "The store never takes a change of `rows` rows and `bytes` bytes, the first of which is "
+        "`row`: it is too large, or malformed. The turn, or the reservation, behind it fails.",
+        "Compare the store's limits with `store.row_bytes`, and look at the request whose id the "
+        "row bears."},
     event_definition{event_id::target_available, "target_available", event_severity::info,
                      "A target takes work.", "None."},
     event_definition{event_id::target_lost, "target_lost", event_severity::warning,
--- a/src/gateway/commit_queue.cpp
+++ b/src/gateway/commit_queue.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/gateway/commit_queue.hpp"
 
+#include "masticcourse/telemetry/log.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -124,7 +126,8 @@
                           bytes + bytes_of(it.change) > max_batch_bytes;
         // Two changes to the same row never share a transaction: both conditions would hold, and the second
         // write would overwrite the first.
-        if ((full && !batch.empty()) || writes_any(it.change, queue.being_written))
+        const bool apart = it.alone || (!batch.empty() && batch.front().alone);
+        if (((full || apart) && !batch.empty()) || writes_any(it.change, queue.being_written))
         {
             remaining.push_back(std::move(it));
             continue;
@@ -201,6 +204,13 @@
         send_next_batch(partition);
         return;
     }
+    if (reply.outcome == store_outcome::rejected)
+    {
+        --queue.occupied_slots;
+        on_rejected(queue, std::move(batch));
+        send_next_batch(partition);
+        return;
+    }
     const auto size = batch.size();
     if (reply.outcome == store_outcome::conflict)
     {
@@ -242,6 +252,22 @@
     }
 }
 
+void commit_queue::on_rejected(partition_queue& queue, item_list batch)
+{
+    if (batch.size() > 1)
+    {
+        std::ranges::for_each(batch, [](item& it) { it.alone = true; });
+        requeue(queue, std::move(batch));
+        return;
+    }
+    auto& it = batch.front();
+    log_event(event_id::change_rejected,
+              {{"row", it.change.puts.empty() ? "-" : it.change.puts.front().name.key},
+               {"rows", std::to_string(it.change.puts.size())},
+               {"bytes", std::to_string(bytes_of(it.change))}});
+    resolve(it, {.outcome = store_outcome::refused});
+}
+
 void commit_queue::requeue(partition_queue& queue, item_list batch)
 {
     queue.waiting.insert(queue.waiting.begin(), std::make_move_iterator(batch.begin()),
--- a/tests/support/memory_rows.cpp
+++ b/tests/support/memory_rows.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -107,6 +108,13 @@
                             gateway::transaction_callback on_reply)
 {
     ++writes;
+    const auto bytes = std::accumulate(transaction.puts.begin(), transaction.puts.end(), std::size_t{0},
+                                       [](std::size_t sum, const auto& it) { return sum + it.value.size(); });
+    if (mode == store_mode::available && bytes > max_bytes)
+    {
+        m_delay(latency, [on_reply] { on_reply({.outcome = store_outcome::rejected}); });
+        return;
+    }
     switch (mode)
     {
     case store_mode::available:
--- a/tests/support/memory_rows.hpp
+++ b/tests/support/memory_rows.hpp
@@ -5,6 +5,7 @@
 #include "masticcourse/gateway/commit_queue.hpp"
 #include "masticcourse/gateway/row_store.hpp"
 
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -88,6 +89,8 @@
     gateway::milliseconds latency{10};
     /// Time after which an unanswered call fails.
     gateway::milliseconds timeout{100};
+    /// Transactions with more bytes of values are rejected for good.
+    std::size_t max_bytes = std::numeric_limits<std::size_t>::max();
     /// When a late transaction is executed.
     gateway::milliseconds late_by{2'000};
     bool reported_reachable = true;
--- a/tests/unit/test_gateway_commits.cpp
+++ b/tests/unit/test_gateway_commits.cpp
@@ -167,3 +167,25 @@
     // The conflict was detected without a call to the store.
     CHECK(world.rows.transactions() == 2);
 }
+
+TEST_CASE("a change that the store never takes fails at once, and holds up no other of its partition")
+{
+    commit_world world;
+    world.store.max_bytes = 1'000;
+    std::vector<store_outcome> large;
+    const auto put_large = [&](const std::string& key)
+    {
+        world.commits.submit(
+            "p", {.puts = {{{"t", key}, std::string(2'000, 'x')}}, .expires = world.time.now() + 10s},
+            [&large](const change_result& it) { large.push_back(it.outcome); });
+    };
+    for (int n = 0; n < 20; ++n)
+    {
+        put_large("large" + std::to_string(n));
+        world.put(std::to_string(n));
+    }
+    world.time.run(1s);
+    CHECK(large == std::vector<store_outcome>(20, store_outcome::refused));
+    CHECK(world.count(store_outcome::done) == 20);
+    CHECK(world.commits.pending() == 0);
+}
--- a/tests/unit/test_platform_codec.cpp
+++ b/tests/unit/test_platform_codec.cpp
@@ -684,6 +684,10 @@
     CHECK(conflict.current.at(0).version == 3);
     CHECK(decode_transaction({200, "cut off"}).outcome == store_outcome::unknown);
     CHECK(decode_transaction({403, "{}"}).outcome == store_outcome::refused);
+    CHECK(decode_transaction({429, "{}"}).outcome == store_outcome::refused);
+    CHECK(decode_transaction({503, "{}"}).outcome == store_outcome::refused);
+    CHECK(decode_transaction({400, "{}"}).outcome == store_outcome::rejected);
+    CHECK(decode_transaction({413, "{}"}).outcome == store_outcome::rejected);
 }
 
 TEST_CASE("settings are parsed, and errors name the key")
