Commits: messages to a collector have a bounded size

Cause: all changes that waited for a collector went into one message. A few large turns together were more than the 8 MB that peers accept: the collector counted as failed, and every change was sent again.

Change: a message carries 1 MB of values, or a single change; up to four are under way at a time, as before.

--- a/include/masticcourse/gateway/commit_router.hpp
+++ b/include/masticcourse/gateway/commit_router.hpp
@@ -111,6 +111,8 @@
     /// @return the collector, if the change was put into an outbox
     std::optional<std::string> dispatch(item it);
     void send(const std::string& collector);
+    /// Takes as many of the changes that wait as one message may carry.
+    [[nodiscard]] static item_list take_message(item_list& waiting);
     /// Keeps a change until the next scheduled retry.
     void defer(item it);
     void schedule_retry();
--- a/src/gateway/commit_router.cpp
+++ b/src/gateway/commit_router.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 #include <memory>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -18,6 +19,10 @@
 /// few enough that the changes of a busy gateway share messages.
 constexpr int max_in_flight = 4;
 
+/// What the changes of one message write at most, unless a single one writes more: well below the size of a
+/// body that peers accept.
+constexpr std::size_t max_message_bytes = std::size_t{1} << 20U;
+
 /// Time within which a collector replies: long enough for several transactions, well below the sender's
 /// timeout.
 constexpr milliseconds max_collect_time{400};
@@ -46,8 +51,29 @@
     }
 };
 
+std::size_t bytes_of(const row_change& change)
+{
+    return std::accumulate(change.puts.begin(), change.puts.end(), std::size_t{0},
+                           [](std::size_t sum, const row_put& it) { return sum + it.value.size(); });
+}
+
 } // namespace
 
+commit_router::item_list commit_router::take_message(item_list& waiting)
+{
+    std::size_t bytes = 0;
+    const auto fits = [&bytes](const item& it)
+    {
+        const bool first = bytes == 0;
+        bytes += bytes_of(it.change.change);
+        return first || bytes <= max_message_bytes;
+    };
+    const auto end = std::ranges::find_if_not(waiting, fits);
+    item_list taken{std::make_move_iterator(waiting.begin()), std::make_move_iterator(end)};
+    waiting.erase(waiting.begin(), end);
+    return taken;
+}
+
 commit_router::commit_router(commit_sink& local_commits, const row_store& store, peer_directory& peers,
                              collector_call call, delay_function delay, clock_function clock)
     : m_local_commits(local_commits), m_store(store), m_peers(peers), m_call(std::move(call)),
@@ -161,18 +187,17 @@
 void commit_router::send(const std::string& collector)
 {
     auto& box = m_outboxes[collector];
-    if (box.in_flight >= max_in_flight || box.waiting.empty())
+    while (box.in_flight < max_in_flight && !box.waiting.empty())
     {
-        return;
+        ++box.in_flight;
+        m_peers.start_probe(collector, m_clock());
+        auto sent = std::make_shared<item_list>(take_message(box.waiting));
+        std::vector<routed_change> changes;
+        std::ranges::transform(*sent, std::back_inserter(changes), &item::change);
+        m_call(collector, encode_changes(changes, m_clock()),
+               [this, collector, sent](const collector_reply& reply)
+               { on_reply(collector, std::move(*sent), reply); });
     }
-    ++box.in_flight;
-    m_peers.start_probe(collector, m_clock());
-    auto sent = std::make_shared<item_list>(std::exchange(box.waiting, {}));
-    std::vector<routed_change> changes;
-    std::ranges::transform(*sent, std::back_inserter(changes), &item::change);
-    m_call(collector, encode_changes(changes, m_clock()),
-           [this, collector, sent](const collector_reply& reply)
-           { on_reply(collector, std::move(*sent), reply); });
 }
 
 void commit_router::on_reply(const std::string& collector, item_list sent, const collector_reply& reply)
