Budgets: a program has at most 256 turns under way, so that its row can be stored

What callers would see: a program with some 500 turns at once, under ids of 100 bytes, has a row beyond the store's 64 kB. The store refuses it for good, its write was repeated until the turns' deadlines, and the turns of others in its partition waited behind it.

Change: a 257th turn is refused (503, not run, at once).

Measured: test_gateway_spending: of 600 turns at once 256 are granted, the others refused within a second. The fault itself was read, not shown at the size of a real row.

--- a/include/masticcourse/gateway/program_spending.hpp
+++ b/include/masticcourse/gateway/program_spending.hpp
@@ -152,6 +152,8 @@
     refusal_of(const program_entry& entry, const spending_row& row, const unwritten_turn& turn) const;
     void expire_turns(program_entry& entry);
     void on_written(const program_id& id, const pending_write& write, const change_result& result);
+    /// Fails the reservations of a row that the store does not take.
+    void on_write_refused(program_entry& entry, const pending_write& write);
     /// Ends the records of the turns that a write has made durable.
     static void complete_write(program_entry& entry, const pending_write& write);
     /// Obtains what the refusal of the pending reservations lacks.
--- a/src/gateway/program_spending_writes.cpp
+++ b/src/gateway/program_spending_writes.cpp
@@ -15,6 +15,15 @@
 namespace masticcourse::gateway
 {
 
+namespace
+{
+
+/// Turns of one program that may be under way at a time: more than any program starts, and few enough that
+/// its row stays within the store's limit.
+constexpr std::size_t max_reserved_turns = 256;
+
+} // namespace
+
 program_spending::pending_write program_spending::prepare_write(program_entry& entry)
 {
     pending_write write{.next = *entry.row, .submitted = m_clock()};
@@ -73,7 +82,11 @@
             continue;
         }
         const bool accounted_for = next.accounts_for(it.request);
-        if (accounted_for || next.committed() + it.max_tokens <= it.budget)
+        if (!accounted_for && next.reserved.size() >= max_reserved_turns)
+        {
+            refused.push_back({it.request, reservation_outcome::unavailable});
+        }
+        else if (accounted_for || next.committed() + it.max_tokens <= it.budget)
         {
             if (!accounted_for)
             {
@@ -164,6 +177,12 @@
         process_pending(id);
         return;
     }
+    if (result.outcome == store_outcome::refused)
+    {
+        on_write_refused(entry, write);
+        schedule_flush(id, entry);
+        return;
+    }
     // The write failed or its outcome is unknown: try again.
     const bool conflict = result.outcome == store_outcome::conflict;
     for (auto& it : entry.turns)
@@ -188,6 +207,17 @@
     process_pending(id);
 }
 
+void program_spending::on_write_refused(program_entry& entry, const pending_write& write)
+{
+    // Nothing was written. What has ended is written again with less beside it.
+    for (auto& it : entry.turns)
+    {
+        it.being_written = false;
+    }
+    std::ranges::for_each(write.reserved, [&](const request_id& it)
+                          { fail_reservation(entry, it, reservation_outcome::unavailable); });
+}
+
 void program_spending::complete_write(program_entry& entry, const pending_write& write)
 {
     std::vector<std::function<void()>> callbacks;
--- a/tests/unit/test_gateway_spending.cpp
+++ b/tests/unit/test_gateway_spending.cpp
@@ -63,6 +63,44 @@
     CHECK(world.has("c", reservation_outcome::granted));
 }
 
+TEST_CASE("a row that the store does not take fails its reservations at once")
+{
+    spending_world world{1};
+    world.gateways[0]->store.max_bytes = 20;
+    world.reserve(0, "a", 10, 100, true);
+    world.time.run(100ms);
+    CHECK(world.has("a", reservation_outcome::unavailable));
+    world.gateways[0]->store.max_bytes = 10'000;
+    world.reserve(0, "b", 10, 100, true);
+    world.time.run(1s);
+    CHECK(world.has("b", reservation_outcome::granted));
+    CHECK(world.row()->committed() == 10);
+}
+
+TEST_CASE("a program has a bounded number of turns under way, so that its row can be stored")
+{
+    constexpr std::size_t row_limit = 65'536;
+    constexpr int turns = 600;
+    spending_world world{1};
+    world.gateways[0]->store.max_bytes = row_limit;
+    const auto id = [](int n) { return std::string(96, 'x') + std::to_string(n); };
+    for (int n = 0; n < turns; ++n)
+    {
+        world.reserve(0, id(n), 1, 1'000'000, n == 0);
+    }
+    world.time.run(1s);
+    const auto count = [&](reservation_outcome outcome)
+    { return std::ranges::count(world.outcomes, outcome, [](const auto& it) { return it.second; }); };
+    CHECK(count(reservation_outcome::granted) == 256);
+    CHECK(count(reservation_outcome::unavailable) == turns - 256);
+    CHECK(world.row()->committed() == 256);
+    world.gateways[0]->spending.settle({"p"}, {id(0)}, 1, settlement_timing::immediate);
+    world.time.run(1s);
+    world.reserve(0, "further", 1, 1'000'000);
+    world.time.run(1s);
+    CHECK(world.has("further", reservation_outcome::granted));
+}
+
 TEST_CASE("a finished turn is settled soon, even if no other turn follows")
 {
     spending_world world{2};
