Turns: a turn that is larger than a transaction of the store is stored in several

What callers saw: a turn of 1 MB, inside the limits, was run, streamed and broken off at its deadline: its rows together are more than the store takes in one call. Inside the limits a request is to be served.

Change: rows of up to 600 kB a transaction, the first row in the last one, once all others are durable: a turn whose first row is missing does not exist, so nobody sees a part of one. A turn that can't be stored is broken off when that is known, not at its deadline.

--- a/include/masticcourse/gateway/turn_store.hpp
+++ b/include/masticcourse/gateway/turn_store.hpp
@@ -52,7 +52,8 @@
 
     void find_end(const request_id& turn, turn_end_callback on_end) override;
 
-    /// Stores a turn durably; retries until @a expires.
+    /// Stores a turn durably; retries until @a expires. A turn that is too large for one transaction of the
+    /// store is written in several, its first row last: until then it does not exist.
     void save(const request_id& id, turn_record turn, time_point expires, save_callback on_saved);
 
     /// The local cache of turns.
@@ -65,6 +66,13 @@
     struct chain_load;
     using chain_load_ptr = std::shared_ptr<chain_load>;
 
+    struct saving;
+    using saving_ptr = std::shared_ptr<saving>;
+
+    void write(const saving_ptr& turn, row_change change);
+    void write_first(const saving_ptr& turn);
+    /// Writes the first row once all others are durable, then reports the end.
+    void on_written(const saving_ptr& turn, const change_result& result);
     /// Asks for turns of the chain, a few at a time, until all have come or one can't.
     void load_turns(const chain_load_ptr& load);
     static void finish(chain_load& load);
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -85,6 +85,12 @@
                           [self = shared_from_this()](bool stored)
                           {
                               self->m_turn_durable = stored;
+                              if (!stored)
+                              {
+                                  self->refuse(refusal_reason::store_away, ran_state::unknown,
+                                               "the turn can't be stored");
+                                  return;
+                              }
                               self->finish_stream();
                           });
 }
--- a/src/gateway/turn_store.cpp
+++ b/src/gateway/turn_store.cpp
@@ -4,6 +4,7 @@
 #include "masticcourse/memory/free_storage.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace masticcourse::gateway
@@ -20,6 +21,11 @@
 /// The same for the ids of the turns: by the request, in its record, in the document and in its rows.
 constexpr std::size_t id_copies = 4;
 
+/// What one change of a large turn holds at most: encoded as base64 in JSON it stays below the 1 MB, and the
+/// 100 entries, of a transaction.
+constexpr std::size_t max_change_bytes = 600'000;
+constexpr std::size_t max_change_rows = 90;
+
 } // namespace
 
 /// State of a load_chain() call in progress.
@@ -171,25 +177,77 @@
                   });
 }
 
+/// State of a save() call in progress.
+struct turn_store::saving
+{
+    request_id id;
+    turn_ptr record;
+    save_callback on_saved;
+    /// The row that is written last; empty once it is being written.
+    std::optional<row_change> first;
+    std::size_t outstanding = 0;
+    bool failed = false;
+};
+
 void turn_store::save(const request_id& id, turn_record turn, time_point expires, save_callback on_saved)
 {
-    row_change change{.expires = expires};
-    const auto chunks = encode_turn(turn, m_row_bytes);
-    for (std::size_t i = 0; i < chunks.size(); ++i)
+    auto chunks = encode_turn(turn, m_row_bytes);
+    const auto state =
+        std::make_shared<saving>(saving{.id = id,
+                                        .record = std::make_shared<const turn_record>(std::move(turn)),
+                                        .on_saved = std::move(on_saved)});
+    std::vector<row_change> changes(1);
+    std::size_t bytes = 0;
+    for (std::size_t i = chunks.size(); i-- > 0;)
+    {
+        bytes += chunks[i].size();
+        if (bytes > max_change_bytes || changes.back().puts.size() >= max_change_rows)
+        {
+            changes.emplace_back();
+            bytes = chunks[i].size();
+        }
+        changes.back().puts.push_back({chunk_row(id, i), std::move(chunks[i])});
+    }
+    std::ranges::for_each(changes, [expires](row_change& it) { it.expires = expires; });
+    state->first = std::move(changes.back());
+    changes.pop_back();
+    state->outstanding = changes.size();
+    std::ranges::for_each(changes, [&](row_change& it) { write(state, std::move(it)); });
+    if (changes.empty())
+    {
+        write_first(state);
+    }
+}
+
+void turn_store::write(const saving_ptr& turn, row_change change)
+{
+    m_commits.submit(partition_of(turn->id.value), std::move(change),
+                     [this, turn](const change_result& result) { on_written(turn, result); });
+}
+
+void turn_store::write_first(const saving_ptr& turn)
+{
+    ++turn->outstanding;
+    write(turn, *std::exchange(turn->first, std::nullopt));
+}
+
+void turn_store::on_written(const saving_ptr& turn, const change_result& result)
+{
+    turn->failed = turn->failed || result.outcome != store_outcome::done;
+    if (--turn->outstanding > 0)
+    {
+        return;
+    }
+    if (turn->first && !turn->failed)
+    {
+        write_first(turn);
+        return;
+    }
+    if (!turn->failed)
     {
-        change.puts.push_back({chunk_row(id, i), chunks[i]});
+        m_reader.cache().put(turn->id, turn->record);
     }
-    auto record = std::make_shared<const turn_record>(std::move(turn));
-    m_commits.submit(partition_of(id.value), std::move(change),
-                     [this, id, record, on_saved = std::move(on_saved)](const change_result& result)
-                     {
-                         const bool durable = result.outcome == store_outcome::done;
-                         if (durable)
-                         {
-                             m_reader.cache().put(id, record);
-                         }
-                         on_saved(durable);
-                     });
+    std::exchange(turn->on_saved, nullptr)(!turn->failed);
 }
 
 } // namespace masticcourse::gateway
