--- a/tests/clients/clients_test.py
+++ b/tests/clients/clients_test.py
@@ -122,6 +122,15 @@
          + [Crowd(payloads.pipelined_bytes, clients=1000, reconnects=0),
             Crowd(payloads.many_fields, clients=200, reconnects=0)]
          + [Crowd(payloads.unfinished_body, port=it, clients=10) for it in PORTS]),
+    *[Case(f"histories and others at once, {m} MB", memory_mb=m, builder_mb=512, max_descriptors=4000,
+           before=[Crowd(it, responses=n) for it, n in ((payloads.long_history, payloads.LONG_HISTORY),
+                                                        (payloads.stored_turns, payloads.STORED_TURNS))],
+           crowds=[Crowd(it, clients=20) for it in (
+               payloads.turns_after_a_long_history, payloads.turns_after_a_part_of_an_id, payloads.large_turns,
+               payloads.endless_short_trailers, payloads.unfinished_body, payloads.unfinished_chunks)]
+           + [Crowd(payloads.many_fields, clients=200, reconnects=0),
+              Crowd(payloads.pipelined_bytes, clients=500, reconnects=0),
+              Crowd(payloads.unread_refusals, clients=200, reconnects=0, receive_buffer=4096)]) for m in (24, 40, 88, 512)],
 ]
 
 
