--- a/tests/unit/test_gateway_turns.cpp
+++ b/tests/unit/test_gateway_turns.cpp
@@ -194,7 +194,7 @@
     constexpr auto history = history_world::turns * history_world::input_size;
     // Half of the account may be held for turns: two copies of the prompts, four of the ids.
     const auto held = 2 * history + 4 * memory_size(world.ids);
-    world.account->set_capacity(2 * 3 * held + held);
+    world.account->set_capacity(std::size_t{2} * 3 * held + held);
     const auto outcomes = world.load_at_once(50);
     CHECK(outcomes.at(turn_outcome::found) == 3);
     CHECK(outcomes.at(turn_outcome::no_memory) == 47);
