Turns: waiting reads that are answered within the call no longer nest

Cause: the end of a reading began the next one that waited. Where rows come from a cache at once, each waiting turn was read in the frame of the one before: a crowd's waiting turns could end the process by its stack.

Change: only the outermost call begins further readings.

Measured: test_gateway_turns, 100,000 turns that wait: SIGSEGV before, passes now.

--- a/include/masticcourse/gateway/turn_reader.hpp
+++ b/include/masticcourse/gateway/turn_reader.hpp
@@ -6,10 +6,9 @@
 /// bounded number at a time.
 #pragma once
 
-#include "masticcourse/memory/memory_account.hpp"
-
 #include "masticcourse/gateway/row_store.hpp"
 #include "masticcourse/gateway/turn_cache.hpp"
+#include "masticcourse/memory/memory_account.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -76,6 +75,8 @@
     /// Those that have not begun.
     std::deque<reading_ptr> m_waiting;
     std::size_t m_in_progress = 0;
+    /// Whether begin_waiting() is running; turns that are answered within the call end in it.
+    bool m_beginning = false;
 };
 
 } // namespace masticcourse::gateway
--- a/src/gateway/turn_reader.cpp
+++ b/src/gateway/turn_reader.cpp
@@ -74,6 +74,10 @@
 
 void turn_reader::begin_waiting()
 {
+    if (std::exchange(m_beginning, true))
+    {
+        return;
+    }
     while (m_in_progress < max_in_progress && !m_waiting.empty())
     {
         const auto turn = std::move(m_waiting.front());
@@ -82,6 +86,7 @@
         turn->begun = true;
         read_chunk(turn);
     }
+    m_beginning = false;
 }
 
 void turn_reader::read_chunk(const reading_ptr& turn)
--- a/tests/support/memory_rows.cpp
+++ b/tests/support/memory_rows.cpp
@@ -146,6 +146,11 @@
 {
     ++queries;
     const bool answered = answers_queries(mode);
+    if (answers_at_once)
+    {
+        on_reply(m_rows.read(query));
+        return;
+    }
     const auto early = read_at_once ? std::optional{m_rows.read(query)} : std::nullopt;
     most_outstanding = std::max(most_outstanding, ++m_outstanding);
     m_delay(latency,
--- a/tests/support/memory_rows.hpp
+++ b/tests/support/memory_rows.hpp
@@ -97,6 +97,8 @@
     /// Set while calls go through peers.
     std::optional<gateway::duration> direct_path_down;
     gateway::duration since_failure = gateway::seconds{100};
+    /// Queries are answered within the call, as from a cache.
+    bool answers_at_once = false;
     /// Queries are answered from the rows of the moment in which they are made, not of their answer.
     bool read_at_once = false;
     std::size_t queries = 0;
--- a/tests/unit/test_gateway_turns.cpp
+++ b/tests/unit/test_gateway_turns.cpp
@@ -188,6 +188,21 @@
     CHECK(world.store.most_outstanding <= 64);
 }
 
+TEST_CASE("any number of turns that wait are read one after another once the store answers at once")
+{
+    turn_world world;
+    constexpr int turns = 100'000;
+    int missing = 0;
+    for (int n = 0; n < turns; ++n)
+    {
+        world.reader.load_chain({std::to_string(n)}, [&missing](const turn_chain& it)
+                                { missing += it.outcome == turn_outcome::missing ? 1 : 0; });
+    }
+    world.store.answers_at_once = true;
+    world.time.run(1s);
+    CHECK(missing == turns);
+}
+
 TEST_CASE("histories without room are given up before they are held, and leave nothing reserved")
 {
     history_world world;
