--- a/tests/unit/test_gateway_turns.cpp
+++ b/tests/unit/test_gateway_turns.cpp
@@ -201,6 +201,7 @@
     world.store.answers_at_once = true;
     world.time.run(1s);
     CHECK(missing == turns);
+    CHECK(world.store.most_outstanding <= 64);
 }
 
 TEST_CASE("histories without room are given up before they are held, and leave nothing reserved")
