--- a/review/kit-2/site_kit.py
+++ b/review/kit-2/site_kit.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import socket
@@ -337,6 +338,7 @@
         with open(self.site.folder / f"gateway-{self.number}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 str(GATEWAY), cwd=ROOT, stdout=log, stderr=log,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.site.max_fds, self.site.max_fds)),
                 env={"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
                      "MASTICCOURSE_BOOT": str(self.settings)})
 
@@ -365,7 +367,7 @@
     """The whole deployment. Use as an asynchronous context."""
 
     def __init__(self, case, memory_mb=130):
-        self.case, self.memory_mb = pathlib.Path(case), memory_mb
+        self.case, self.memory_mb, self.max_fds = pathlib.Path(case), memory_mb, 8200
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record = Record(case)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
