--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,8 +12,8 @@
 
 WORKERS = 4
 EVENTS = 4
-CALLERS = 4
-LENGTH_S = 25
+CALLERS = 8
+LENGTH_S = 40
 # Share of their requests that the two troubled workers fail.
 FAILED = 0.4
 
