--- a/review/kit-2/site_kit.py
+++ b/review/kit-2/site_kit.py
@@ -44,8 +44,10 @@
 def reset(writer):
     """Closes a connection with a reset instead of an orderly end."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    except OSError:
+        pass  # The other side has closed it already.
     writer.transport.abort()
 
 
