--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,10 +10,13 @@
 
 import site_kit as kit  # noqa: E402
 
-WORKERS = 4
+WORKERS = 7
 EVENTS = 4
-CALLERS = 8
-LENGTH_S = 40
+CALLERS = 12
+LENGTH_S = 90
+# An entry lasts 5 s; the next one comes 2 s later.
+ENTRY_S = 5
+PERIOD_S = 7
 # Share of their requests that the two troubled workers fail.
 FAILED = 0.4
 
@@ -39,7 +42,8 @@
         if request.header("masticcourse-expect-instance") not in (None, worker.name):
             writer.write(kit.head_of(421, headers | {"Masticcourse-Not-Executed": 1, "Content-Length": 0}))
             return True
-        failing = self.site.trouble and fails(request_id)
+        in_entry = (asyncio.get_running_loop().time() - self.site.begin) % PERIOD_S < ENTRY_S
+        failing = self.site.trouble and in_entry and fails(request_id)
         if failing and self.how == "errors":
             body = b'{"error":"out of memory"}'
             self.site.notes.append((request_id, f"worker {worker.name} answers {request_id} with 500"))
@@ -66,6 +70,7 @@
 
 async def main(site):
     site.notes = []
+    site.begin = asyncio.get_running_loop().time()
     hows = ["reset", "errors"] + ["sound"] * (WORKERS - 2)
     for number, how in enumerate(hows, 1):
         await kit.Worker(site, f"i-{number}", "engine", Engine(site, how).run).start()
--- a/review/kit-2/site_kit.py
+++ b/review/kit-2/site_kit.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import resource
 import shutil
 import signal
@@ -35,10 +36,19 @@
     """The case could not be brought about; it says nothing about the rule."""
 
 
+# Below the ports that the system gives to outgoing connections, which would take one before its gateway listens.
+LISTEN_PORTS = range(15000, 32000)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.choice(LISTEN_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue  # In use by others: another one is taken.
 
 
 def reset(writer):
