Streams: what the caller has been sent decides how its response may end

Cause: a comment ends with a blank line, so the header of the stream was sent before its first event. When the target then broke off, some places asked whether events had come (none: the next target's failure is the final response) and others whether a header had been sent (yes: write the text into the stream and end it).

Change: sent_response (nothing, a stream's header, events, a body) is the one state by which every end goes.

--- a/include/masticcourse/gateway/stream_progress.hpp
+++ b/include/masticcourse/gateway/stream_progress.hpp
@@ -31,7 +31,9 @@
     ~stream_progress() = default;
 
     /// Starts an attempt at another target; discards the previous target's incomplete event.
-    void begin_attempt();
+    /// @param goes_on whether output of an earlier attempt has been forwarded; a byte order mark at the
+    ///                beginning of this one's would then be a part of a field's name
+    void begin_attempt(bool goes_on);
 
     /// Processes the next chunk of the current attempt.
     /// @return the output that may be forwarded now; nothing if the attempt is unusable because an event is
@@ -97,6 +99,9 @@
     std::optional<std::string> m_last_event_id;
     /// The current attempt repeated an event that was already received.
     bool m_out_of_order = false;
+    /// A byte order mark at the beginning of the current attempt's output is dropped, and none of its output
+    /// has been forwarded yet.
+    bool m_drops_byte_order_mark = false;
 };
 
 } // namespace masticcourse::gateway
--- a/include/masticcourse/net/sse.hpp
+++ b/include/masticcourse/net/sse.hpp
@@ -11,6 +11,9 @@
 namespace masticcourse
 {
 
+/// Ignored at the beginning of a stream, in UTF-8.
+inline constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
+
 struct sse_event
 {
     /// The event id, if present; a reconnecting client sends it as `Last-Event-ID`.
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -46,6 +46,19 @@
 
 [[nodiscard]] std::string_view to_string(token_basis basis);
 
+/// What the caller has been sent of its response. Every end of a request goes by it: what has been begun can
+/// only be gone on with in kind, or broken off.
+enum class sent_response : std::uint8_t
+{
+    nothing,
+    /// The header of a stream, and of its content at most what is no event, such as a comment.
+    stream_head,
+    /// The header of a stream and at least one event.
+    events,
+    /// The header of a response that is no stream, and a part of its body.
+    body,
+};
+
 /// Whether callers take the status as a guarantee that the request was not executed. Such a status is valid
 /// only from a target that explicitly states so.
 [[nodiscard]] bool implies_not_executed(int status);
@@ -229,7 +242,15 @@
     void check_stall();
     /// Whether events of the response have been received already.
     [[nodiscard]] bool has_streamed_events() const;
+    /// Whether a response to the current attempt can only go on with a stream: events have been received, or
+    /// the caller has been sent the header of one.
+    [[nodiscard]] bool stream_begun() const;
+    /// Whether the caller has been sent the header of a stream.
+    [[nodiscard]] bool has_sent_stream_head() const;
     [[nodiscard]] bool is_stream() const;
+    /// Whether the current attempt's response is a stream, which a failure or a response without content is
+    /// not.
+    [[nodiscard]] bool responds_with_stream() const;
     /// @}
 
     /// @name Response to the caller
@@ -374,11 +395,11 @@
     /// Output that is sent to the caller once the reservation is durable.
     std::string m_pending_output;
     time_point m_last_chunk_time;
-    /// The header of the response has been sent to the caller.
-    bool m_stream_head_sent = false;
     bool m_stream_complete = false;
     /// @}
 
+    sent_response m_sent_to_caller = sent_response::nothing;
+
     /// @name Bodies that are passed on, and the memory that is held
     /// @{
     std::shared_ptr<upload_body> m_upload;
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -46,8 +46,8 @@
 void forwarded_request::on_complete_response(const http_client_reply& reply)
 {
     record_target_response();
-    const bool retry =
-        m_route->repeatable() && is_server_error(m_response_head->status) && !m_stream_head_sent;
+    const bool passed_on = m_sent_to_caller == sent_response::body;
+    const bool retry = m_route->repeatable() && is_server_error(m_response_head->status) && !passed_on;
     if (m_response_head->success())
     {
         record_performance();
@@ -59,7 +59,7 @@
         dispatch();
         return;
     }
-    if (m_stream_head_sent)
+    if (passed_on)
     {
         m_exchange->end_stream();
         finish(request_outcome::answered, "response passed on");
@@ -102,8 +102,9 @@
 
 void forwarded_request::send_stream_head()
 {
-    if (!std::exchange(m_stream_head_sent, true))
+    if (m_sent_to_caller == sent_response::nothing)
     {
+        m_sent_to_caller = sent_response::stream_head;
         m_exchange->begin_stream(m_stream_head->status, m_stream_head->headers);
         watch_writes();
     }
@@ -113,7 +114,7 @@
 {
     const auto& head = *m_response_head;
     const bool usable = head.success() ? head.authentic : !implies_not_executed(head.status);
-    return !head.not_executed && usable && !has_streamed_events();
+    return !head.not_executed && usable && !stream_begun();
 }
 
 void forwarded_request::on_body(std::string_view chunk)
@@ -123,7 +124,7 @@
         // The request is repeated or refused whatever the rest is.
         return;
     }
-    if (m_stream_head_sent)
+    if (m_sent_to_caller == sent_response::body)
     {
         write_to_caller(std::string{chunk});
         return;
@@ -138,7 +139,7 @@
 
 void forwarded_request::begin_body()
 {
-    m_stream_head_sent = true;
+    m_sent_to_caller = sent_response::body;
     m_exchange->begin_body(m_response_head->status, m_response_head->headers, m_response_length);
     watch_writes();
     write_to_caller(std::exchange(m_response_body, {}));
@@ -195,7 +196,7 @@
 
 bool forwarded_request::waits_for_slow_caller() const
 {
-    const bool passes_on = m_stream_head_sent && !m_progress && m_unwritten > 0;
+    const bool passes_on = m_sent_to_caller == sent_response::body && m_unwritten > 0;
     const bool ends_soon = m_response_length && *m_response_length - m_passed_on <= max_late_body;
     return passes_on && ends_soon && m_services.clock() < m_deadline + max_slow_caller_time;
 }
@@ -210,6 +211,7 @@
     if (!m_pending_output.empty())
     {
         send_stream_head();
+        m_sent_to_caller = has_streamed_events() ? sent_response::events : sent_response::stream_head;
         record_delivery();
         write_to_caller(std::exchange(m_pending_output, {}));
         m_response_memory.reset();
@@ -238,7 +240,7 @@
         return;
     }
     const auto text = std::string{to_string(reason)} + ": " + detail;
-    if (m_stream_head_sent)
+    if (m_sent_to_caller != sent_response::nothing)
     {
         abort_stream(text);
         return;
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -232,9 +232,9 @@
     if (m_progress)
     {
         m_events_before_attempt = m_progress->event_count();
-        m_progress->begin_attempt();
+        m_progress->begin_attempt(has_sent_stream_head());
     }
-    if (!has_streamed_events())
+    if (!stream_begun())
     {
         m_stream_head.reset();
         m_pending_output.clear();
--- a/src/gateway/forwarded_request_failures.cpp
+++ b/src/gateway/forwarded_request_failures.cpp
@@ -142,7 +142,7 @@
 bool forwarded_request::may_go_on()
 {
     const bool can_resume = !m_progress || m_progress->can_resume();
-    const bool passed_on = m_stream_head_sent && !m_progress;
+    const bool passed_on = m_sent_to_caller == sent_response::body;
     return m_route->repeatable() && can_resume && !passed_on && can_retry() &&
            !(knows_content() && m_services.poison.quarantine(content(), m_services.clock()));
 }
--- a/src/gateway/forwarded_request_response.cpp
+++ b/src/gateway/forwarded_request_response.cpp
@@ -19,7 +19,7 @@
         m_services.targets.report(m_target->instance(), *m_response_head->load, m_services.clock());
         m_services.scheduler.on_report(m_target->service, m_target->instance(), *m_response_head->load);
     }
-    if (!m_stream_head && is_stream() && m_response_head->success() && m_response_head->authentic)
+    if (!m_stream_head && responds_with_stream() && m_response_head->authentic)
     {
         m_stream_head = m_response_head;
     }
@@ -57,11 +57,11 @@
     {
         on_response_lost("the target refused without stating that it did not run the request");
     }
-    else if (!m_response_head->success() && has_streamed_events())
+    else if (!responds_with_stream() && stream_begun())
     {
         on_response_lost("the target did not go on with the stream");
     }
-    else if (is_stream() && m_response_head->success())
+    else if (responds_with_stream())
     {
         on_stream_complete();
     }
@@ -73,8 +73,7 @@
 
 response_end forwarded_request::classify_end(http_failure failure) const
 {
-    const bool streamed = m_progress && m_response_head && m_response_head->success();
-    if (!streamed)
+    if (!responds_with_stream())
     {
         return classify_response(failure);
     }
--- a/src/gateway/forwarded_request_stream.cpp
+++ b/src/gateway/forwarded_request_stream.cpp
@@ -42,18 +42,35 @@
     return m_route->kind == request_kind::stream;
 }
 
+bool forwarded_request::responds_with_stream() const
+{
+    constexpr int no_content = 204;
+    return is_stream() && m_response_head && m_response_head->success() &&
+           m_response_head->status != no_content;
+}
+
 bool forwarded_request::has_streamed_events() const
 {
     return m_progress && m_progress->event_count() > 0;
 }
 
+bool forwarded_request::has_sent_stream_head() const
+{
+    return m_sent_to_caller == sent_response::stream_head || m_sent_to_caller == sent_response::events;
+}
+
+bool forwarded_request::stream_begun() const
+{
+    return has_streamed_events() || has_sent_stream_head();
+}
+
 void forwarded_request::on_chunk(std::string_view chunk)
 {
     if (!m_response_head)
     {
         return;
     }
-    if (is_stream() && m_response_head->success())
+    if (responds_with_stream())
     {
         on_events(chunk);
         return;
--- a/src/gateway/stream_progress.cpp
+++ b/src/gateway/stream_progress.cpp
@@ -31,11 +31,12 @@
 
 stream_progress::stream_progress(bool keeps_data) : m_keeps_data(keeps_data)
 {
-    begin_attempt();
+    begin_attempt(false);
 }
 
-void stream_progress::begin_attempt()
+void stream_progress::begin_attempt(bool goes_on)
 {
+    m_drops_byte_order_mark = goes_on;
     m_partial.clear();
     m_line_start = 0;
     m_scanned = 0;
@@ -97,6 +98,11 @@
     m_line_start -= length;
     auto complete = m_partial.substr(0, length);
     m_partial.erase(0, length);
+    if (!complete.empty() && std::exchange(m_drops_byte_order_mark, false) &&
+        complete.starts_with(byte_order_mark))
+    {
+        complete.erase(0, byte_order_mark.size());
+    }
     return complete;
 }
 
--- a/src/net/sse.cpp
+++ b/src/net/sse.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
-
 /// Removes the first line from @a text and returns it; lines end with CR, LF or CRLF.
 std::string_view extract_line(std::string_view& text)
 {
--- a/tests/unit/test_gateway_stream_progress.cpp
+++ b/tests/unit/test_gateway_stream_progress.cpp
@@ -57,8 +57,23 @@
     CHECK_FALSE(progress.feed(numbered(2) + numbered(1)));
     CHECK(progress.event_count() == 1);
     CHECK(progress.last_event_id() == "1");
-    progress.begin_attempt();
+    progress.begin_attempt(false);
     CHECK(progress.feed(numbered(2) + numbered(3)) == numbered(2) + numbered(3));
     CHECK(progress.event_count() == 3);
     CHECK(progress.event_data() == "e1\ne2\ne3\n");
 }
+
+// Guards against: the mark at the beginning of a second target's stream, forwarded in the middle of the first
+// one's, becomes a part of its first field's name, and the caller loses that event's id.
+TEST_CASE("a byte order mark is forwarded at the beginning of the stream and nowhere else")
+{
+    const std::string mark{byte_order_mark};
+    stream_progress progress;
+    CHECK(progress.feed(mark + ": c\n\n") == mark + ": c\n\n");
+    progress.begin_attempt(true);
+    CHECK(progress.feed(mark) == "");
+    CHECK(progress.feed(numbered(1)) == numbered(1));
+    CHECK(progress.feed(numbered(2)) == numbered(2));
+    progress.begin_attempt(false);
+    CHECK(progress.feed(mark + numbered(3)) == mark + numbered(3));
+}
