HTTP client: a body that ends with its connection is not whole after a reset

The caller got `hel` as the whole response.

Cause: the system reports a reset once. The write that waits is run first and gets the error; the read after it gets an end of file, which is the end of such a body. Ruled out: lost bytes; a result of the read that is ignored.

Change: where an end by close counts as whole, the client asks whether the connection can still send, which it can't after a reset or a timeout; a failed write counts as well. Holds for the store, relays and peers, which are read by the same client. A target that ends its direction in order and reads the rest is served whole, as before.

--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -228,6 +228,7 @@
         m_connection = connection;
     }
     m_sent_here = false;
+    m_write_failed = false;
     m_wake.emplace(connection->socket.get_executor(), asio::steady_timer::time_point::max());
     m_unpaused.emplace(connection->socket.get_executor(), asio::steady_timer::time_point::max());
     if (m_cancelled)
@@ -339,6 +340,7 @@
         count_send(*connection, n);
         if (ec && ec != http::error::need_buffer)
         {
+            m_write_failed = true;
             co_return false;
         }
         if (ec == http::error::need_buffer)
@@ -511,6 +513,7 @@
         count_send(*connection, n);
         ec = write_ec;
     }
+    m_write_failed = ec.failed();
     co_return !ec;
 }
 
@@ -541,6 +544,10 @@
         }
     }
     m_read_buffer = {};
+    if (!ec && !ended_in_order(*connection, parser))
+    {
+        ec = asio::error::connection_reset;
+    }
     if (ec)
     {
         m_reply.body_report.error = ec.message();
@@ -548,6 +555,13 @@
     co_return !ec;
 }
 
+bool http_transfer::ended_in_order(http_connection& connection, const reply_parser& parser) const
+{
+    // The system tells of a reset once: if a write gets the error, the read after it sees an orderly end. The
+    // write's result may come later than the read's.
+    return !parser.need_eof() || (!m_write_failed && !is_reset(connection.socket));
+}
+
 bool http_transfer::is_streaming() const
 {
     return m_on_chunk && !m_response_mismatched &&
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -68,6 +68,8 @@
     /// @return whether it is that of a response
     [[nodiscard]] bool accept_head(const reply_parser& parser);
     boost::asio::awaitable<bool> read_body(connection_ptr connection, reply_parser& parser);
+    /// @return whether the body that has been read to its end is whole, as far as its connection tells
+    [[nodiscard]] bool ended_in_order(http_connection& connection, const reply_parser& parser) const;
     [[nodiscard]] std::chrono::milliseconds remaining_time() const;
     /// @return false if the body exceeds a limit
     [[nodiscard]] bool deliver_chunk(std::string_view chunk);
@@ -99,6 +101,10 @@
     bool m_keep_alive = false;
     /// The response being read belongs to another request.
     bool m_response_mismatched = false;
+    /// Bytes of the bodies of such responses.
+    std::size_t m_skipped_bytes = 0;
+    /// A write on the current connection failed.
+    bool m_write_failed = false;
     /// A part of the request has been written on the current connection.
     bool m_sent_here = false;
     /// All of a streamed request has been written.
--- a/src/net/tcp_options.cpp
+++ b/src/net/tcp_options.cpp
@@ -20,4 +20,10 @@
     return ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option) == 0;
 }
 
+bool is_reset(boost::asio::ip::tcp::socket& socket)
+{
+    // Not through Asio, for which sending nothing is no operation.
+    return ::send(socket.native_handle(), "", 0, MSG_DONTWAIT | MSG_NOSIGNAL) < 0;
+}
+
 } // namespace masticcourse::detail
--- a/src/net/tcp_options.hpp
+++ b/src/net/tcp_options.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Socket options beyond those that Asio has names for.
+/// Socket options and states beyond those that Asio has names for.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -18,4 +18,8 @@
 /// @return whether the option was set
 [[nodiscard]] bool set_reset_on_close(boost::asio::ip::tcp::socket& socket, bool enabled);
 
+/// @return whether the connection can no longer send, because it was reset or timed out; an orderly end of
+/// the peer's direction leaves it open
+[[nodiscard]] bool is_reset(boost::asio::ip::tcp::socket& socket);
+
 } // namespace masticcourse::detail
