Responses that belong to nobody: what is read of them is bounded

What operators saw: a faulty target sent bytes without end; the gateway kept them all, ran out of memory, and the requests of all other callers on that VM ended with it.

Cause: a response that bears another request's id was collected to be thrown away, without a limit, four times on a connection. And what can't be passed on (a rejection, a success without signature) was read to its end, until the deadline. Ruled out: 14 other forms without end (status lines, headers, chunks, trailers, events, comments, interim responses), which held.

--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -261,6 +261,9 @@
     void forward_output();
     /// Collects the body of a response, or passes it on if it is long.
     void on_body(std::string_view chunk);
+    /// Drops a part of a response that is not passed on, whatever it contains. Abandons the target if the
+    /// response is long.
+    void drop_body(std::string_view chunk);
     /// Whether the response is the final one, whatever its body contains.
     [[nodiscard]] bool is_final_response() const;
     void begin_body();
@@ -420,6 +423,8 @@
     std::optional<std::uint64_t> m_response_length;
     /// Bytes of a response that is passed on.
     std::uint64_t m_passed_on = 0;
+    /// Bytes of the current attempt's response that were dropped.
+    std::size_t m_dropped_bytes = 0;
     /// Bytes that have been passed to the caller's connection and not been written yet.
     std::size_t m_unwritten = 0;
     /// The target has to wait until the caller has read more.
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -17,6 +17,9 @@
 
 /// Responses up to this size are collected, so that one that breaks off can be replaced by another attempt's.
 constexpr std::size_t max_collected_body = std::size_t{64} * 1024;
+/// How much of a response that is not passed on is read, in bytes: one without end would take the processor
+/// until the request's deadline.
+constexpr std::size_t max_dropped_body = std::size_t{256} * 1024;
 /// How much of a response its caller may have yet to read, in bytes, before the target has to wait: without
 /// and with room to read ahead.
 constexpr std::size_t response_window = std::size_t{64} * 1024;
@@ -121,7 +124,7 @@
 {
     if (!is_final_response())
     {
-        // The request is repeated or refused whatever the rest is.
+        drop_body(chunk);
         return;
     }
     if (m_sent_to_caller == sent_response::body)
@@ -137,6 +140,17 @@
     }
 }
 
+void forwarded_request::drop_body(std::string_view chunk)
+{
+    // The request is repeated or refused whatever the rest is. A short one is read to its end, which keeps
+    // its connection.
+    m_dropped_bytes += chunk.size();
+    if (m_dropped_bytes > max_dropped_body)
+    {
+        on_response_lost("the target goes on sending what can't be passed on");
+    }
+}
+
 void forwarded_request::begin_body()
 {
     m_sent_to_caller = sent_response::body;
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -228,6 +228,7 @@
     m_first_event_time.reset();
     m_response_body.clear();
     m_response_length.reset();
+    m_dropped_bytes = 0;
     m_reading_paused = false;
     if (m_progress)
     {
--- a/src/gateway/forwarded_request_stream.cpp
+++ b/src/gateway/forwarded_request_stream.cpp
@@ -82,6 +82,7 @@
 {
     if (!m_response_head->authentic)
     {
+        drop_body(chunk);
         return;
     }
     m_last_chunk_time = m_services.clock();
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -575,6 +575,11 @@
         return true;
     }
     m_reply.body_report.bytes += chunk.size();
+    if (m_response_mismatched)
+    {
+        m_skipped_bytes += chunk.size();
+        return m_skipped_bytes <= max_skipped_bytes;
+    }
     if (is_streaming())
     {
         m_on_chunk(chunk);
--- a/tests/unit/test_gateway_endless_responses.cpp
+++ b/tests/unit/test_gateway_endless_responses.cpp
@@ -56,6 +56,16 @@
 const std::string filler(std::size_t{64} * 1024, 'x');
 const std::string event = "data: " + std::string(1'000, 'y') + "\n\n";
 
+/// The header of a response to another request.
+const std::string other_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                               "Masticcourse-Request-Id: another\r\n"
+                               "Masticcourse-Response-Signature: by-i-endless\r\n";
+/// That of a rejection without the id of a request.
+const std::string rejection_head = "HTTP/1.1 503 Service Unavailable\r\nMasticcourse-Not-Executed: full\r\n";
+/// That of a success without the signature.
+const std::string unsigned_head = "HTTP/1.1 200 OK\r\nMasticcourse-Request-Id: @\r\n";
+const std::string endless_length = "Content-Length: 1000000000000\r\n\r\n";
+
 const std::vector<endless_response> responses{
     {"a status line", "HTTP/1.1 200 ", filler},
     {"a header line", common_head + "X-Filler: ", filler},
@@ -74,6 +84,14 @@
     {"a body with a length, slowly", with_length, "x", 20ms},
     {"chunks, slowly", in_chunks, chunk_of("x"), 20ms},
     {"events, slowly", until_close, "data: y\n\n", 20ms},
+    {"another request's body with a length", other_head + endless_length, filler},
+    {"another request's body in chunks", other_head + "Transfer-Encoding: chunked\r\n\r\n", chunk_of(filler)},
+    {"another request's body until the connection closes", other_head + "\r\n", filler},
+    {"another request's body, slowly", other_head + endless_length, "x", 20ms},
+    {"other requests' responses", "", other_head + "Content-Length: 2\r\n\r\nok"},
+    {"a rejection's body", rejection_head + endless_length, filler},
+    {"a body without the signature", unsigned_head + endless_length, filler},
+    {"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
 };
 
 /// A target whose responses end only when its caller closes the connection.
