Store: replies without end, or of more values than any has, are no replies

Cause: replies of the store and of peers had no limit, and the account of memory counted them without refusing any. A document costs its parser up to 75 times its bytes. A reply that was no document counted as one of a store that is there, so that each request waited for it.

Change: what is collected beyond 256 kB is reserved; replies have at most 8 MB; JSON is parsed within 64 levels and 128k values (codec/bounded_json); what can be no object is no reply, so the path counts as failing, as with a store that is away.

--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -1,5 +1,5 @@
 # What the gateway of the users' platform consists of: its decisions and state, and the parts of the library below them.
-file(GLOB gateway_sources CONFIGURE_DEPENDS src/gateway/*.cpp src/gateway/*/*.cpp src/codec/cbor_nesting.cpp src/core/*.cpp src/memory/*.cpp src/telemetry/event.cpp
+file(GLOB gateway_sources CONFIGURE_DEPENDS src/gateway/*.cpp src/gateway/*/*.cpp src/codec/bounded_json.cpp src/codec/cbor_nesting.cpp src/core/*.cpp src/memory/*.cpp src/telemetry/event.cpp
   src/telemetry/latency_histogram.cpp src/telemetry/log.cpp src/telemetry/metrics.cpp src/net/deadline.cpp
   src/net/endpoint.cpp src/net/event_loop.cpp src/net/http_*.cpp src/net/serial_executor.cpp src/net/percent.cpp src/net/request_parser.cpp src/net/response_check.cpp src/net/session_exchange.cpp src/net/sse.cpp src/net/tcp_*.cpp)
 add_library(masticcourse-core STATIC ${gateway_sources})
--- a/include/masticcourse/net/http_client.hpp
+++ b/include/masticcourse/net/http_client.hpp
@@ -12,7 +12,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -193,9 +192,9 @@
 struct http_response_limits
 {
     /// Size of one body in bytes.
-    std::size_t max_body = std::numeric_limits<std::size_t>::max();
+    std::size_t max_body = std::size_t{64} * 1024 * 1024;
     /// Where the bodies are counted while they are received; may be null. Nobody but the sender of the
-    /// request knows whether it can do without the response, so none is cut off for lack of room.
+    /// request knows whether it can do without the response, so only long ones are cut off for lack of room.
     memory_account_ptr memory = nullptr;
 };
 
--- a/src/gateway/peer_calls.hpp
+++ b/src/gateway/peer_calls.hpp
@@ -35,13 +35,16 @@
 inline constexpr const char* suspicions_path = "/suspicions";
 /// @}
 
+/// The longest reply of a peer, in bytes: several times the largest page of rows.
+inline constexpr std::size_t max_reply = std::size_t{8} * 1024 * 1024;
+
 /// Client side.
 class peer_calls
 {
   public:
     /// @param memory where replies are counted while they are received; may be null
     peer_calls(boost::asio::io_context& context, memory_account_ptr memory)
-        : m_client(context, {.memory = std::move(memory)})
+        : m_client(context, {.max_body = max_reply, .memory = std::move(memory)})
     {
     }
 
--- a/src/net/http_transfer.cpp
+++ b/src/net/http_transfer.cpp
@@ -585,15 +585,25 @@
         m_on_chunk(chunk);
         return true;
     }
-    if (m_reply.body_report.bytes > m_max_body)
+    if (m_reply.body_report.bytes > m_max_body || !hold(chunk.size()))
     {
         return false;
     }
-    m_memory.charge(chunk.size());
     m_reply.body += chunk;
     return true;
 }
 
+bool http_transfer::hold(std::size_t size)
+{
+    if (m_reply.body.size() + size <= max_unreserved_body)
+    {
+        m_memory.charge(size);
+        return true;
+    }
+    // The string may have grown to twice its size.
+    return m_memory.reserve(2 * size);
+}
+
 bool http_transfer::may_retry(const http_connection& connection) const
 {
     const bool safe_method = m_request.method == "GET" || m_request.method == "HEAD";
--- a/src/net/http_transfer.hpp
+++ b/src/net/http_transfer.hpp
@@ -73,6 +73,9 @@
     [[nodiscard]] std::chrono::milliseconds remaining_time() const;
     /// @return false if the body exceeds a limit
     [[nodiscard]] bool deliver_chunk(std::string_view chunk);
+    /// Counts a further part of the body that is collected.
+    /// @return false if there is no room for it
+    [[nodiscard]] bool hold(std::size_t size);
 
     [[nodiscard]] bool may_retry(const http_connection& connection) const;
     [[nodiscard]] bool is_streaming() const;
