Planned stop: nothing is begun that can't be finished, and what is in progress at the end is answered

What callers saw (LOST): in a planned stop of one gateway, in calm, requests whose bodies came slowly were passed on 3.5 to 4 s after SIGTERM to targets that take 4.5 s, and cut with no answer at 7.5 s, some that may run once only among them.

Cause: nothing compared what a request may take with what is left when it is passed on, and nothing answered those that were left; requests, commits and buckets had the same last half second. Ruled out: requests on connections accepted too late (all were open before), an end that comes early.

Change: shutdown_admission sends a request to a target only if it will be finished, by its deadline or by what its route usually takes; else 503, not run, at once. 0.9 s before the end what is in progress is answered, 503 or 502.

--- a/cmake/extra.cmake
+++ b/cmake/extra.cmake
@@ -31,3 +31,4 @@
 # The home withdraws an intent that the store has taken unseen, and dies with the target process named there.
 add_test(NAME system_soak.withdrawn_intent COMMAND system-soak --list 12852)
 include(cmake/clients.cmake)
+include(cmake/answers.cmake)
--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -137,6 +137,8 @@
     processor_busy,
     /// No descriptors are left for further connections to targets.
     connections_full,
+    /// The process ends before the request would be done.
+    shutting_down,
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason);
--- a/include/masticcourse/gateway/request_forwarding.hpp
+++ b/include/masticcourse/gateway/request_forwarding.hpp
@@ -14,6 +14,8 @@
 /// - A long body is passed on while its caller sends it, and a long response while its target does; neither
 /// is held whole, but for a turn that is to be stored. What is held is reserved first; without room, a
 /// request is refused before any part of it reaches a target.
+/// - While the process shuts down, a request that can't be finished before its end is refused as not
+/// executed. What is in progress at the end is answered truthfully.
 /// - While a scheduled service is short of room, requests are held back before their first attempt, or
 /// refused.
 #pragma once
@@ -27,6 +29,7 @@
 #include "masticcourse/gateway/quota/workspace_quotas.hpp"
 #include "masticcourse/gateway/route_table.hpp"
 #include "masticcourse/gateway/scheduling/request_scheduler.hpp"
+#include "masticcourse/gateway/shutdown_admission.hpp"
 #include "masticcourse/gateway/turn_store.hpp"
 #include "masticcourse/memory/memory_shares.hpp"
 #include "masticcourse/net/http_server.hpp"
@@ -70,6 +73,7 @@
     turn_store& turns;
     overdraft& overdrafts;
     workspace_quotas& quotas;
+    shutdown_admission& shutdown;
     const row_store& store;
     /// Age and currency of what this gateway knows of the configuration and of the targets.
     table_view tables;
@@ -110,11 +114,32 @@
 /// @return when a caller may return whose request was refused because there were too many in progress
 [[nodiscard]] milliseconds connections_retry_after(const request_id& id);
 
+/// @return when a caller may return whose request was refused because the process ends
+[[nodiscard]] milliseconds shutdown_retry_after(const request_id& id);
+
+/// A request that is being forwarded.
+class request_in_progress
+{
+  public:
+    request_in_progress() = default;
+    request_in_progress(const request_in_progress&) = delete;
+    request_in_progress(request_in_progress&&) = delete;
+    request_in_progress& operator=(const request_in_progress&) = delete;
+    request_in_progress& operator=(request_in_progress&&) = delete;
+    virtual ~request_in_progress() = default;
+
+    /// Answers the request, as the process ends: as not executed if that is true, else with an unknown
+    /// outcome. A response that has been begun is broken off.
+    virtual void end_for_shutdown() = 0;
+};
+
 /// Starts forwarding a request. Its state exists until it is answered or its caller disconnects.
 /// @param config      configuration in force on arrival; used until the request ends
 /// @param on_finished called exactly once
-void forward_request(forwarding_services& services, config_ptr config, gateway_request request,
-                     std::shared_ptr<http_exchange> exchange,
-                     std::function<void(request_outcome)> on_finished);
+/// @return the request, while it is in progress
+std::weak_ptr<request_in_progress> forward_request(forwarding_services& services, config_ptr config,
+                                                   gateway_request request,
+                                                   std::shared_ptr<http_exchange> exchange,
+                                                   std::function<void(request_outcome)> on_finished);
 
 } // namespace masticcourse::gateway
--- a/src/gateway/forwarded_request.cpp
+++ b/src/gateway/forwarded_request.cpp
@@ -54,7 +54,7 @@
                milliseconds{0});
         return;
     }
-    if (!claim_memory())
+    if (refuse_for_shutdown() || !claim_memory())
     {
         return;
     }
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -75,7 +75,8 @@
     bool unanswered_on_kept_connection = false;
 };
 
-class forwarded_request : public std::enable_shared_from_this<forwarded_request>
+class forwarded_request final : public request_in_progress,
+                                public std::enable_shared_from_this<forwarded_request>
 {
   public:
     forwarded_request(forwarding_services& services, config_ptr config, gateway_request request,
@@ -83,6 +84,7 @@
                       std::function<void(request_outcome)> on_finished);
 
     void start();
+    void end_for_shutdown() override;
 
   private:
     using timer_handler = void (forwarded_request::*)();
@@ -215,6 +217,15 @@
     [[nodiscard]] bool has_body() const;
     /// @}
 
+    /// @name Shutdown of the process
+    /// @{
+    /// Refuses the request if it can't be finished before the process ends.
+    /// @return whether it was refused
+    [[nodiscard]] bool refuse_for_shutdown();
+    /// Whether the caller is still sending the body.
+    [[nodiscard]] bool body_arriving() const;
+    /// @}
+
     /// @name Suspicion of ending targets
     /// @{
     /// @return the fingerprint by which all attempts with the same content are known
--- a/src/gateway/forwarded_request_answer.cpp
+++ b/src/gateway/forwarded_request_answer.cpp
@@ -293,9 +293,19 @@
            "the deadline passed");
 }
 
+void forwarded_request::end_for_shutdown()
+{
+    refuse(refusal_reason::shutting_down, may_have_run() ? ran_state::unknown : ran_state::no,
+           "the process ends", shutdown_retry_after(m_request.id));
+}
+
 void forwarded_request::finish(request_outcome outcome, std::string_view detail)
 {
     m_finished = true;
+    if (outcome == request_outcome::answered)
+    {
+        m_services.shutdown.record(*m_route, m_services.clock() - m_attempt_started);
+    }
     log_outcome(outcome, detail);
     end_attempt(health_signal::none);
     complete_admission();
--- a/src/gateway/forwarded_request_attempts.cpp
+++ b/src/gateway/forwarded_request_attempts.cpp
@@ -154,7 +154,7 @@
         on_deadline();
         return;
     }
-    if (refuse_quarantined() || !tables_usable() || !request_admission())
+    if (refuse_quarantined() || refuse_for_shutdown() || !tables_usable() || !request_admission())
     {
         return;
     }
@@ -167,6 +167,19 @@
     send_to(chosen->record);
 }
 
+bool forwarded_request::refuse_for_shutdown()
+{
+    const shutdown_query query{
+        .matched_route = *m_route, .deadline = m_deadline, .body_arriving = body_arriving()};
+    if (m_services.shutdown.may_finish(query, m_services.clock()))
+    {
+        return false;
+    }
+    refuse(refusal_reason::shutting_down, m_may_have_executed ? ran_state::unknown : ran_state::no,
+           "the process ends before the request would be done", shutdown_retry_after(m_request.id));
+    return true;
+}
+
 bool forwarded_request::tables_usable()
 {
     if (m_services.tables.currency() != table_currency::out_of_date)
--- a/src/gateway/forwarded_request_upload.cpp
+++ b/src/gateway/forwarded_request_upload.cpp
@@ -138,6 +138,11 @@
     return !m_upload || m_upload->can_restart();
 }
 
+bool forwarded_request::body_arriving() const
+{
+    return m_request.rest || (m_upload && !m_request.body_digest);
+}
+
 bool forwarded_request::knows_content() const
 {
     return !m_request.rest && (!m_upload || m_request.body_digest);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds readiness_propagation_time{2'500};
 /// Safety margin before the process would be killed.
 constexpr milliseconds kill_margin{500};
+/// For answering the requests that are still in progress, and for writing what they have used.
+constexpr milliseconds last_responses_margin{400};
 /// The cache for rows of the partitions whose commits this gateway batches gets the size of the turn cache
 /// divided by this.
 constexpr std::size_t row_cache_divisor = 2;
@@ -44,6 +46,12 @@
     return std::to_string((std::uint64_t{source()} << 32U) | source());
 }
 
+/// @return how long after the begin of a shutdown the requests in progress are ended
+milliseconds requests_time(milliseconds stop_grace)
+{
+    return std::max(stop_grace - kill_margin - last_responses_margin, stop_grace / 2);
+}
+
 } // namespace
 
 gateway::state::state(event_loop& given_loop, gateway_options given_options,
@@ -118,6 +126,7 @@
                .turns = turns,
                .overdrafts = overdrafts,
                .quotas = quotas,
+               .shutdown = shutdown,
                .store = store,
                .tables = {.age = [this] { return tables.age(); },
                           .currency = [this] { return tables.currency(); },
@@ -278,6 +287,7 @@
     }
     on_stopped = std::move(callback);
     stopping_since = monotonic_now();
+    shutdown.begin(*stopping_since, *stopping_since + requests_time(options.stop_grace));
     sweep();
     gateways.leave();
     // The others leave this gateway out from now on, and callers keep using their connections to it.
@@ -299,6 +309,10 @@
         accepting_stopped = true;
         frontend->stop_accepting();
     }
+    if (waited >= requests_time(options.stop_grace) && !std::exchange(requests_ended, true))
+    {
+        end_requests();
+    }
     // Releasing buckets needs the store, so shutdown does not wait for it while the store is unreachable.
     const bool buckets_released =
         (overdraft_buckets.release_finished() && quota_buckets.release_finished()) || !store.reachable();
@@ -319,6 +333,24 @@
     delay(sweep_period, [this] { check_stopped(); });
 }
 
+void gateway::state::end_requests()
+{
+    if (requests_in_progress.empty())
+    {
+        return;
+    }
+    log_event(event_id::drain_timed_out, {{"requests", std::to_string(requests_in_progress.size())}});
+    // Each removes itself.
+    const auto requests = requests_in_progress;
+    for (const auto& [number, it] : requests)
+    {
+        if (const auto request = it.lock())
+        {
+            request->end_for_shutdown();
+        }
+    }
+}
+
 gateway::gateway(event_loop& loop, gateway_options options, const gateway_protocol& protocol,
                  row_store& store, peer_directory& peers, table_decoders decoders, metrics_registry& metrics)
     : m_state(std::make_unique<state>(loop, std::move(options), protocol, store, peers, std::move(decoders),
--- a/src/gateway/gateway_frontend.cpp
+++ b/src/gateway/gateway_frontend.cpp
@@ -165,27 +165,32 @@
                {"tables_ms", std::to_string(std::chrono::floor<milliseconds>(tables.age()).count())});
         return;
     }
-    if (requests_in_progress >= options.max_requests)
+    if (requests_in_progress.size() >= options.max_requests)
     {
         refuse(request.id, *exchange,
                {.reason = refusal_reason::connections_full,
                 .detail = "no connections are left for a further request",
                 .retry_after = connections_retry_after(request.id)},
-               {"in_progress", std::to_string(requests_in_progress)});
+               {"in_progress", std::to_string(requests_in_progress.size())});
         return;
     }
-    ++requests_in_progress;
+    const auto number = ++last_request;
+    requests_in_progress.emplace(number, std::weak_ptr<request_in_progress>{});
     const auto started = monotonic_now();
-    forward_request(
+    const auto forwarded = forward_request(
         services, config.current(), std::move(request), std::move(exchange),
-        [this, started](request_outcome outcome)
+        [this, number, started](request_outcome outcome)
         {
-            --requests_in_progress;
+            requests_in_progress.erase(number);
             const std::vector<metric_label> labels{{"end", std::string{to_string(outcome)}}};
             registry.get_counter("masticcourse_requests_total", "Requests by their end.", labels).add();
             registry.get_histogram("masticcourse_request_seconds", "From a request to its end.", labels)
                 .record(monotonic_now() - started);
         });
+    if (const auto it = requests_in_progress.find(number); it != requests_in_progress.end())
+    {
+        it->second = forwarded;
+    }
 }
 
 } // namespace masticcourse::gateway
--- a/src/gateway/gateway_state.hpp
+++ b/src/gateway/gateway_state.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -63,6 +64,8 @@
     /// Logs it if requests are decided by the tables otherwise than before.
     void note_currency();
     void check_stopped();
+    /// Answers all requests in progress, since the process ends.
+    void end_requests();
 
     event_loop& loop;
     gateway_options options;
@@ -92,6 +95,7 @@
     poison_exchange suspicions;
     memory_monitor memory;
     processor_admission processor;
+    shutdown_admission shutdown;
     latency_histogram& traffic_delays;
     forwarding_services services;
     feed_context feeds;
@@ -110,9 +114,12 @@
     table_currency last_currency = table_currency::current;
     bool was_ready = false;
     bool accepting_stopped = false;
+    bool requests_ended = false;
     /// Refusals for lack of memory; spreads the times at which the callers return.
     std::uint64_t memory_refusals = 0;
-    std::size_t requests_in_progress = 0;
+    /// The requests that are being forwarded, in order of arrival.
+    std::map<std::uint64_t, std::weak_ptr<request_in_progress>> requests_in_progress;
+    std::uint64_t last_request = 0;
 };
 
 } // namespace masticcourse::gateway
--- a/src/gateway/request_forwarding.cpp
+++ b/src/gateway/request_forwarding.cpp
@@ -70,6 +70,8 @@
         return "processor_busy";
     case refusal_reason::connections_full:
         return "connections_full";
+    case refusal_reason::shutting_down:
+        return "shutting_down";
     case refusal_reason::deadline_passed:
         break;
     }
@@ -100,6 +102,12 @@
     return spread_retry_after(id, milliseconds{50}, milliseconds{200});
 }
 
+milliseconds shutdown_retry_after(const request_id& id)
+{
+    // As for those that find no processor time: the next attempt reaches another gateway.
+    return processor_retry_after(id);
+}
+
 milliseconds connections_retry_after(const request_id& id)
 {
     // Connections come back as targets respond.
@@ -113,13 +121,15 @@
     return spread_retry_after(id, milliseconds{300}, milliseconds{700});
 }
 
-void forward_request(forwarding_services& services, config_ptr config, gateway_request request,
-                     std::shared_ptr<http_exchange> exchange,
-                     std::function<void(request_outcome)> on_finished)
+std::weak_ptr<request_in_progress> forward_request(forwarding_services& services, config_ptr config,
+                                                   gateway_request request,
+                                                   std::shared_ptr<http_exchange> exchange,
+                                                   std::function<void(request_outcome)> on_finished)
 {
-    std::make_shared<detail::forwarded_request>(services, std::move(config), std::move(request),
-                                                std::move(exchange), std::move(on_finished))
-        ->start();
+    const auto forwarded = std::make_shared<detail::forwarded_request>(
+        services, std::move(config), std::move(request), std::move(exchange), std::move(on_finished));
+    forwarded->start();
+    return forwarded;
 }
 
 } // namespace masticcourse::gateway
--- a/tests/support/forwarding_world.cpp
+++ b/tests/support/forwarding_world.cpp
@@ -265,6 +265,7 @@
           .turns = turns,
           .overdrafts = overdrafts,
           .quotas = quotas,
+          .shutdown = shutdown,
           .store = store,
           .tables = {.age = [] { return gateway::duration{}; },
                      .currency = [this] { return currency; },
@@ -322,11 +323,20 @@
 std::shared_ptr<caller_view> forwarding_gateway::send(gateway::gateway_request request)
 {
     auto view = std::make_shared<caller_view>();
-    gateway::forward_request(services, config, std::move(request), std::make_shared<recording_exchange>(view),
-                             [this](gateway::request_outcome outcome) { outcomes.push_back(outcome); });
+    last_request = gateway::forward_request(
+        services, config, std::move(request), std::make_shared<recording_exchange>(view),
+        [this](gateway::request_outcome outcome) { outcomes.push_back(outcome); });
     return view;
 }
 
+void forwarding_gateway::end_for_shutdown() const
+{
+    if (const auto request = last_request.lock())
+    {
+        request->end_for_shutdown();
+    }
+}
+
 upstream_request_ptr forwarding_gateway::last() const
 {
     REQUIRE_FALSE(sent.empty());
--- a/tests/support/forwarding_world.hpp
+++ b/tests/support/forwarding_world.hpp
@@ -106,6 +106,8 @@
                                                              token_count budget = 1'000) const;
 
     std::shared_ptr<caller_view> send(gateway::gateway_request request);
+    /// Ends the request that was sent last, as the end of the process does.
+    void end_for_shutdown() const;
 
     /// @return the request sent to a target most recently
     [[nodiscard]] upstream_request_ptr last() const;
@@ -132,6 +134,7 @@
     memory_shares shares{memory};
     gateway::workspace_quotas quotas{{.max_wait = {}}, quota_buckets, peers,        nullptr,
                                      time.delays(),    time.clock(),  time.clock(), metrics};
+    gateway::shutdown_admission shutdown;
     gateway::target_table targets;
     gateway::request_scheduler scheduler;
     gateway::poison_detection poison;
@@ -153,6 +156,7 @@
     /// What a check of a target finds.
     server_state checked_state = server_state::listening;
     std::vector<upstream_request_ptr> sent;
+    std::weak_ptr<gateway::request_in_progress> last_request;
     std::vector<gateway::request_outcome> outcomes;
     gateway::config_ptr config;
     gateway::forwarding_services services;
