Rows and messages of others: bounded nesting and number of values

Reported: one odd entry among the targets' ends the processes that read the list, or stops them from following it.

Found beside: a configuration nested 60,000 deep ended the process (its members are copied while it is decoded); a row of 64 kB can't hold that. A peer's message of a few megabytes may consist of millions of items (reckoned, not played).

Change: rows are parsed within the bounds of codec/bounded_json, rows of ownership and spending as well, which are copied; messages of peers have at most 128k items.

--- a/src/codec/bounded_json.cpp
+++ b/src/codec/bounded_json.cpp
@@ -87,7 +87,7 @@
 {
     if (!is_bounded_json(text))
     {
-        return nlohmann::json(nlohmann::json::value_t::discarded);
+        return {nlohmann::json::value_t::discarded};
     }
     return nlohmann::json::parse(text, nullptr, false);
 }
--- a/src/codec/cbor_nesting.cpp
+++ b/src/codec/cbor_nesting.cpp
@@ -16,6 +16,8 @@
 /// Exceeds the nesting of every message by far, and the stack holds as many levels. Each level takes a byte,
 /// so that shorter input needs no check.
 constexpr std::size_t max_nesting = 256;
+/// Exceeds the items of every message by far.
+constexpr std::size_t max_message_items = std::size_t{128} * 1024;
 /// Items left in a level whose end is marked.
 constexpr std::uint64_t until_break = std::numeric_limits<std::uint64_t>::max();
 
@@ -141,17 +143,21 @@
     return std::min(*head.argument, until_break / 2 - 1) * per_entry;
 }
 
-} // namespace
-
-bool has_bounded_nesting(std::string_view bytes)
+/// @return whether neither the levels nor @a max_items are exceeded
+bool is_bounded(std::string_view bytes, std::size_t max_items)
 {
     if (bytes.size() <= max_nesting)
     {
         return true;
     }
     open_levels levels;
+    std::size_t items = 0;
     while (!bytes.empty() && levels.size() <= max_nesting)
     {
+        if (++items > max_items)
+        {
+            return false;
+        }
         const auto head = take_head(bytes);
         if (!head || head->type == major_type::tag)
         {
@@ -178,4 +184,16 @@
     return levels.size() <= max_nesting;
 }
 
+} // namespace
+
+bool has_bounded_nesting(std::string_view bytes)
+{
+    return is_bounded(bytes, std::numeric_limits<std::size_t>::max());
+}
+
+bool is_bounded_message(std::string_view bytes)
+{
+    return is_bounded(bytes, max_message_items);
+}
+
 } // namespace masticcourse::codec
--- a/src/gateway/cbor_messages.hpp
+++ b/src/gateway/cbor_messages.hpp
@@ -72,7 +72,7 @@
 [[nodiscard]] auto decode_cbor(const std::string& bytes, Read read)
     -> std::optional<decltype(read(nlohmann::json{}))>
 {
-    if (!codec::has_bounded_nesting(bytes))
+    if (!codec::is_bounded_message(bytes))
     {
         return std::nullopt;
     }
--- a/src/gateway/ownership_row.cpp
+++ b/src/gateway/ownership_row.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/gateway/ownership_row.hpp"
 
+#include "../codec/bounded_json.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -60,7 +62,7 @@
 
 std::optional<ownership_row> decode_ownership(const std::string& text, std::size_t buckets)
 {
-    const auto document = nlohmann::json::parse(text, nullptr, false);
+    const auto document = codec::parse_bounded(text);
     // Rows without renewals and claims are plain arrays.
     const bool whole = document.is_object() && document.contains("buckets") && document.contains("renewals");
     auto table = to_buckets(whole ? document["buckets"] : document, buckets);
--- a/src/gateway/spending_row.cpp
+++ b/src/gateway/spending_row.cpp
@@ -1,5 +1,7 @@
 #include "masticcourse/gateway/spending_row.hpp"
 
+#include "../codec/bounded_json.hpp"
+
 #include <algorithm>
 #include <cstddef>
 #include <nlohmann/json.hpp>
@@ -85,7 +87,7 @@
 
 std::optional<spending_row> decode_spending(const std::string& text)
 {
-    const auto document = nlohmann::json::parse(text, nullptr, false);
+    const auto document = codec::parse_bounded(text);
     if (!document.is_object() || !document.contains("spent") || !document["spent"].is_number_integer() ||
         !document.contains("reserved") || !document["reserved"].is_object())
     {
--- a/tests/unit/test_cbor_nesting.cpp
+++ b/tests/unit/test_cbor_nesting.cpp
@@ -15,6 +15,7 @@
 
 using namespace masticcourse;
 using codec::has_bounded_nesting;
+using codec::is_bounded_message;
 
 namespace
 {
@@ -118,3 +119,17 @@
         }
     }
 }
+
+// Guards against: a message of a few megabytes whose items take the parser a multiple of its bytes.
+TEST_CASE("a message of more items than any has is found, whatever they are")
+{
+    constexpr std::size_t many = 1'000'000;
+    for (const auto* item : {"\x80", "\xa0", "\x01", R"(`)", "\xf6"})
+    {
+        CAPTURE(item);
+        CHECK_FALSE(is_bounded_message("\x9f" + repeat(item, many) + "\xff"));
+        CHECK(is_bounded_message("\x9f" + repeat(item, many / 100) + "\xff"));
+    }
+    CHECK_FALSE(is_bounded_message(repeat("\x81", deep)));
+    CHECK(is_bounded_message(encode(std::string(many, 'x'))));
+}
