Uploads: an attempt for which a kept part is gone ends as broken

Cause: parts are kept for a further attempt as long as there is room. While that attempt was still sending them, the caller's next part found no room, the kept ones were dropped, and the attempt went on with the next part; so did a part that arrived while no attempt waited for one.

Change: an attempt gets a prefix of what the caller has sent, at each moment; if a part is gone that it has not got, it ends as broken, which closes the connection to the target.

--- a/src/gateway/upload_body.cpp
+++ b/src/gateway/upload_body.cpp
@@ -52,7 +52,7 @@
         deliver({.data = std::move(part), .progress = last ? body_progress::complete : body_progress::more});
         return;
     }
-    if (!m_rest)
+    if (!m_rest || m_part_lost)
     {
         deliver({.data = {}, .progress = body_progress::broken});
         return;
@@ -92,7 +92,7 @@
         }
     }
     keep(part.data);
-    if (m_dropped)
+    if (m_dropped && !m_part_lost)
     {
         deliver(std::move(part));
         return;
@@ -104,18 +104,26 @@
 {
     if (m_dropped)
     {
+        m_part_lost = m_part_lost || !m_waiting;
         return;
     }
     if (!m_memory.reserve(part.size()))
     {
-        m_dropped = true;
-        m_kept = {};
-        m_memory.reset();
+        drop_kept();
         return;
     }
     m_kept.push_back(part);
 }
 
+void upload_body::drop_kept()
+{
+    m_part_lost = !m_waiting || m_position < m_kept.size();
+    m_dropped = true;
+    m_kept = {};
+    m_position = 0;
+    m_memory.reset();
+}
+
 void upload_body::deliver(http_body_part part)
 {
     if (const auto waiting = std::exchange(m_waiting, nullptr))
--- a/src/gateway/upload_body.hpp
+++ b/src/gateway/upload_body.hpp
@@ -17,8 +17,10 @@
 namespace masticcourse::gateway::detail
 {
 
-/// What has been passed on is kept as long as there is room for it, so that the request can be sent once
-/// more. Not thread-safe; its callbacks run on the thread that reads from the caller.
+/// What an attempt gets is at each moment a prefix of what the caller has sent: an attempt for which a part
+/// is gone gets no further one, and ends as broken. What has been passed on is kept as long as there is room
+/// for it, so that the request can be sent once more. Not thread-safe; its callbacks run on the thread that
+/// reads from the caller.
 class upload_body final : public http_body_source, public std::enable_shared_from_this<upload_body>
 {
   public:
@@ -72,6 +74,8 @@
     void pass_on();
     void on_part(http_body_part part);
     void keep(const std::string& part);
+    /// Drops what has been kept, so that there is no further attempt.
+    void drop_kept();
     void deliver(http_body_part part);
 
     std::shared_ptr<http_body_source> m_rest;
@@ -84,6 +88,8 @@
     /// The next of them to pass on.
     std::size_t m_position = 0;
     bool m_dropped = false;
+    /// A part is gone that the current attempt has not got.
+    bool m_part_lost = false;
     /// All has been read from the caller.
     bool m_complete = false;
     bool m_reading = false;
