HTTP client: idle connections that won't be used again are closed, whatever address is asked for

Cause: idle connections were looked at only when a request for their address was sent; none is sent to a target that is gone.

Change: every 4 s, when a connection becomes idle, those past their timeout, and those idle for 4 s that the other side has closed, are closed, to any address.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace masticcourse::detail
 {
@@ -26,6 +27,10 @@
 /// Used if the server sends no `Keep-Alive` timeout. It is shorter than the usual idle timeout of servers, so
 /// that a request is rarely sent on a connection that the server is closing.
 constexpr std::chrono::milliseconds default_idle_timeout{15'000};
+bool is_expired(const http_connection& connection, std::chrono::steady_clock::time_point now)
+{
+    return connection.idle_since + connection.idle_timeout < now;
+}
 
 } // namespace
 
@@ -81,7 +86,6 @@
                                                           std::chrono::milliseconds max_idle)
 {
     const auto now = std::chrono::steady_clock::now();
-    const auto expired = [now](const http_connection& it) { return it.idle_since + it.idle_timeout < now; };
     const auto idle_too_long = [now, max_idle](const http_connection& it)
     { return it.idle_since + max_idle < now; };
     auto connection = pop(address);
@@ -91,7 +95,7 @@
         return_unused(address, connection);
         return nullptr;
     }
-    while (connection && (expired(*connection) || !connection->is_reusable()))
+    while (connection && (is_expired(*connection, now) || !connection->is_reusable()))
     {
         connection = pop(address);
     }
@@ -113,7 +117,8 @@
 
 void connection_pool::add(const std::string& address, const std::shared_ptr<http_connection>& connection)
 {
-    connection->idle_since = std::chrono::steady_clock::now();
+    const auto now = std::chrono::steady_clock::now();
+    connection->idle_since = now;
     if (connection->idle_timeout.count() == 0)
     {
         connection->idle_timeout = default_idle_timeout;
@@ -125,6 +130,32 @@
         idle.erase(idle.begin());
     }
     idle.push_back(connection);
+    if (now - m_last_sweep >= m_sweep_interval)
+    {
+        m_last_sweep = now;
+        close_expired(now);
+    }
+}
+
+void connection_pool::close_expired(steady_time now)
+{
+    const auto is_unusable = [this, now](const std::shared_ptr<http_connection>& it)
+    {
+        const bool long_idle = it->idle_since + m_sweep_interval < now;
+        return is_expired(*it, now) || (long_idle && !it->is_reusable());
+    };
+    for (auto& [address, idle] : m_idle)
+    {
+        std::erase_if(idle, is_unusable);
+    }
+    std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+std::size_t connection_pool::size()
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto add = [](std::size_t sum, const auto& entry) { return sum + entry.second.size(); };
+    return std::accumulate(m_idle.begin(), m_idle.end(), std::size_t{0}, add);
 }
 
 } // namespace masticcourse::detail
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -51,6 +51,16 @@
 class connection_pool
 {
   public:
+    /// Often enough that connections to servers that are gone are few, seldom enough for a system call each.
+    static constexpr std::chrono::milliseconds default_sweep_interval{4'000};
+
+    /// @param sweep_interval how often all idle connections are looked through; those idle for less are not
+    ///                       asked whether they are still open
+    explicit connection_pool(std::chrono::milliseconds sweep_interval = default_sweep_interval)
+        : m_sweep_interval(sweep_interval)
+    {
+    }
+
     /// @param max_idle connections that have been idle for longer are not returned
     /// @return a reusable connection, or null if there is none
     [[nodiscard]] std::shared_ptr<http_connection> acquire(const std::string& address,
@@ -63,12 +73,22 @@
     /// Adds a new connection to the idle connections.
     void add(const std::string& address, const std::shared_ptr<http_connection>& connection);
 
+    /// @return the number of idle connections
+    [[nodiscard]] std::size_t size();
+
   private:
+    using steady_time = std::chrono::steady_clock::time_point;
+
     [[nodiscard]] std::shared_ptr<http_connection> pop(const std::string& address);
+    /// Closes the connections, to any address, that will not be used again: servers that have gone are sent
+    /// no further request with which that would be noticed.
+    void close_expired(steady_time now);
     void return_unused(const std::string& address, const std::shared_ptr<http_connection>& connection);
 
+    std::chrono::milliseconds m_sweep_interval;
     std::mutex m_mutex;
     std::unordered_map<std::string, std::vector<std::shared_ptr<http_connection>>> m_idle;
+    steady_time m_last_sweep;
 };
 
 } // namespace masticcourse::detail
