Attempts: a 421 to a request that expects a version says nothing of its target for others

Cause: a target answers 421 if it is another instance, and also if its weights have another version than the request expects; both were taken for a replaced instance.

Change: for a request that expects a version a 421 counts as a refusal of this request; the target stays in use.

--- a/include/masticcourse/gateway/gateway_request.hpp
+++ b/include/masticcourse/gateway/gateway_request.hpp
@@ -91,6 +91,9 @@
     std::optional<program_context> program;
     /// Set on requests to model engines.
     std::optional<generation_request> generation;
+    /// The caller accepts one version of the target's weights only. A target that has another one responds as
+    /// if it were another instance.
+    bool expects_version = false;
     /// The caller's credential; empty if it sent none.
     std::string access_key;
     /// Set once the access key has been resolved to a workspace.
--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -185,6 +185,8 @@
     void send_to(const target_record& target);
     [[nodiscard]] std::string affinity_key() const;
     void refuse_without_target();
+    /// Sends a request that its target has not executed to another one, or refuses it.
+    void dispatch_or_refuse();
     /// @}
 
     /// @name Response of the target
--- a/src/gateway/forwarded_request_failures.cpp
+++ b/src/gateway/forwarded_request_failures.cpp
@@ -31,6 +31,14 @@
 
 void forwarded_request::on_not_executed()
 {
+    if (m_response_head->instance_replaced && m_request.expects_version)
+    {
+        // The target may have other weights than this request wants, which says nothing of it for others.
+        log_retry("the target instance was replaced, or has other weights");
+        end_attempt(health_signal::none);
+        dispatch_or_refuse();
+        return;
+    }
     if (m_response_head->instance_replaced)
     {
         // The addressed instance no longer exists and can't have executed the request, so this target does
@@ -44,6 +52,11 @@
     log_retry("the target did not execute the request");
     end_attempt(health_signal::refused);
     m_saw_full_target = true;
+    dispatch_or_refuse();
+}
+
+void forwarded_request::dispatch_or_refuse()
+{
     if (can_retry())
     {
         dispatch();
--- a/tests/unit/test_gateway_attempts.cpp
+++ b/tests/unit/test_gateway_attempts.cpp
@@ -201,3 +201,28 @@
     CHECK(view->response->status == 500);
     CHECK(view->response->body == "its own words");
 }
+
+// Guards against: one request that wants weights which its targets don't have takes them out of use for all
+// requests.
+TEST_CASE("what a target says of the version that a request wants is not believed of the target")
+{
+    forwarding_fixture world;
+    auto request = world.make_request("lookup", "r");
+    request.expects_version = true;
+    const auto refused = world.send(std::move(request));
+    for (std::size_t n = 0; n < world.sent.size(); ++n)
+    {
+        world.sent[n]->misdirect();
+    }
+    REQUIRE(refused->response);
+    CHECK(refused->response->status == status_unavailable);
+    for (const auto* id : {"t0", "t1", "t2"})
+    {
+        CHECK_FALSE(world.targets.find({id})->replaced);
+    }
+    const auto next = world.send(world.make_request("order", "next"));
+    CHECK(world.last()->request.target == "/order/1?q");
+    world.last()->end(200);
+    REQUIRE(next->response);
+    CHECK(next->response->status == 200);
+}
