--- a/cmake/extra.cmake
+++ b/cmake/extra.cmake
@@ -30,5 +30,4 @@
 set_tests_properties(gateway_memory.bodies gateway_memory.callers PROPERTIES TIMEOUT 300)
 # The home withdraws an intent that the store has taken unseen, and dies with the target process named there.
 add_test(NAME system_soak.withdrawn_intent COMMAND system-soak --list 12852)
-include(cmake/clients.cmake)
-include(cmake/answers.cmake)
+include(cmake/case_tests.cmake)
--- a/tests/answers/hostile.py
+++ b/tests/answers/hostile.py
@@ -71,7 +71,7 @@
     Form("rows", store_head(CHUNKED) + chunk(b'{"ver":1,"nowMs":1,"hasMore":false,"rows":['), chunk(ROWS)),
     Form("failure", b"HTTP/1.1 500 X\r\nConnection: close\r\n\r\n", FILLER),
     Form("header", STORE_OK.encode(), b"X-A: y\r\n" * 1000),
-    Form("4 MB of [", store_reply(b"[" * 4_000_000)),
+    Form("4 MB of open lists", store_reply(b"[" * 4_000_000)),
     Form("4 MB of empty lists", store_reply(b"[" + b"[]," * 1_333_000 + b"[]]")),
     Form("4 MB of members", store_reply(b'{"ver":1,"rows":[' + b"{}," * 1_333_000 + b"{}]}")),
     Form("nonsense", store_reply(b"nonsense")),
--- a/tests/unit/test_bounded_json.cpp
+++ b/tests/unit/test_bounded_json.cpp
@@ -2,6 +2,7 @@
 #include "../../src/codec/bounded_json.hpp"
 
 #include "support/test_seed.hpp"
+#include "support/text.hpp"
 
 #include <doctest/doctest.h>
 
@@ -15,20 +16,11 @@
 using codec::is_bounded_json;
 using codec::is_bounded_object;
 using codec::parse_bounded;
+using testing::repeat;
 
 namespace
 {
 
-std::string repeat(const std::string& text, std::size_t count)
-{
-    std::string all;
-    for (std::size_t n = 0; n < count; ++n)
-    {
-        all += text;
-    }
-    return all;
-}
-
 constexpr std::size_t many = 1'000'000;
 
 struct bounds_case
--- a/tests/unit/test_cbor_nesting.cpp
+++ b/tests/unit/test_cbor_nesting.cpp
@@ -3,6 +3,7 @@
 #include "../../src/codec/cbor_nesting.hpp"
 
 #include "support/test_seed.hpp"
+#include "support/text.hpp"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -10,28 +11,18 @@
 #include <cstddef>
 #include <random>
 #include <string>
-#include <string_view>
 #include <vector>
 
 using namespace masticcourse;
 using codec::has_bounded_nesting;
 using codec::is_bounded_message;
+using testing::repeat;
 
 namespace
 {
 
 constexpr std::size_t deep = 1'000'000;
 
-std::string repeat(std::string_view text, std::size_t count)
-{
-    std::string result;
-    for (std::size_t n = 0; n < count; ++n)
-    {
-        result += text;
-    }
-    return result;
-}
-
 std::string encode(const nlohmann::json& document)
 {
     std::string bytes;
--- a/tests/unit/test_gateway_odd_entries.cpp
+++ b/tests/unit/test_gateway_odd_entries.cpp
@@ -1,6 +1,7 @@
 // Entries that other writers left in the tables that a gateway reads: it goes on, and changes that follow
 // take effect.
 #include "gateway_fixture.hpp"
+#include "support/text.hpp"
 
 #include <doctest/doctest.h>
 
@@ -13,16 +14,6 @@
 namespace
 {
 
-std::string repeat(const std::string& text, std::size_t count)
-{
-    std::string all;
-    for (std::size_t n = 0; n < count; ++n)
-    {
-        all += text;
-    }
-    return all;
-}
-
 /// Levels of nesting; more than a row of 64 kB holds.
 constexpr std::size_t deep = 60'000;
 
