--- a/src/gateway/forwarded_request.hpp
+++ b/src/gateway/forwarded_request.hpp
@@ -47,7 +47,7 @@
 [[nodiscard]] std::string_view to_string(token_basis basis);
 
 /// What the caller has been sent of its response. Every end of a request goes by it: what has been begun can
-/// only be gone on with in kind, or broken off.
+/// only be continued in the same form, or broken off.
 enum class sent_response : std::uint8_t
 {
     nothing,
@@ -414,6 +414,7 @@
     bool m_stream_complete = false;
     /// @}
 
+    /// What the caller has been sent so far, over all attempts.
     sent_response m_sent_to_caller = sent_response::nothing;
 
     /// @name Bodies that are passed on, and the memory that is held
